--- /dev/null
+++ b/src/program/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("guavafront");
+    return 0;
+}
--- /dev/null
+++ b/src/runtime/loop.cpp
@@ -0,0 +1,89 @@
+#include "runtime/loop.h"
+
+#include <event2/event.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace guavafront
+{
+
+void loop::event_deleter::operator()(event *owned) const
+{
+    event_free(owned);
+}
+
+loop::loop()
+    : m_base(event_base_new())
+    , m_wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    , m_stopHandler([this] { stop(); })
+{
+    if (!m_base || m_wakeDescriptor < 0) {
+        throw std::runtime_error("no descriptors left for an event loop");
+    }
+    m_wakeEvent.reset(event_new(m_base, m_wakeDescriptor, EV_READ | EV_PERSIST, wakeCallback, this));
+    event_add(m_wakeEvent.get(), nullptr);
+}
+
+loop::~loop()
+{
+    m_wakeEvent.reset();
+    event_base_free(m_base);
+    close(m_wakeDescriptor);
+}
+
+event_base *loop::base() const
+{
+    return m_base;
+}
+
+instant loop::now()
+{
+    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
+    return instant(std::chrono::duration_cast<duration>(sinceEpoch));
+}
+
+void loop::run()
+{
+    if (!m_failure) {
+        event_base_dispatch(m_base);
+    }
+    if (m_failure) {
+        std::rethrow_exception(std::exchange(m_failure, nullptr));
+    }
+}
+
+void loop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+void loop::requestStop()
+{
+    eventfd_write(m_wakeDescriptor, 1);
+}
+
+void loop::onStopRequested(std::function<void()> handler)
+{
+    m_stopHandler = std::move(handler);
+}
+
+void loop::wakeCallback(int descriptor, short /*events*/, void *self)
+{
+    eventfd_t count = 0;
+    eventfd_read(descriptor, &count);
+    auto *owner = static_cast<loop *>(self);
+    owner->guard([owner] { owner->m_stopHandler(); });
+}
+
+void loop::fail(std::exception_ptr failure) noexcept
+{
+    if (!m_failure) {
+        m_failure = std::move(failure);
+    }
+    event_base_loopbreak(m_base);
+}
+
+} // namespace guavafront
