--- /dev/null
+++ b/tests/registry/registry_test.cpp
@@ -0,0 +1,109 @@
+#include <guavafront/coordination/registry/registry.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// VM 1 with instance 7 announced to it at time 0 and instance 8 heard by VM 2.
+struct registry_fixture {
+    registry state{.self = {1}};
+    announcement own{.instance = {7}, .sequence = 1, .service = "cobros", .ip = "10.0.0.7", .port = 80, .lease = 3s};
+    announcement others{.instance = {8}, .sequence = 1, .service = "cobros", .ip = "10.0.0.8", .port = 80, .lease = 3s};
+
+    registry_fixture()
+    {
+        announce(state, own, instant(0s));
+        learn(state, {2}, others, instant(0s));
+    }
+
+    /// Number of known instances of the service.
+    std::size_t known() const
+    {
+        return instancesOf(state, "cobros").size();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(registry_test, registry_fixture)
+
+BOOST_AUTO_TEST_CASE(announce_sameContent_renewsWithoutPublishing)
+{
+    own.sequence = 2;
+    own.load = 0.5F;
+    BOOST_TEST((announce(state, own, instant(2s)) == registry_change::Renewed));
+    BOOST_TEST(expire(state, instant(4s)).empty());
+    BOOST_TEST(findInstance(state, {7})->last.load == 0.5F);
+}
+
+BOOST_AUTO_TEST_CASE(announce_leaving_publishedAndKeptAgainstOldNews)
+{
+    announcement leaving = own;
+    leaving.sequence = 3;
+    leaving.state = instance_state::Leaving;
+    BOOST_TEST((announce(state, leaving, instant(1s)) == registry_change::Changed));
+    own.sequence = 2;
+    BOOST_TEST((announce(state, own, instant(1s)) == registry_change::None));
+    BOOST_TEST((findInstance(state, {7})->last.state == instance_state::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(expire_silentOwnInstance_withdrawn)
+{
+    BOOST_TEST((expire(state, instant(3s)) == std::vector<instance_id>{{7}}));
+    BOOST_TEST(known() == 1);
+    BOOST_TEST(findInstance(state, {7}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(learn_higherSequenceElsewhere_handedOver)
+{
+    own.sequence = 2;
+    BOOST_TEST((learn(state, {2}, own, instant(1s)) == registry_change::HandedOver));
+    BOOST_TEST((forget(state, {1}, {7}) == registry_change::None));
+    BOOST_TEST(known() == 2);
+    BOOST_TEST((findInstance(state, {7})->servingSince == instant(0s)));
+}
+
+BOOST_AUTO_TEST_CASE(learn_sameSequence_presentHearerStays)
+{
+    BOOST_TEST((learn(state, {3}, others, instant(1s)) == registry_change::None));
+    BOOST_TEST((forget(state, {3}, {8}) == registry_change::None));
+    BOOST_TEST((forget(state, {2}, {8}) == registry_change::Learned));
+    BOOST_TEST(known() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(onHearerLost_noNewHearer_expiresAfterOneLease)
+{
+    onHearerLost(state, {2}, instant(10s));
+    onHearerLost(state, {2}, instant(12s));
+    expire(state, instant(12s));
+    BOOST_TEST(findInstance(state, {8}) != nullptr);
+    expire(state, instant(13s));
+    BOOST_TEST(findInstance(state, {8}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(onHearerLost_announcedElsewhere_staysWithoutGap)
+{
+    onHearerLost(state, {2}, instant(10s));
+    others.sequence = 2;
+    learn(state, {3}, others, instant(11s));
+    expire(state, instant(20s));
+    BOOST_TEST((findInstance(state, {8})->hearer == vm_id{3}));
+}
+
+BOOST_AUTO_TEST_CASE(onHearerFound_afterLoss_leaseStops)
+{
+    onHearerLost(state, {2}, instant(10s));
+    onHearerFound(state, {2});
+    expire(state, instant(20s));
+    BOOST_TEST(findInstance(state, {8}) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
