--- a/include/guavafront/coordination/configuration/change.h
+++ b/include/guavafront/coordination/configuration/change.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/configuration/configuration.h>
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <variant>
@@ -73,6 +74,9 @@
 using change = std::variant<set_defaults, create_account, set_kind_order, grant_key, withdraw_key, put_route,
                             remove_route, put_exception, remove_exception>;
 
+/// Changes that one request may hold.
+constexpr std::size_t maxChangesPerRequest = 1000;
+
 /// Edits that are accepted or rejected as one.
 struct change_request {
     change_id id; ///< A resend carries the same one and gets the first answer.
--- a/include/guavafront/coordination/core/identifiers.h
+++ b/include/guavafront/coordination/core/identifiers.h
@@ -14,7 +14,7 @@
     number value{}; ///< The raw number; 0 stands for "none".
 
     /// Orders by the raw number.
-    auto operator<=>(const strong_id &) const = default;
+    auto operator<=>(const strong_id &) const = default; // NOLINT(modernize-use-nullptr): false on a defaulted <=>.
 };
 
 /// One incarnation of a VM's process. Control VMs keep theirs in the data folder, entry VMs draw one at each start.
@@ -39,7 +39,7 @@
     std::uint64_t low{}; ///< Lower half of 128 random bits.
 
     /// Orders by value.
-    auto operator<=>(const change_id &) const = default;
+    auto operator<=>(const change_id &) const = default; // NOLINT(modernize-use-nullptr): false on a defaulted <=>.
 };
 
 } // namespace guavafront
--- /dev/null
+++ b/src/coordination/configuration/change.cpp
@@ -0,0 +1,154 @@
+#include "coordination/configuration/printable.h"
+
+#include <guavafront/coordination/configuration/change.h>
+#include <guavafront/coordination/configuration/setting.h>
+#include <guavafront/coordination/configuration/validation.h>
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace guavafront
+{
+
+namespace
+{
+
+[[noreturn]] void unknown(std::string_view what, std::string_view name)
+{
+    throw coordination_error(result_code::SubjectUnknown, std::string(what) + " '" + printable(name) + "' is unknown");
+}
+
+[[noreturn]] void exists(std::string_view what, std::string_view name)
+{
+    throw coordination_error(result_code::SubjectExists, std::string(what) + " '" + printable(name) + "' exists");
+}
+
+account &accountNamed(configuration &current, std::string_view name)
+{
+    const auto found = std::ranges::find(current.accounts, name, &account::name);
+    if (found == current.accounts.end()) {
+        unknown("account", name);
+    }
+    return *found;
+}
+
+auto findRouteAt(configuration &current, std::string_view host, std::string_view pathPrefix)
+{
+    const std::string_view wanted = normalizedPathPrefix(pathPrefix);
+    return std::ranges::find_if(current.routes, [&](const route &each) {
+        return each.host == host && normalizedPathPrefix(each.pathPrefix) == wanted;
+    });
+}
+
+auto exceptionPosition(configuration &current, std::string_view subject, std::string_view setting)
+{
+    const auto place = [](const setting_exception &each) {
+        return std::pair<std::string_view, std::string_view>(each.subject, each.setting);
+    };
+    return std::ranges::lower_bound(current.exceptions, std::pair(subject, setting), {}, place);
+}
+
+void apply(configuration &current, const set_defaults &edit)
+{
+    current.defaults = edit.values;
+}
+
+void apply(configuration &current, const create_account &edit)
+{
+    if (std::ranges::find(current.accounts, edit.name, &account::name) != current.accounts.end()) {
+        exists("account", edit.name);
+    }
+    ++current.lastAccount.value;
+    current.accounts.push_back({.id = current.lastAccount, .name = edit.name});
+}
+
+void apply(configuration &current, const set_kind_order &edit)
+{
+    accountNamed(current, edit.accountName).kindOrder = edit.kinds;
+}
+
+void apply(configuration &current, const grant_key &edit)
+{
+    const account_id owner = accountNamed(current, edit.accountName).id;
+    const auto place = std::ranges::lower_bound(current.keys, edit.label, {}, &account_key::label);
+    if (place != current.keys.end() && place->label == edit.label) {
+        exists("key", edit.label);
+    }
+    current.keys.insert(place, {.label = edit.label, .hash = edit.hash, .owner = owner});
+}
+
+void apply(configuration &current, const withdraw_key &edit)
+{
+    const auto place = std::ranges::lower_bound(current.keys, edit.label, {}, &account_key::label);
+    if (place == current.keys.end() || place->label != edit.label) {
+        unknown("key", edit.label);
+    }
+    current.keys.erase(place);
+}
+
+void apply(configuration &current, const put_route &edit)
+{
+    const auto place = findRouteAt(current, edit.value.host, edit.value.pathPrefix);
+    if (place != current.routes.end()) {
+        const route_id kept = place->id;
+        *place = edit.value;
+        place->id = kept;
+        return;
+    }
+    ++current.lastRoute.value;
+    current.routes.push_back(edit.value);
+    current.routes.back().id = current.lastRoute;
+}
+
+void apply(configuration &current, const remove_route &edit)
+{
+    const auto place = findRouteAt(current, edit.host, edit.pathPrefix);
+    if (place == current.routes.end()) {
+        unknown("route", edit.host + edit.pathPrefix);
+    }
+    current.routes.erase(place);
+}
+
+void apply(configuration &current, const put_exception &edit)
+{
+    const setting_exception &value = edit.value;
+    const exception_subject subject = parseSubject(value.subject);
+    if (subject.type == subject_type::Service
+        && std::ranges::find(current.routes, subject.name, &route::service) == current.routes.end()) {
+        unknown("service", subject.name);
+    }
+    const auto place = exceptionPosition(current, value.subject, value.setting);
+    if (place != current.exceptions.end() && place->subject == value.subject && place->setting == value.setting) {
+        *place = value;
+        return;
+    }
+    current.exceptions.insert(place, value);
+}
+
+void apply(configuration &current, const remove_exception &edit)
+{
+    const auto place = exceptionPosition(current, edit.subject, edit.setting);
+    if (place == current.exceptions.end() || place->subject != edit.subject || place->setting != edit.setting) {
+        unknown("exception", edit.subject + " " + edit.setting);
+    }
+    current.exceptions.erase(place);
+}
+
+} // namespace
+
+configuration applyChanges(const configuration &before, std::span<const change> changes)
+{
+    if (changes.empty() || changes.size() > maxChangesPerRequest) {
+        throw coordination_error(result_code::ChangeInvalid, "a request holds 1 to 1000 changes");
+    }
+    configuration after = before;
+    for (const change &edit : changes) {
+        std::visit([&after](const auto &value) { apply(after, value); }, edit);
+    }
+    validate(after);
+    ++after.current.value;
+    return after;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/change_json.cpp
@@ -0,0 +1,252 @@
+#include "wire/change_json.h"
+
+#include "wire/cbor_fields.h"
+
+#include <guavafront/coordination/configuration/validation.h>
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <array>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Longest text of a field that has no limit of its own; validate() applies the narrower ones.
+constexpr std::size_t maxTextBytes = 1024;
+
+std::vector<std::string> textsFromJson(const json &values)
+{
+    std::vector<std::string> texts;
+    for (const json &value : values) {
+        const json wrapped = json::array({value});
+        texts.push_back(cbor_fields(wrapped, "text", 1).text(maxTextBytes));
+    }
+    return texts;
+}
+
+json fieldsOf(const set_defaults &edit)
+{
+    return json::array({toJson(edit.values)});
+}
+
+json fieldsOf(const create_account &edit)
+{
+    return json::array({edit.name});
+}
+
+json fieldsOf(const set_kind_order &edit)
+{
+    return json::array({edit.accountName, edit.kinds});
+}
+
+json fieldsOf(const grant_key &edit)
+{
+    return json::array({edit.label, edit.accountName, cborBytes(edit.hash)});
+}
+
+json fieldsOf(const withdraw_key &edit)
+{
+    return json::array({edit.label});
+}
+
+json fieldsOf(const put_route &edit)
+{
+    return json::array({toJson(edit.value)});
+}
+
+json fieldsOf(const remove_route &edit)
+{
+    return json::array({edit.host, edit.pathPrefix});
+}
+
+json fieldsOf(const put_exception &edit)
+{
+    return json::array({toJson(edit.value)});
+}
+
+json fieldsOf(const remove_exception &edit)
+{
+    return json::array({edit.subject, edit.setting});
+}
+
+void read(cbor_fields &fields, set_defaults &edit)
+{
+    edit.values = defaultsFromJson(fields.array(maxTextBytes));
+}
+
+void read(cbor_fields &fields, create_account &edit)
+{
+    edit.name = fields.text(maxTextBytes);
+}
+
+void read(cbor_fields &fields, set_kind_order &edit)
+{
+    edit.accountName = fields.text(maxTextBytes);
+    edit.kinds = textsFromJson(fields.array(maxKindsPerAccount));
+}
+
+void read(cbor_fields &fields, grant_key &edit)
+{
+    edit.label = fields.text(maxTextBytes);
+    edit.accountName = fields.text(maxTextBytes);
+    fields.bytesInto(edit.hash);
+}
+
+void read(cbor_fields &fields, withdraw_key &edit)
+{
+    edit.label = fields.text(maxTextBytes);
+}
+
+void read(cbor_fields &fields, put_route &edit)
+{
+    edit.value = routeFromJson(fields.array(maxTextBytes));
+}
+
+void read(cbor_fields &fields, remove_route &edit)
+{
+    edit.host = fields.text(maxTextBytes);
+    edit.pathPrefix = fields.text(maxTextBytes);
+}
+
+void read(cbor_fields &fields, put_exception &edit)
+{
+    edit.value = exceptionFromJson(fields.array(maxTextBytes));
+}
+
+void read(cbor_fields &fields, remove_exception &edit)
+{
+    edit.subject = fields.text(maxTextBytes);
+    edit.setting = fields.text(maxTextBytes);
+}
+
+template<class edit_type>
+change readAs(const json &value)
+{
+    edit_type edit;
+    cbor_fields fields(value, "change", fieldsOf(edit).size());
+    read(fields, edit);
+    return edit;
+}
+
+using change_reader = change (*)(const json &);
+
+template<std::size_t... tags>
+constexpr auto readersOf(std::index_sequence<tags...> /*tags*/)
+{
+    return std::array<change_reader, sizeof...(tags)>{readAs<std::variant_alternative_t<tags, change>>...};
+}
+
+/// Readers by tag. The tag is the position in the variant, so that new kinds of change are added at its end.
+constexpr auto changeReaders = readersOf(std::make_index_sequence<std::variant_size_v<change>>());
+
+} // namespace
+
+json toJson(const fleet_defaults &values)
+{
+    return json::array({values.accountRatePerSecond, values.accountBurst, values.requestTimeoutMs,
+                        values.healthyFloorPercent, values.retryBudgetPercent, values.announcementLeaseMs,
+                        values.stalenessLimitMs, values.claimRetentionMs, values.quarantineDeaths});
+}
+
+json toJson(const account &value)
+{
+    return json::array({value.id.value, value.name, value.kindOrder});
+}
+
+json toJson(const account_key &value)
+{
+    return json::array({value.label, cborBytes(value.hash), value.owner.value});
+}
+
+json toJson(const route &value)
+{
+    return json::array({value.id.value, value.host, value.pathPrefix, value.service, value.kind, value.openToAll,
+                        value.ordered, static_cast<std::uint8_t>(value.repeats), value.timeoutMs});
+}
+
+json toJson(const setting_exception &value)
+{
+    return json::array({value.subject, value.setting, value.value, value.reason});
+}
+
+fleet_defaults defaultsFromJson(const json &value)
+{
+    cbor_fields fields(value, "defaults", 9);
+    fleet_defaults values;
+    values.accountRatePerSecond = fields.real();
+    values.accountBurst = fields.real();
+    values.requestTimeoutMs = fields.whole<std::uint32_t>();
+    values.healthyFloorPercent = fields.whole<std::uint32_t>();
+    values.retryBudgetPercent = fields.whole<std::uint32_t>();
+    values.announcementLeaseMs = fields.whole<std::uint32_t>();
+    values.stalenessLimitMs = fields.whole<std::uint32_t>();
+    values.claimRetentionMs = fields.whole<std::uint32_t>();
+    values.quarantineDeaths = fields.whole<std::uint32_t>();
+    return values;
+}
+
+account accountFromJson(const json &value)
+{
+    cbor_fields fields(value, "account", 3);
+    account result;
+    result.id.value = fields.whole<std::uint32_t>();
+    result.name = fields.text(maxTextBytes);
+    result.kindOrder = textsFromJson(fields.array(maxKindsPerAccount));
+    return result;
+}
+
+account_key keyFromJson(const json &value)
+{
+    cbor_fields fields(value, "key", 3);
+    account_key result;
+    result.label = fields.text(maxTextBytes);
+    fields.bytesInto(result.hash);
+    result.owner.value = fields.whole<std::uint32_t>();
+    return result;
+}
+
+route routeFromJson(const json &value)
+{
+    cbor_fields fields(value, "route", 9);
+    route result;
+    result.id.value = fields.whole<std::uint32_t>();
+    result.host = fields.text(maxTextBytes);
+    result.pathPrefix = fields.text(maxTextBytes);
+    result.service = fields.text(maxTextBytes);
+    result.kind = fields.text(maxTextBytes);
+    result.openToAll = fields.boolean();
+    result.ordered = fields.boolean();
+    result.repeats = fields.oneOf(repeatability::NotRepeatable);
+    result.timeoutMs = fields.whole<std::uint32_t>();
+    return result;
+}
+
+setting_exception exceptionFromJson(const json &value)
+{
+    cbor_fields fields(value, "exception", 4);
+    setting_exception result;
+    result.subject = fields.text(maxTextBytes);
+    result.setting = fields.text(maxTextBytes);
+    result.value = fields.real();
+    result.reason = fields.text(maxReasonBytes);
+    return result;
+}
+
+json toJson(const change &edit)
+{
+    return json::array({edit.index(), std::visit([](const auto &value) { return fieldsOf(value); }, edit)});
+}
+
+change changeFromJson(const json &value)
+{
+    cbor_fields tagged(value, "change", 2);
+    const std::uint64_t tag = tagged.wholeUpTo(changeReaders.size() - 1);
+    return changeReaders[tag](tagged.array(maxTextBytes));
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/configuration_codec.cpp
@@ -0,0 +1,209 @@
+#include "wire/configuration_codec.h"
+
+#include "wire/cbor_fields.h"
+#include "wire/change_json.h"
+
+#include <guavafront/coordination/configuration/validation.h>
+
+#include <limits>
+#include <type_traits>
+#include <xxhash.h>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t unbounded = std::numeric_limits<std::size_t>::max(); ///< The encoded size bounds it already.
+
+template<class item>
+json listToJson(const std::vector<item> &items)
+{
+    json list = json::array();
+    for (const item &each : items) {
+        list.push_back(toJson(each));
+    }
+    return list;
+}
+
+template<class reader>
+auto listFromJson(const json &list, reader read)
+{
+    std::vector<std::invoke_result_t<reader, const json &>> items;
+    items.reserve(list.size());
+    for (const json &each : list) {
+        items.push_back(read(each));
+    }
+    return items;
+}
+
+json configurationToJson(const configuration &value)
+{
+    return json::array({configurationFormatVersion, value.current.value, toJson(value.defaults),
+                        listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
+                        listToJson(value.exceptions), value.lastAccount.value, value.lastRoute.value});
+}
+
+configuration configurationFromJson(const json &encoded)
+{
+    cbor_fields fields(encoded, "configuration", 9);
+    fields.version(configurationFormatVersion);
+    configuration value;
+    value.current.value = fields.whole<std::uint64_t>();
+    value.defaults = defaultsFromJson(fields.array(unbounded));
+    value.accounts = listFromJson(fields.array(unbounded), accountFromJson);
+    value.keys = listFromJson(fields.array(unbounded), keyFromJson);
+    value.routes = listFromJson(fields.array(unbounded), routeFromJson);
+    value.exceptions = listFromJson(fields.array(unbounded), exceptionFromJson);
+    value.lastAccount.value = fields.whole<std::uint32_t>();
+    value.lastRoute.value = fields.whole<std::uint32_t>();
+    validate(value);
+    return value;
+}
+
+json requestToJson(const change_request &request)
+{
+    return json::array({configurationFormatVersion, request.id.high, request.id.low, request.expected.value,
+                        listToJson(request.changes)});
+}
+
+change_request requestFromJson(const json &encoded)
+{
+    cbor_fields fields(encoded, "change request", 5);
+    fields.version(configurationFormatVersion);
+    change_request request;
+    request.id.high = fields.whole<std::uint64_t>();
+    request.id.low = fields.whole<std::uint64_t>();
+    request.expected.value = fields.whole<std::uint64_t>();
+    request.changes = listFromJson(fields.array(maxChangesPerRequest), changeFromJson);
+    return request;
+}
+
+json authorToJson(const change_author &author)
+{
+    return json::array({static_cast<std::uint8_t>(author.role), author.accountName});
+}
+
+change_author authorFromJson(const json &encoded)
+{
+    cbor_fields fields(encoded, "change author", 2);
+    change_author author;
+    author.role = fields.oneOf(operator_role::AccountManager);
+    author.accountName = fields.text(maxNameBytes);
+    return author;
+}
+
+json toJson(const remembered_answer &remembered)
+{
+    const change_answer &answer = remembered.answer;
+    return json::array({remembered.id.high, remembered.id.low, remembered.contentDigest,
+                        static_cast<std::uint16_t>(answer.code), answer.at.value, answer.text});
+}
+
+remembered_answer answerFromJson(const json &encoded)
+{
+    cbor_fields fields(encoded, "remembered answer", 6);
+    remembered_answer remembered;
+    remembered.id.high = fields.whole<std::uint64_t>();
+    remembered.id.low = fields.whole<std::uint64_t>();
+    remembered.contentDigest = fields.whole<std::uint64_t>();
+    remembered.answer.code = static_cast<result_code>(fields.whole<std::uint16_t>());
+    remembered.answer.at.value = fields.whole<std::uint64_t>();
+    remembered.answer.text = fields.text(maxReasonBytes);
+    return remembered;
+}
+
+json answersToJson(const std::deque<remembered_answer> &answers)
+{
+    json list = json::array();
+    for (const remembered_answer &each : answers) {
+        list.push_back(toJson(each));
+    }
+    return list;
+}
+
+} // namespace
+
+std::vector<std::byte> encodeConfiguration(const configuration &value)
+{
+    return encodeCbor(configurationToJson(value));
+}
+
+configuration decodeConfiguration(std::span<const std::byte> encoded)
+{
+    return configurationFromJson(parseCbor(encoded, maxConfigurationBytes));
+}
+
+std::vector<std::byte> encodeChanges(std::span<const change> changes)
+{
+    json list = json::array();
+    for (const change &edit : changes) {
+        list.push_back(toJson(edit));
+    }
+    return encodeCbor(json::array({configurationFormatVersion, std::move(list)}));
+}
+
+std::vector<change> decodeChanges(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxChangesBytes);
+    cbor_fields fields(value, "changes", 2);
+    fields.version(configurationFormatVersion);
+    return listFromJson(fields.array(maxChangesPerRequest), changeFromJson);
+}
+
+std::vector<std::byte> encodeChangeRequest(const change_request &request)
+{
+    return encodeCbor(requestToJson(request));
+}
+
+change_request decodeChangeRequest(std::span<const std::byte> encoded)
+{
+    return requestFromJson(parseCbor(encoded, maxChangesBytes));
+}
+
+std::vector<std::byte> encodeProposal(const change_proposal &proposal)
+{
+    return encodeCbor(json::array({configurationFormatVersion, authorToJson(proposal.author),
+                                   requestToJson(proposal.request), proposal.contentDigest}));
+}
+
+change_proposal decodeProposal(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxChangesBytes);
+    cbor_fields fields(value, "change proposal", 4);
+    fields.version(configurationFormatVersion);
+    change_proposal proposal;
+    proposal.author = authorFromJson(fields.array(unbounded));
+    proposal.request = requestFromJson(fields.array(unbounded));
+    proposal.contentDigest = fields.whole<std::uint64_t>();
+    return proposal;
+}
+
+std::vector<std::byte> encodeChangeLog(const change_log &log)
+{
+    return encodeCbor(
+        json::array({configurationFormatVersion, configurationToJson(log.value), answersToJson(log.answers)}));
+}
+
+change_log decodeChangeLog(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxConfigurationBytes);
+    cbor_fields fields(value, "change log", 3);
+    fields.version(configurationFormatVersion);
+    change_log log;
+    log.value = configurationFromJson(fields.array(unbounded));
+    const auto answers = listFromJson(fields.array(maxRememberedAnswers), answerFromJson);
+    log.answers.assign(answers.begin(), answers.end());
+    return log;
+}
+
+change_proposal makeProposal(const change_author &author, const change_request &request)
+{
+    const std::vector<std::byte> content = encodeCbor(json::array({authorToJson(author), requestToJson(request)}));
+    return {author, request, XXH3_64bits(content.data(), content.size())};
+}
+
+} // namespace guavafront
