Request pipeline of an entry as one pure step function

Cause: each later part (limits, claims, admission, health) must hook into a request's way without a socket. Ruled out: callbacks between parts (order of effects would depend on wiring). Change: step(entry, event, now, random, effects) with the stages Limit, Claim, Admit, Select, Running; route and key check, retry only where repeatable or proved not run, honest refusals, deadline, planned stop. Limit, Claim and Admit pass everything on for now. Conclusion: one place decides what a caller is told.

--- /dev/null
+++ b/include/guavafront/coordination/entry/entry.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <guavafront/coordination/configuration/configuration.h>
+#include <guavafront/coordination/configuration/key_table.h>
+#include <guavafront/coordination/entry/entry_effect.h>
+#include <guavafront/coordination/entry/entry_event.h>
+#include <guavafront/coordination/entry/exchange.h>
+#include <guavafront/coordination/registry/registry.h>
+#include <guavafront/coordination/routing/route_table.h>
+
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Who an entry VM is.
+struct entry_identity {
+    vm_id self; ///< This incarnation.
+    std::string dataCentre; ///< Data centre that it stands in.
+};
+
+/// All state of an entry VM's decisions.
+struct entry {
+    entry_identity identity; ///< This VM.
+    std::shared_ptr<const configuration> current; ///< In force; never null.
+    route_table routes; ///< Of the configuration in force.
+    key_table keys; ///< Of the configuration in force.
+    std::unordered_map<account_id, const account *> accounts; ///< Into the configuration in force.
+    freshness_changed freshness; ///< How old the configuration may be.
+    registry upstreams; ///< Announced instances.
+    std::unordered_map<instance_id, std::uint32_t> inFlight; ///< Running tries of this VM for each instance.
+    std::unordered_map<exchange_id, exchange> exchanges; ///< Requests under way.
+    std::set<std::pair<instant, exchange_id>> deadlines; ///< Of the requests under way.
+    bool stopping = false; ///< A planned stop has begun.
+};
+
+/// Entry VM with the empty configuration.
+entry makeEntry(entry_identity identity);
+
+/// Reacts to one event. The same state, event, time and random numbers give the same effects. Requests pass the stages
+/// of exchange_stage in order; each request ends with exactly one deliver_answer or refuse_request, unless its caller
+/// has left.
+void step(entry &state, const entry_event &event, instant now, std::mt19937_64 &random,
+          std::vector<entry_effect> &effects);
+
+} // namespace guavafront
--- /dev/null
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/core/refusal.h>
+#include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/registry/announcement.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace guavafront
+{
+
+/// Send the request to an instance; ends with attempt_ended.
+struct start_attempt {
+    exchange_id id; ///< Request.
+    instance_id instance; ///< Upstream instance.
+    std::string ip; ///< Its IP number.
+    std::uint16_t port = 0; ///< Its TCP port.
+    std::string accountName; ///< Client account to name upstream; empty on a route open to all.
+    instant deadline; ///< Give up then.
+};
+
+/// Give up on the running try: its connection is closed, no attempt_ended follows.
+struct cancel_attempt {
+    exchange_id id; ///< Request.
+};
+
+/// Hand the last try's whole answer to the caller. The request is over.
+struct deliver_answer {
+    exchange_id id; ///< Request.
+};
+
+/// Refuse the request. It is over.
+struct refuse_request {
+    exchange_id id; ///< Request.
+    refusal reason; ///< Why.
+};
+
+/// Tell the other VMs about an own instance.
+struct publish_instance {
+    announcement news; ///< What it said.
+};
+
+/// Tell the other VMs that this one doesn't answer for an instance any more.
+struct withdraw_instance {
+    instance_id instance; ///< The instance.
+};
+
+/// Send time_passed at that time, or earlier; the last one of a step counts.
+struct wake_at {
+    instant when; ///< Time to wake.
+};
+
+/// All that an entry's decisions want done.
+using entry_effect = std::variant<start_attempt, cancel_attempt, deliver_answer, refuse_request, publish_instance,
+                                  withdraw_instance, wake_at>;
+
+} // namespace guavafront
--- /dev/null
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <guavafront/coordination/configuration/configuration.h>
+#include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/entry/request_head.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Steps that a request passes, in order. A request may be parked in one until an event lets it go on.
+enum class exchange_stage : std::uint8_t {
+    Limit, ///< Takes one request from the account's rate.
+    Claim, ///< Claims its idempotency key.
+    Admit, ///< Waits for its turn and a slot.
+    Select, ///< Chooses an instance.
+    Running, ///< A try is under way.
+};
+
+/// One request of a caller, from its arrival to its end.
+struct exchange {
+    exchange_id id; ///< The front end's number.
+    exchange_stage stage = exchange_stage::Limit; ///< Step that it is in.
+    bool mayBeRepeated = false; ///< Upstreams may see it more than once.
+    bool sent = false; ///< A byte of it may have reached an upstream.
+    bool callerLeft = false; ///< Nobody waits for the answer.
+    route_id path; ///< Route that matched.
+    account_id owner; ///< Client account; 0 on a route open to all.
+    std::string accountName; ///< Its name.
+    std::string service; ///< Service that serves it.
+    std::string kind; ///< Kind in the account manager's order.
+    std::string idempotencyKey; ///< As sent; empty when there is none.
+    request_digest digest; ///< Of the whole request.
+    instant arrived; ///< When it came.
+    instant deadline; ///< It ends at the latest then.
+    instance_id running; ///< Instance of the present try.
+    std::vector<instance_id> tried; ///< Instances of all tries so far.
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/entry/accept_request.cpp
@@ -0,0 +1,114 @@
+#include "coordination/entry/entry_step.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration retryAfterStale = std::chrono::seconds(1);
+
+/// Idempotent methods of RFC 9110 section 9.2.2.
+bool isIdempotentMethod(std::string_view method)
+{
+    constexpr std::array<std::string_view, 6> methods{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"};
+    return std::ranges::find(methods, method) != methods.end();
+}
+
+bool mayBeRepeated(const route &match, std::string_view method)
+{
+    switch (match.repeats) {
+    case repeatability::Repeatable:
+        return true;
+    case repeatability::NotRepeatable:
+        return false;
+    case repeatability::ByMethod:
+        break;
+    }
+    return isIdempotentMethod(method);
+}
+
+/// An entry VM that is cut off alone can't know of withdrawn keys. When the control is away for all, the keys it last
+/// confirmed stay in force, since nobody can have withdrawn one.
+bool knowledgeTooOld(const entry &state, instant now)
+{
+    const duration limit = std::chrono::milliseconds(state.current->defaults.stalenessLimitMs);
+    return state.freshness.isolated && now > state.freshness.confirmedAt + limit;
+}
+
+/// Why a request's key doesn't open its route; Ok when it does. owner gets the account.
+result_code checkKey(const step_context &context, const request_head &head, const account *&owner)
+{
+    if (knowledgeTooOld(context.state, context.now)) {
+        return result_code::ConfigurationStale;
+    }
+    if (!head.key) {
+        return result_code::KeyMissing;
+    }
+    const account_key *known = findKey(context.state.keys, *head.key);
+    if (!known) {
+        return result_code::KeyUnknown;
+    }
+    const auto found = context.state.accounts.find(known->owner);
+    if (found == context.state.accounts.end()) {
+        return result_code::KeyUnknown;
+    }
+    owner = found->second;
+    return result_code::Ok;
+}
+
+void refuseAtOnce(step_context &context, exchange_id id, result_code code)
+{
+    const duration retryAfter = code == result_code::ConfigurationStale ? retryAfterStale : duration::zero();
+    context.effects.emplace_back(refuse_request{id, {code, execution::NotRun, retryAfter}});
+}
+
+exchange makeExchange(const step_context &context, const request_head &head, const route &match, const account *owner)
+{
+    const std::uint32_t timeoutMs =
+        match.timeoutMs != 0 ? match.timeoutMs : context.state.current->defaults.requestTimeoutMs;
+    exchange request;
+    request.id = head.id;
+    request.mayBeRepeated = mayBeRepeated(match, head.method);
+    request.path = match.id;
+    request.owner = owner ? owner->id : account_id{};
+    request.accountName = owner ? owner->name : std::string();
+    request.service = match.service;
+    request.kind = match.kind;
+    request.idempotencyKey = head.idempotencyKey;
+    request.digest = head.digest;
+    request.arrived = context.now;
+    request.deadline = context.now + std::chrono::milliseconds(timeoutMs);
+    return request;
+}
+
+} // namespace
+
+void acceptRequest(step_context &context, const request_head &head)
+{
+    if (context.state.stopping) {
+        refuseAtOnce(context, head.id, result_code::EntryStopping);
+        return;
+    }
+    const route *match = findRoute(context.state.routes, head.host, head.path);
+    if (!match) {
+        refuseAtOnce(context, head.id, result_code::NoRoute);
+        return;
+    }
+    const account *owner = nullptr;
+    if (!match->openToAll) {
+        if (const result_code code = checkKey(context, head, owner); code != result_code::Ok) {
+            refuseAtOnce(context, head.id, code);
+            return;
+        }
+    }
+    exchange request = makeExchange(context, head, *match, owner);
+    context.state.deadlines.emplace(request.deadline, request.id);
+    advance(context, context.state.exchanges.emplace(head.id, std::move(request)).first->second);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/entry/stages.cpp
@@ -0,0 +1,77 @@
+#include "coordination/entry/entry_step.h"
+
+#include <cassert>
+
+namespace guavafront
+{
+
+namespace
+{
+
+void forget(entry &state, exchange &request)
+{
+    state.deadlines.erase({request.deadline, request.id});
+    state.exchanges.erase(request.id);
+}
+
+stage_verdict runStage(step_context &context, exchange &request)
+{
+    switch (request.stage) {
+    case exchange_stage::Limit:
+    case exchange_stage::Claim:
+    case exchange_stage::Admit:
+        return stage_verdict::Continue;
+    case exchange_stage::Select:
+        return select(context, request);
+    case exchange_stage::Running:
+        break;
+    }
+    return stage_verdict::Park;
+}
+
+} // namespace
+
+void advance(step_context &context, exchange &request)
+{
+    stage_verdict verdict = runStage(context, request);
+    while (verdict == stage_verdict::Continue) {
+        request.stage = static_cast<exchange_stage>(static_cast<std::uint8_t>(request.stage) + 1);
+        verdict = runStage(context, request);
+    }
+}
+
+stage_verdict refuse(step_context &context, exchange &request, result_code code, execution ran, duration retryAfter)
+{
+    assert(ran == execution::Unknown || !request.sent);
+    if (!request.callerLeft) {
+        context.effects.emplace_back(refuse_request{request.id, {code, ran, retryAfter}});
+    }
+    forget(context.state, request);
+    return stage_verdict::Ended;
+}
+
+void deliver(step_context &context, exchange &request)
+{
+    if (!request.callerLeft) {
+        context.effects.emplace_back(deliver_answer{request.id});
+    }
+    forget(context.state, request);
+}
+
+void expireRequests(step_context &context)
+{
+    auto &deadlines = context.state.deadlines;
+    while (!deadlines.empty() && deadlines.begin()->first <= context.now) {
+        exchange &request = context.state.exchanges.at(deadlines.begin()->second);
+        if (request.stage == exchange_stage::Running) {
+            // The front end holds the same deadline and may report a moment later: this end is the one that counts.
+            context.effects.emplace_back(cancel_attempt{request.id});
+            concludeAttempt(context, request, {.outcome = attempt_outcome::TimedOut, .bytesMayHaveLeft = true});
+        } else {
+            const execution ran = request.sent ? execution::Unknown : execution::NotRun;
+            refuse(context, request, request.sent ? result_code::OutcomeUnknown : result_code::DeadlinePassed, ran, {});
+        }
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/entry/upstreams.cpp
@@ -0,0 +1,48 @@
+#include "coordination/entry/entry_step.h"
+
+namespace guavafront
+{
+
+void updateUpstreams(step_context &context, const instance_announced &event)
+{
+    switch (announce(context.state.upstreams, event.news, context.now)) {
+    case registry_change::Changed:
+        context.effects.emplace_back(publish_instance{event.news});
+        break;
+    case registry_change::None:
+    case registry_change::Renewed:
+    case registry_change::Learned:
+    case registry_change::HandedOver:
+        break;
+    }
+}
+
+void updateUpstreams(step_context &context, const instance_learned &event)
+{
+    if (learn(context.state.upstreams, event.hearer, event.news, context.now) == registry_change::HandedOver) {
+        context.effects.emplace_back(withdraw_instance{event.news.instance});
+    }
+}
+
+void updateUpstreams(step_context &context, const instance_forgotten &event)
+{
+    forget(context.state.upstreams, event.hearer, event.instance);
+}
+
+void updateUpstreams(step_context &context, const hearer_changed &event)
+{
+    if (event.reachable) {
+        onHearerFound(context.state.upstreams, event.hearer);
+    } else {
+        onHearerLost(context.state.upstreams, event.hearer, context.now);
+    }
+}
+
+void expireInstances(step_context &context)
+{
+    for (const instance_id instance : expire(context.state.upstreams, context.now)) {
+        context.effects.emplace_back(withdraw_instance{instance});
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/entry/entry_test.cpp
@@ -0,0 +1,185 @@
+#include "entry/entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+using namespace std::chrono_literals;
+
+BOOST_FIXTURE_TEST_SUITE(entry_test, entry_fixture)
+
+BOOST_AUTO_TEST_CASE(request_keyedRouteAndKey_sentWithAccountName)
+{
+    request("GET", "/bookings/7");
+    BOOST_REQUIRE(find<start_attempt>());
+    BOOST_TEST(find<start_attempt>()->accountName == "panalera");
+}
+
+BOOST_AUTO_TEST_CASE(request_noRoute_refusedNotRun)
+{
+    request("GET", "/nothing");
+    BOOST_TEST(refused(result_code::NoRoute, execution::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(request_keyMissingOrUnknown_refusedNotRun)
+{
+    request("GET", "/bookings", std::nullopt);
+    BOOST_TEST(refused(result_code::KeyMissing, execution::NotRun));
+    request("GET", "/bookings", hashOf(8));
+    BOOST_TEST(refused(result_code::KeyUnknown, execution::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(request_keyWithdrawn_nextRequestRefused)
+{
+    request("GET", "/bookings");
+    BOOST_TEST(find<start_attempt>());
+    draft->keys.clear();
+    apply();
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::KeyUnknown, execution::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(configuration_olderRevision_neverReverts)
+{
+    auto older = std::make_shared<configuration>(*draft);
+    draft->keys.clear();
+    apply();
+    run(configuration_changed{older});
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::KeyUnknown, execution::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(request_openRouteWithoutKey_sent)
+{
+    request("GET", "/flags/tjornin", std::nullopt);
+    BOOST_REQUIRE(find<start_attempt>());
+    BOOST_TEST(find<start_attempt>()->accountName.empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_isolatedLongerThanLimit_keyedRefusedOpenServed)
+{
+    run(freshness_changed{.confirmedAt = now, .isolated = true});
+    now += 4s;
+    request("GET", "/bookings");
+    BOOST_TEST(find<start_attempt>());
+    now += 2s;
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::ConfigurationStale, execution::NotRun));
+    request("GET", "/flags", std::nullopt);
+    BOOST_TEST(find<start_attempt>());
+}
+
+BOOST_AUTO_TEST_CASE(request_controlAwayForAll_keyedServed)
+{
+    run(freshness_changed{.confirmedAt = now, .isolated = false});
+    now += 3h;
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        announceInstance(id, "reservas");
+    }
+    request("GET", "/bookings");
+    BOOST_TEST(find<start_attempt>());
+}
+
+BOOST_AUTO_TEST_CASE(attempt_answered_delivered)
+{
+    const exchange_id id = request("POST", "/bookings");
+    run(attempt_ended{id, {.outcome = attempt_outcome::Answered, .bytesMayHaveLeft = true, .status = 201}});
+    BOOST_TEST(find<deliver_answer>());
+    BOOST_TEST(state.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(attempt_connectFailed_nonRepeatableTriedElsewhere)
+{
+    const exchange_id id = request("POST", "/bookings");
+    const instance_id first = find<start_attempt>()->instance;
+    run(attempt_ended{id, {.outcome = attempt_outcome::ConnectFailed}});
+    BOOST_REQUIRE(find<start_attempt>());
+    BOOST_TEST((find<start_attempt>()->instance != first));
+    run(attempt_ended{id, {.outcome = attempt_outcome::ConnectFailed}});
+    BOOST_TEST(find<refuse_request>());
+    BOOST_TEST((find<refuse_request>()->reason.ran == execution::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(attempt_closedAfterBytesLeft_nonRepeatableNeverSentAgain)
+{
+    const exchange_id id = request("POST", "/bookings");
+    run(attempt_ended{id, {.outcome = attempt_outcome::ClosedEarly, .bytesMayHaveLeft = true}});
+    BOOST_TEST(!find<start_attempt>());
+    BOOST_TEST(refused(result_code::OutcomeUnknown, execution::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(attempt_incompleteAnswer_repeatableTriedElsewhere)
+{
+    const exchange_id id = request("GET", "/bookings");
+    run(attempt_ended{id, {.outcome = attempt_outcome::AnswerIncomplete, .bytesMayHaveLeft = true}});
+    BOOST_TEST(find<start_attempt>());
+}
+
+BOOST_AUTO_TEST_CASE(attempt_secondConnectFailsAfterFirstWasSent_unknownNotNotRun)
+{
+    const exchange_id id = request("GET", "/bookings");
+    run(attempt_ended{id, {.outcome = attempt_outcome::ClosedEarly, .bytesMayHaveLeft = true}});
+    run(attempt_ended{id, {.outcome = attempt_outcome::ConnectFailed}});
+    BOOST_TEST(refused(result_code::OutcomeUnknown, execution::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(attempt_refusedNotRunByUpstream_nonRepeatableTriedElsewhere)
+{
+    const exchange_id id = request("POST", "/bookings");
+    run(attempt_ended{id, {.outcome = attempt_outcome::RefusedNotRun, .bytesMayHaveLeft = true, .status = 503}});
+    BOOST_TEST(find<start_attempt>());
+}
+
+BOOST_AUTO_TEST_CASE(deadline_passesWhileRunning_unknownAndLateAnswerDropped)
+{
+    const exchange_id id = request("POST", "/bookings");
+    now += 11s;
+    run(time_passed{});
+    BOOST_TEST(find<cancel_attempt>());
+    BOOST_TEST(refused(result_code::OutcomeUnknown, execution::Unknown));
+    run(attempt_ended{id, {.outcome = attempt_outcome::Answered, .bytesMayHaveLeft = true, .status = 200}});
+    BOOST_TEST(!find<deliver_answer>());
+    BOOST_TEST(state.inFlight.empty());
+}
+
+BOOST_AUTO_TEST_CASE(caller_leavesDuringNonRepeatable_runsToItsEndUnanswered)
+{
+    const exchange_id id = request("POST", "/bookings");
+    run(caller_left{id});
+    BOOST_TEST(!find<cancel_attempt>());
+    run(attempt_ended{id, {.outcome = attempt_outcome::Answered, .bytesMayHaveLeft = true, .status = 201}});
+    BOOST_TEST(!find<deliver_answer>());
+    BOOST_TEST(state.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(caller_leavesDuringRepeatable_cancelled)
+{
+    const exchange_id id = request("GET", "/bookings");
+    run(caller_left{id});
+    BOOST_TEST(find<cancel_attempt>());
+    BOOST_TEST(state.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_CASE(instance_leaving_noNewWork)
+{
+    announceInstance(1, "reservas", instance_state::Leaving);
+    for (int round = 0; round < 8; ++round) {
+        request("GET", "/bookings");
+        BOOST_TEST((find<start_attempt>()->instance == instance_id{2}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stop_requested_newRequestsRefusedRunningOnesFinish)
+{
+    const exchange_id id = request("POST", "/bookings");
+    run(stop_requested{});
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::EntryStopping, execution::NotRun));
+    run(attempt_ended{id, {.outcome = attempt_outcome::Answered, .bytesMayHaveLeft = true, .status = 201}});
+    BOOST_TEST(find<deliver_answer>());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
