Add authenticated links between VMs

Cause: the fleet's processes had no way to talk. Ruled out: Asio under websocketpp (a second event loop); an HMAC on one end only (a reflected answer would pass); a third-party CBOR reader besides nlohmann's (a walk over heads before parsing bounds depth and counts and needs no allocation). Change: CBOR envelopes with a channel, websocketpp's iostream transport as a C++17 library fed from a bufferevent, a mutual challenge-response handshake that binds roles, nonces and identities, links with bounded output and keepalive, and a table of links opened on demand by address with backoff.

--- /dev/null
+++ b/src/daemon/peers/link_table.cpp
@@ -0,0 +1,240 @@
+#include "daemon/peers/link_table.h"
+
+#include <event2/bufferevent.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration idleCheckPeriod = std::chrono::seconds(10);
+
+} // namespace
+
+link_table::link_table(loop &owner, link_table_options options, link_table_events events)
+    : m_loop(owner)
+    , m_options(std::move(options))
+    , m_events(std::move(events))
+    , m_random(static_cast<std::uint32_t>(m_options.link.self.id.value))
+    , m_sweep(owner, [this] { m_ended.clear(); })
+    , m_idleCheck(owner, [this] { closeIdle(); })
+    , m_listener(owner, m_options.listenAddress, [this](bufferevent *socket) { accept(socket); })
+{
+    if (m_options.link.self.address.empty()) {
+        const std::string &listen = m_options.listenAddress;
+        m_options.link.self.address = listen.substr(0, listen.rfind(':') + 1) + std::to_string(m_listener.port());
+    }
+    m_idleCheck.arm(idleCheckPeriod);
+}
+
+link_table::~link_table() = default;
+
+void link_table::send(vm_id to, std::string_view address, envelope message)
+{
+    if (peer_link *link = to.value == 0 ? nullptr : readyLink(to)) {
+        transmit(*link, message);
+        return;
+    }
+    if (address.empty() || address == self().address) {
+        ++m_counters.messagesDropped;
+        return;
+    }
+    const std::string target(address);
+    outgoing_connection &connection = m_outgoing[target];
+    if (!connection.link && loop::now() < connection.notBefore) {
+        ++m_counters.messagesDropped;
+        return;
+    }
+    connection.pending.push_back({to, std::move(message)});
+    if (connection.pending.size() > m_options.pendingMessages) {
+        connection.pending.pop_front();
+        ++m_counters.messagesDropped;
+    }
+    if (!connection.link) {
+        open(target, connection);
+    }
+}
+
+void link_table::disconnect(vm_id peer)
+{
+    const auto found = m_ready.find(peer);
+    if (found == m_ready.end()) {
+        return;
+    }
+    const std::vector<peer_link *> links = found->second;
+    for (peer_link *each : links) {
+        each->close();
+    }
+}
+
+std::vector<vm_id> link_table::connectedPeers() const
+{
+    std::vector<vm_id> peers;
+    for (const auto &[peer, links] : m_ready) {
+        peers.push_back(peer);
+    }
+    std::ranges::sort(peers, {}, &vm_id::value);
+    return peers;
+}
+
+const peer_identity &link_table::self() const
+{
+    return m_options.link.self;
+}
+
+const link_counters &link_table::counters() const
+{
+    return m_counters;
+}
+
+peer_link *link_table::readyLink(vm_id peer) const
+{
+    const auto found = m_ready.find(peer);
+    if (found == m_ready.end()) {
+        return nullptr;
+    }
+    // When links cross, both ends prefer the one that the lower identifier opened; the other falls idle.
+    const bool ownPreferred = self().id.value < peer.value;
+    const auto preferred = std::ranges::find_if(
+        found->second, [ownPreferred](const peer_link *each) { return each->isInitiator() == ownPreferred; });
+    return preferred != found->second.end() ? *preferred : found->second.front();
+}
+
+void link_table::transmit(peer_link &link, const envelope &message)
+{
+    if (!link.send(message)) {
+        ++m_counters.messagesDropped;
+        return;
+    }
+    ++m_counters.messagesSent;
+    m_counters.bytesSent += message.body.size();
+}
+
+void link_table::open(const std::string &address, outgoing_connection &target)
+{
+    ++m_counters.opened;
+    if (bufferevent *socket = openConnection(m_loop, address)) {
+        target.link = adopt(websocket_role::Client, socket, address);
+    } else {
+        ++m_counters.ended[static_cast<std::size_t>(link_end::ConnectFailed)];
+        backOff(address);
+    }
+}
+
+void link_table::accept(bufferevent *socket)
+{
+    std::size_t readyLinks = 0;
+    for (const auto &[peer, links] : m_ready) {
+        readyLinks += links.size();
+    }
+    if (m_links.size() - readyLinks >= m_options.unprovedLinks) {
+        ++m_counters.refused;
+        bufferevent_free(socket);
+        return;
+    }
+    ++m_counters.accepted;
+    adopt(websocket_role::Server, socket, {});
+}
+
+peer_link *link_table::adopt(websocket_role role, bufferevent *socket, const std::string &address)
+{
+    auto slot = std::make_shared<peer_link *>(nullptr);
+    peer_link_events events{.ready = [this, slot, address](const peer_identity &) { handleReady(**slot, address); },
+                            .received =
+                                [this, slot](envelope message) {
+                                    ++m_counters.messagesReceived;
+                                    m_counters.bytesReceived += message.body.size();
+                                    m_events.received((*slot)->peer(), std::move(message));
+                                },
+                            .closed =
+                                [this, slot, address](link_end reason) {
+                                    handleClosed(**slot, reason, address);
+                                }};
+    auto link = std::make_unique<peer_link>(m_loop, m_options.link, role, socket, std::move(events));
+    *slot = link.get();
+    return m_links.emplace(*slot, std::move(link)).first->second.get();
+}
+
+void link_table::handleReady(peer_link &link, const std::string &address)
+{
+    ++m_counters.ready;
+    const peer_identity peer = link.peer();
+    m_ready[peer.id].push_back(&link);
+    std::deque<pending_message> pending;
+    if (const auto connection = m_outgoing.find(address); connection != m_outgoing.end()) {
+        pending = std::move(connection->second.pending);
+        m_outgoing.erase(connection);
+    }
+    for (const pending_message &each : pending) {
+        if (each.to.value == 0 || each.to == peer.id) {
+            transmit(link, each.message);
+        } else {
+            ++m_counters.messagesDropped;
+        }
+    }
+    if (link.ready()) {
+        m_events.ready(peer);
+    }
+}
+
+void link_table::handleClosed(peer_link &link, link_end reason, const std::string &address)
+{
+    ++m_counters.ended[static_cast<std::size_t>(reason)];
+    const auto owned = m_links.find(&link);
+    assert(owned != m_links.end());
+    m_ended.push_back(std::move(owned->second));
+    m_links.erase(owned);
+    m_sweep.arm({});
+    const auto outgoing = m_outgoing.find(address);
+    if (outgoing != m_outgoing.end() && outgoing->second.link == &link) {
+        backOff(address);
+        return;
+    }
+    const vm_id peer = link.peer().id;
+    const auto ready = m_ready.find(peer);
+    if (ready == m_ready.end() || std::erase(ready->second, &link) == 0 || !ready->second.empty()) {
+        return;
+    }
+    m_ready.erase(ready);
+    if (reason == link_end::Silent || reason == link_end::TooSlow || reason == link_end::Malformed) {
+        LOG(WARNING) << "link to VM " << peer.value << " ended: " << linkEndName(reason);
+    }
+    m_events.lost(peer);
+}
+
+void link_table::backOff(const std::string &address)
+{
+    outgoing_connection &connection = m_outgoing[address];
+    m_counters.messagesDropped += connection.pending.size();
+    connection.pending.clear();
+    connection.link = nullptr;
+    connection.backoff = std::clamp(connection.backoff * 2, m_options.backoffFirst, m_options.backoffLongest);
+    std::uniform_int_distribution<std::int64_t> wait(connection.backoff.count() / 2, connection.backoff.count());
+    connection.notBefore = loop::now() + duration(wait(m_random));
+}
+
+void link_table::closeIdle()
+{
+    const instant now = loop::now();
+    std::vector<peer_link *> idle;
+    for (const auto &[key, link] : m_links) {
+        if (link->ready() && now - link->lastUsed() > m_options.idleLimit) {
+            idle.push_back(link.get());
+        }
+    }
+    for (peer_link *each : idle) {
+        each->close();
+    }
+    std::erase_if(m_outgoing, [this, now](const auto &entry) {
+        return !entry.second.link && now - entry.second.notBefore > m_options.backoffLongest;
+    });
+    m_idleCheck.arm(idleCheckPeriod);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/peers/listener.cpp
@@ -0,0 +1,118 @@
+#include "daemon/peers/listener.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+void disableNagle(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+/// Storage for either family.
+struct socket_address {
+    sockaddr_storage storage{}; ///< The address.
+    int length = sizeof(sockaddr_storage); ///< Bytes used.
+    bool valid = false; ///< Parsing succeeded.
+
+    explicit socket_address(const std::string &text)
+        : valid(evutil_parse_sockaddr_port(text.c_str(), get(), &length) == 0)
+    {
+    }
+
+    sockaddr *get()
+    {
+        return reinterpret_cast<sockaddr *>(&storage);
+    }
+};
+
+} // namespace
+
+listener::listener(loop &owner, const std::string &address, std::function<void(bufferevent *)> accepted)
+    : m_loop(owner)
+    , m_pause(owner, [this] { evconnlistener_enable(m_listener); })
+    , m_accepted(std::move(accepted))
+{
+    // libevent takes "IP" for any free port, but not "IP:0".
+    socket_address parsed(address.ends_with(":0") ? address.substr(0, address.size() - 2) : address);
+    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+    m_listener = parsed.valid ? evconnlistener_new_bind(owner.base(), acceptCallback, this, flags, -1, parsed.get(),
+                                                        parsed.length)
+                              : nullptr;
+    if (!m_listener) {
+        throw coordination_error(result_code::SettingInvalid, "can't listen for peers on " + address);
+    }
+    evconnlistener_set_error_cb(m_listener, errorCallback);
+}
+
+listener::~listener()
+{
+    evconnlistener_free(m_listener);
+}
+
+std::uint16_t listener::port() const
+{
+    sockaddr_storage bound{};
+    socklen_t length = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&bound), &length);
+    const auto *asV6 = reinterpret_cast<const sockaddr_in6 *>(&bound);
+    const auto *asV4 = reinterpret_cast<const sockaddr_in *>(&bound);
+    return ntohs(bound.ss_family == AF_INET6 ? asV6->sin6_port : asV4->sin_port);
+}
+
+void listener::acceptCallback(evconnlistener * /*source*/, int descriptor, sockaddr * /*from*/, int /*length*/,
+                              void *self)
+{
+    auto *owner = static_cast<listener *>(self);
+    owner->m_loop.guard([owner, descriptor] {
+        disableNagle(descriptor);
+        bufferevent *socket = bufferevent_socket_new(owner->m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+        if (socket) {
+            owner->m_accepted(socket);
+        } else {
+            evutil_closesocket(descriptor);
+        }
+    });
+}
+
+void listener::errorCallback(evconnlistener *source, void *self)
+{
+    // Without a pause the loop would spin while the process has no descriptors left.
+    constexpr duration pauseAfterError = std::chrono::milliseconds(100);
+    evconnlistener_disable(source);
+    static_cast<listener *>(self)->m_pause.arm(pauseAfterError);
+}
+
+bufferevent *openConnection(loop &owner, const std::string &address)
+{
+    socket_address parsed(address);
+    if (!parsed.valid) {
+        return nullptr;
+    }
+    bufferevent *socket = bufferevent_socket_new(owner.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (!socket) {
+        return nullptr;
+    }
+    if (bufferevent_socket_connect(socket, parsed.get(), parsed.length) != 0) {
+        bufferevent_free(socket);
+        return nullptr;
+    }
+    disableNagle(bufferevent_getfd(socket));
+    return socket;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/envelope.cpp
@@ -0,0 +1,31 @@
+#include "wire/envelope.h"
+
+#include "wire/cbor_reader.h"
+
+namespace guavafront
+{
+
+byte_buffer encodeEnvelope(const envelope &message)
+{
+    auto value = nlohmann::json::array();
+    value.push_back(static_cast<std::uint8_t>(message.kind));
+    value.push_back(message.version);
+    value.push_back(cborBytes(message.body));
+    return encodeCbor(value);
+}
+
+envelope decodeEnvelope(std::span<const std::byte> bytes, const cbor_limits &limits)
+{
+    const nlohmann::json value = decodeCbor(bytes, limits);
+    cbor_reader fields(value);
+    const auto kind = fields.nextUnsigned<std::uint8_t>();
+    const auto version = fields.nextUnsigned<std::uint8_t>();
+    const std::span<const std::byte> body = fields.nextBytes();
+    cbor_reader::check(fields.atEnd());
+    if (kind > static_cast<std::uint8_t>(channel::Last)) {
+        throw coordination_error(result_code::MessageUnknown, "unknown channel " + std::to_string(kind));
+    }
+    return {.kind = static_cast<channel>(kind), .version = version, .body = {body.begin(), body.end()}};
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/peer_link.cpp
@@ -0,0 +1,241 @@
+#include "wire/peer_link.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+std::string_view asText(std::span<const std::byte> bytes)
+{
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+link_end endFor(result_code code)
+{
+    switch (code) {
+    case result_code::LinkUnauthenticated:
+        return link_end::Unauthenticated;
+    case result_code::MessageTooLarge:
+        return link_end::TooLarge;
+    case result_code::MessageUnknown:
+        return link_end::UnknownChannel;
+    default:
+        return link_end::Malformed;
+    }
+}
+
+} // namespace
+
+std::string_view linkEndName(link_end reason)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(link_end::Count)> names{
+        "by_owner", "connect_failed", "peer_closed", "handshake_timeout", "unauthenticated",
+        "silent",   "too_slow",       "too_large",   "malformed",         "unknown_channel"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+peer_link::peer_link(loop &owner, const peer_link_options &options, websocket_role role, bufferevent *socket,
+                     peer_link_events events)
+    : m_loop(owner)
+    , m_options(options)
+    , m_role(role)
+    , m_socket(socket)
+    , m_events(std::move(events))
+    , m_timer(owner, [this] { checkSilence(); })
+    , m_lastHeard(loop::now())
+    , m_lastUsed(m_lastHeard)
+{
+    m_handshake = role == websocket_role::Client ? beginAsInitiator(options.self, makeNonce())
+                                                 : beginAsResponder(options.self, makeNonce());
+    m_session = std::make_unique<websocket_session>(
+        role, options.limits.messageBytes + envelopeOverheadBytes,
+        websocket_events{.write = [this](std::string_view bytes) { write(bytes); },
+                         .opened =
+                             [this] {
+                                 if (m_role == websocket_role::Client) {
+                                     sendControl(helloOf(m_handshake));
+                                 }
+                             },
+                         .received = [this](std::string_view bytes) { handleMessage(bytes); },
+                         .failed =
+                             [this](bool tooBig) {
+                                 close(tooBig ? link_end::TooLarge : link_end::PeerClosed);
+                             }});
+    bufferevent_setcb(m_socket, readCallback, nullptr, eventCallback, this);
+    bufferevent_enable(m_socket, EV_READ | EV_WRITE);
+    m_timer.arm(options.limits.handshakeLimit);
+    if (role == websocket_role::Server) {
+        connected();
+    }
+}
+
+peer_link::~peer_link()
+{
+    m_closed = true;
+    bufferevent_free(m_socket);
+}
+
+bool peer_link::send(const envelope &message)
+{
+    assert(message.kind != channel::Control);
+    if (!ready() || message.body.size() > m_options.limits.messageBytes) {
+        return false;
+    }
+    m_lastUsed = loop::now();
+    const byte_buffer bytes = encodeEnvelope(message);
+    return m_session->send(asText(bytes)) && !m_closed;
+}
+
+void peer_link::close(link_end reason)
+{
+    if (std::exchange(m_closed, true)) {
+        return;
+    }
+    m_timer.cancel();
+    bufferevent_disable(m_socket, EV_READ | EV_WRITE);
+    bufferevent_setcb(m_socket, nullptr, nullptr, nullptr, nullptr);
+    m_events.closed(reason);
+}
+
+bool peer_link::ready() const
+{
+    return !m_closed && m_handshake.phase == handshake_phase::Done;
+}
+
+const peer_identity &peer_link::peer() const
+{
+    return m_handshake.peer;
+}
+
+bool peer_link::isInitiator() const
+{
+    return m_role == websocket_role::Client;
+}
+
+instant peer_link::lastUsed() const
+{
+    return m_lastUsed;
+}
+
+void peer_link::readCallback(bufferevent * /*socket*/, void *self)
+{
+    auto *link = static_cast<peer_link *>(self);
+    link->m_loop.guard([link] { link->drainInput(); });
+}
+
+void peer_link::eventCallback(bufferevent * /*socket*/, short what, void *self)
+{
+    auto *link = static_cast<peer_link *>(self);
+    link->m_loop.guard([link, what] {
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            link->connected();
+        } else if ((what & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) != 0) {
+            link->close(link->m_connected ? link_end::PeerClosed : link_end::ConnectFailed);
+        }
+    });
+}
+
+void peer_link::connected()
+{
+    m_connected = true;
+    m_session->start();
+}
+
+void peer_link::drainInput()
+{
+    m_lastHeard = loop::now();
+    evbuffer *input = bufferevent_get_input(m_socket);
+    std::array<char, 4096> chunk{};
+    int count = evbuffer_remove(input, chunk.data(), chunk.size());
+    while (count > 0 && !m_closed) {
+        m_session->receive({chunk.data(), static_cast<std::size_t>(count)});
+        count = evbuffer_remove(input, chunk.data(), chunk.size());
+    }
+}
+
+void peer_link::handleMessage(std::string_view bytes)
+{
+    if (m_closed) {
+        return;
+    }
+    try {
+        const cbor_limits limits{.bytes = m_options.limits.messageBytes + envelopeOverheadBytes, .depth = 1};
+        envelope message = decodeEnvelope(std::as_bytes(std::span(bytes)), limits);
+        if (message.kind == channel::Control || !ready()) {
+            handleControl(message);
+            return;
+        }
+        m_lastUsed = m_lastHeard;
+        m_events.received(std::move(message));
+    } catch (const coordination_error &error) {
+        close(endFor(error.code()));
+    }
+}
+
+void peer_link::handleControl(const envelope &message)
+{
+    if (message.kind != channel::Control) {
+        throw coordination_error(result_code::LinkUnauthenticated, "message before the handshake");
+    }
+    const std::optional<handshake_message> reply =
+        advance(m_handshake, m_options.secret, decodeHandshake(message.body));
+    if (reply) {
+        sendControl(*reply);
+    }
+    if (ready()) {
+        becomeReady();
+    }
+}
+
+void peer_link::becomeReady()
+{
+    m_timer.arm(m_options.limits.keepalivePeriod);
+    m_events.ready(m_handshake.peer);
+}
+
+void peer_link::sendControl(const handshake_message &message)
+{
+    const byte_buffer bytes = encodeEnvelope({.kind = channel::Control, .body = encodeHandshake(message)});
+    m_session->send(asText(bytes));
+}
+
+void peer_link::write(std::string_view bytes)
+{
+    if (m_closed) {
+        return;
+    }
+    bufferevent_write(m_socket, bytes.data(), bytes.size());
+    if (evbuffer_get_length(bufferevent_get_output(m_socket)) > m_options.limits.outgoingBytes) {
+        close(link_end::TooSlow);
+    }
+}
+
+void peer_link::checkSilence()
+{
+    if (!ready()) {
+        close(link_end::HandshakeTimeout);
+        return;
+    }
+    const duration silence = loop::now() - m_lastHeard;
+    if (silence >= m_options.limits.silenceLimit) {
+        close(link_end::Silent);
+        return;
+    }
+    if (silence >= m_options.limits.keepalivePeriod) {
+        m_session->ping();
+    }
+    m_timer.arm(m_options.limits.keepalivePeriod);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/websocket/websocket_session.cpp
@@ -0,0 +1,147 @@
+#include "wire/websocket/websocket_session.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/random/random_device.hpp>
+#include <websocketpp/server.hpp>
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// websocketpp's iostream configuration for a single thread, with small buffers and no log output.
+struct session_config : websocketpp::config::core_client {
+    using type = session_config;
+    using concurrency_type = websocketpp::concurrency::none;
+    using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
+    using alog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::alevel>;
+    using rng_type = websocketpp::random::random_device::int_generator<std::uint32_t, concurrency_type>;
+    [[maybe_unused]] static const bool enable_multithreading = false; // NOLINT(readability-identifier-naming)
+
+    struct transport_config : websocketpp::config::core_client::transport_config {
+        using concurrency_type = session_config::concurrency_type;
+        using elog_type = session_config::elog_type;
+        using alog_type = session_config::alog_type;
+        [[maybe_unused]] static const bool enable_multithreading = false; // NOLINT(readability-identifier-naming)
+    };
+
+    using transport_type = websocketpp::transport::iostream::endpoint<transport_config>;
+    static const websocketpp::log::level elog_level = websocketpp::log::elevel::none; // NOLINT
+    static const websocketpp::log::level alog_level = websocketpp::log::alevel::none; // NOLINT
+    static const std::size_t connection_read_buffer_size = 4096; // NOLINT(readability-identifier-naming)
+    static const std::size_t max_http_body_size = 4096; // NOLINT(readability-identifier-naming)
+};
+
+using client_endpoint = websocketpp::client<session_config>;
+using server_endpoint = websocketpp::server<session_config>;
+using connection_type = websocketpp::connection<session_config>;
+using message_ptr = connection_type::message_ptr;
+
+constexpr const char *sessionUri = "ws://peer/guavafront";
+
+} // namespace
+
+struct websocket_session::implementation {
+    std::unique_ptr<client_endpoint> client; ///< Set when the role is Client.
+    std::unique_ptr<server_endpoint> server; ///< Set when the role is Server.
+    connection_type::ptr connection; ///< The one connection of the endpoint.
+    websocket_events events; ///< The owner's.
+    bool over = false; ///< failed was called, or the owner is gone.
+
+    /// Creates the endpoint and its connection.
+    void create(websocket_role role)
+    {
+        websocketpp::lib::error_code error;
+        if (role == websocket_role::Client) {
+            client = std::make_unique<client_endpoint>();
+            connection = client->get_connection(sessionUri, error);
+        } else {
+            server = std::make_unique<server_endpoint>();
+            connection = server->get_connection();
+        }
+    }
+
+    /// Tells the owner once that the session is over.
+    void fail()
+    {
+        if (!std::exchange(over, true)) {
+            const bool tooBig = connection->get_ec() == websocketpp::processor::error::message_too_big
+                                || connection->get_local_close_code() == websocketpp::close::status::message_too_big;
+            events.failed(tooBig);
+        }
+    }
+
+    /// Hooks the connection's handlers up with the owner's.
+    void connectHandlers()
+    {
+        connection->set_write_handler([this](auto &&, const char *bytes, std::size_t count) {
+            if (!over) {
+                events.write({bytes, count});
+            }
+            return websocketpp::lib::error_code();
+        });
+        connection->set_open_handler([this](auto &&) { events.opened(); });
+        connection->set_message_handler([this](auto &&, const message_ptr &message) {
+            if (!over) {
+                events.received(message->get_payload());
+            }
+        });
+        connection->set_close_handler([this](auto &&) { fail(); });
+        connection->set_fail_handler([this](auto &&) { fail(); });
+    }
+};
+
+websocket_session::websocket_session(websocket_role role, std::size_t limitBytes, websocket_events events)
+    : m_implementation(std::make_unique<implementation>())
+{
+    m_implementation->events = std::move(events);
+    m_implementation->create(role);
+    m_implementation->connection->set_max_message_size(limitBytes);
+    m_implementation->connectHandlers();
+}
+
+websocket_session::~websocket_session()
+{
+    m_implementation->over = true;
+    // The pending read holds the connection; an end of input releases it.
+    m_implementation->connection->eof();
+}
+
+void websocket_session::start()
+{
+    if (m_implementation->client) {
+        m_implementation->client->connect(m_implementation->connection);
+    } else {
+        m_implementation->connection->start();
+    }
+}
+
+void websocket_session::receive(std::string_view bytes)
+{
+    const std::size_t taken = m_implementation->connection->read_all(bytes.data(), bytes.size());
+    if (taken < bytes.size()) {
+        m_implementation->fail();
+    }
+}
+
+bool websocket_session::send(std::string_view message)
+{
+    if (m_implementation->over) {
+        return false;
+    }
+    return !m_implementation->connection->send(message.data(), message.size(), websocketpp::frame::opcode::binary);
+}
+
+void websocket_session::ping()
+{
+    websocketpp::lib::error_code ignored;
+    m_implementation->connection->ping("", ignored);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/wire/envelope_test.cpp
@@ -0,0 +1,99 @@
+#include "wire/envelope.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// A message and its encoding, with limits that just take it.
+struct envelope_fixture {
+    envelope message{.kind = channel::Spread, .version = 3, .body = byte_buffer(100, std::byte{7})};
+    byte_buffer encoded = encodeEnvelope(message);
+    cbor_limits limits{.bytes = encoded.size(), .depth = 1};
+
+    result_code failureOf(std::span<const std::byte> bytes) const
+    {
+        try {
+            decodeEnvelope(bytes, limits);
+        } catch (const coordination_error &error) {
+            return error.code();
+        }
+        return result_code::Ok;
+    }
+
+    static byte_buffer bytesOf(std::initializer_list<unsigned> values)
+    {
+        byte_buffer result;
+        for (const unsigned each : values) {
+            result.push_back(static_cast<std::byte>(each));
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(envelope_test, envelope_fixture)
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_encodedMessage_sameMessage)
+{
+    BOOST_TEST((decodeEnvelope(encoded, limits) == message));
+    BOOST_TEST(encoded.size() <= message.body.size() + envelopeOverheadBytes);
+}
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_overSizeLimit_messageTooLarge)
+{
+    --limits.bytes;
+    BOOST_TEST((failureOf(encoded) == result_code::MessageTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_unknownChannel_messageUnknown)
+{
+    encoded[1] = std::byte{23};
+    BOOST_TEST((failureOf(encoded) == result_code::MessageUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_cutAnywhere_messageMalformed)
+{
+    for (std::size_t length = 0; length < encoded.size(); ++length) {
+        BOOST_TEST((failureOf(std::span(encoded).first(length)) == result_code::MessageMalformed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_bytesAfterTheEnd_messageMalformed)
+{
+    encoded.push_back(std::byte{0});
+    limits.bytes = encoded.size();
+    BOOST_TEST((failureOf(encoded) == result_code::MessageMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(decodeEnvelope_wrongFieldTypes_messageMalformed)
+{
+    BOOST_TEST((failureOf(bytesOf({0x83, 0x20, 1, 0x40})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(bytesOf({0x83, 4, 1, 0x60})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(bytesOf({0x82, 4, 1})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(bytesOf({0xa0})) == result_code::MessageMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(decodeCbor_nestedTooDeep_messageMalformed)
+{
+    limits = {.bytes = 100'000, .depth = 8};
+    BOOST_TEST((failureOf(byte_buffer(50'000, std::byte{0x81})) == result_code::MessageMalformed));
+}
+
+BOOST_AUTO_TEST_CASE(decodeCbor_hugeCountOrIndefinite_messageMalformed)
+{
+    BOOST_TEST((failureOf(bytesOf({0x9b, 255, 255, 255, 255, 255, 255, 255, 255})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(bytesOf({0x5b, 255, 255, 255, 255, 255, 255, 255, 255})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(bytesOf({0x9f, 0xff})) == result_code::MessageMalformed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
