Check the structure of CBOR before the JSON library parses it

Cause: nlohmann's CBOR reader recurses into the chunks of indefinite strings, so one message of 1 MB of 0x7f overflowed the stack of the process (seen: decodeCbor_nestedIndefiniteStrings_messageMalformed crashed with a memory access violation before the change). Ruled out: a depth count in a SAX builder (strings never reach it). Change: checkCborStructure() walks the heads without recursion; parseCbor calls it and needs no builder of its own.

--- a/src/wire/cbor_fields.cpp
+++ b/src/wire/cbor_fields.cpp
@@ -1,5 +1,7 @@
 #include "wire/cbor_fields.h"
 
+#include "wire/cbor_structure.h"
+
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <algorithm>
@@ -8,58 +10,15 @@
 namespace guavafront
 {
 
-namespace
-{
-
-/// Builds the value and stops at an array or map that is nested too deep, before the parser recurses into it.
-class bounded_builder : public nlohmann::detail::json_sax_dom_parser<nlohmann::json>
-{
-    using base = nlohmann::detail::json_sax_dom_parser<nlohmann::json>;
-
-public:
-    bounded_builder(nlohmann::json &result, std::size_t maxElements)
-        : base(result, false)
-        , m_maxElements(maxElements)
-    {
-    }
-
-    bool start_array(std::size_t elements) // NOLINT(readability-identifier-naming): name of nlohmann's SAX interface.
-    {
-        const bool plausible = elements == indefinite || elements <= m_maxElements;
-        return plausible && ++m_depth <= maxCborDepth && base::start_array(elements);
-    }
-
-    bool end_array() // NOLINT(readability-identifier-naming)
-    {
-        --m_depth;
-        return base::end_array();
-    }
-
-    bool start_object(std::size_t /*elements*/) // NOLINT(readability-identifier-naming)
-    {
-        return false; // The formats use arrays only.
-    }
-
-private:
-    static constexpr std::size_t indefinite = static_cast<std::size_t>(-1); ///< Length that the array doesn't state.
-
-    std::size_t m_maxElements; ///< An element takes a byte at least.
-    std::size_t m_depth = 0; ///< Arrays that are open.
-};
-
-} // namespace
-
 nlohmann::json parseCbor(std::span<const std::byte> encoded, std::size_t maxBytes)
 {
     if (encoded.size() > maxBytes) {
         throw coordination_error(result_code::MessageTooLarge, "encoded value is too large");
     }
-    nlohmann::json value;
-    bounded_builder builder(value, encoded.size());
+    checkCborStructure(encoded, maxCborDepth);
     const auto *first = reinterpret_cast<const std::uint8_t *>(encoded.data());
-    const bool whole =
-        nlohmann::json::sax_parse(first, first + encoded.size(), &builder, nlohmann::json::input_format_t::cbor, true);
-    if (!whole) {
+    nlohmann::json value = nlohmann::json::from_cbor(first, first + encoded.size(), true, false);
+    if (value.is_discarded()) {
         throw coordination_error(result_code::MessageMalformed, "encoded value is not well-formed CBOR");
     }
     return value;
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor_structure.cpp
@@ -1,8 +1,9 @@
-#include "wire/cbor.h"
+#include "wire/cbor_structure.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
-#include <nlohmann/json.hpp>
+#include <cstdint>
+#include <vector>
 
 namespace guavafront
 {
@@ -53,26 +54,28 @@
     return {type, argument};
 }
 
-/// Items that follow inside an item, 0 for a plain one.
+/// Items that follow inside an item, 0 for a plain one. An element takes a byte at least.
 std::uint64_t childCount(const item_head &head, std::size_t bytesLeft)
 {
     switch (head.type) {
     case major_type::Tag:
-        failMalformed("cbor tag");
-    case major_type::Array:
     case major_type::Map:
+        failMalformed("cbor tag or map");
+    case major_type::Array:
         if (head.argument > bytesLeft) {
             failMalformed("cbor count exceeds the message");
         }
-        return head.type == major_type::Map ? head.argument * 2 : head.argument;
+        return head.argument;
     default:
         return 0;
     }
 }
 
-/// Walks the items without recursion; throws when limits are exceeded.
-void checkStructure(std::span<const std::byte> rest, std::size_t depthLimit)
+} // namespace
+
+void checkCborStructure(std::span<const std::byte> encoded, std::size_t maxDepth)
 {
+    std::span<const std::byte> rest = encoded;
     std::vector<std::uint64_t> open{1};
     while (!open.empty()) {
         if (open.back() == 0) {
@@ -88,7 +91,7 @@
             rest = rest.subspan(static_cast<std::size_t>(head.argument));
         }
         if (const std::uint64_t children = childCount(head, rest.size()); children > 0) {
-            if (open.size() > depthLimit) {
+            if (open.size() > maxDepth) {
                 failMalformed("cbor nested too deep");
             }
             open.push_back(children);
@@ -99,27 +102,4 @@
     }
 }
 
-} // namespace
-
-byte_buffer encodeCbor(const nlohmann::json &value)
-{
-    const std::vector<std::uint8_t> encoded = nlohmann::json::to_cbor(value);
-    const auto bytes = std::as_bytes(std::span(encoded));
-    return {bytes.begin(), bytes.end()};
-}
-
-nlohmann::json decodeCbor(std::span<const std::byte> bytes, const cbor_limits &limits)
-{
-    if (bytes.size() > limits.bytes) {
-        throw coordination_error(result_code::MessageTooLarge, "cbor message over the size limit");
-    }
-    checkStructure(bytes, limits.depth);
-    const auto *first = reinterpret_cast<const std::uint8_t *>(bytes.data());
-    nlohmann::json value = nlohmann::json::from_cbor(first, first + bytes.size(), true, false);
-    if (value.is_discarded()) {
-        failMalformed("cbor not decodable");
-    }
-    return value;
-}
-
 } // namespace guavafront
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -1,6 +1,8 @@
 #include "wire/envelope.h"
 
-#include "wire/cbor_reader.h"
+#include "wire/cbor_fields.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
 
 namespace guavafront
 {
@@ -14,14 +16,13 @@
     return encodeCbor(value);
 }
 
-envelope decodeEnvelope(std::span<const std::byte> bytes, const cbor_limits &limits)
+envelope decodeEnvelope(std::span<const std::byte> bytes, std::size_t maxBytes)
 {
-    const nlohmann::json value = decodeCbor(bytes, limits);
-    cbor_reader fields(value);
-    const auto kind = fields.nextUnsigned<std::uint8_t>();
-    const auto version = fields.nextUnsigned<std::uint8_t>();
-    const std::span<const std::byte> body = fields.nextBytes();
-    cbor_reader::check(fields.atEnd());
+    const nlohmann::json value = parseCbor(bytes, maxBytes);
+    cbor_fields fields(value, "envelope", 3);
+    const auto kind = fields.whole<std::uint8_t>();
+    const auto version = fields.whole<std::uint8_t>();
+    const std::span<const std::byte> body = fields.bytes(maxBytes);
     if (kind > static_cast<std::uint8_t>(channel::Last)) {
         throw coordination_error(result_code::MessageUnknown, "unknown channel " + std::to_string(kind));
     }
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wire/cbor.h"
+#include "wire/byte_buffer.h"
 
 #include <cstdint>
 #include <span>
@@ -39,6 +39,6 @@
 byte_buffer encodeEnvelope(const envelope &message);
 
 /// Decoded envelope. Throws coordination_error (MessageTooLarge, MessageMalformed, MessageUnknown).
-envelope decodeEnvelope(std::span<const std::byte> bytes, const cbor_limits &limits);
+envelope decodeEnvelope(std::span<const std::byte> bytes, std::size_t maxBytes);
 
 } // namespace guavafront
--- a/src/wire/handshake.cpp
+++ b/src/wire/handshake.cpp
@@ -1,6 +1,8 @@
 #include "wire/handshake.h"
 
-#include "wire/cbor_reader.h"
+#include "wire/cbor_fields.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
 
 #include <sodium.h>
 
@@ -17,7 +19,7 @@
 constexpr std::string_view initiatorLabel = "guavafront link 1 initiator";
 constexpr std::string_view responderLabel = "guavafront link 1 responder";
 constexpr std::size_t nameLimitBytes = 64;
-constexpr cbor_limits handshakeLimits{.bytes = 1024, .depth = 3};
+constexpr std::size_t handshakeLimitBytes = 1024;
 
 enum class message_kind : std::uint8_t { Hello = 1, Answer = 2, Confirm = 3 };
 
@@ -36,27 +38,20 @@
     return nlohmann::json::array({identity.id.value, identity.address, identity.dataCentre, identity.roles});
 }
 
-peer_identity readIdentity(cbor_reader fields)
+peer_identity readIdentity(const nlohmann::json &value)
 {
+    cbor_fields fields(value, "peer identity", 4);
     peer_identity identity;
-    identity.id = {fields.nextUnsigned<std::uint64_t>()};
-    identity.address = fields.nextText();
-    identity.dataCentre = fields.nextText();
-    identity.roles = fields.nextUnsigned<std::uint8_t>();
-    cbor_reader::check(identity.id.value != 0 && identity.address.size() <= nameLimitBytes
-                       && identity.dataCentre.size() <= nameLimitBytes && fields.atEnd());
+    identity.id = {fields.whole<std::uint64_t>()};
+    identity.address = fields.text(nameLimitBytes);
+    identity.dataCentre = fields.text(nameLimitBytes);
+    identity.roles = fields.whole<std::uint8_t>();
+    if (identity.id.value == 0) {
+        throw coordination_error(result_code::MessageMalformed, "malformed peer identity");
+    }
     return identity;
 }
 
-std::array<std::byte, 32> read32(cbor_reader &fields)
-{
-    const std::span<const std::byte> bytes = fields.nextBytes();
-    std::array<std::byte, 32> result{};
-    cbor_reader::check(bytes.size() == result.size());
-    std::ranges::copy(bytes, result.begin());
-    return result;
-}
-
 /// What both proofs of one handshake are made of, in the initiator's order.
 byte_buffer transcript(std::string_view label, const handshake &state, bool initiator)
 {
@@ -175,20 +170,34 @@
 
 handshake_message decodeHandshake(std::span<const std::byte> bytes)
 {
-    const nlohmann::json value = decodeCbor(bytes, handshakeLimits);
-    cbor_reader fields(value);
-    switch (static_cast<message_kind>(fields.nextUnsigned<std::uint8_t>())) {
+    constexpr std::size_t identityFields = 4;
+    const nlohmann::json value = parseCbor(bytes, handshakeLimitBytes);
+    cbor_fields fields(value, "handshake message", value.is_array() ? value.size() : 1);
+    switch (fields.oneOf(message_kind::Confirm)) {
     case message_kind::Hello: {
-        const link_nonce nonce = read32(fields);
-        return handshake_hello{.nonce = nonce, .identity = readIdentity(fields.nextArray())};
+        handshake_hello hello;
+        cbor_fields rest(value, "hello", 3);
+        rest.oneOf(message_kind::Hello);
+        rest.bytesInto(hello.nonce);
+        hello.identity = readIdentity(rest.array(identityFields));
+        return hello;
     }
     case message_kind::Answer: {
-        const link_nonce nonce = read32(fields);
-        peer_identity identity = readIdentity(fields.nextArray());
-        return handshake_answer{.nonce = nonce, .identity = std::move(identity), .proof = read32(fields)};
+        handshake_answer answer;
+        cbor_fields rest(value, "answer", 4);
+        rest.oneOf(message_kind::Answer);
+        rest.bytesInto(answer.nonce);
+        answer.identity = readIdentity(rest.array(identityFields));
+        rest.bytesInto(answer.proof);
+        return answer;
+    }
+    case message_kind::Confirm: {
+        handshake_confirm confirm;
+        cbor_fields rest(value, "confirm", 2);
+        rest.oneOf(message_kind::Confirm);
+        rest.bytesInto(confirm.proof);
+        return confirm;
     }
-    case message_kind::Confirm:
-        return handshake_confirm{.proof = read32(fields)};
     }
     throw coordination_error(result_code::MessageUnknown, "unknown handshake message");
 }
--- a/src/wire/handshake.h
+++ b/src/wire/handshake.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wire/cbor.h"
+#include "wire/byte_buffer.h"
 
 #include <guavafront/coordination/core/identifiers.h>
 
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -170,8 +170,8 @@
         return;
     }
     try {
-        const cbor_limits limits{.bytes = m_options.limits.messageBytes + envelopeOverheadBytes, .depth = 1};
-        envelope message = decodeEnvelope(std::as_bytes(std::span(bytes)), limits);
+        const std::size_t maxBytes = m_options.limits.messageBytes + envelopeOverheadBytes;
+        envelope message = decodeEnvelope(std::as_bytes(std::span(bytes)), maxBytes);
         if (message.kind == channel::Control || !ready()) {
             handleControl(message);
             return;
--- a/tests/wire/envelope_test.cpp
+++ b/tests/wire/envelope_test.cpp
@@ -15,12 +15,12 @@
 struct envelope_fixture {
     envelope message{.kind = channel::Spread, .version = 3, .body = byte_buffer(100, std::byte{7})};
     byte_buffer encoded = encodeEnvelope(message);
-    cbor_limits limits{.bytes = encoded.size(), .depth = 1};
+    std::size_t maxBytes = encoded.size();
 
     result_code failureOf(std::span<const std::byte> bytes) const
     {
         try {
-            decodeEnvelope(bytes, limits);
+            decodeEnvelope(bytes, maxBytes);
         } catch (const coordination_error &error) {
             return error.code();
         }
@@ -43,13 +43,13 @@
 
 BOOST_AUTO_TEST_CASE(decodeEnvelope_encodedMessage_sameMessage)
 {
-    BOOST_TEST((decodeEnvelope(encoded, limits) == message));
+    BOOST_TEST((decodeEnvelope(encoded, maxBytes) == message));
     BOOST_TEST(encoded.size() <= message.body.size() + envelopeOverheadBytes);
 }
 
 BOOST_AUTO_TEST_CASE(decodeEnvelope_overSizeLimit_messageTooLarge)
 {
-    --limits.bytes;
+    --maxBytes;
     BOOST_TEST((failureOf(encoded) == result_code::MessageTooLarge));
 }
 
@@ -69,7 +69,7 @@
 BOOST_AUTO_TEST_CASE(decodeEnvelope_bytesAfterTheEnd_messageMalformed)
 {
     encoded.push_back(std::byte{0});
-    limits.bytes = encoded.size();
+    maxBytes = encoded.size();
     BOOST_TEST((failureOf(encoded) == result_code::MessageMalformed));
 }
 
@@ -83,10 +83,17 @@
 
 BOOST_AUTO_TEST_CASE(decodeCbor_nestedTooDeep_messageMalformed)
 {
-    limits = {.bytes = 100'000, .depth = 8};
+    maxBytes = 1'000'000;
     BOOST_TEST((failureOf(byte_buffer(50'000, std::byte{0x81})) == result_code::MessageMalformed));
 }
 
+BOOST_AUTO_TEST_CASE(decodeCbor_nestedIndefiniteStrings_messageMalformed)
+{
+    maxBytes = 1'000'000;
+    BOOST_TEST((failureOf(byte_buffer(maxBytes, std::byte{0x7f})) == result_code::MessageMalformed));
+    BOOST_TEST((failureOf(byte_buffer(maxBytes, std::byte{0x5f})) == result_code::MessageMalformed));
+}
+
 BOOST_AUTO_TEST_CASE(decodeCbor_hugeCountOrIndefinite_messageMalformed)
 {
     BOOST_TEST((failureOf(bytesOf({0x9b, 255, 255, 255, 255, 255, 255, 255, 255})) == result_code::MessageMalformed));
--- a/tests/wire/raw_peer.h
+++ b/tests/wire/raw_peer.h
@@ -71,7 +71,7 @@
 
     void received(std::string_view bytes)
     {
-        const envelope message = decodeEnvelope(std::as_bytes(std::span(bytes)), {});
+        const envelope message = decodeEnvelope(std::as_bytes(std::span(bytes)), bytes.size());
         if (message.kind == channel::Control && proveSelf) {
             sendControl(*advance(m_state, m_secret, decodeHandshake(message.body)));
         }
