--- /dev/null
+++ b/src/coordination/replication/replicated_log.cpp
@@ -0,0 +1,92 @@
+#include <guavafront/coordination/replication/replicated_log.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace guavafront
+{
+
+log_index lastIndex(const replicated_log &log)
+{
+    return {log.precedingIndex.value + log.records.size()};
+}
+
+term lastTerm(const replicated_log &log)
+{
+    return log.records.empty() ? log.precedingTerm : log.records.back().at;
+}
+
+std::optional<term> termAt(const replicated_log &log, log_index index)
+{
+    if (index == log.precedingIndex) {
+        return log.precedingTerm;
+    }
+    if (index == log.snapshot.index) {
+        return log.snapshot.at;
+    }
+    if (index < log.precedingIndex || index > lastIndex(log)) {
+        return std::nullopt;
+    }
+    return recordAt(log, index).at;
+}
+
+const log_record &recordAt(const replicated_log &log, log_index index)
+{
+    assert(index > log.precedingIndex && index <= lastIndex(log));
+    return log.records[index.value - log.precedingIndex.value - 1];
+}
+
+bool isUpToDate(const replicated_log &log, log_index otherLast, term otherLastTerm)
+{
+    const term ownTerm = lastTerm(log);
+    return otherLastTerm > ownTerm || (otherLastTerm == ownTerm && otherLast >= lastIndex(log));
+}
+
+void truncateFrom(replicated_log &log, log_index first)
+{
+    assert(first > log.precedingIndex && first > log.snapshot.index);
+    if (first <= lastIndex(log)) {
+        log.records.resize(first.value - log.precedingIndex.value - 1);
+    }
+}
+
+void compactTo(replicated_log &log, log_index last)
+{
+    assert(last <= log.snapshot.index);
+    if (last <= log.precedingIndex) {
+        return;
+    }
+    const std::optional<term> at = termAt(log, last);
+    assert(at);
+    const auto dropped = static_cast<std::ptrdiff_t>(last.value - log.precedingIndex.value);
+    log.records.erase(log.records.begin(), log.records.begin() + dropped);
+    log.precedingIndex = last;
+    log.precedingTerm = *at;
+}
+
+void installSnapshot(replicated_log &log, const log_snapshot &snapshot)
+{
+    assert(snapshot.index >= log.snapshot.index);
+    const bool keepsSuffix = termAt(log, snapshot.index) == snapshot.at;
+    log.snapshot = snapshot;
+    if (keepsSuffix) {
+        return;
+    }
+    log.records.clear();
+    log.precedingIndex = snapshot.index;
+    log.precedingTerm = snapshot.at;
+}
+
+logged_membership membershipAt(const replicated_log &log, log_index index)
+{
+    const auto holds = [index](const log_record &record) {
+        return record.index <= index && std::holds_alternative<membership>(record.content);
+    };
+    const auto found = std::find_if(log.records.rbegin(), log.records.rend(), holds);
+    if (found == log.records.rend() || found->index <= log.snapshot.index) {
+        return {log.snapshot.index, log.snapshot.members};
+    }
+    return {found->index, std::get<membership>(found->content)};
+}
+
+} // namespace guavafront
--- a/src/wire/configuration_codec.h
+++ b/src/wire/configuration_codec.h
@@ -15,7 +15,7 @@
 /// Largest encoded configuration or change log that is decoded.
 constexpr std::size_t maxConfigurationBytes = std::size_t{32} << 20;
 /// Largest encoded change request or list of changes that is decoded.
-constexpr std::size_t maxChangesBytes = std::size_t{1} << 20;
+constexpr std::size_t maxChangesBytes = std::size_t{256} << 10;
 
 /// CBOR of a configuration.
 std::vector<std::byte> encodeConfiguration(const configuration &value);
--- /dev/null
+++ b/tests/replication/operators.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "replication/simulated_cluster.h"
+
+#include "wire/configuration_codec.h"
+
+#include <map>
+#include <stdexcept>
+#include <string>
+
+namespace guavafront
+{
+
+/// Operators of a simulated cluster that race each other, resend after lost answers, and hold every answer against the
+/// ones before.
+class racing_operators
+{
+public:
+    /// The given number of operators; cluster outlives them.
+    racing_operators(simulated_cluster &cluster, std::size_t count)
+        : m_cluster(cluster)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            beginRequest(i);
+        }
+    }
+
+    /// Accepted changes so far: the account that each created, by revision.
+    const std::map<revision, std::string> &accepted() const
+    {
+        return m_accepted;
+    }
+
+    /// Throws unless the state holds each of the accepted changes at its revision.
+    static void checkNothingLost(const std::map<revision, std::string> &accepted, const change_log &log)
+    {
+        for (const auto &[at, name] : accepted) {
+            const bool there = log.value.current >= at && at.value >= 1 && log.value.accounts.size() >= at.value
+                               && log.value.accounts[at.value - 1].name == name;
+            if (!there) {
+                throw std::runtime_error("broken: an accepted change was lost");
+            }
+        }
+    }
+
+private:
+    struct request {
+        change_proposal proposal; ///< Sent until it is answered.
+        revision highestKnown; ///< Accepted anywhere before it was first sent.
+    };
+
+    void beginRequest(std::size_t who)
+    {
+        const std::uint64_t id = ++m_lastId;
+        request fresh;
+        fresh.proposal = makeProposal({operator_role::Operator, {}},
+                                      {{1, id}, m_known[who], {create_account{"a" + std::to_string(id)}}});
+        fresh.highestKnown = m_accepted.empty() ? revision{} : m_accepted.rbegin()->first;
+        m_requests[id] = fresh;
+        send(who, id);
+    }
+
+    void send(std::size_t who, std::uint64_t id)
+    {
+        const std::vector<vm_id> vms = m_cluster.present();
+        const vm_id leading = m_cluster.leader();
+        const bool guess = leading.value == 0 || m_cluster.random(4) == 0;
+        const vm_id target = guess ? vms[m_cluster.random(vms.size())] : leading;
+        const bool lost = m_cluster.random(5) == 0;
+        m_cluster.propose(target, m_requests[id].proposal, [this, who, id, lost](std::uint64_t, const auto &answer) {
+            if (answer && isDecision(answer->code)) {
+                take(who, id, *answer, lost);
+            }
+        });
+        m_cluster.after(std::chrono::milliseconds(400), [this, who, id] {
+            if (m_requests.contains(id)) {
+                send(who, id);
+            }
+        });
+    }
+
+    static bool isDecision(result_code code)
+    {
+        return code == result_code::Ok || code == result_code::RevisionConflict;
+    }
+
+    void take(std::size_t who, std::uint64_t id, const change_answer &answer, bool lost)
+    {
+        const auto [first, isFirst] = m_answers.emplace(id, answer);
+        if (!isFirst && first->second != answer) {
+            throw std::runtime_error("broken: a resend was answered differently");
+        }
+        const auto open = m_requests.find(id);
+        if (open != m_requests.end() && answer.at < open->second.highestKnown) {
+            throw std::runtime_error("broken: a later request saw an earlier revision");
+        }
+        if (answer.code == result_code::Ok) {
+            const std::string name = "a" + std::to_string(id);
+            if (!m_accepted.emplace(answer.at, name).second && m_accepted[answer.at] != name) {
+                throw std::runtime_error("broken: two changes made one revision");
+            }
+        }
+        if (lost || open == m_requests.end()) {
+            return; // The operator doesn't see it and resends.
+        }
+        m_requests.erase(open);
+        m_known[who] = std::max(m_known[who], answer.at);
+        m_cluster.after(std::chrono::milliseconds(20 + m_cluster.random(200)), [this, who] { beginRequest(who); });
+    }
+
+    simulated_cluster &m_cluster; ///< Not owned.
+    std::map<std::uint64_t, request> m_requests; ///< Open ones, by request ID.
+    std::map<std::uint64_t, change_answer> m_answers; ///< First answers, seen by the operator or not.
+    std::map<revision, std::string> m_accepted; ///< Account created by each accepted revision.
+    std::map<std::size_t, revision> m_known; ///< Revision that each operator has last seen.
+    std::uint64_t m_lastId = 0; ///< Last request ID given.
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/replication/schedule_test.cpp
@@ -0,0 +1,159 @@
+#include "replication/operators.h"
+#include "replication/simulated_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <string>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Schedules run by seed; GUAVAFRONT_SEED replays one, GUAVAFRONT_SCHEDULES sets how many run.
+struct schedule_fixture {
+    static std::uint64_t numberFrom(const char *variable, std::uint64_t otherwise)
+    {
+        const char *text = std::getenv(variable);
+        return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+    }
+
+    /// Runs the schedule for each seed and names the seed that breaks a promise.
+    static void forEachSeed(std::uint64_t count, const std::function<void(std::uint64_t)> &schedule)
+    {
+        const std::uint64_t only = numberFrom("GUAVAFRONT_SEED", 0);
+        const std::uint64_t last = only != 0 ? only : numberFrom("GUAVAFRONT_SCHEDULES", count);
+        for (std::uint64_t seed = only != 0 ? only : 1; seed <= last; ++seed) {
+            try {
+                schedule(seed);
+            } catch (const std::exception &fault) {
+                BOOST_FAIL("GUAVAFRONT_SEED=" << seed << ": " << fault.what());
+            }
+        }
+    }
+
+    /// Lets a fault begin and, after some time, end; then the next one.
+    static void injectFaults(simulated_cluster &cluster, instant until)
+    {
+        if (cluster.now() >= until) {
+            return;
+        }
+        const std::vector<vm_id> vms = cluster.present();
+        const vm_id vm = vms[cluster.random(vms.size())];
+        const vm_id other = vms[cluster.random(vms.size())];
+        const milliseconds length(50 + cluster.random(4'000));
+        switch (cluster.random(5)) {
+        case 0:
+            cluster.cuts.insert({vm, other});
+            cluster.after(length, [&cluster, vm, other] { cluster.cuts.erase({vm, other}); });
+            break;
+        case 1:
+            isolate(cluster, vm, length, cluster.random(3));
+            break;
+        case 2:
+            crashFor(cluster, vm, length);
+            break;
+        case 3:
+            freezeFor(cluster, cluster.random(2) == 0 ? vm : cluster.leader(), length);
+            break;
+        default:
+            if (!cluster.isReplacing() && vms.size() >= 3) {
+                cluster.replaceDisk(vm);
+            }
+        }
+        cluster.after(milliseconds(cluster.random(1'500)), [&cluster, until] { injectFaults(cluster, until); });
+    }
+
+    /// Cuts a VM off from all others: 0 both ways, 1 it can't be heard, 2 it can't hear.
+    static void isolate(simulated_cluster &cluster, vm_id vm, milliseconds length, std::uint64_t direction)
+    {
+        for (const vm_id other : cluster.present()) {
+            for (const auto &cut : {std::pair(vm, other), std::pair(other, vm)}) {
+                if (direction == 0 || (direction == 1) == (cut.first == vm)) {
+                    cluster.cuts.insert(cut);
+                    cluster.after(length, [&cluster, cut] { cluster.cuts.erase(cut); });
+                }
+            }
+        }
+    }
+
+    static void crashFor(simulated_cluster &cluster, vm_id vm, milliseconds length)
+    {
+        if (!cluster.at(vm).up) {
+            return;
+        }
+        cluster.crash(vm);
+        cluster.after(length, [&cluster, vm] {
+            const std::vector<vm_id> vms = cluster.present();
+            if (!cluster.at(vm).up && std::ranges::find(vms, vm) != vms.end()) {
+                cluster.start(vm);
+            }
+        });
+    }
+
+    static void freezeFor(simulated_cluster &cluster, vm_id vm, milliseconds length)
+    {
+        if (vm.value == 0 || !cluster.at(vm).up) {
+            return;
+        }
+        cluster.freeze(vm);
+        cluster.after(length, [&cluster, vm] { cluster.thaw(vm); });
+    }
+
+    /// Whether every VM that is there has applied what the leader has committed.
+    static bool isSettled(simulated_cluster &cluster)
+    {
+        const vm_id leading = cluster.leader();
+        return leading.value != 0 && !cluster.isReplacing()
+               && std::ranges::all_of(cluster.present(), [&cluster, leading](vm_id vm) {
+                      return cluster.at(vm).machine.value.current.value + 3
+                             >= cluster.at(leading).machine.value.current.value;
+                  });
+    }
+
+    /// One schedule: faults for the given time, then peace, in which the cluster must recover.
+    static void runFaulty(std::uint64_t seed, std::size_t vms, seconds faulty)
+    {
+        simulated_cluster cluster(seed, vms);
+        cluster.runUntilTrue([&] { return cluster.leader().value != 0 && isSettled(cluster); }, seconds(10), "start");
+        racing_operators operators(cluster, 2);
+        cluster.lossPercent = cluster.random(10);
+        cluster.duplicatePercent = cluster.random(10);
+        injectFaults(cluster, cluster.now() + faulty);
+        cluster.runUntil(cluster.now() + faulty + seconds(5));
+        cluster.lossPercent = 0;
+        const std::size_t before = operators.accepted().size();
+        cluster.runUntilTrue([&] { return operators.accepted().size() > before + 3 && isSettled(cluster); },
+                             seconds(30), "recovery");
+        const std::map<revision, std::string> accepted = operators.accepted();
+        cluster.runUntil(cluster.now() + seconds(2));
+        for (const vm_id vm : cluster.present()) {
+            racing_operators::checkNothingLost(accepted, cluster.at(vm).machine);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(schedule_test, schedule_fixture)
+
+BOOST_AUTO_TEST_CASE(schedule_threeVmsAllFaults_promisesHold)
+{
+    forEachSeed(1'000, [](std::uint64_t seed) { runFaulty(seed, 3, seconds(8)); });
+}
+
+BOOST_AUTO_TEST_CASE(schedule_fiveVmsAllFaults_promisesHold)
+{
+    forEachSeed(200, [](std::uint64_t seed) { runFaulty(seed, 5, seconds(8)); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/replication/simulated_cluster.cpp
@@ -0,0 +1,396 @@
+#include "replication/simulated_cluster.h"
+
+#include "wire/configuration_codec.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t maxNetworkDelayUs = 20'000;
+constexpr std::uint64_t maxSyncDelayUs = 4'000;
+constexpr duration offerInterval = milliseconds(300);
+
+void check(bool holds, const std::string &promise)
+{
+    if (!holds) {
+        throw std::runtime_error("broken: " + promise);
+    }
+}
+
+bool isStorage(const replica_effect &effect)
+{
+    return std::holds_alternative<write_vote>(effect) || std::holds_alternative<append_records>(effect)
+           || std::holds_alternative<remove_records>(effect) || std::holds_alternative<write_snapshot>(effect);
+}
+
+void writeTo(stored_state &disk, const replica_effect &effect)
+{
+    std::visit(
+        [&disk](const auto &write) {
+            if constexpr (requires { applyWrite(disk, write); }) {
+                applyWrite(disk, write);
+            }
+        },
+        effect);
+}
+
+} // namespace
+
+bool simulated_cluster::later::operator()(const scheduled &left, const scheduled &right) const
+{
+    return std::pair(left.due, left.order) > std::pair(right.due, right.order);
+}
+
+simulated_cluster::simulated_cluster(std::uint64_t seed, std::size_t vms)
+    : m_random(seed)
+    , m_targetVoters(vms)
+{
+    addVm({++m_lastVm}, bootstrapState({7}, {1}));
+    while (m_lastVm < vms) {
+        addVm({++m_lastVm}, {});
+    }
+    offerLearners();
+}
+
+void simulated_cluster::runUntil(instant end)
+{
+    while (!m_queue.empty() && m_queue.top().due <= end) {
+        const scheduled next = m_queue.top();
+        m_queue.pop();
+        m_now = next.due;
+        next.action();
+    }
+    m_now = end;
+}
+
+void simulated_cluster::runUntilTrue(const std::function<bool()> &condition, duration limit, const std::string &what)
+{
+    const instant end = m_now + limit;
+    while (!condition()) {
+        check(m_now < end, what + " did not happen in time");
+        runUntil(m_now + milliseconds(10));
+    }
+}
+
+void simulated_cluster::after(duration delay, std::function<void()> action)
+{
+    m_queue.push({m_now + delay, ++m_order, std::move(action)});
+}
+
+void simulated_cluster::propose(vm_id vm, const change_proposal &proposal, const answer_handler &answer)
+{
+    const std::uint64_t ticket = ++m_lastTicket;
+    m_answers[ticket] = answer;
+    if (m_vms.at(vm).up) {
+        handle(vm, command_proposed{ticket, encodeProposal(proposal)});
+    }
+}
+
+void simulated_cluster::crash(vm_id vm)
+{
+    simulated_vm &node = m_vms.at(vm);
+    const std::uint64_t survive = random(node.written.size() + 1);
+    for (std::uint64_t i = 0; i < survive; ++i) {
+        writeTo(node.disk, node.written[i]);
+    }
+    node.written.clear();
+    node.todo.clear();
+    node.inbox.clear();
+    node.waiting.clear();
+    ++node.incarnation;
+    node.up = node.frozen = node.syncing = false;
+}
+
+void simulated_cluster::start(vm_id vm)
+{
+    simulated_vm &node = m_vms.at(vm);
+    node.up = true;
+    node.state = restore(optionsFor(vm), node.disk, m_now, random());
+    const std::vector<std::byte> &state = node.disk.log.snapshot.state;
+    node.machine = state.empty() ? change_log{} : decodeChangeLog(state);
+    armTimer(vm);
+}
+
+vm_id simulated_cluster::replaceDisk(vm_id vm)
+{
+    crash(vm);
+    const vm_id fresh{++m_lastVm};
+    addVm(fresh, {});
+    m_replacements[fresh] = vm;
+    return fresh;
+}
+
+void simulated_cluster::freeze(vm_id vm)
+{
+    m_vms.at(vm).frozen = true;
+}
+
+void simulated_cluster::thaw(vm_id vm)
+{
+    simulated_vm &node = m_vms.at(vm);
+    node.frozen = false;
+    std::deque<replica_event> events;
+    events.swap(node.inbox);
+    for (const replica_event &event : events) {
+        if (node.up) {
+            handle(vm, event);
+        }
+    }
+    if (node.up) {
+        performAll(vm);
+    }
+}
+
+vm_id simulated_cluster::leader() const
+{
+    vm_id found;
+    term highest;
+    for (const auto &[id, vm] : m_vms) {
+        if (vm.up && vm.state.role == replica_role::Leader && vm.state.currentTerm >= highest) {
+            highest = vm.state.currentTerm;
+            found = id;
+        }
+    }
+    return found;
+}
+
+simulated_vm &simulated_cluster::at(vm_id vm)
+{
+    return m_vms.at(vm);
+}
+
+std::vector<vm_id> simulated_cluster::present() const
+{
+    std::vector<vm_id> ids;
+    for (const auto &[id, vm] : m_vms) {
+        const bool replaced =
+            std::ranges::any_of(m_replacements, [gone = id](const auto &pair) { return pair.second == gone; });
+        if (!replaced) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+bool simulated_cluster::isReplacing() const
+{
+    const vm_id leading = leader();
+    if (leading.value == 0) {
+        return true;
+    }
+    const replica &state = m_vms.at(leading).state;
+    const bool allVote = std::ranges::all_of(present(), [&state](vm_id vm) { return isVoter(state.members, vm); });
+    return state.membersIndex > state.commitIndex || !allVote || state.members.members.size() != m_targetVoters;
+}
+
+instant simulated_cluster::now() const
+{
+    return m_now;
+}
+
+std::uint64_t simulated_cluster::random()
+{
+    return m_random();
+}
+
+std::uint64_t simulated_cluster::random(std::uint64_t limit)
+{
+    return m_random() % limit;
+}
+
+void simulated_cluster::handle(vm_id vm, const replica_event &event)
+{
+    simulated_vm &node = m_vms.at(vm);
+    if (node.frozen) {
+        node.inbox.push_back(event);
+        return;
+    }
+    std::vector<replica_effect> effects;
+    step(node.state, event, m_now, random(), effects);
+    node.todo.insert(node.todo.end(), effects.begin(), effects.end());
+    performAll(vm);
+    armTimer(vm);
+}
+
+void simulated_cluster::performAll(vm_id vm)
+{
+    simulated_vm &node = m_vms.at(vm);
+    const std::uint64_t incarnation = node.incarnation;
+    while (incarnation == node.incarnation && !node.syncing && !node.frozen && !node.todo.empty()) {
+        const replica_effect effect = std::move(node.todo.front());
+        node.todo.pop_front();
+        if (onEffect) {
+            onEffect(vm, effect);
+        }
+        if (incarnation == node.incarnation) {
+            perform(vm, effect);
+        }
+    }
+}
+
+void simulated_cluster::perform(vm_id vm, const replica_effect &effect)
+{
+    simulated_vm &node = m_vms.at(vm);
+    if (isStorage(effect)) {
+        node.written.push_back(effect);
+    } else if (const auto *sync = std::get_if<sync_writes>(&effect)) {
+        beginSync(vm, sync->sequence);
+    } else if (const auto *send = std::get_if<send_message>(&effect)) {
+        deliver(send->message);
+    } else if (const auto *applied = std::get_if<apply_record>(&effect)) {
+        apply(vm, applied->record);
+    } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
+        node.machine = decodeChangeLog(load->snapshot.state);
+    } else if (const auto *take = std::get_if<take_snapshot>(&effect)) {
+        handle(vm, snapshot_taken{take->index, encodeChangeLog(node.machine)});
+    } else if (const auto *appended = std::get_if<proposal_appended>(&effect)) {
+        node.waiting[appended->index.value] = {appended->ticket, appended->at};
+    } else if (const auto *refused = std::get_if<proposal_refused>(&effect)) {
+        settle(vm, refused->ticket, change_answer{refused->code, {}, {}});
+    } else if (const auto *role = std::get_if<role_changed>(&effect)) {
+        noteRole(vm, *role);
+    }
+}
+
+void simulated_cluster::beginSync(vm_id vm, std::uint64_t sequence)
+{
+    simulated_vm &node = m_vms.at(vm);
+    node.syncing = true;
+    after(microseconds(static_cast<std::int64_t>(random(maxSyncDelayUs))),
+          [this, vm, sequence, life = node.incarnation] {
+              simulated_vm &synced = m_vms.at(vm);
+              if (synced.incarnation != life) {
+                  return;
+              }
+              for (const replica_effect &effect : synced.written) {
+                  writeTo(synced.disk, effect);
+              }
+              synced.written.clear();
+              synced.syncing = false;
+              handle(vm, writes_synced{sequence});
+          });
+}
+
+void simulated_cluster::deliver(const replication_message &message)
+{
+    if (cuts.contains({message.from, message.to}) || random(100) < lossPercent || !m_vms.contains(message.to)) {
+        return;
+    }
+    const std::uint64_t copies = random(100) < duplicatePercent ? 2 : 1;
+    for (std::uint64_t i = 0; i < copies; ++i) {
+        after(microseconds(static_cast<std::int64_t>(200 + random(maxNetworkDelayUs))), [this, message] {
+            if (m_vms.at(message.to).up && !cuts.contains({message.from, message.to})) {
+                handle(message.to, message_received{message});
+            }
+        });
+    }
+}
+
+void simulated_cluster::apply(vm_id vm, const log_record &record)
+{
+    simulated_vm &node = m_vms.at(vm);
+    const auto [known, first] = m_applied.emplace(record.index, record);
+    check(first || known->second == record, "two records were applied at one index");
+    std::optional<change_answer> answer;
+    if (const auto *stored = std::get_if<command>(&record.content)) {
+        const revision before = node.machine.value.current;
+        answer = decide(node.machine, decodeProposal(stored->payload));
+        check(node.machine.value.current >= before, "a revision went down");
+    }
+    const auto waiting = node.waiting.find(record.index.value);
+    if (waiting != node.waiting.end()) {
+        const auto [ticket, proposedIn] = waiting->second;
+        node.waiting.erase(waiting);
+        settle(vm, ticket, proposedIn == record.at ? answer : std::nullopt);
+    }
+}
+
+void simulated_cluster::noteRole(vm_id vm, const role_changed &event)
+{
+    if (event.role == replica_role::Leader) {
+        const auto [known, first] = m_leaders.emplace(event.at, vm);
+        check(first || known->second == vm, "two leaders in a term");
+        return;
+    }
+    failWaiting(vm);
+}
+
+void simulated_cluster::settle(vm_id vm, std::uint64_t ticket, const std::optional<change_answer> &answer)
+{
+    const auto found = m_answers.find(ticket);
+    if (found != m_answers.end() && m_vms.at(vm).up) {
+        const answer_handler handler = found->second;
+        m_answers.erase(found);
+        handler(ticket, answer);
+    }
+}
+
+void simulated_cluster::failWaiting(vm_id vm)
+{
+    std::map<std::uint64_t, std::pair<std::uint64_t, term>> failed;
+    failed.swap(m_vms.at(vm).waiting);
+    for (const auto &[index, proposal] : failed) {
+        settle(vm, proposal.first, std::nullopt);
+    }
+}
+
+void simulated_cluster::armTimer(vm_id vm)
+{
+    simulated_vm &node = m_vms.at(vm);
+    const instant due = std::max(nextDeadline(node.state), m_now);
+    if (node.up && !node.frozen && node.timerDue != due) {
+        node.timerDue = due;
+        after(due - m_now, [this, vm, due, life = node.incarnation] {
+            simulated_vm &fired = m_vms.at(vm);
+            if (fired.incarnation == life && fired.timerDue == due) {
+                fired.timerDue = {};
+                handle(vm, timer_fired{});
+            }
+        });
+    }
+}
+
+void simulated_cluster::offerLearners()
+{
+    const vm_id leading = leader();
+    if (leading.value != 0 && !m_vms.at(leading).frozen) {
+        for (const vm_id id : present()) {
+            const auto replacement = m_replacements.find(id);
+            const vm_id replaces = replacement == m_replacements.end() ? vm_id{} : replacement->second;
+            const membership &members = m_vms.at(leading).state.members;
+            if (findMember(members, id) == nullptr) {
+                const bool stillThere = findMember(members, replaces) != nullptr;
+                handle(leading, learner_proposed{++m_lastTicket, id, stillThere ? replaces : vm_id{}});
+                break;
+            }
+        }
+    }
+    after(offerInterval, [this] { offerLearners(); });
+}
+
+void simulated_cluster::addVm(vm_id vm, const stored_state &disk)
+{
+    m_vms[vm].disk = disk;
+    start(vm);
+}
+
+replica_options simulated_cluster::optionsFor(vm_id vm) const
+{
+    replica_options options;
+    options.self = vm;
+    options.maxMessageBytes = 400;
+    options.snapshotAfterRecords = 12;
+    options.keptRecords = 4;
+    options.targetVoters = m_targetVoters;
+    return options;
+}
+
+} // namespace guavafront
