--- /dev/null
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/registry/registry.h>
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace guavafront
+{
+
+/// What the balancer weighs of one instance, kept small and together for the hot path.
+struct candidate {
+    instance_id instance; ///< The instance.
+    instant lastAnswer{}; ///< When latencyUs was last updated.
+    float latencyUs = 0; ///< Moving average of answers' latency as seen here, trip included; 0 before the first.
+    float weight = 1; ///< Share of its turns that it takes, 0 to 1; 0 takes it out.
+    float reportedLoad = 0; ///< Share of slots in use by its own word; a hint.
+    std::uint16_t slots = 1; ///< Requests it runs at once.
+    std::uint16_t outstanding = 0; ///< Requests of this VM that it runs now.
+};
+
+/// Instances of one service that this VM may choose from: those in its data centre first, each part ordered by id.
+struct candidate_set {
+    std::vector<candidate> items; ///< Near ones, then far ones.
+    std::uint32_t nearCount = 0; ///< How many of them are near.
+    std::uint32_t nextTurn = 0; ///< Counter of the round robin policy.
+    float typicalLatencyUs = 5'000; ///< Moving average over all; stands in before an instance's first answer.
+};
+
+/// Where this VM stands and how much it may connect to.
+struct placement {
+    vm_id self; ///< Seeds the choice of the subset.
+    std::string_view dataCentre; ///< Of this VM.
+    std::uint32_t subsetPerPart = 24; ///< Near and far instances of one service that this VM uses at most, each.
+};
+
+/// Replaces the members by the serving ones of a service, bounded to this VM's subset; what was measured of those that
+/// stay is kept.
+void updateMembers(candidate_set &set, std::span<const registered_instance> instances, const placement &here);
+
+/// The member; null when it isn't one.
+candidate *findCandidate(candidate_set &set, instance_id instance);
+
+/// A request was handed to the member.
+void onRequestSent(candidate &member);
+
+/// The request ended without an answer that says anything of latency.
+void onRequestEnded(candidate &member);
+
+/// The request was answered; latency runs from sending to the whole answer.
+void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now);
+
+} // namespace guavafront
