Add detection, ejection above the floor, retries and quarantine

Cause: upstreams fail gray; a single VM sees little of a small service, and its own link may be what is bad. Change: a CUSUM of the likelihood ratio of faulty against healthy per instance, judged against the peers' medians; reports between VMs when suspicion changes; ejections granted in one order under the floor, counting what others hold out; doubling holds, probation and ramps; a timeout on a used connection counts only when a fresh one fails as well. Retries need proof of not having run or a repeatable request, and a token. A request's deaths are a set of instance ids that VMs unite, so that release is a set as well. Ruled out: ejection permits at a quorum of VMs: they stop when the control is away, and the share of load argument (no instance over 1/floor of its fair share, whatever each VM believes) holds without any message.

--- /dev/null
+++ b/include/guavafront/coordination/health/service_health.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <guavafront/coordination/health/outcome.h>
+#include <guavafront/coordination/registry/registry.h>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Limits of the detector.
+struct health_limits {
+    float reportScore = 6; ///< From here on a VM tells the others.
+    float holdScore = 9; ///< From here on a VM acts on its own evidence alone.
+    float faultyShare = 0.5F; ///< Share of bad outcomes at a faulty instance, for the likelihood ratio.
+    float minBackgroundShare = 0.02F; ///< Bad outcomes that a healthy instance is granted in any case.
+    float slowFactor = 3; ///< An answer this many times slower than the peers' is bad.
+    duration slowMargin = std::chrono::milliseconds(20); ///< It must be slower by this as well; more than a trip.
+    duration scoreHalfLife = std::chrono::seconds(15); ///< Old evidence loses half its weight in it.
+    duration firstHold = std::chrono::seconds(5); ///< First time out of rotation; doubles with each strike.
+    duration longestHold = std::chrono::minutes(5); ///< Bound of the doubling.
+    duration strikeMemory = std::chrono::minutes(2); ///< Healthy time after which one strike is forgotten.
+    duration returnRamp = std::chrono::seconds(10); ///< Gradual return, and probation, after a hold.
+    duration coldStartRamp = std::chrono::seconds(15); ///< Ramp of an instance that has just begun to serve.
+    float firstWeight = 0.1F; ///< Where both ramps begin.
+};
+
+/// Where an instance stands by this VM's own evidence.
+enum class local_standing : std::uint8_t {
+    Healthy, ///< In rotation.
+    Held, ///< Out of rotation until the hold ends.
+    Probation, ///< Returning; one more bad outcome holds it again.
+};
+
+/// Evidence of one instance at this VM.
+struct instance_health {
+    instance_id instance; ///< The instance.
+    float score = 0; ///< Cumulative log likelihood ratio of faulty against healthy (CUSUM; Page, 1954), 0 or more.
+    float badShare = 0; ///< Moving share of bad outcomes.
+    float latencyUs = 0; ///< Moving average of answers' latency; 0 before the first.
+    std::uint16_t strikes = 0; ///< Holds not yet forgotten.
+    std::uint16_t silentConnections = 0; ///< Timeouts on used connections since the last answer.
+    local_standing standing = local_standing::Healthy; ///< Where it stands.
+    instant scoredAt{}; ///< When score was last updated.
+    instant since{}; ///< Begin of the standing.
+    instant until{}; ///< End of a hold or probation; of a healthy one, when its next strike is forgotten.
+    instant servingSince{}; ///< Begin of the cold-start ramp.
+};
+
+/// This VM's evidence of all instances of one service.
+struct service_health {
+    health_limits limits; ///< Limits of the detector.
+    std::vector<instance_health> instances; ///< Ordered by instance id.
+    float peerLatencyUs = 0; ///< Median of the instances' latency.
+    float backgroundShare = 0; ///< Median of the instances' share of bad outcomes.
+};
+
+/// Follows the registry: adds new instances, drops gone ones, keeps the evidence of the others.
+void updateMembers(service_health &service, std::span<const registered_instance> instances);
+
+/// Takes the evidence of one attempt; may begin a hold.
+void recordOutcome(service_health &service, const outcome &news, instant now);
+
+/// Moves holds, probations and strikes on and takes the peers' medians anew; call a few times a second.
+void advance(service_health &service, instant now);
+
+/// Evidence of one instance; null when it isn't known.
+const instance_health *findHealth(const service_health &service, instance_id instance);
+
+/// Whether the evidence is strong enough to tell the other VMs.
+bool isSuspect(const service_health &service, const instance_health &instance, instant now);
+
+/// Share of its turns that an instance takes by its cold-start and return ramps, above 0 to 1.
+float rampWeight(const health_limits &limits, const instance_health &instance, instant now);
+
+} // namespace guavafront
--- /dev/null
+++ b/include/guavafront/coordination/retries/retry.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <guavafront/coordination/core/refusal.h>
+#include <guavafront/coordination/health/outcome.h>
+#include <guavafront/coordination/retries/retry_budget.h>
+
+#include <cstdint>
+
+namespace guavafront
+{
+
+/// Limits of the attempts of one request.
+struct retry_limits {
+    std::uint32_t maxAttempts = 3; ///< Attempts of one request, the first included.
+    duration minTimeLeft = std::chrono::milliseconds(5); ///< With less time left a retry can't end in time.
+};
+
+/// A failed attempt of a request.
+struct failed_attempt {
+    outcome_kind kind = outcome_kind::ConnectFailed; ///< How it ended.
+    execution ran = execution::Unknown; ///< NotRun only when proved.
+    bool repeatable = false; ///< The request may run more than once.
+    bool quarantined = false; ///< The request is held back.
+    std::uint32_t attempts = 1; ///< Attempts made so far.
+    duration timeLeft{}; ///< Until the request's deadline.
+};
+
+/// Whether a request whose attempt failed is tried at another instance. A request that may not be repeated is, only
+/// when it was proved not to have run. Failed connections cost no token: no upstream did any work for them.
+bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt);
+
+/// What the caller is told when there is no further attempt.
+refusal refusalAfter(const failed_attempt &attempt);
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/health/service_health.cpp
@@ -0,0 +1,229 @@
+#include <guavafront/coordination/health/service_health.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr float shareOfNewest = 0.1F; ///< Weight of the newest outcome in the moving averages.
+constexpr float connectBackgroundShare = 0.01F; ///< Failed connections are rarer than other faults.
+constexpr std::uint16_t maxSilentConnections = 2; ///< Silent connections that one failure of a fresh one confirms.
+
+std::uint64_t orderOf(const instance_health &instance)
+{
+    return instance.instance.value;
+}
+
+instance_health *find(service_health &service, instance_id instance)
+{
+    return const_cast<instance_health *>(findHealth(service, instance));
+}
+
+float seconds(duration span)
+{
+    return std::chrono::duration<float>(span).count();
+}
+
+float decayedScore(const health_limits &limits, const instance_health &instance, instant now)
+{
+    const float halfLives = seconds(now - instance.scoredAt) / seconds(limits.scoreHalfLife);
+    return instance.score * std::exp2(-halfLives);
+}
+
+bool isColdStart(const health_limits &limits, const instance_health &instance, instant now)
+{
+    return now < instance.servingSince + limits.coldStartRamp;
+}
+
+/// Whether an answer took much longer than the peers' do. A cold start is slow without being faulty.
+bool isSlow(const service_health &service, const instance_health &instance, duration latency, instant now)
+{
+    if (service.peerLatencyUs <= 0 || isColdStart(service.limits, instance, now)) {
+        return false;
+    }
+    const auto latencyUs = static_cast<float>(latency.count());
+    const auto marginUs = static_cast<float>(service.limits.slowMargin.count());
+    return latencyUs > service.peerLatencyUs * service.limits.slowFactor
+           && latencyUs > service.peerLatencyUs + marginUs;
+}
+
+bool saysNothing(const outcome &news)
+{
+    return news.kind == outcome_kind::Cancelled || news.kind == outcome_kind::Shed || news.suspectRequest;
+}
+
+bool isBad(const service_health &service, const instance_health &instance, const outcome &news, instant now)
+{
+    return news.kind != outcome_kind::Answered || isSlow(service, instance, news.latency, now);
+}
+
+/// Log likelihood ratio that one outcome adds.
+float likelihoodRatio(const service_health &service, const outcome &news, bool bad)
+{
+    const health_limits &limits = service.limits;
+    const bool connect = news.kind == outcome_kind::ConnectFailed;
+    const float least = connect ? connectBackgroundShare : limits.minBackgroundShare;
+    const float background = std::clamp(service.backgroundShare, least, limits.faultyShare);
+    return bad ? std::log(limits.faultyShare / background) : std::log((1 - limits.faultyShare) / (1 - background));
+}
+
+duration holdFor(const health_limits &limits, std::uint16_t strikes)
+{
+    constexpr int maxDoublings = 16;
+    const int doublings = std::min<int>(strikes, maxDoublings);
+    return std::min(limits.firstHold * (1 << doublings), limits.longestHold);
+}
+
+void hold(const health_limits &limits, instance_health &instance, instant now)
+{
+    instance.standing = local_standing::Held;
+    instance.since = now;
+    instance.until = now + holdFor(limits, instance.strikes);
+    ++instance.strikes;
+    instance.score = limits.holdScore;
+    instance.scoredAt = now;
+}
+
+void addEvidence(service_health &service, instance_health &instance, float ratio, instant now)
+{
+    instance.score = std::max(0.0F, decayedScore(service.limits, instance, now) + ratio);
+    instance.scoredAt = now;
+    if (instance.score >= service.limits.holdScore && instance.standing != local_standing::Held) {
+        hold(service.limits, instance, now);
+    }
+}
+
+/// A timeout on a used connection may be the connection's fault alone; it counts once a fresh one fails as well.
+bool mayBeConnectionOnly(instance_health &instance, const outcome &news)
+{
+    if (news.kind == outcome_kind::TimedOut && news.reusedConnection) {
+        instance.silentConnections = std::min<std::uint16_t>(instance.silentConnections + 1, maxSilentConnections);
+        return true;
+    }
+    return false;
+}
+
+/// Probation begins with a score that one more bad outcome lifts over the limit.
+void beginProbation(const health_limits &limits, instance_health &instance, instant now)
+{
+    constexpr float oneBadOutcome = 3;
+    instance.standing = local_standing::Probation;
+    instance.since = now;
+    instance.until = now + limits.returnRamp;
+    instance.score = limits.holdScore - oneBadOutcome;
+    instance.scoredAt = now;
+    instance.badShare = 0;
+    instance.latencyUs = 0;
+}
+
+void moveOn(const health_limits &limits, instance_health &instance, instant now)
+{
+    if (now < instance.until) {
+        return;
+    }
+    if (instance.standing == local_standing::Held) {
+        beginProbation(limits, instance, now);
+        return;
+    }
+    if (instance.standing == local_standing::Probation) {
+        instance.standing = local_standing::Healthy;
+        instance.since = now;
+        instance.until = now + limits.strikeMemory;
+        return;
+    }
+    if (instance.strikes > 0) {
+        --instance.strikes;
+        instance.until = now + limits.strikeMemory;
+    }
+}
+
+/// Lower median, so that a service of two is compared with its better instance.
+float lowerMedian(std::vector<float> &values)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::ranges::nth_element(values, middle);
+    return *middle;
+}
+
+} // namespace
+
+void updateMembers(service_health &service, std::span<const registered_instance> instances)
+{
+    std::vector<instance_health> next;
+    next.reserve(instances.size());
+    for (const registered_instance &entry : instances) {
+        const instance_health *before = findHealth(service, entry.last.instance);
+        instance_health member = before ? *before : instance_health{.instance = entry.last.instance};
+        member.servingSince = entry.servingSince;
+        next.push_back(member);
+    }
+    service.instances = std::move(next);
+}
+
+void recordOutcome(service_health &service, const outcome &news, instant now)
+{
+    instance_health *instance = find(service, news.instance);
+    if (!instance || saysNothing(news) || mayBeConnectionOnly(*instance, news)) {
+        return;
+    }
+    const bool bad = isBad(service, *instance, news, now);
+    instance->badShare += ((bad ? 1.0F : 0.0F) - instance->badShare) * shareOfNewest;
+    if (news.kind == outcome_kind::Answered) {
+        const auto latencyUs = static_cast<float>(news.latency.count());
+        const float before = instance->latencyUs > 0 ? instance->latencyUs : latencyUs;
+        instance->latencyUs = before + (latencyUs - before) * shareOfNewest;
+    }
+    const bool noAnswer = news.kind == outcome_kind::TimedOut || news.kind == outcome_kind::ConnectFailed;
+    const int events = noAnswer ? instance->silentConnections + 1 : 1;
+    instance->silentConnections = 0;
+    addEvidence(service, *instance, likelihoodRatio(service, news, bad) * static_cast<float>(events), now);
+}
+
+void advance(service_health &service, instant now)
+{
+    std::vector<float> latencies;
+    std::vector<float> badShares;
+    for (instance_health &instance : service.instances) {
+        moveOn(service.limits, instance, now);
+        badShares.push_back(instance.badShare);
+        if (instance.latencyUs > 0) {
+            latencies.push_back(instance.latencyUs);
+        }
+    }
+    service.peerLatencyUs = lowerMedian(latencies);
+    service.backgroundShare = lowerMedian(badShares);
+}
+
+const instance_health *findHealth(const service_health &service, instance_id instance)
+{
+    const auto found = std::ranges::lower_bound(service.instances, instance.value, {}, orderOf);
+    return found != service.instances.end() && found->instance == instance ? &*found : nullptr;
+}
+
+bool isSuspect(const service_health &service, const instance_health &instance, instant now)
+{
+    if (instance.standing != local_standing::Healthy) {
+        return instance.standing == local_standing::Held;
+    }
+    return decayedScore(service.limits, instance, now) >= service.limits.reportScore;
+}
+
+float rampWeight(const health_limits &limits, const instance_health &instance, instant now)
+{
+    const auto ramp = [&](instant begin, duration length) {
+        const float share = seconds(now - begin) / seconds(length);
+        return std::clamp(share, limits.firstWeight, 1.0F);
+    };
+    const float cold = ramp(instance.servingSince, limits.coldStartRamp);
+    return instance.standing == local_standing::Probation ? std::min(cold, ramp(instance.since, limits.returnRamp))
+                                                          : cold;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/quarantine/quarantine.cpp
@@ -0,0 +1,138 @@
+#include <guavafront/coordination/quarantine/quarantine.h>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration confirmationLimit = std::chrono::seconds(15); ///< A death follows its lost connection within it.
+constexpr duration retention = std::chrono::hours(1); ///< A request without a new death for longer is forgotten.
+constexpr std::size_t maxRecords = 4'096; ///< The one with the oldest death makes room.
+constexpr std::size_t maxLost = 4'096; ///< The oldest makes room.
+
+std::uint64_t orderOf(const death_record &record)
+{
+    return record.request.value;
+}
+
+/// Inserts into an ordered list without repetition.
+void add(std::vector<instance_id> &ordered, instance_id instance)
+{
+    const auto position = std::ranges::lower_bound(ordered, instance.value, {}, &instance_id::value);
+    if (position == ordered.end() || *position != instance) {
+        ordered.insert(position, instance);
+    }
+}
+
+const death_record *find(const quarantine &state, request_fingerprint request)
+{
+    const auto found = std::ranges::lower_bound(state.records, request.value, {}, orderOf);
+    return found != state.records.end() && found->request == request ? &*found : nullptr;
+}
+
+death_record &recordFor(quarantine &state, request_fingerprint request, instant now)
+{
+    if (const death_record *known = find(state, request)) {
+        return const_cast<death_record &>(*known);
+    }
+    if (state.records.size() >= maxRecords) {
+        state.records.erase(std::ranges::min_element(state.records, {}, &death_record::lastDeath));
+    }
+    const auto position = std::ranges::lower_bound(state.records, request.value, {}, orderOf);
+    return *state.records.insert(position, death_record{.request = request, .lastDeath = now});
+}
+
+std::size_t counted(const death_record &record)
+{
+    const auto isCounted = [&record](instance_id instance) {
+        return !std::ranges::binary_search(record.forgiven, instance.value, {}, &instance_id::value);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(record.died, isCounted));
+}
+
+} // namespace
+
+void onConnectionLost(quarantine &state, const lost_request &lost)
+{
+    if (state.lost.size() >= maxLost) {
+        state.lost.erase(state.lost.begin());
+    }
+    state.lost.push_back(lost);
+}
+
+std::vector<lost_request> onInstanceDied(quarantine &state, instance_id instance, instant now)
+{
+    std::vector<lost_request> confirmed;
+    const auto concerns = [&](const lost_request &lost) {
+        return lost.what.instance == instance;
+    };
+    for (const lost_request &lost : state.lost) {
+        if (concerns(lost) && lost.at + confirmationLimit >= now) {
+            confirmed.push_back(lost);
+        }
+    }
+    std::erase_if(state.lost, concerns);
+    for (const lost_request &death : confirmed) {
+        learnDeath(state, death, now);
+    }
+    return confirmed;
+}
+
+void learnDeath(quarantine &state, const lost_request &death, instant now)
+{
+    death_record &record = recordFor(state, death.what.request, now);
+    record.account = death.account;
+    record.route = death.route;
+    record.lastDeath = now;
+    add(record.died, death.what.instance);
+}
+
+std::optional<death_record> release(quarantine &state, request_fingerprint request)
+{
+    const death_record *known = find(state, request);
+    if (!known) {
+        return std::nullopt;
+    }
+    auto &record = const_cast<death_record &>(*known);
+    record.forgiven = record.died;
+    return record;
+}
+
+void learnRelease(quarantine &state, request_fingerprint request, std::span<const instance_id> forgiven, instant now)
+{
+    death_record &record = recordFor(state, request, now);
+    for (const instance_id instance : forgiven) {
+        add(record.forgiven, instance);
+    }
+}
+
+bool isQuarantined(const quarantine &state, request_fingerprint request, std::uint32_t deaths)
+{
+    const death_record *record = find(state, request);
+    return record && counted(*record) >= deaths;
+}
+
+bool isSuspectRequest(const quarantine &state, request_fingerprint request)
+{
+    const death_record *record = find(state, request);
+    return record && counted(*record) > 0;
+}
+
+std::vector<death_record> listQuarantined(const quarantine &state, std::uint32_t deaths)
+{
+    std::vector<death_record> held;
+    std::ranges::copy_if(state.records, std::back_inserter(held),
+                         [deaths](const death_record &record) { return counted(record) >= deaths; });
+    return held;
+}
+
+void expire(quarantine &state, instant now)
+{
+    std::erase_if(state.records, [now](const death_record &record) { return record.lastDeath + retention < now; });
+    std::erase_if(state.lost, [now](const lost_request &lost) { return lost.at + confirmationLimit < now; });
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/retries/repeats.cpp
@@ -0,0 +1,23 @@
+#include <guavafront/coordination/retries/repeats.h>
+
+#include <algorithm>
+#include <array>
+
+namespace guavafront
+{
+
+bool mayRepeat(repeatability rule, std::string_view method)
+{
+    constexpr std::array<std::string_view, 6> idempotent{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"};
+    switch (rule) {
+    case repeatability::Repeatable:
+        return true;
+    case repeatability::NotRepeatable:
+        return false;
+    case repeatability::ByMethod:
+        break;
+    }
+    return std::ranges::find(idempotent, method) != idempotent.end();
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/retries/retry.cpp
@@ -0,0 +1,42 @@
+#include <guavafront/coordination/retries/retry.h>
+
+namespace guavafront
+{
+
+bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt)
+{
+    const bool allowed = attempt.ran == execution::NotRun || attempt.repeatable;
+    if (!allowed || attempt.quarantined || attempt.kind == outcome_kind::Cancelled) {
+        return false;
+    }
+    if (attempt.attempts >= limits.maxAttempts || attempt.timeLeft < limits.minTimeLeft) {
+        return false;
+    }
+    return attempt.kind == outcome_kind::ConnectFailed || takeRetry(budget);
+}
+
+refusal refusalAfter(const failed_attempt &attempt)
+{
+    constexpr duration retryAfter = std::chrono::seconds(1);
+    if (attempt.quarantined) {
+        return {.code = result_code::RequestQuarantined, .ran = attempt.ran};
+    }
+    switch (attempt.kind) {
+    case outcome_kind::Shed:
+        return {.code = result_code::UpstreamRefused, .ran = execution::NotRun, .retryAfter = retryAfter};
+    case outcome_kind::ConnectFailed:
+        return {.code = result_code::ConnectFailed, .ran = execution::NotRun, .retryAfter = retryAfter};
+    case outcome_kind::HalfAnswer:
+        return {.code = result_code::AnswerIncomplete, .ran = execution::Unknown};
+    case outcome_kind::Answered:
+    case outcome_kind::ErrorAnswer:
+    case outcome_kind::ConnectionLost:
+    case outcome_kind::TimedOut:
+    case outcome_kind::Cancelled:
+        break;
+    }
+    const bool notRun = attempt.ran == execution::NotRun;
+    return {.code = notRun ? result_code::DeadlinePassed : result_code::OutcomeUnknown, .ran = attempt.ran};
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/retries/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include <guavafront/coordination/retries/retry_budget.h>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+void onFirstTry(retry_budget &budget, std::uint32_t budgetPercent)
+{
+    constexpr float wholePercent = 100;
+    budget.tokens = std::min(budget.capacity, budget.tokens + static_cast<float>(budgetPercent) / wholePercent);
+}
+
+bool takeRetry(retry_budget &budget)
+{
+    if (budget.tokens < 1) {
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/health/ejection_test.cpp
@@ -0,0 +1,134 @@
+#include <guavafront/coordination/health/ejection.h>
+#include <guavafront/coordination/health/shared_evidence.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <random>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::uint32_t floorPercent = 70;
+
+/// Reports of three VMs in data centre a and one in b, about instances 1 and 2.
+struct ejection_fixture {
+    shared_evidence evidence;
+
+    ejection_fixture()
+    {
+        putReport(evidence, {1}, {.dataCentre = "a", .suspects = {{1}, {2}}});
+        putReport(evidence, {2}, {.dataCentre = "a", .suspects = {{1}}});
+        putReport(evidence, {3}, {.dataCentre = "a", .suspects = {{1}}});
+        putReport(evidence, {4}, {.dataCentre = "b", .suspects = {{2}}, .ejected = {{2}}});
+    }
+
+    static ejection_request request(std::uint64_t id, ejection_claim claim, bool here = true)
+    {
+        return {.instance = {id}, .slots = 4, .claim = claim, .appliesHere = here};
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ejection_test, ejection_fixture)
+
+BOOST_AUTO_TEST_CASE(countSuspicions_severalDataCentres_countedApart)
+{
+    const suspicion_count one = countSuspicions(evidence, {1}, "b", {9});
+    BOOST_TEST(one.here == 0);
+    BOOST_TEST(one.mostInOneDataCentre == 3);
+    BOOST_TEST(!one.ejectedElsewhere);
+    const suspicion_count two = countSuspicions(evidence, {2}, "a", {1});
+    BOOST_TEST(two.here == 0);
+    BOOST_TEST(two.ejectedElsewhere);
+}
+
+BOOST_AUTO_TEST_CASE(removeReport_lostVm_suspicionsGone)
+{
+    removeReport(evidence, {4});
+    BOOST_TEST(!countSuspicions(evidence, {2}, "a", {9}).ejectedElsewhere);
+    BOOST_TEST(countSuspicions(evidence, {2}, "a", {9}).here == 1);
+}
+
+BOOST_AUTO_TEST_CASE(reportersNeeded_oneBadLink_neverEnoughUnlessAlone)
+{
+    BOOST_TEST(reportersNeeded(1) == 1);
+    BOOST_TEST(reportersNeeded(2) == 2);
+    BOOST_TEST(reportersNeeded(15) == 3);
+    BOOST_TEST(reportersNeeded(200) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(isReporter_manyVms_aboutSixteenEach)
+{
+    int reporters = 0;
+    for (std::uint64_t vm = 1; vm <= 200; ++vm) {
+        reporters += isReporter({vm * 7919}, {42}, 200) ? 1 : 0;
+    }
+    BOOST_TEST(reporters > 8);
+    BOOST_TEST(reporters < 28);
+}
+
+BOOST_AUTO_TEST_CASE(grantEjections_sixInstancesOfFourSlots_onlyOne)
+{
+    const std::array requests{request(2, ejection_claim::Corroborated), request(1, ejection_claim::Corroborated)};
+    BOOST_TEST((grantEjections(requests, 24, floorPercent) == std::vector<instance_id>{{1}}));
+}
+
+BOOST_AUTO_TEST_CASE(grantEjections_twoInstances_noneAboveTheFloor)
+{
+    const std::array requests{request(1, ejection_claim::Corroborated)};
+    BOOST_TEST(grantEjections(requests, 8, floorPercent).empty());
+}
+
+BOOST_AUTO_TEST_CASE(grantEjections_ejectedElsewhere_takesTheCapacityFirst)
+{
+    const std::array requests{request(1, ejection_claim::Corroborated),
+                              request(2, ejection_claim::Ejected, /*here=*/false), request(3, ejection_claim::Own)};
+    BOOST_TEST(grantEjections(requests, 24, floorPercent).empty());
+}
+
+BOOST_AUTO_TEST_CASE(grantEjections_ownEvidenceOnly_givesWayToCorroborated)
+{
+    const std::array requests{request(1, ejection_claim::Own), request(2, ejection_claim::Corroborated)};
+    BOOST_TEST((grantEjections(requests, 24, floorPercent) == std::vector<instance_id>{{2}}));
+}
+
+BOOST_AUTO_TEST_CASE(grantEjections_floorOfWholeCapacity_none)
+{
+    const std::array requests{request(1, ejection_claim::Ejected)};
+    BOOST_TEST(grantEjections(requests, 400, 100).empty());
+}
+
+// Whatever each of 48 VMs believes on its own, all load on an instance is at most 1/floor of its fair share.
+BOOST_AUTO_TEST_CASE(grantEjections_vmsThatHearNoOther_noInstanceOverItsShareByMoreThanTheFloor)
+{
+    constexpr std::uint32_t instances = 10;
+    constexpr std::uint32_t vms = 48;
+    std::mt19937_64 random(7);
+    for (int trial = 0; trial < 200; ++trial) {
+        std::array<double, instances> load{};
+        for (std::uint32_t vm = 0; vm < vms; ++vm) {
+            std::vector<ejection_request> requests;
+            for (std::uint64_t id = 0; id < instances; ++id) {
+                if (random() % 2 == 0) {
+                    requests.push_back(request(id, ejection_claim::Own));
+                }
+            }
+            const auto out = grantEjections(requests, instances * 4, floorPercent);
+            BOOST_TEST_REQUIRE(out.size() <= 3U);
+            for (std::uint64_t id = 0; id < instances; ++id) {
+                const bool used = std::ranges::find(out, instance_id{id}) == out.end();
+                load[id] += used ? 1.0 / vms / static_cast<double>(instances - out.size()) : 0;
+            }
+        }
+        BOOST_TEST_REQUIRE(*std::ranges::max_element(load) <= 1.0 / instances / 0.7 + 1e-9);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/quarantine/quarantine_test.cpp
@@ -0,0 +1,135 @@
+#include <guavafront/coordination/quarantine/quarantine.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t deaths = 3;
+constexpr instant start{1h};
+constexpr request_fingerprint culprit{77};
+
+/// Two VMs that hear each other's confirmed deaths.
+struct quarantine_fixture {
+    quarantine here;
+    quarantine there;
+
+    static lost_request lost(std::uint64_t instance, request_fingerprint request = culprit)
+    {
+        return {.what = {.request = request, .instance = {instance}}, .account = {5}, .route = {6}, .at = start};
+    }
+
+    /// The request runs on the instance, which dies of it; the other VM hears.
+    void die(quarantine &seenBy, quarantine &hears, std::uint64_t instance)
+    {
+        onConnectionLost(seenBy, lost(instance));
+        for (const lost_request &death : onInstanceDied(seenBy, {instance}, start + 1s)) {
+            learnDeath(hears, death, start + 1s);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(quarantine_test, quarantine_fixture)
+
+BOOST_AUTO_TEST_CASE(isQuarantined_deathsSeenByDifferentVms_heldOnBoth)
+{
+    die(here, there, 1);
+    die(there, here, 2);
+    BOOST_TEST(!isQuarantined(here, culprit, deaths));
+    BOOST_TEST(isSuspectRequest(there, culprit));
+    die(here, there, 3);
+    BOOST_TEST(isQuarantined(here, culprit, deaths));
+    BOOST_TEST(isQuarantined(there, culprit, deaths));
+    BOOST_TEST(!isQuarantined(here, {78}, deaths));
+}
+
+BOOST_AUTO_TEST_CASE(onConnectionLost_instanceLives_notCounted)
+{
+    for (std::uint64_t instance = 1; instance <= 5; ++instance) {
+        onConnectionLost(here, lost(instance));
+    }
+    BOOST_TEST(!isSuspectRequest(here, culprit));
+}
+
+BOOST_AUTO_TEST_CASE(onInstanceDied_sameDeathTwice_countedOnce)
+{
+    die(here, there, 1);
+    die(there, here, 1);
+    die(here, there, 1);
+    BOOST_TEST(!isQuarantined(here, culprit, 2));
+}
+
+BOOST_AUTO_TEST_CASE(onInstanceDied_longAfterTheLoss_notCounted)
+{
+    onConnectionLost(here, lost(1));
+    BOOST_TEST(onInstanceDied(here, {1}, start + 1min).empty());
+}
+
+BOOST_AUTO_TEST_CASE(isQuarantined_bystanderOfOneDeath_notHeld)
+{
+    onConnectionLost(here, lost(1, {99}));
+    die(here, there, 1);
+    die(here, there, 2);
+    die(here, there, 3);
+    BOOST_TEST(!isQuarantined(here, {99}, deaths));
+    BOOST_TEST(listQuarantined(here, deaths).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(release_heldRequest_runsAgainUntilNewDeaths)
+{
+    for (std::uint64_t instance = 1; instance <= 3; ++instance) {
+        die(here, there, instance);
+    }
+    const std::optional<death_record> released = release(here, culprit);
+    BOOST_REQUIRE(released);
+    learnRelease(there, culprit, released->forgiven, start);
+    BOOST_TEST(!isQuarantined(here, culprit, deaths));
+    BOOST_TEST(!isQuarantined(there, culprit, deaths));
+    die(here, there, 3); // An old death told again stays forgiven.
+    BOOST_TEST(!isSuspectRequest(there, culprit));
+    for (std::uint64_t instance = 4; instance <= 6; ++instance) {
+        die(here, there, instance);
+    }
+    BOOST_TEST(isQuarantined(there, culprit, deaths));
+}
+
+BOOST_AUTO_TEST_CASE(learnRelease_beforeTheDeaths_sameResult)
+{
+    const std::array forgiven{instance_id{1}, instance_id{2}, instance_id{3}};
+    learnRelease(there, culprit, forgiven, start);
+    for (std::uint64_t instance = 1; instance <= 3; ++instance) {
+        die(here, there, instance);
+    }
+    BOOST_TEST(isQuarantined(here, culprit, deaths));
+    BOOST_TEST(!isSuspectRequest(there, culprit));
+}
+
+BOOST_AUTO_TEST_CASE(expire_noNewDeath_forgotten)
+{
+    die(here, there, 1);
+    expire(here, start + 2h);
+    BOOST_TEST(here.records.empty());
+}
+
+BOOST_AUTO_TEST_CASE(fingerprintOf_resend_sameAndOthersDiffer)
+{
+    constexpr std::array body{std::byte{1}, std::byte{2}};
+    const auto first = fingerprintOf({1}, {2}, "POST", "/x", body);
+    BOOST_TEST((first == fingerprintOf({1}, {2}, "POST", "/x", body)));
+    BOOST_TEST((first != fingerprintOf({2}, {1}, "POST", "/x", body)));
+    BOOST_TEST((first != fingerprintOf({1}, {2}, "POST", "/y", body)));
+    BOOST_TEST((first != fingerprintOf({1}, {2}, "POST", "/x", {})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/retries/retry_test.cpp
@@ -0,0 +1,98 @@
+#include <guavafront/coordination/retries/repeats.h>
+#include <guavafront/coordination/retries/retry.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Full budget and a first attempt that was proved not to have run.
+struct retry_fixture {
+    retry_budget budget;
+    retry_limits limits;
+    failed_attempt attempt{.kind = outcome_kind::Shed, .ran = execution::NotRun, .repeatable = false, .timeLeft = 1s};
+
+    bool retried()
+    {
+        return shouldRetry(budget, limits, attempt);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(retry_test, retry_fixture)
+
+BOOST_AUTO_TEST_CASE(mayRepeat_byMethod_idempotentOnesOnly)
+{
+    BOOST_TEST(mayRepeat(repeatability::ByMethod, "GET"));
+    BOOST_TEST(mayRepeat(repeatability::ByMethod, "PUT"));
+    BOOST_TEST(!mayRepeat(repeatability::ByMethod, "POST"));
+    BOOST_TEST(!mayRepeat(repeatability::ByMethod, "get"));
+    BOOST_TEST(!mayRepeat(repeatability::ByMethod, "PATCH"));
+}
+
+BOOST_AUTO_TEST_CASE(mayRepeat_routeSetting_goesBeforeMethod)
+{
+    BOOST_TEST(mayRepeat(repeatability::Repeatable, "POST"));
+    BOOST_TEST(!mayRepeat(repeatability::NotRepeatable, "GET"));
+}
+
+BOOST_AUTO_TEST_CASE(shouldRetry_notRepeatable_onlyWhenNotRun)
+{
+    BOOST_TEST(retried());
+    attempt.kind = outcome_kind::ConnectionLost;
+    attempt.ran = execution::Unknown;
+    BOOST_TEST(!retried());
+    attempt.repeatable = true;
+    BOOST_TEST(retried());
+}
+
+BOOST_AUTO_TEST_CASE(shouldRetry_limits_stop)
+{
+    attempt.attempts = limits.maxAttempts;
+    BOOST_TEST(!retried());
+    attempt.attempts = 1;
+    attempt.timeLeft = 1ms;
+    BOOST_TEST(!retried());
+    attempt.timeLeft = 1s;
+    attempt.quarantined = true;
+    BOOST_TEST(!retried());
+}
+
+BOOST_AUTO_TEST_CASE(shouldRetry_everythingFails_retriesBoundedToTheShare)
+{
+    int retries = 0;
+    for (int request = 0; request < 1'000; ++request) {
+        onFirstTry(budget, 10);
+        retries += retried() ? 1 : 0;
+    }
+    BOOST_TEST(retries <= 105);
+    BOOST_TEST(retries >= 100);
+}
+
+BOOST_AUTO_TEST_CASE(shouldRetry_connectFailed_costsNoToken)
+{
+    budget.tokens = 0;
+    attempt.kind = outcome_kind::ConnectFailed;
+    BOOST_TEST(retried());
+}
+
+BOOST_AUTO_TEST_CASE(refusalAfter_unknownOutcome_neverNotRun)
+{
+    for (const auto kind : {outcome_kind::HalfAnswer, outcome_kind::ConnectionLost, outcome_kind::TimedOut}) {
+        attempt.kind = kind;
+        attempt.ran = execution::Unknown;
+        BOOST_TEST((refusalAfter(attempt).ran == execution::Unknown));
+    }
+    attempt.quarantined = true;
+    BOOST_TEST((refusalAfter(attempt).ran == execution::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
