Add the selection that joins balancing, detection and ejection

Cause: the parts must act together: members follow the registry, reports of others count, the floor holds per service and per subset, and an instance that was out comes back gradually. Change: upstream_selection with supervise(), called a few times a second; own evidence acts at once, others' word after it has settled and only at a VM that hears most of the fleet; what is out of rotation stays as last resort for repeatable requests, so that capacity above the floor's need is never refused. Ruled out: taking instances wholly out, which turns every wrong ejection into lost capacity.

--- a/include/guavafront/coordination/health/service_health.h
+++ b/include/guavafront/coordination/health/service_health.h
@@ -66,6 +66,9 @@
 /// Moves holds, probations and strikes on and takes the peers' medians anew; call a few times a second.
 void advance(service_health &service, instant now);
 
+/// An instance that was out of rotation on the others' word comes back gradually.
+void startProbation(service_health &service, instance_id instance, instant now);
+
 /// Evidence of one instance; null when it isn't known.
 const instance_health *findHealth(const service_health &service, instance_id instance);
 
--- a/include/guavafront/coordination/health/shared_evidence.h
+++ b/include/guavafront/coordination/health/shared_evidence.h
@@ -25,7 +25,7 @@
 struct suspicion_count {
     std::uint32_t here = 0; ///< VMs of the asked data centre.
     std::uint32_t mostInOneDataCentre = 0; ///< The largest number in any one data centre.
-    bool ejectedElsewhere = false; ///< Some VM ejects it.
+    bool ejected = false; ///< Some VM ejects it.
 };
 
 /// Newest reports of all VMs, this one's included.
@@ -40,9 +40,8 @@
 /// Forgets a VM that was lost.
 void removeReport(shared_evidence &evidence, vm_id reporter);
 
-/// Counts the VMs other than except that suspect an instance.
-suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
-                                vm_id except);
+/// Counts the VMs that suspect an instance.
+suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre);
 
 /// VMs of one data centre that must agree before an instance is ejected there: one bad link is not enough, unless the
 /// VM is the only one.
--- a/include/guavafront/coordination/routing/balancer.h
+++ b/include/guavafront/coordination/routing/balancer.h
@@ -20,9 +20,14 @@
 /// Latency to expect of the next request, in microseconds: the average, doubled for each request over the slots.
 float expectedLatencyUs(const candidate_set &set, const candidate &member);
 
-/// An instance with a free slot for this VM's next request, none of those already tried. Nothing when there is none.
-/// random is one draw of 64 random bits.
-std::optional<instance_id> chooseInstance(candidate_set &set, balancing_policy policy,
-                                          std::span<const instance_id> tried, std::uint64_t random);
+/// What a request asks of the choice.
+struct choice_request {
+    std::span<const instance_id> tried; ///< Instances that it was tried at already; never chosen again.
+    bool repeatable = false; ///< It may be tried at instances in doubt.
+};
+
+/// An instance with a free slot for this VM's next request; nothing when there is none. random is one draw of 64 bits.
+std::optional<instance_id> chooseInstance(candidate_set &set, balancing_policy policy, const choice_request &request,
+                                          std::uint64_t random);
 
 } // namespace guavafront
--- a/include/guavafront/coordination/routing/candidate_set.h
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -12,6 +12,13 @@
 namespace guavafront
 {
 
+/// When an instance may be chosen.
+enum class candidate_standing : std::uint8_t {
+    InRotation, ///< For every request.
+    Returning, ///< Not proved again: for repeatable requests, for others when nothing else has a slot.
+    LastResort, ///< Out of rotation: only for repeatable requests, when nothing else has a slot.
+};
+
 /// What the balancer weighs of one instance, kept small and together for the hot path.
 struct candidate {
     instance_id instance; ///< The instance.
@@ -19,6 +26,7 @@
     float latencyUs = 0; ///< Moving average of answers' latency as seen here, trip included; 0 before the first.
     float weight = 1; ///< Share of its turns that it takes, 0 to 1; 0 takes it out.
     float reportedLoad = 0; ///< Share of slots in use by its own word; a hint.
+    candidate_standing standing = candidate_standing::InRotation; ///< When it may be chosen.
     std::uint16_t slots = 1; ///< Requests it runs at once.
     std::uint16_t outstanding = 0; ///< Requests of this VM that it runs now.
 };
--- /dev/null
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <guavafront/coordination/health/ejection.h>
+#include <guavafront/coordination/health/service_health.h>
+#include <guavafront/coordination/health/shared_evidence.h>
+#include <guavafront/coordination/registry/registry.h>
+#include <guavafront/coordination/retries/retry_budget.h>
+#include <guavafront/coordination/routing/balancer.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace guavafront
+{
+
+/// What one VM knows of one service's instances.
+struct selected_service {
+    candidate_set candidates; ///< For the balancer.
+    service_health health; ///< This VM's evidence.
+    retry_budget retries; ///< Tokens for retries.
+    std::vector<instance_id> outOfRotation; ///< Instances out of rotation here, in order.
+    std::uint32_t totalSlots = 0; ///< Of all serving instances, the whole service's capacity.
+    std::uint64_t generation = 0; ///< Of the registry's list that this follows.
+};
+
+/// What a VM knows of the fleet's other VMs.
+struct fleet_view {
+    std::uint32_t vmsInDataCentre = 1; ///< Living VMs of this one's data centre, itself included.
+    bool hearsMajority = true; ///< It hears most of the fleet; otherwise it begins no ejection on others' word.
+};
+
+/// Choice of upstream instances at one VM: balancing, detection and ejection over all services.
+struct upstream_selection {
+    vm_id self; ///< This VM.
+    std::string dataCentre; ///< Of this VM.
+    balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
+    std::uint32_t floorPercent = 70; ///< Ejection leaves this share of a service's capacity.
+    fleet_view fleet; ///< Other VMs.
+    std::vector<selected_service> services; ///< Same indexes as in the registry.
+    shared_evidence evidence; ///< Reports of all VMs, the own one included.
+    std::unordered_map<instance_id, instant> corroboratedSince; ///< When enough VMs agreed, as heard here.
+};
+
+/// Follows the registry: members of every service whose list has changed.
+void followRegistry(upstream_selection &selection, const registry &known);
+
+/// An instance for a request, counted as outstanding there until concludeTry(). Nothing when none has a free slot.
+std::optional<instance_id> selectInstance(upstream_selection &selection, const registry &known,
+                                          std::string_view service, const choice_request &request,
+                                          std::uint64_t random);
+
+/// A try has ended.
+void concludeTry(upstream_selection &selection, const registry &known, std::string_view service, const outcome &news,
+                 instant now);
+
+/// Tokens for retries of a service; null when it is unknown.
+retry_budget *findRetryBudget(upstream_selection &selection, const registry &known, std::string_view service);
+
+/// Moves health on and decides rotation anew; call a few times a second. The report to publish when it has changed.
+std::optional<health_report> supervise(upstream_selection &selection, const registry &known, instant now);
+
+} // namespace guavafront
--- a/src/coordination/health/service_health.cpp
+++ b/src/coordination/health/service_health.cpp
@@ -201,6 +201,14 @@
     service.backgroundShare = lowerMedian(badShares);
 }
 
+void startProbation(service_health &service, instance_id instance, instant now)
+{
+    instance_health *known = find(service, instance);
+    if (known && known->standing == local_standing::Healthy) {
+        beginProbation(service.limits, *known, now);
+    }
+}
+
 const instance_health *findHealth(const service_health &service, instance_id instance)
 {
     const auto found = std::ranges::lower_bound(service.instances, instance.value, {}, orderOf);
--- a/src/coordination/health/shared_evidence.cpp
+++ b/src/coordination/health/shared_evidence.cpp
@@ -67,8 +67,7 @@
     evidence.reports.erase(known);
 }
 
-suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
-                                vm_id except)
+suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre)
 {
     const auto known = evidence.reporters.find(instance);
     if (known == evidence.reporters.end()) {
@@ -77,11 +76,8 @@
     std::map<std::string_view, std::uint32_t> perDataCentre;
     suspicion_count count;
     for (const vm_id reporter : known->second) {
-        if (reporter == except) {
-            continue;
-        }
         const health_report &report = evidence.reports.at(reporter);
-        count.ejectedElsewhere = count.ejectedElsewhere || contains(report.ejected, instance);
+        count.ejected = count.ejected || contains(report.ejected, instance);
         if (contains(report.suspects, instance)) {
             const std::uint32_t number = ++perDataCentre[report.dataCentre];
             count.mostInOneDataCentre = std::max(count.mostInOneDataCentre, number);
--- a/src/coordination/routing/balancer.cpp
+++ b/src/coordination/routing/balancer.cpp
@@ -26,10 +26,16 @@
     return static_cast<std::size_t>(((random >> 32) * bound) >> 32);
 }
 
-bool isUsable(const candidate &member, std::span<const instance_id> tried)
+/// Which members one pass considers.
+struct pass_filter {
+    std::span<const instance_id> tried; ///< Left out.
+    candidate_standing worst; ///< Members of a worse standing are left out.
+};
+
+bool isUsable(const candidate &member, const pass_filter &filter)
 {
-    return member.weight > 0 && member.outstanding < member.slots
-           && std::ranges::find(tried, member.instance) == tried.end();
+    return member.standing <= filter.worst && member.weight > 0 && member.outstanding < member.slots
+           && std::ranges::find(filter.tried, member.instance) == filter.tried.end();
 }
 
 /// Whether a member with a weight below 1 lets this turn pass.
@@ -39,18 +45,18 @@
     return static_cast<float>(random & 0xffffffff) * scale >= member.weight;
 }
 
-const candidate *search(std::span<const candidate> part, std::size_t start, std::span<const instance_id> tried)
+const candidate *search(std::span<const candidate> part, std::size_t start, const pass_filter &filter)
 {
     for (std::size_t step = 0; step < part.size(); ++step) {
         const candidate &member = part[(start + step) % part.size()];
-        if (isUsable(member, tried)) {
+        if (isUsable(member, filter)) {
             return &member;
         }
     }
     return nullptr;
 }
 
-const candidate *draw(std::span<const candidate> part, std::span<const instance_id> tried, std::uint64_t &random)
+const candidate *draw(std::span<const candidate> part, const pass_filter &filter, std::uint64_t &random)
 {
     if (part.empty()) {
         return nullptr;
@@ -58,11 +64,11 @@
     for (int attempt = 0; attempt < maxDraws; ++attempt) {
         const std::uint64_t bits = nextRandom(random);
         const candidate &member = part[below(part.size(), bits)];
-        if (isUsable(member, tried) && !letsPass(member, bits)) {
+        if (isUsable(member, filter) && !letsPass(member, bits)) {
             return &member;
         }
     }
-    return search(part, below(part.size(), nextRandom(random)), tried);
+    return search(part, below(part.size(), nextRandom(random)), filter);
 }
 
 /// Share of slots in use after one more request, by what this VM knows and the instance says.
@@ -74,11 +80,11 @@
 }
 
 /// The less loaded of two members drawn from a part; null when none is usable.
-const candidate *drawBetter(const candidate_set &set, std::span<const candidate> part,
-                            std::span<const instance_id> tried, std::uint64_t &random)
+const candidate *drawBetter(const candidate_set &set, std::span<const candidate> part, const pass_filter &filter,
+                            std::uint64_t &random)
 {
-    const candidate *first = draw(part, tried, random);
-    const candidate *second = draw(part, tried, random);
+    const candidate *first = draw(part, filter, random);
+    const candidate *second = draw(part, filter, random);
     if (!first || first == second) {
         return first;
     }
@@ -87,51 +93,50 @@
     return firstCost <= secondCost ? first : second;
 }
 
-const candidate *drawByExpectedLatency(const candidate_set &set, std::span<const instance_id> tried,
-                                       std::uint64_t &random)
+const candidate *drawByExpectedLatency(const candidate_set &set, const pass_filter &filter, std::uint64_t &random)
 {
     const std::span<const candidate> all(set.items);
-    const candidate *near = drawBetter(set, all.first(set.nearCount), tried, random);
-    const candidate *far = drawBetter(set, all.subspan(set.nearCount), tried, random);
+    const candidate *near = drawBetter(set, all.first(set.nearCount), filter, random);
+    const candidate *far = drawBetter(set, all.subspan(set.nearCount), filter, random);
     if (!near || !far) {
         return near ? near : far;
     }
     return expectedLatencyUs(set, *near) <= expectedLatencyUs(set, *far) ? near : far;
 }
 
-const candidate *drawByOutstanding(const candidate_set &set, std::span<const instance_id> tried, std::uint64_t &random)
+const candidate *drawByOutstanding(const candidate_set &set, const pass_filter &filter, std::uint64_t &random)
 {
-    const candidate *first = draw(set.items, tried, random);
-    const candidate *second = draw(set.items, tried, random);
+    const candidate *first = draw(set.items, filter, random);
+    const candidate *second = draw(set.items, filter, random);
     return !first || first->outstanding <= second->outstanding ? first : second;
 }
 
-const candidate *takeTurn(candidate_set &set, std::span<const instance_id> tried)
+const candidate *takeTurn(candidate_set &set, const pass_filter &filter)
 {
     if (set.items.empty()) {
         return nullptr;
     }
-    const candidate *member = search(set.items, set.nextTurn % set.items.size(), tried);
+    const candidate *member = search(set.items, set.nextTurn % set.items.size(), filter);
     if (member) {
         set.nextTurn = static_cast<std::uint32_t>(member - set.items.data()) + 1;
     }
     return member;
 }
 
-const candidate *drawMember(candidate_set &set, balancing_policy policy, std::span<const instance_id> tried,
+const candidate *drawMember(candidate_set &set, balancing_policy policy, const pass_filter &filter,
                             std::uint64_t random)
 {
     switch (policy) {
     case balancing_policy::Random:
-        return draw(set.items, tried, random);
+        return draw(set.items, filter, random);
     case balancing_policy::RoundRobin:
-        return takeTurn(set, tried);
+        return takeTurn(set, filter);
     case balancing_policy::TwoChoices:
-        return drawByOutstanding(set, tried, random);
+        return drawByOutstanding(set, filter, random);
     case balancing_policy::ExpectedLatency:
         break;
     }
-    return drawByExpectedLatency(set, tried, random);
+    return drawByExpectedLatency(set, filter, random);
 }
 
 } // namespace
@@ -143,10 +148,16 @@
     return latencyUs * (1 + std::max(0.0F, requestsOver));
 }
 
-std::optional<instance_id> chooseInstance(candidate_set &set, balancing_policy policy,
-                                          std::span<const instance_id> tried, std::uint64_t random)
+std::optional<instance_id> chooseInstance(candidate_set &set, balancing_policy policy, const choice_request &request,
+                                          std::uint64_t random)
 {
-    const candidate *member = drawMember(set, policy, tried, random);
+    using enum candidate_standing;
+    const candidate_standing first = request.repeatable ? Returning : InRotation;
+    const candidate_standing second = request.repeatable ? LastResort : Returning;
+    const candidate *member = drawMember(set, policy, {request.tried, first}, random);
+    if (!member) {
+        member = drawMember(set, policy, {request.tried, second}, random);
+    }
     if (!member) {
         return std::nullopt;
     }
--- /dev/null
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -0,0 +1,129 @@
+#include <guavafront/coordination/upstreams/upstream_selection.h>
+
+#include "coordination/upstreams/rotation.h"
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+selected_service *findService(upstream_selection &selection, const registry &known, std::string_view service)
+{
+    const auto found = known.serviceIndex.find(service);
+    if (found == known.serviceIndex.end() || found->second >= selection.services.size()) {
+        return nullptr;
+    }
+    return &selection.services[found->second];
+}
+
+/// Health is kept of the instances that this VM uses, a bounded number.
+std::vector<registered_instance> usedInstances(const candidate_set &set, std::span<const registered_instance> all)
+{
+    candidate_set &lookup = const_cast<candidate_set &>(set);
+    std::vector<registered_instance> used;
+    std::ranges::copy_if(all, std::back_inserter(used), [&lookup](const registered_instance &entry) {
+        return findCandidate(lookup, entry.last.instance) != nullptr;
+    });
+    return used;
+}
+
+std::uint32_t servingSlots(std::span<const registered_instance> instances)
+{
+    std::uint32_t slots = 0;
+    for (const registered_instance &entry : instances) {
+        slots += entry.last.state == instance_state::Serving ? entry.last.slots : 0U;
+    }
+    return slots;
+}
+
+void followService(const upstream_selection &selection, selected_service &service, const service_instances &group)
+{
+    updateMembers(service.candidates, group.instances, {.self = selection.self, .dataCentre = selection.dataCentre});
+    updateMembers(service.health, usedInstances(service.candidates, group.instances));
+    service.totalSlots = servingSlots(group.instances);
+    service.generation = group.generation;
+}
+
+bool saysLatency(const outcome &news)
+{
+    return news.kind == outcome_kind::Answered || news.kind == outcome_kind::TimedOut;
+}
+
+} // namespace
+
+void followRegistry(upstream_selection &selection, const registry &known)
+{
+    selection.services.resize(known.services.size());
+    for (std::size_t index = 0; index < known.services.size(); ++index) {
+        if (selection.services[index].generation != known.services[index].generation) {
+            followService(selection, selection.services[index], known.services[index]);
+        }
+    }
+}
+
+std::optional<instance_id> selectInstance(upstream_selection &selection, const registry &known,
+                                          std::string_view service, const choice_request &request, std::uint64_t random)
+{
+    selected_service *selected = findService(selection, known, service);
+    if (!selected) {
+        return std::nullopt;
+    }
+    const std::optional<instance_id> chosen = chooseInstance(selected->candidates, selection.policy, request, random);
+    if (chosen) {
+        onRequestSent(*findCandidate(selected->candidates, *chosen));
+    }
+    return chosen;
+}
+
+void concludeTry(upstream_selection &selection, const registry &known, std::string_view service, const outcome &news,
+                 instant now)
+{
+    selected_service *selected = findService(selection, known, service);
+    if (!selected) {
+        return;
+    }
+    recordOutcome(selected->health, news, now);
+    candidate *member = findCandidate(selected->candidates, news.instance);
+    if (!member) {
+        return;
+    }
+    if (saysLatency(news)) {
+        onRequestAnswered(selected->candidates, *member, news.latency, now);
+    } else {
+        onRequestEnded(*member);
+    }
+}
+
+retry_budget *findRetryBudget(upstream_selection &selection, const registry &known, std::string_view service)
+{
+    selected_service *selected = findService(selection, known, service);
+    return selected ? &selected->retries : nullptr;
+}
+
+std::optional<health_report> supervise(upstream_selection &selection, const registry &known, instant now)
+{
+    for (selected_service &service : selection.services) {
+        advance(service.health, now);
+    }
+    const std::vector<std::vector<ejection_request>> requests = collectRequests(selection, known, now);
+    health_report report{.dataCentre = selection.dataCentre};
+    for (std::size_t index = 0; index < selection.services.size(); ++index) {
+        decideRotation(selection, selection.services[index], requests[index], now);
+        addToReport(selection, selection.services[index], requests[index], now, report);
+    }
+    std::ranges::sort(report.suspects, {}, &instance_id::value);
+    std::ranges::sort(report.ejected, {}, &instance_id::value);
+    const auto before = selection.evidence.reports.find(selection.self);
+    const bool same = before == selection.evidence.reports.end() ? report.suspects.empty() && report.ejected.empty()
+                                                                 : before->second == report;
+    if (same) {
+        return std::nullopt;
+    }
+    putReport(selection.evidence, selection.self, report);
+    return report;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/upstreams/upstream_selection_test.cpp
@@ -0,0 +1,152 @@
+#include "upstreams/selection_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using ids = std::set<std::uint64_t>;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(upstream_selection_test, selection_fixture)
+
+BOOST_AUTO_TEST_CASE(supervise_deadToOneDataCentre_ejectedThereOnly)
+{
+    fail(0, 3);
+    fail(1, 3);
+    settle();
+    BOOST_TEST((outAt(2) == ids{3})); // Its own evidence is nil; it acts on the others' word.
+    BOOST_TEST(outAt(3).empty());
+    BOOST_TEST(outAt(8).empty());
+}
+
+BOOST_AUTO_TEST_CASE(supervise_oneBadLink_avoidedByThatVmOnly)
+{
+    fail(0, 3, 10);
+    settle();
+    BOOST_TEST((outAt(0) == ids{3}));
+    for (std::size_t vm = 1; vm < vms.size(); ++vm) {
+        BOOST_TEST(outAt(vm).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(supervise_twoFaultyOfSix_oneOutAndTheSameEverywhere)
+{
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+        fail(vm, 2);
+        fail(vm, 5);
+    }
+    settle();
+    for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+        BOOST_TEST((outAt(vm) == ids{2}));
+    }
+}
+
+// Two data centres decide at once about different instances; once they hear each other, one stays out.
+BOOST_AUTO_TEST_CASE(supervise_decidedAtOnceApart_unitedUnderTheFloor)
+{
+    hears = [](std::size_t to, std::size_t from) {
+        return to / 3 == from / 3;
+    };
+    fail(0, 2);
+    fail(1, 2);
+    fail(3, 5);
+    fail(4, 5);
+    settle(2);
+    hears = [](std::size_t, std::size_t) {
+        return true;
+    };
+    for (std::size_t from = 0; from < vms.size(); ++from) {
+        const health_report report = vms[from].evidence.reports[vms[from].self];
+        for (upstream_selection &to : vms) {
+            putReport(to.evidence, vms[from].self, report);
+        }
+    }
+    settle();
+    BOOST_TEST((outAnywhere() == ids{2}));
+}
+
+BOOST_AUTO_TEST_CASE(supervise_corroboratedAtTheSameTime_neverTwoOut)
+{
+    fail(0, 2);
+    fail(1, 2);
+    fail(3, 5);
+    fail(4, 5);
+    for (int round = 0; round < 6; ++round) {
+        settle(1);
+        ids ejectedOnOthersWord = outAt(2);
+        ejectedOnOthersWord.merge(outAt(5));
+        BOOST_TEST(ejectedOnOthersWord.size() <= 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(supervise_vmCutOff_beginsNoEjectionOnOthersWord)
+{
+    vms[2].fleet.hearsMajority = false;
+    fail(0, 3);
+    fail(1, 3);
+    settle();
+    BOOST_TEST(outAt(2).empty());
+    fail(2, 3);
+    settle();
+    BOOST_TEST((outAt(2) == ids{3}));
+}
+
+BOOST_AUTO_TEST_CASE(supervise_suspicionOver_returnsGraduallyEverywhere)
+{
+    fail(0, 3);
+    fail(1, 3);
+    settle();
+    settle(10); // The first hold is 5 s.
+    BOOST_TEST(outAnywhere().empty());
+    BOOST_TEST((member(2, 3).standing == candidate_standing::Returning));
+    BOOST_TEST(member(2, 3).weight < 0.5F);
+    settle(20);
+    BOOST_TEST((member(2, 3).standing == candidate_standing::InRotation));
+}
+
+BOOST_AUTO_TEST_CASE(supervise_nothingNew_publishesNothing)
+{
+    BOOST_TEST(settle() == 0);
+    fail(0, 3);
+    BOOST_TEST(settle(1) == 1);
+    BOOST_TEST(settle(1) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(selectInstance_instanceOutOfRotation_onlyRepeatableOverflowReachesIt)
+{
+    fail(0, 3);
+    settle(1);
+    int chosen = 0;
+    for (std::uint64_t draw = 0; draw < 20; ++draw) {
+        const auto choice = selectInstance(vms[0], registries[0], "cobros", {}, draw * 7919);
+        BOOST_TEST(choice.value_or(instance_id{3}).value != 3);
+        chosen += choice ? 1 : 0;
+    }
+    BOOST_TEST(chosen == 20); // Five instances of 4 slots, now full.
+    BOOST_TEST(!selectInstance(vms[0], registries[0], "cobros", {}, 1));
+    const auto overflow = selectInstance(vms[0], registries[0], "cobros", {.repeatable = true}, 1);
+    BOOST_TEST(overflow.value_or(instance_id{}).value == 3);
+}
+
+BOOST_AUTO_TEST_CASE(followRegistry_leavingInstance_noNewWork)
+{
+    announcement leaving = makeAnnouncement(1);
+    leaving.sequence = 2;
+    leaving.state = instance_state::Leaving;
+    learn(registries[0], {100}, leaving, now);
+    followRegistry(vms[0], registries[0]);
+    for (std::uint64_t draw = 0; draw < 20; ++draw) {
+        const auto choice = selectInstance(vms[0], registries[0], "cobros", {.repeatable = true}, draw * 7919);
+        BOOST_TEST(choice.value_or(instance_id{}).value != 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
