One path from end to end: tasks, wiring, command line

Change: tasks metrics, peers, configuration, control (one VM, in memory), operators, entry and announcements under one supervisor tree; commands run, check, operator, announce, version; operators' JSON. Left: the control keeps nothing on disk; announcements don't spread between entries yet.

--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -77,6 +77,7 @@
                                                .instance = target.instance,
                                                .ip = target.ip,
                                                .port = target.port,
+                                               .service = request.service,
                                                .accountName = request.accountName,
                                                .deadline = request.deadline});
     return stage_verdict::Continue;
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,233 @@
+#include "daemon/daemon.h"
+
+#include "daemon/announcements/announcements_task.h"
+#include "daemon/configuration/configuration_task.h"
+#include "daemon/control/control_task.h"
+#include "daemon/entry/entry_task.h"
+#include "daemon/metrics/metrics_task.h"
+#include "daemon/operators/operators_task.h"
+#include "daemon/peers/peers_task.h"
+#include "runtime/signal_watch.h"
+#include "runtime/supervisor.h"
+#include "settings/settings_reader.h"
+
+#include <glog/logging.h>
+#include <sodium.h>
+
+#include <csignal>
+#include <unistd.h>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration shortShutdown = std::chrono::seconds(5);
+
+vm_id drawIdentity()
+{
+    vm_id id;
+    while (id.value == 0) {
+        randombytes_buf(&id.value, sizeof id.value);
+    }
+    return id;
+}
+
+http_server_options serverAt(const endpoint &address, const entry_settings &limits)
+{
+    http_server_options options;
+    options.address = address.ip;
+    options.port = address.port;
+    options.headerLimitBytes = limits.maxHeaderBytes;
+    options.bodyLimitBytes = limits.maxBodyBytes;
+    return options;
+}
+
+std::uint8_t roleBits(const daemon_settings &settings)
+{
+    std::uint8_t bits = 0;
+    for (const vm_role role : settings.vm.roles) {
+        bits = static_cast<std::uint8_t>(bits | (1U << static_cast<unsigned>(role)));
+    }
+    return bits;
+}
+
+peers_task_options peersOptions(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
+                                daemon_wiring &wiring)
+{
+    peers_task_options options;
+    options.links.listenAddress = toText(settings.listen.peers);
+    options.links.link.self = {.id = self,
+                               .address = toText(settings.listen.peers),
+                               .dataCentre = settings.vm.dataCentre,
+                               .roles = roleBits(settings)};
+    options.links.link.secret = secrets.fleet;
+    for (const endpoint &seed : settings.peers.seeds) {
+        options.seeds.push_back(toText(seed));
+    }
+    options.subscribers[static_cast<std::size_t>(channel::Configuration)] = [&wiring](const peer_identity &from,
+                                                                                      envelope message) {
+        wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
+    };
+    return options;
+}
+
+entry_task_options entryOptions(const daemon_settings &settings, vm_id self)
+{
+    entry_task_options options;
+    options.identity = {.self = self, .dataCentre = settings.vm.dataCentre};
+    options.server = serverAt(settings.listen.callers, settings.entry);
+    options.server.connectionLimit = settings.entry.maxConnections;
+    options.server.idleTimeout = std::chrono::milliseconds(settings.entry.idleTimeoutMs);
+    options.pool.connectTimeout = std::chrono::milliseconds(settings.entry.connectTimeoutMs);
+    options.pool.bodyLimitBytes = settings.entry.maxBodyBytes;
+    options.pool.idlePerInstance = settings.entry.idleConnectionsPerInstance;
+    options.balancerGrace = std::chrono::milliseconds(settings.entry.balancerGraceMs);
+    options.drainLimit = std::chrono::milliseconds(settings.entry.drainLimitMs);
+    options.seed = self.value;
+    return options;
+}
+
+child_spec metricsChild(const daemon_settings &settings, daemon_wiring &wiring)
+{
+    const bool readyAtStart = !hasRole(settings, vm_role::Entry);
+    return {.name = "metrics",
+            .body =
+                [&settings, &wiring, readyAtStart](loop &owner) {
+                    const metrics_task task(owner, serverAt(settings.listen.metrics, settings.entry), readyAtStart,
+                                            wiring.metrics, wiring.counters);
+                    owner.run();
+                },
+            .shutdownLimit = shortShutdown};
+}
+
+child_spec peersChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self, daemon_wiring &wiring)
+{
+    return {.name = "peers",
+            .body =
+                [&settings, &secrets, self, &wiring](loop &owner) {
+                    const peers_task task(owner, peersOptions(settings, secrets, self, wiring), wiring.peers);
+                    owner.run();
+                },
+            .shutdownLimit = shortShutdown};
+}
+
+child_spec configurationChild(daemon_wiring &wiring)
+{
+    return {.name = "configuration",
+            .body =
+                [&wiring](loop &owner) {
+                    const configuration_task task(owner, wiring.configurations, wiring.peers,
+                                                  [&wiring](const std::shared_ptr<const configuration> &current) {
+                                                      wiring.entries.post(configuration_changed{current});
+                                                      wiring.announcements.post(current);
+                                                  });
+                    owner.run();
+                },
+            .shutdownLimit = shortShutdown};
+}
+
+child_spec controlChild(const daemon_settings &settings, const daemon_secrets &secrets, daemon_wiring &wiring)
+{
+    child_spec control{.name = "control",
+                       .body =
+                           [&wiring](loop &owner) {
+                               const control_task task(owner, wiring.control, wiring.configurations);
+                               owner.run();
+                           },
+                       .shutdownLimit = shortShutdown};
+    child_spec operators{
+        .name = "operators",
+        .body =
+            [&settings, &secrets, &wiring](loop &owner) {
+                const operators_task task(
+                    owner, {.server = serverAt(settings.listen.operators, settings.entry), .tokens = secrets.operators},
+                    wiring.operators, wiring.control, wiring.counters);
+                owner.run();
+            },
+        .shutdownLimit = shortShutdown};
+    return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne},
+                           {std::move(control), std::move(operators)});
+}
+
+child_spec entryChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self, daemon_wiring &wiring)
+{
+    const duration drain = std::chrono::milliseconds(settings.entry.balancerGraceMs + settings.entry.drainLimitMs);
+    child_spec entries{.name = "entry",
+                       .body =
+                           [&settings, self, &wiring](loop &owner) {
+                               const entry_task task(owner, entryOptions(settings, self), wiring.entries,
+                                                     {.peers = wiring.peers,
+                                                      .metrics = wiring.metrics,
+                                                      .configurations = wiring.configurations},
+                                                     wiring.counters);
+                               owner.run();
+                           },
+                       .shutdownLimit = drain + shortShutdown};
+    child_spec announcements{.name = "announcements",
+                             .body =
+                                 [&settings, &secrets, &wiring](loop &owner) {
+                                     const announcements_task task(
+                                         owner,
+                                         {.server = serverAt(settings.listen.announcements, settings.entry),
+                                          .serviceToken = secrets.serviceToken},
+                                         wiring.announcements, wiring.entries, wiring.counters);
+                                     owner.run();
+                                 },
+                             .shutdownLimit = shortShutdown};
+    // Upstreams announce themselves elsewhere first; the entry task still hears its own instances' last words.
+    return supervisorChild({.name = "entry"}, {std::move(entries), std::move(announcements)});
+}
+
+} // namespace
+
+daemon_secrets readSecrets(const daemon_settings &settings)
+{
+    daemon_secrets secrets;
+    secrets.fleet = deriveFleetSecret(readSecretFile(settings.secrets.fleetSecretFile));
+    if (hasRole(settings, vm_role::Entry)) {
+        secrets.serviceToken = readSecretFile(settings.secrets.serviceTokenFile);
+    }
+    if (hasRole(settings, vm_role::Control)) {
+        secrets.operators = parseOperatorTokens(readSecretFile(settings.secrets.operatorTokensFile));
+    }
+    return secrets;
+}
+
+std::vector<child_spec> makeTree(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
+                                 daemon_wiring &wiring)
+{
+    std::vector<child_spec> children{metricsChild(settings, wiring), peersChild(settings, secrets, self, wiring),
+                                     configurationChild(wiring)};
+    if (hasRole(settings, vm_role::Control)) {
+        children.push_back(controlChild(settings, secrets, wiring));
+    }
+    if (hasRole(settings, vm_role::Entry)) {
+        children.push_back(entryChild(settings, secrets, self, wiring));
+    }
+    return children;
+}
+
+void runDaemon(const daemon_settings &settings)
+{
+    if (sodium_init() < 0) {
+        throw std::runtime_error("libsodium can't be initialized");
+    }
+    const daemon_secrets secrets = readSecrets(settings);
+    const vm_id self = drawIdentity();
+    daemon_wiring wiring;
+    loop root;
+    int signals = 0;
+    const signal_watch watch(root, {SIGTERM, SIGINT}, [&signals, &root] {
+        if (++signals > 1) {
+            _exit(EXIT_FAILURE);
+        }
+        root.requestStop();
+    });
+    LOG(INFO) << settings.vm.name << ": VM " << std::hex << self.value << " in " << settings.vm.dataCentre << " starts";
+    supervisor(supervisor_options{.name = "root"}, makeTree(settings, secrets, self, wiring)).run(root);
+    LOG(INFO) << settings.vm.name << " has stopped";
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/entry/entry_task.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "daemon/configuration/configuration_message.h"
+#include "daemon/entry/upstream_pool.h"
+#include "daemon/metrics/daemon_counters.h"
+#include "daemon/metrics/metrics_message.h"
+#include "daemon/peers/peers_message.h"
+#include "http/http_server.h"
+#include "runtime/mailbox.h"
+#include "runtime/timer.h"
+
+#include <guavafront/coordination/entry/entry.h>
+
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Settings of the entry task.
+struct entry_task_options {
+    entry_identity identity; ///< This VM.
+    http_server_options server; ///< Where callers come in.
+    upstream_pool_options pool; ///< Connections to upstreams.
+    duration balancerGrace = std::chrono::seconds(5); ///< From "not ready" to the end of listening.
+    duration drainLimit = std::chrono::seconds(30); ///< A planned stop waits no longer for running requests.
+    std::uint64_t seed = 0; ///< Of the random numbers.
+};
+
+/// Tasks that the entry task sends messages to; all outlive it.
+struct entry_task_outlets {
+    mailbox<peers_message> &peers; ///< Links to other VMs.
+    mailbox<metrics_message> &metrics; ///< Readiness for the balancer.
+    mailbox<configuration_message> &configurations; ///< Asked for the configuration at the start.
+};
+
+/// Serves callers: turns HTTP into events of the entry's decisions and their effects into HTTP.
+class entry_task
+{
+public:
+    /// Listens and takes events from inbox. Throws coordination_error (SettingInvalid).
+    entry_task(loop &owner, entry_task_options options, mailbox<entry_event> &inbox, entry_task_outlets outlets,
+               daemon_counters &counters);
+
+private:
+    struct caller_request {
+        http_request request; ///< Views that live until it is answered or its caller has gone.
+        std::string accountName; ///< Known once a try was started.
+        std::string service; ///< Known once a try was started.
+        http_answer answer; ///< Of the last try that was answered.
+        instant arrived; ///< When it came.
+    };
+
+    void receive(exchange_id id, const http_request &request);
+    void callerGone(exchange_id id);
+    void run(const entry_event &event);
+    void perform(const start_attempt &effect);
+    void perform(const cancel_attempt &effect);
+    void perform(const deliver_answer &effect);
+    void perform(const refuse_request &effect);
+    void perform(const publish_instance &effect);
+    void perform(const withdraw_instance &effect);
+    void perform(const wake_at &effect);
+    void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
+    void count(const caller_request &request, result_code code, std::uint16_t status);
+    void beginStop();
+    void closeListener();
+
+    loop &m_loop; ///< Not owned.
+    entry_task_options m_options; ///< As constructed.
+    mailbox<metrics_message> &m_metrics; ///< Not owned.
+    daemon_counters &m_counters; ///< Not owned.
+    entry m_state; ///< All decisions' state.
+    bool m_ready = false; ///< The balancer was told that callers can be served.
+    std::mt19937_64 m_random; ///< For decisions.
+    std::unordered_map<exchange_id, caller_request> m_requests; ///< Requests whose caller waits.
+    std::unordered_map<exchange_id, instant> m_attemptStarts; ///< When each running try began.
+    upstream_pool m_pool; ///< Connections to upstreams.
+    timer m_wake; ///< Sends time_passed.
+    timer m_balancerGrace; ///< Ends listening when it fires.
+    timer m_drainLimit; ///< Bounds a planned stop.
+    http_server m_server; ///< Callers' connections.
+    mailbox_attachment<entry_event> m_attachment; ///< To the inbox.
+};
+
+/// Digest of a request's method, target and body.
+request_digest digestOf(const http_request &request);
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -0,0 +1,113 @@
+#include "daemon/metrics/daemon_counters.h"
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Upper bounds of the latency buckets in seconds.
+const prometheus::Histogram::BucketBoundaries latencyBounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                            0.2,   0.3,   0.5,   1.0,  2.0,  5.0,  10.0};
+
+prometheus::Family<prometheus::Counter> &counterFamily(prometheus::Registry &registry, const std::string &name,
+                                                       const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+/// "ok" for answers below 500, "upstream_error" for others, else the refusal's name.
+std::string resultName(result_code code, std::uint16_t status)
+{
+    constexpr std::uint16_t firstServerError = 500;
+    if (code != result_code::Ok) {
+        return std::string(describe(code).name);
+    }
+    return status < firstServerError ? "ok" : "upstream_error";
+}
+
+} // namespace
+
+std::string_view attemptOutcomeName(attempt_outcome outcome)
+{
+    switch (outcome) {
+    case attempt_outcome::Answered:
+        return "answered";
+    case attempt_outcome::RefusedNotRun:
+        return "refused_not_run";
+    case attempt_outcome::ConnectFailed:
+        return "connect_failed";
+    case attempt_outcome::ClosedEarly:
+        return "closed_early";
+    case attempt_outcome::AnswerIncomplete:
+        return "answer_incomplete";
+    case attempt_outcome::TimedOut:
+        return "timed_out";
+    case attempt_outcome::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+daemon_counters::daemon_counters()
+    : m_requests(counterFamily(m_registry, "guavafront_requests_total", "Callers' requests by service and result."))
+    , m_accountRequests(counterFamily(m_registry, "guavafront_account_requests_total",
+                                      "Callers' requests by client account and result."))
+    , m_latencies(prometheus::BuildHistogram()
+                      .Name("guavafront_request_seconds")
+                      .Help("From a request's arrival to its end.")
+                      .Register(m_registry))
+    , m_attempts(counterFamily(m_registry, "guavafront_attempts_total", "Tries at upstreams by service and outcome."))
+    , m_announcements(counterFamily(m_registry, "guavafront_announcements_total", "Announcements by result."))
+    , m_operatorRequests(
+          counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
+    , m_revision(prometheus::BuildGauge()
+                     .Name("guavafront_configuration_revision")
+                     .Help("Revision of the configuration in force on this VM.")
+                     .Register(m_registry)
+                     .Add({}))
+{
+}
+
+void daemon_counters::countRequest(std::string_view service, std::string_view accountName, result_code code,
+                                   std::uint16_t status)
+{
+    const std::string result = resultName(code, status);
+    m_requests.Add({{"service", std::string(service)}, {"result", result}}).Increment();
+    if (!accountName.empty()) {
+        m_accountRequests.Add({{"account", std::string(accountName)}, {"result", result}}).Increment();
+    }
+}
+
+void daemon_counters::observeLatency(std::string_view service, double seconds)
+{
+    m_latencies.Add({{"service", std::string(service)}}, latencyBounds).Observe(seconds);
+}
+
+void daemon_counters::countAttempt(std::string_view service, attempt_outcome outcome)
+{
+    m_attempts.Add({{"service", std::string(service)}, {"outcome", std::string(attemptOutcomeName(outcome))}})
+        .Increment();
+}
+
+void daemon_counters::setRevision(std::uint64_t value)
+{
+    m_revision.Set(static_cast<double>(value));
+}
+
+void daemon_counters::countAnnouncement(result_code code)
+{
+    m_announcements.Add({{"result", std::string(describe(code).name)}}).Increment();
+}
+
+void daemon_counters::countOperatorRequest(result_code code)
+{
+    m_operatorRequests.Add({{"result", std::string(describe(code).name)}}).Increment();
+}
+
+prometheus::Registry &daemon_counters::registry()
+{
+    return m_registry;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/operators/operators_message.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "daemon/control/control_message.h"
+
+#include <variant>
+
+namespace guavafront
+{
+
+/// The control's answer to a change.
+struct change_answered {
+    exchange_id id; ///< Operator's request.
+    change_answer answer; ///< Answer.
+};
+
+/// The control's answer to a question for its status.
+struct status_answered {
+    exchange_id id; ///< Operator's request.
+    control_status status; ///< Answer.
+};
+
+/// What the operators task reacts to.
+using operators_message = std::variant<change_answered, status_answered>;
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/operators/operators_task.cpp
@@ -0,0 +1,122 @@
+#include "daemon/operators/operators_task.h"
+
+#include "daemon/token_check.h"
+#include "http/header_filter.h"
+#include "wire/operator_json.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+
+std::string statusJson(const control_status &status)
+{
+    return nlohmann::ordered_json{{"leader", status.leader}, {"revision", status.accepted->current.value}}.dump();
+}
+
+} // namespace
+
+operators_task::operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
+                               mailbox<control_message> &control, daemon_counters &counters)
+    : m_tokens(std::move(options.tokens))
+    , m_inbox(inbox)
+    , m_control(control)
+    , m_counters(counters)
+    , m_server(owner, std::move(options.server),
+               {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
+                .onCallerGone =
+                    [this](exchange_id id) {
+                        m_questions.erase(id);
+                    }})
+    , m_attachment(inbox, owner, [this](const operators_message &message) {
+        std::visit([this](const auto &each) { handle(each); }, message);
+    })
+{
+}
+
+void operators_task::receive(exchange_id id, const http_request &request)
+{
+    try {
+        dispatch(id, request);
+    } catch (const coordination_error &error) {
+        reply(id, error.code(), problemAnswer(error.code(), error.what()));
+    }
+}
+
+void operators_task::dispatch(exchange_id id, const http_request &request)
+{
+    const operator_token *author = findOperator(m_tokens, callerKey(request.headers));
+    if (!author) {
+        throw coordination_error(result_code::NotAuthorized, "the token is missing or unknown");
+    }
+    if (request.method == "POST" && request.path == "/v1/changes") {
+        submit(id, author->author, request);
+    } else if (request.method == "GET" && request.path == "/v1/configuration") {
+        if (author->author.role != operator_role::Operator) {
+            throw coordination_error(result_code::NotAuthorized, "only operators read the configuration");
+        }
+        ask(id, question::Configuration);
+    } else if (request.method == "GET" && request.path == "/v1/status") {
+        ask(id, question::Status);
+    } else {
+        throw coordination_error(result_code::NoRoute, "no such operation");
+    }
+}
+
+void operators_task::submit(exchange_id id, const change_author &author, const http_request &request)
+{
+    change_submitted message{.author = author,
+                             .request = parseChangeRequestJson(textOf(request.body)),
+                             .answer = [&inbox = m_inbox, id](const change_answer &answer) {
+                                 inbox.post(change_answered{id, answer});
+                             }};
+    if (!m_control.post(std::move(message))) {
+        throw coordination_error(result_code::EntryOverloaded, "the control is behind; nothing was taken");
+    }
+}
+
+void operators_task::ask(exchange_id id, question asked)
+{
+    status_requested message{.answer = [&inbox = m_inbox, id](const control_status &status) {
+        inbox.post(status_answered{id, status});
+    }};
+    if (!m_control.post(std::move(message))) {
+        throw coordination_error(result_code::EntryOverloaded, "the control is behind");
+    }
+    m_questions.emplace(id, asked);
+}
+
+void operators_task::handle(const change_answered &message)
+{
+    reply(message.id, message.answer.code,
+          jsonAnswer(describe(message.answer.code).httpStatus, toJson(message.answer)));
+}
+
+void operators_task::handle(const status_answered &message)
+{
+    const auto found = m_questions.find(message.id);
+    if (found == m_questions.end()) {
+        return; // The operator went away.
+    }
+    const bool whole = found->second == question::Configuration;
+    m_questions.erase(found);
+    reply(message.id, result_code::Ok,
+          jsonAnswer(statusOk, whole ? toOperatorJson(*message.status.accepted) : statusJson(message.status)));
+}
+
+void operators_task::reply(exchange_id id, result_code code, const http_answer &answer)
+{
+    m_counters.countOperatorRequest(code);
+    m_server.answer(id, answer);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/operators/operators_task.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "daemon/control/control_message.h"
+#include "daemon/metrics/daemon_counters.h"
+#include "daemon/operators/operator_tokens.h"
+#include "daemon/operators/operators_message.h"
+#include "http/http_server.h"
+#include "runtime/mailbox.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Settings of the operators task.
+struct operators_task_options {
+    http_server_options server; ///< Where operators come in.
+    std::vector<operator_token> tokens; ///< Who may ask.
+};
+
+/// Operators' HTTP: POST /v1/changes, GET /v1/configuration, GET /v1/status. Every request carries a bearer token.
+class operators_task
+{
+public:
+    /// Listens; inbox brings the control's answers. Throws coordination_error (SettingInvalid).
+    operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
+                   mailbox<control_message> &control, daemon_counters &counters);
+
+private:
+    enum class question : std::uint8_t { Configuration, Status };
+
+    void receive(exchange_id id, const http_request &request);
+    void dispatch(exchange_id id, const http_request &request);
+    void submit(exchange_id id, const change_author &author, const http_request &request);
+    void ask(exchange_id id, question asked);
+    void handle(const change_answered &message);
+    void handle(const status_answered &message);
+    void reply(exchange_id id, result_code code, const http_answer &answer);
+
+    std::vector<operator_token> m_tokens; ///< Who may ask.
+    mailbox<operators_message> &m_inbox; ///< Not owned; answers come back here.
+    mailbox<control_message> &m_control; ///< Not owned.
+    daemon_counters &m_counters; ///< Not owned.
+    std::unordered_map<exchange_id, question> m_questions; ///< Questions under way.
+    http_server m_server; ///< Operators' connections.
+    mailbox_attachment<operators_message> m_attachment; ///< To the inbox.
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/src/program/announce_command.cpp
@@ -0,0 +1,131 @@
+#include "program/announce_command.h"
+
+#include "program/http_call.h"
+#include "runtime/signal_watch.h"
+#include "runtime/timer.h"
+#include "settings/settings_reader.h"
+#include "wire/announcement_json.h"
+#include "wire/operator_json.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <sodium.h>
+
+#include <csignal>
+#include <cstdio>
+#include <memory>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int statusNoContent = 204;
+
+/// Options of the command.
+struct announce_options {
+    std::vector<std::string> servers; ///< "IP:port" of entry VMs, tried in order.
+    std::string tokenFile; ///< File with the service token.
+    std::string address; ///< "IP:port" of the instance.
+    std::string state = "serving"; ///< starting, serving, draining or leaving.
+    std::uint32_t leaseMs = 3'000; ///< Lease.
+    std::uint32_t everyMs = 0; ///< Period; 0 announces once.
+    announcement value; ///< The rest.
+};
+
+instance_state stateOf(const std::string &name)
+{
+    return name == "starting"   ? instance_state::Starting
+           : name == "draining" ? instance_state::Draining
+           : name == "leaving"  ? instance_state::Leaving
+                                : instance_state::Serving;
+}
+
+/// Announces to the first entry VM that takes it.
+exit_status announceOnce(const announce_options &options, const std::string &token)
+{
+    const std::string body = toJson(options.value);
+    for (const std::string &text : options.servers) {
+        const std::optional<endpoint> server = parseEndpoint(text);
+        if (!server) {
+            throw coordination_error(result_code::SettingInvalid, "--server " + text + " is no IP number and port");
+        }
+        try {
+            const http_answer answer =
+                httpCall(*server, {.method = "POST", .target = "/v1/announcements", .token = token, .body = body});
+            if (answer.status == statusNoContent) {
+                return exit_status::Done;
+            }
+            std::fprintf(stderr, "%s: %.*s\n", text.c_str(), static_cast<int>(answer.body.size()),
+                         reinterpret_cast<const char *>(answer.body.data()));
+        } catch (const coordination_error &error) {
+            std::fprintf(stderr, "%s\n", error.what());
+        }
+    }
+    return exit_status::Refused;
+}
+
+/// Announces until a signal comes, then says that the instance is leaving.
+exit_status announceUntilStopped(announce_options &options, const std::string &token)
+{
+    loop events;
+    const signal_watch watch(events, {SIGTERM, SIGINT}, [&events] { events.stop(); });
+    std::unique_ptr<timer> period;
+    const auto again = [&] {
+        ++options.value.sequence;
+        announceOnce(options, token);
+        period->arm(std::chrono::milliseconds(options.everyMs));
+    };
+    period = std::make_unique<timer>(events, again);
+    period->arm({});
+    events.run();
+    ++options.value.sequence;
+    options.value.state = instance_state::Leaving;
+    return announceOnce(options, token);
+}
+
+exit_status announceInstance(announce_options options)
+{
+    const std::optional<endpoint> own = parseEndpoint(options.address);
+    if (!own) {
+        throw coordination_error(result_code::SettingInvalid, "--address is no IP number and port");
+    }
+    const std::string token = readSecretFile(options.tokenFile);
+    options.value.ip = own->ip;
+    options.value.port = own->port;
+    options.value.state = stateOf(options.state);
+    options.value.lease = std::chrono::milliseconds(options.leaseMs);
+    while (options.value.instance.value == 0) {
+        randombytes_buf(&options.value.instance.value, sizeof options.value.instance.value);
+    }
+    return options.everyMs == 0 ? announceOnce(options, token) : announceUntilStopped(options, token);
+}
+
+} // namespace
+
+void addAnnounceCommand(CLI::App &app, command_action &action)
+{
+    const auto options = std::make_shared<announce_options>();
+    CLI::App *command = app.add_subcommand("announce", "Announces an upstream instance, as upstreams do themselves");
+    command->add_option("--server", options->servers, "IP:port of an entry VM's announcements; tried in order")
+        ->required();
+    command->add_option("--token-file", options->tokenFile, "File with the service token")->required();
+    command->add_option("--service", options->value.service, "Service")->required();
+    command->add_option("--address", options->address, "IP:port where the instance takes requests")->required();
+    command->add_option("--data-centre", options->value.dataCentre, "Data centre of the instance")->required();
+    command->add_option("--slots", options->value.slots, "Requests it runs at once");
+    command->add_option("--instance", options->value.instance.value, "Number of this incarnation; drawn when absent");
+    command->add_option("--sequence", options->value.sequence, "Number of the announcement");
+    command->add_option("--state", options->state, "starting, serving, draining or leaving")
+        ->check(CLI::IsMember({"starting", "serving", "draining", "leaving"}));
+    command->add_option("--lease-ms", options->leaseMs, "Gone when silent for longer");
+    command->add_option("--every-ms", options->everyMs, "Announce again and again until SIGTERM, then leave");
+    command->callback([&action, options] {
+        action = [options] {
+            return announceInstance(*options);
+        };
+    });
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/program/operator_client.cpp
@@ -0,0 +1,86 @@
+#include "program/operator_client.h"
+
+#include "program/http_call.h"
+#include "wire/operator_json.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int statusOk = 200;
+
+/// Error that an answer with another status than 200 stands for.
+coordination_error errorOf(const http_answer &answer)
+{
+    const change_answer problem = parseChangeAnswerJson(textOf(answer.body));
+    return {problem.code, problem.text};
+}
+
+} // namespace
+
+std::string readFromControl(const operator_client &client, std::string_view target)
+{
+    coordination_error last(result_code::ConnectFailed, "no control VM was named");
+    for (const endpoint &server : client.servers) {
+        try {
+            const http_answer answer = httpCall(server, {.method = "GET", .target = target, .token = client.token});
+            if (answer.status == statusOk) {
+                return std::string(textOf(answer.body));
+            }
+            last = errorOf(answer);
+        } catch (const coordination_error &error) {
+            last = error;
+        }
+    }
+    throw last;
+}
+
+revision currentRevision(const operator_client &client)
+{
+    const auto status = nlohmann::json::parse(readFromControl(client, "/v1/status"), nullptr, false);
+    if (!status.is_object() || !status.contains("revision") || !status["revision"].is_number_unsigned()) {
+        throw coordination_error(result_code::MessageMalformed, "the control's status names no revision");
+    }
+    return {status["revision"].get<std::uint64_t>()};
+}
+
+change_answer submitChange(const operator_client &client, const change_request &request)
+{
+    const std::string body = toJson(request);
+    bool mayBeAccepted = false;
+    change_answer last{.code = result_code::ConnectFailed, .text = "no control VM was named"};
+    for (const endpoint &server : client.servers) {
+        try {
+            const http_answer answer =
+                httpCall(server, {.method = "POST", .target = "/v1/changes", .token = client.token, .body = body});
+            last = parseChangeAnswerJson(textOf(answer.body));
+            if (last.code != result_code::NotLeader && last.code != result_code::ChangeOutcomeUnknown) {
+                return last;
+            }
+            mayBeAccepted = mayBeAccepted || last.code == result_code::ChangeOutcomeUnknown;
+        } catch (const coordination_error &error) {
+            mayBeAccepted = mayBeAccepted || error.code() != result_code::ConnectFailed;
+            last = {.code = error.code(), .text = error.what()};
+        }
+    }
+    if (mayBeAccepted) {
+        throw coordination_error(result_code::ChangeOutcomeUnknown, "no control VM gave an answer: " + last.text);
+    }
+    return last;
+}
+
+change_id drawChangeId()
+{
+    change_id id;
+    randombytes_buf(&id, sizeof id);
+    return id;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/program/operator_command.cpp
@@ -0,0 +1,231 @@
+#include "program/operator_command.h"
+
+#include "program/operator_client.h"
+#include "settings/settings_reader.h"
+#include "wire/operator_json.h"
+
+#include <guavafront/coordination/configuration/setting.h>
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <cstdio>
+#include <memory>
+#include <optional>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Options that all operator commands share.
+struct operator_options {
+    std::vector<std::string> servers; ///< "IP:port" of control VMs.
+    std::string tokenFile; ///< File with the operator's token.
+    std::string requestId; ///< 32 hex digits; empty draws one.
+    std::optional<std::uint64_t> expectedRevision; ///< Empty asks the control first.
+};
+
+/// Texts that the subcommands fill.
+struct change_options {
+    std::string name; ///< Account, label or setting.
+    std::string account; ///< Account of a key.
+    std::string file; ///< File with a key.
+    std::string subject; ///< Subject of an exception.
+    std::string reason; ///< Written reason of an exception.
+    std::vector<std::string> kinds; ///< Order of kinds.
+    double value = 0; ///< Value of a default or exception.
+    std::string repeats = "by_method"; ///< Of a route.
+    route path; ///< Route to put or remove.
+};
+
+operator_client clientOf(const operator_options &options)
+{
+    operator_client client{.servers = {}, .token = readSecretFile(options.tokenFile)};
+    for (const std::string &text : options.servers) {
+        const std::optional<endpoint> server = parseEndpoint(text);
+        if (!server) {
+            throw coordination_error(result_code::SettingInvalid, "--server " + text + " is no IP number and port");
+        }
+        client.servers.push_back(*server);
+    }
+    return client;
+}
+
+exit_status submit(const operator_options &options, change edit)
+{
+    const operator_client client = clientOf(options);
+    change_request request{.id = options.requestId.empty() ? drawChangeId() : parseChangeId(options.requestId),
+                           .expected = {},
+                           .changes = {std::move(edit)}};
+    request.expected = options.expectedRevision ? revision{*options.expectedRevision} : currentRevision(client);
+    std::fprintf(stderr, "request ID %s, expected revision %llu\n", toHex(request.id).c_str(),
+                 static_cast<unsigned long long>(request.expected.value));
+    const change_answer answer = submitChange(client, request);
+    std::printf("%s\n", toJson(answer).c_str());
+    return exitStatusOf(answer.code);
+}
+
+key_hash hashOfKeyFile(const std::string &path)
+{
+    const std::string key = readSecretFile(path);
+    key_hash hash;
+    crypto_hash_sha256(reinterpret_cast<unsigned char *>(hash.data()),
+                       reinterpret_cast<const unsigned char *>(key.data()), key.size());
+    return hash;
+}
+
+/// The defaults in force with one of them changed.
+fleet_defaults changedDefault(const operator_options &options, const std::string &name, double value)
+{
+    const auto document = nlohmann::json::parse(readFromControl(clientOf(options), "/v1/configuration"));
+    fleet_defaults values;
+    for (const setting_descriptor &setting : settingTable()) {
+        setting.write(values, document.at("defaults").at(std::string(setting.name)).get<double>());
+    }
+    const setting_descriptor *setting = findSetting(name);
+    if (!setting || !isAllowed(*setting, value)) {
+        throw coordination_error(result_code::ChangeInvalid, name + " is no setting, or the value is out of range");
+    }
+    setting->write(values, value);
+    return values;
+}
+
+route routeOf(const change_options &given)
+{
+    route path = given.path;
+    path.repeats = given.repeats == "always"  ? repeatability::Repeatable
+                   : given.repeats == "never" ? repeatability::NotRepeatable
+                                              : repeatability::ByMethod;
+    return path;
+}
+
+/// Options and action of the operator commands; lives as long as the command line.
+struct operator_commands {
+    operator_options options; ///< Shared.
+    change_options given; ///< Of the chosen subcommand.
+};
+
+using commands_pointer = std::shared_ptr<operator_commands>;
+
+void addChange(CLI::App *command, command_action &action, const commands_pointer &commands,
+               std::function<change(const operator_commands &)> make)
+{
+    command->callback([&action, commands, make = std::move(make)] {
+        action = [commands, make] {
+            return submit(commands->options, make(*commands));
+        };
+    });
+}
+
+void addAccountCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    CLI::App *accounts = parent.add_subcommand("account", "Client accounts")->require_subcommand(1);
+    CLI::App *create = accounts->add_subcommand("create", "Creates a client account");
+    create->add_option("name", commands->given.name, "Unique name")->required();
+    addChange(create, action, commands, [](const auto &all) { return create_account{all.given.name}; });
+    CLI::App *order = accounts->add_subcommand("order", "Sets the account's order of kinds of requests");
+    order->add_option("name", commands->given.name, "Account")->required();
+    order->add_option("kinds", commands->given.kinds, "Kinds, most important first")->required();
+    addChange(order, action, commands, [](const auto &all) { return set_kind_order{all.given.name, all.given.kinds}; });
+}
+
+void addKeyCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    CLI::App *keys = parent.add_subcommand("key", "Keys of client accounts")->require_subcommand(1);
+    CLI::App *grant = keys->add_subcommand("grant", "Grants a key; only its hash leaves this machine");
+    grant->add_option("label", commands->given.name, "Unique name of the key")->required();
+    grant->add_option("--account", commands->given.account, "Account it speaks for")->required();
+    grant->add_option("--key-file", commands->given.file, "File with the key")->required();
+    addChange(grant, action, commands, [](const auto &all) {
+        return grant_key{all.given.name, all.given.account, hashOfKeyFile(all.given.file)};
+    });
+    CLI::App *withdraw = keys->add_subcommand("withdraw", "Withdraws a key for good");
+    withdraw->add_option("label", commands->given.name, "Name of the key")->required();
+    addChange(withdraw, action, commands, [](const auto &all) { return withdraw_key{all.given.name}; });
+}
+
+void addSettingCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    CLI::App *change = parent.add_subcommand("default", "Changes one fleet-wide default");
+    change->add_option("setting", commands->given.name, "Name of the default")->required();
+    change->add_option("value", commands->given.value, "New value in the unit of its name")->required();
+    addChange(change, action, commands, [](const auto &all) {
+        return set_defaults{changedDefault(all.options, all.given.name, all.given.value)};
+    });
+    CLI::App *exceptions = parent.add_subcommand("exception", "Exceptions from defaults")->require_subcommand(1);
+    CLI::App *put = exceptions->add_subcommand("put", "Creates or replaces an exception");
+    put->add_option("subject", commands->given.subject, "account:NAME or service:NAME")->required();
+    put->add_option("setting", commands->given.name, "Name of the default")->required();
+    put->add_option("value", commands->given.value, "Value for the subject")->required();
+    put->add_option("--reason", commands->given.reason, "Why")->required();
+    addChange(put, action, commands, [](const auto &all) {
+        return put_exception{{all.given.subject, all.given.name, all.given.value, all.given.reason}};
+    });
+    CLI::App *remove = exceptions->add_subcommand("remove", "Removes an exception");
+    remove->add_option("subject", commands->given.subject, "account:NAME or service:NAME")->required();
+    remove->add_option("setting", commands->given.name, "Name of the default")->required();
+    addChange(remove, action, commands, [](const auto &all) {
+        return remove_exception{all.given.subject, all.given.name};
+    });
+}
+
+void addRouteCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    route &path = commands->given.path;
+    CLI::App *routes = parent.add_subcommand("route", "Routes from callers to services")->require_subcommand(1);
+    CLI::App *put = routes->add_subcommand("put", "Creates a route or replaces the one at the same place");
+    put->add_option("prefix", path.pathPrefix, "Path prefix")->required();
+    put->add_option("--host", path.host, "Host; any when absent");
+    put->add_option("--service", path.service, "Service")->required();
+    put->add_option("--kind", path.kind, "Kind of request in account managers' orders")->required();
+    put->add_flag("--open", path.openToAll, "No key is needed");
+    put->add_flag("--ordered", path.ordered, "Changes of one resource keep their order");
+    put->add_option("--repeats", commands->given.repeats, "by_method, always or never")
+        ->check(CLI::IsMember({"by_method", "always", "never"}));
+    put->add_option("--timeout-ms", path.timeoutMs, "Deadline; 0 takes the default");
+    addChange(put, action, commands, [](const auto &all) { return put_route{routeOf(all.given)}; });
+    CLI::App *remove = routes->add_subcommand("remove", "Removes a route");
+    remove->add_option("prefix", path.pathPrefix, "Path prefix")->required();
+    remove->add_option("--host", path.host, "Host; any when absent");
+    addChange(remove, action, commands, [](const auto &all) {
+        return remove_route{all.given.path.host, all.given.path.pathPrefix};
+    });
+}
+
+void addReadCommand(CLI::App &parent, command_action &action, const commands_pointer &commands, const char *name,
+                    const char *help, const char *target)
+{
+    parent.add_subcommand(name, help)->callback([&action, commands, target] {
+        action = [commands, target] {
+            std::printf("%s\n", readFromControl(clientOf(commands->options), target).c_str());
+            return exit_status::Done;
+        };
+    });
+}
+
+} // namespace
+
+void addOperatorCommand(CLI::App &app, command_action &action)
+{
+    const auto commands = std::make_shared<operator_commands>();
+    CLI::App *parent = app.add_subcommand("operator", "Reads and changes the fleet's configuration");
+    parent->require_subcommand(1);
+    parent->fallthrough();
+    parent->add_option("--server", commands->options.servers, "IP:port of a control VM; may be given several times")
+        ->required();
+    parent->add_option("--token-file", commands->options.tokenFile, "File with the operator's token")->required();
+    parent->add_option("--request-id", commands->options.requestId, "32 hex digits; a resend carries the same one");
+    parent->add_option("--expected-revision", commands->options.expectedRevision,
+                       "Revision that the change is based on; asked for when absent");
+    addAccountCommands(*parent, action, commands);
+    addKeyCommands(*parent, action, commands);
+    addSettingCommands(*parent, action, commands);
+    addRouteCommands(*parent, action, commands);
+    addReadCommand(*parent, action, commands, "status", "Shows the control VM's status", "/v1/status");
+    addReadCommand(*parent, action, commands, "show", "Shows the configuration", "/v1/configuration");
+}
+
+} // namespace guavafront
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -50,6 +50,7 @@
     std::uint32_t maxHeaderBytes = 32'768; ///< Start line and headers of one request.
     std::uint32_t maxBodyBytes = 1'048'576; ///< Body of one request or answer.
     std::uint32_t idleTimeoutMs = 60'000; ///< A caller's connection that sends nothing for longer is closed.
+    std::uint32_t balancerGraceMs = 5'000; ///< A planned stop goes on serving for so long after /ready says no.
     std::uint32_t drainLimitMs = 30'000; ///< A planned stop waits this long for running requests.
     std::uint32_t connectTimeoutMs = 1'000; ///< Limit for a new connection to an upstream.
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -40,6 +40,7 @@
     each.field("entry.maxHeaderBytes", values.entry.maxHeaderBytes, bytes);
     each.field("entry.maxBodyBytes", values.entry.maxBodyBytes, bytes);
     each.field("entry.idleTimeoutMs", values.entry.idleTimeoutMs, milliseconds);
+    each.field("entry.balancerGraceMs", values.entry.balancerGraceMs, number_range{0, 600'000});
     each.field("entry.drainLimitMs", values.entry.drainLimitMs, milliseconds);
     each.field("entry.connectTimeoutMs", values.entry.connectTimeoutMs, milliseconds);
     each.field("entry.idleConnectionsPerInstance", values.entry.idleConnectionsPerInstance, number_range{1, 10'000});
