Hold rate and burst of every account over the whole fleet

Cause: an account's rate and burst count over all VMs together, while VMs restart, freeze and lose each other, and the control may be away.

Ruled out: one owner for each account by membership view alone (two views, two owners, twice the budget); an owner elected by a majority (needs a hold of a lease's life at each takeover, and a minority side serves nothing); a static share for each VM (traffic at one VM gets 1/48 of its rate).

Change: every VM has 1/fleetSize of every budget for itself. It delegates that share for a bounded time to the owner it prefers (rendezvous hash over the members it sees); the owner pools the shares and leases rate and tokens to the VMs by demand. Who must stop first anchors the time: an owner at the sending of its round, an entry at the sending of its request. A share is with one owner at a time, so VMs that differ in their views never spend more than the sum. An owner's death frees the shares after their delegation; a partition leaves each side the shares of its VMs.

Conclusion: the sum holds by conservation and needs no agreement on membership.

--- /dev/null
+++ b/include/guavafront/coordination/limits/lessee.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <guavafront/coordination/limits/limit_settings.h>
+
+#include <unordered_map>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Tokens minted locally up to a capacity.
+struct token_bucket {
+    rate_limit limit; ///< Rate and capacity.
+    double level = 0; ///< Tokens.
+    instant refilledAt{}; ///< Level is that of this moment.
+};
+
+/// One account as an entry VM sees it.
+struct leased_account {
+    token_bucket lease; ///< Leased from the owner.
+    std::uint64_t leaseSequence = 0; ///< Request whose grant is in force; 0 for none.
+    vm_id leaseOwner; ///< Who granted it.
+    instant leaseEnd{}; ///< Nothing of it may be used from then on.
+    token_bucket own; ///< The VM's own share, while it isn't delegated.
+    std::uint64_t askedSequence = 0; ///< Latest request; only its grant is accepted.
+    vm_id askedOwner; ///< Where it went.
+    instant askedAt{}; ///< When it went.
+    bool asking = false; ///< Its grant hasn't come.
+    instant emptyUntil{}; ///< The owner had nothing; no use asking before.
+    duration retryAfter{}; ///< What callers are told while it is empty.
+    std::uint32_t arrivals = 0; ///< Requests since demand was last measured.
+    std::uint32_t waiting = 0; ///< Requests that wait for a token.
+    double demand = 0; ///< Requests a second, smoothed.
+    instant measuredAt{}; ///< When demand was last measured.
+};
+
+/// Entry's side of the limiter.
+struct lessee {
+    std::unordered_map<account_id, leased_account> accounts; ///< Accounts in use.
+    std::uint64_t lastSequence = 0; ///< Of the latest request.
+};
+
+/// Brings a bucket up to now.
+void refillBucket(token_bucket &bucket, const limit_settings &settings, instant now);
+
+/// Brings both buckets of an account up to now. The own share is usable from `shareFreeFrom`.
+void refillAccount(leased_account &account, const limit_settings &settings, const rate_limit &limit,
+                   instant shareFreeFrom, instant now);
+
+/// Takes a token where there is one.
+bool takeToken(leased_account &account);
+
+/// What to ask the owner for; gives up what the VM doesn't need and notes the request as sent.
+lease_request_item prepareRequest(leased_account &account, account_id id, const limit_settings &settings, vm_id owner,
+                                  std::uint64_t sequence, instant now);
+
+/// Puts a grant in force unless it is late, crossed or repeated; tells whether it was.
+bool acceptGrant(leased_account &account, const limit_settings &settings, vm_id owner, std::uint64_t sequence,
+                 const lease_grant_item &grant, instant now);
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/limits/lease_owner.cpp
@@ -0,0 +1,272 @@
+#include <guavafront/coordination/limits/lease_owner.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Leases beyond the measured demand, so that a growing account need not ask at once.
+constexpr double rateHeadroom = 1.25;
+/// Part of a pool's rate that is leased by demand; the rest refills the reserve for newcomers.
+constexpr double leasablePart = 0.9;
+/// Part of the free capacity that a VM with waiting requests gets beyond its demand.
+constexpr double firstChunkPart = 0.125;
+/// Capacity that a VM with little demand gets when there isn't enough for all.
+constexpr double smallestCapacity = 2;
+constexpr duration shortestRetry = std::chrono::milliseconds(1);
+constexpr duration longestRetry = std::chrono::seconds(1);
+
+/// The most a VM may be using: it holds the confirmed lease, the offered one, or the first with the second's tokens.
+rate_limit countedFor(const lessee_record &record)
+{
+    return {.ratePerSecond = std::max(record.held.leased.ratePerSecond, record.offered.leased.ratePerSecond),
+            .burst = std::max(record.held.leased.burst + record.offered.tokens, record.offered.leased.burst)};
+}
+
+void countIn(owned_account &account, const lessee_record &record)
+{
+    const rate_limit counted = countedFor(record);
+    account.leased.ratePerSecond += counted.ratePerSecond;
+    account.leased.burst += counted.burst;
+    account.demand += record.demand;
+}
+
+void countOut(owned_account &account, const lessee_record &record)
+{
+    const rate_limit counted = countedFor(record);
+    account.leased.ratePerSecond -= counted.ratePerSecond;
+    account.leased.burst -= counted.burst;
+    account.demand -= record.demand;
+}
+
+void dropEnded(lessee_record &record, instant now)
+{
+    if (record.offered.until <= now) {
+        record.offered = {};
+    }
+    if (record.held.until <= now) {
+        record.held = {};
+    }
+}
+
+/// Sums are built anew, so that rounding never adds up.
+void pruneLeases(owned_account &account, instant now)
+{
+    account.leased = {};
+    account.demand = 0;
+    for (auto record = account.lessees.begin(); record != account.lessees.end();) {
+        dropEnded(record->second, now);
+        if (record->second.held.sequence == 0 && record->second.offered.sequence == 0) {
+            record = account.lessees.erase(record);
+            continue;
+        }
+        countIn(account, record->second);
+        ++record;
+    }
+    account.prunedAt = now;
+}
+
+/// Learns from a request which grant is in force, and takes back what the VM gave up or can't accept any more.
+void confirm(lessee_record &record, const lease_request_item &item, pool_reserve &reserve)
+{
+    const bool heldInForce = record.held.sequence != 0 && item.appliedSequence == record.held.sequence;
+    const bool offeredInForce = record.offered.sequence != 0 && item.appliedSequence == record.offered.sequence;
+    if (offeredInForce) {
+        record.held = record.offered;
+    } else if (heldInForce) {
+        reserve.level += record.offered.tokens;
+    } else {
+        record.held = {};
+    }
+    record.offered = {};
+    if (heldInForce || offeredInForce) {
+        const double returnable = std::max(0.0, record.held.leased.burst - item.heldCapacity);
+        reserve.level += std::clamp(item.returnedTokens, 0.0, returnable);
+        record.held.leased.ratePerSecond = std::min(record.held.leased.ratePerSecond, item.heldRate);
+        record.held.leased.burst = std::min(record.held.leased.burst, item.heldCapacity);
+    }
+}
+
+/// Limits of one decision.
+struct grant_bounds {
+    rate_limit total; ///< The pool's part of the account's budget.
+    rate_limit free; ///< What the other VMs don't use.
+};
+
+/// The part of what is leasable that falls to a VM; 1 while there is enough for all.
+double fairPart(const owned_account &account, const grant_bounds &bounds)
+{
+    const double wanted = rateHeadroom * account.demand;
+    const double leasable = leasablePart * bounds.total.ratePerSecond;
+    return wanted > leasable ? leasable / wanted : 1;
+}
+
+double rateFor(const owned_account &account, double demand, const grant_bounds &bounds)
+{
+    return std::min(rateHeadroom * demand * fairPart(account, bounds), bounds.free.ratePerSecond);
+}
+
+double capacityFor(const owned_account &account, const limit_settings &settings, const lease_request_item &item,
+                   const grant_bounds &bounds)
+{
+    if (item.waiting == 0 && item.demand <= 0) {
+        return 0;
+    }
+    const double renewSeconds = std::chrono::duration<double>(settings.renewPeriod).count();
+    double capacity = 1 + item.waiting + 2 * renewSeconds * item.demand;
+    if (item.waiting > 0) {
+        capacity += firstChunkPart * bounds.free.burst;
+    }
+    if (fairPart(account, bounds) < 1) {
+        const double fair = leasablePart * bounds.total.burst * item.demand / account.demand;
+        capacity = std::min(capacity, std::max(smallestCapacity, fair));
+    }
+    capacity = std::min(capacity, bounds.free.burst);
+    return capacity < 1 ? 0 : capacity;
+}
+
+duration retryAfter(const owned_account &account, const grant_bounds &bounds, double missing)
+{
+    const double rate = std::max(bounds.total.ratePerSecond - account.leased.ratePerSecond,
+                                 (1 - leasablePart) * bounds.total.ratePerSecond);
+    if (rate <= 0) {
+        return longestRetry;
+    }
+    const double micros =
+        std::min(missing / rate, 1.0) * static_cast<double>(duration(std::chrono::seconds(1)).count());
+    return std::clamp(duration(static_cast<duration::rep>(micros)), shortestRetry, longestRetry);
+}
+
+lease_grant_item decide(owned_account &account, lessee_record &record, const limit_settings &settings,
+                        const rate_limit &total, const lease_request_item &item, instant now)
+{
+    const grant_bounds bounds{
+        .total = total,
+        .free = {.ratePerSecond = std::max(0.0, total.ratePerSecond - account.leased.ratePerSecond),
+                 .burst = std::max(0.0, total.burst - account.leased.burst)}};
+    record.demand = item.demand;
+    account.demand += item.demand;
+    lease_grant_item grant{.account = item.account};
+    grant.capacity = capacityFor(account, settings, item, bounds);
+    grant.rate = grant.capacity > 0 ? rateFor(account, item.demand, bounds) : 0;
+    account.demand -= item.demand;
+    const double room = std::min(grant.capacity - item.level, bounds.free.burst - record.held.leased.burst);
+    grant.tokens = std::clamp(room, 0.0, account.reserve.level);
+    account.reserve.level -= grant.tokens;
+    const bool wanted = item.waiting > 0;
+    if (wanted && item.level + grant.tokens < 1) {
+        grant.retryAfter = retryAfter(account, bounds, 1 - item.level - grant.tokens);
+    }
+    record.offered = {.sequence = record.lastSequence,
+                      .leased = {.ratePerSecond = grant.rate, .burst = grant.capacity},
+                      .tokens = grant.tokens,
+                      .until = now + stretched(settings, settings.leaseLifetime)};
+    return grant;
+}
+
+bool wellFormed(const lease_request_item &item)
+{
+    const double values[] = {item.heldRate, item.heldCapacity, item.level, item.returnedTokens, item.demand};
+    return std::ranges::all_of(values, [](double value) { return std::isfinite(value) && value >= 0; });
+}
+
+std::optional<lease_grant_item> answerItem(lease_owner &owner, const limit_settings &settings,
+                                           const limit_table &limits, vm_id lessee, std::uint64_t sequence,
+                                           const lease_request_item &item, instant now)
+{
+    share_pool &pool = owner.pools[slotOf(settings, item.account)];
+    const rate_limit &limit = limitOf(limits, item.account);
+    const rate_limit total = partOf(limit, settings, usableShares(pool, now));
+    const auto [place, created] = owner.accounts.try_emplace(item.account);
+    owned_account &account = place->second;
+    if (created) {
+        account.reserve = startReserve(pool);
+    }
+    refillReserve(account.reserve, pool, settings, limit, account.leased, now);
+    if (now - account.prunedAt >= settings.renewPeriod) {
+        pruneLeases(account, now);
+    }
+    lessee_record &record = account.lessees[lessee];
+    if (sequence <= record.lastSequence) {
+        return std::nullopt;
+    }
+    record.lastSequence = sequence;
+    countOut(account, record);
+    confirm(record, item, account.reserve);
+    dropEnded(record, now);
+    const lease_grant_item grant = decide(account, record, settings, total, item, now);
+    countIn(account, record);
+    account.reserve.level = std::clamp(account.reserve.level, 0.0, std::max(0.0, total.burst - account.leased.burst));
+    return grant;
+}
+
+} // namespace
+
+lease_owner startOwner(const limit_settings &settings, instant now)
+{
+    lease_owner owner;
+    owner.pools.assign(settings.slotCount, startPool(now));
+    return owner;
+}
+
+share_request startRound(lease_owner &owner, std::vector<limit_slot> slots, instant now)
+{
+    constexpr std::size_t roundsKept = 4;
+    owner.rounds.push_back({.round = ++owner.lastRound, .startedAt = now});
+    if (owner.rounds.size() > roundsKept) {
+        owner.rounds.erase(owner.rounds.begin());
+    }
+    return {.round = owner.lastRound, .slots = std::move(slots)};
+}
+
+void acceptDelegation(lease_owner &owner, const limit_settings &settings, vm_id holder,
+                      const share_delegation &delegation, instant now)
+{
+    const auto round = std::ranges::find(owner.rounds, delegation.round, &share_round::round);
+    if (round == owner.rounds.end()) {
+        return;
+    }
+    const instant usableUntil =
+        round->startedAt + settings.delegationLifetime - stretched(settings, settings.leaseLifetime);
+    for (const limit_slot slot : delegation.slots) {
+        if (slot < owner.pools.size()) {
+            addShare(owner.pools[slot], holder, usableUntil, now);
+        }
+    }
+}
+
+lease_grant grantLeases(lease_owner &owner, const limit_settings &settings, const limit_table &limits, vm_id lessee,
+                        const lease_request &request, instant now)
+{
+    lease_grant grant{.sequence = request.sequence};
+    for (const lease_request_item &item : request.items) {
+        if (!wellFormed(item)) {
+            continue;
+        }
+        if (const auto answer = answerItem(owner, settings, limits, lessee, request.sequence, item, now)) {
+            grant.items.push_back(*answer);
+        }
+    }
+    return grant;
+}
+
+void dropIdleAccounts(lease_owner &owner, const limit_settings &settings, const limit_table &limits, instant now)
+{
+    for (auto entry = owner.accounts.begin(); entry != owner.accounts.end();) {
+        owned_account &account = entry->second;
+        share_pool &pool = owner.pools[slotOf(settings, entry->first)];
+        const rate_limit &limit = limitOf(limits, entry->first);
+        refillReserve(account.reserve, pool, settings, limit, account.leased, now);
+        pruneLeases(account, now);
+        const double full = partOf(limit, settings, usableShares(pool, now)).burst;
+        const bool idle = account.lessees.empty() && account.reserve.level >= full;
+        entry = idle ? owner.accounts.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/limits/lessee.cpp
@@ -0,0 +1,143 @@
+#include <guavafront/coordination/limits/lessee.h>
+
+#include <guavafront/coordination/limits/share_pool.h>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Arrivals in one period that outweigh the average of the earlier ones.
+constexpr std::uint32_t significantArrivals = 8;
+/// Weight of the latest period in the smoothed demand.
+constexpr double smoothing = 0.2;
+/// Arrivals that were due in a period; if none came, the traffic has moved away.
+constexpr double missedArrivals = 4;
+/// Demand below counts as none, in requests a second.
+constexpr double negligibleDemand = 0.05;
+/// Leases beyond the measured demand.
+constexpr double rateHeadroom = 1.25;
+
+double secondsOf(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+void measureDemand(leased_account &account, const limit_settings &settings, instant now)
+{
+    const duration elapsed = now - account.measuredAt;
+    const double sample = account.arrivals / secondsOf(std::max(elapsed, settings.renewPeriod));
+    const bool surge = account.arrivals >= significantArrivals && sample > account.demand;
+    if (elapsed < settings.renewPeriod) {
+        account.demand = surge ? sample : account.demand;
+        return;
+    }
+    const double due = account.demand * secondsOf(elapsed);
+    const bool slump = due >= significantArrivals && account.arrivals < due / 2;
+    const bool movedAway = due >= missedArrivals && account.arrivals == 0;
+    if (surge || slump || movedAway) {
+        account.demand = sample;
+    } else {
+        account.demand += smoothing * (sample - account.demand);
+    }
+    if (account.demand < negligibleDemand && account.arrivals == 0) {
+        account.demand = 0;
+    }
+    account.arrivals = 0;
+    account.measuredAt = now;
+}
+
+/// Capacity that the demand of two renewals fills, and the requests that wait.
+double neededCapacity(const leased_account &account, const limit_settings &settings)
+{
+    if (account.demand <= 0 && account.waiting == 0) {
+        return 0;
+    }
+    return 1 + account.waiting + 2 * secondsOf(settings.renewPeriod) * account.demand;
+}
+
+} // namespace
+
+void refillBucket(token_bucket &bucket, const limit_settings &settings, instant now)
+{
+    if (now > bucket.refilledAt) {
+        bucket.level += mintedTokens(settings, bucket.limit.ratePerSecond, now - bucket.refilledAt);
+        bucket.refilledAt = now;
+    }
+    bucket.level = std::min(bucket.level, bucket.limit.burst);
+}
+
+void refillAccount(leased_account &account, const limit_settings &settings, const rate_limit &limit,
+                   instant shareFreeFrom, instant now)
+{
+    if (now >= account.leaseEnd) {
+        account.lease = {.refilledAt = now};
+    }
+    refillBucket(account.lease, settings, now);
+    account.own.limit = partOf(limit, settings, 1);
+    if (account.own.refilledAt < shareFreeFrom) {
+        account.own.level = 0;
+        account.own.refilledAt = shareFreeFrom;
+    }
+    refillBucket(account.own, settings, now);
+}
+
+bool takeToken(leased_account &account)
+{
+    token_bucket &bucket = account.lease.level >= 1 ? account.lease : account.own;
+    if (bucket.level < 1) {
+        return false;
+    }
+    bucket.level -= 1;
+    return true;
+}
+
+lease_request_item prepareRequest(leased_account &account, account_id id, const limit_settings &settings, vm_id owner,
+                                  std::uint64_t sequence, instant now)
+{
+    measureDemand(account, settings, now);
+    const double waitingDemand = account.waiting / secondsOf(settings.renewPeriod);
+    lease_request_item item{
+        .account = id, .demand = std::max(account.demand, waitingDemand), .waiting = account.waiting};
+    if (account.leaseOwner == owner) {
+        token_bucket &lease = account.lease;
+        lease.limit.burst = std::min(lease.limit.burst, neededCapacity(account, settings));
+        lease.limit.ratePerSecond = std::min(lease.limit.ratePerSecond, rateHeadroom * account.demand);
+        item.returnedTokens = std::max(0.0, lease.level - lease.limit.burst);
+        lease.level -= item.returnedTokens;
+        item.appliedSequence = account.leaseSequence;
+        item.heldRate = lease.limit.ratePerSecond;
+        item.heldCapacity = lease.limit.burst;
+        item.level = lease.level;
+    }
+    account.asking = true;
+    account.askedSequence = sequence;
+    account.askedOwner = owner;
+    account.askedAt = now;
+    return item;
+}
+
+bool acceptGrant(leased_account &account, const limit_settings &settings, vm_id owner, std::uint64_t sequence,
+                 const lease_grant_item &grant, instant now)
+{
+    const bool expected = account.asking && account.askedSequence == sequence && account.askedOwner == owner;
+    if (!expected || now >= account.askedAt + settings.leaseLifetime) {
+        return false;
+    }
+    const double kept = account.leaseOwner == owner ? account.lease.level : 0;
+    account.lease.limit = {.ratePerSecond = grant.rate, .burst = grant.capacity};
+    account.lease.level = std::min(kept + grant.tokens, grant.capacity);
+    account.lease.refilledAt = now;
+    account.leaseSequence = sequence;
+    account.leaseOwner = owner;
+    account.leaseEnd = account.askedAt + settings.leaseLifetime;
+    account.asking = false;
+    account.retryAfter = grant.retryAfter;
+    account.emptyUntil = now + std::min(grant.retryAfter, settings.renewPeriod);
+    return true;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/limits/limiter.cpp
@@ -0,0 +1,308 @@
+#include <guavafront/coordination/limits/limiter.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <xxhash.h>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// A lease this far used up is renewed early.
+constexpr double lowLevelPart = 0.25;
+
+void deliver(limiter &state, vm_id from, const limit_message &message, instant now, limit_effects &effects);
+
+/// Messages to the VM itself are applied at once.
+void send(limiter &state, vm_id to, limit_message message, instant now, limit_effects &effects)
+{
+    if (to == state.self) {
+        deliver(state, to, message, now, effects);
+        return;
+    }
+    effects.sends.push_back({.to = to, .message = std::move(message)});
+}
+
+/// Rendezvous hashing: the member with the highest hash for the slot.
+vm_id preferredOwner(limit_slot slot, std::span<const vm_id> members)
+{
+    vm_id best;
+    std::uint64_t highest = 0;
+    for (const vm_id member : members) {
+        const std::array<std::uint64_t, 2> key{slot, member.value};
+        const std::uint64_t hash = XXH64(key.data(), sizeof(key), 0);
+        if (best == vm_id{} || hash > highest) {
+            best = member;
+            highest = hash;
+        }
+    }
+    return best;
+}
+
+void changeMembers(limiter &state, std::span<const vm_id> members)
+{
+    state.members.assign(members.begin(), members.end());
+    state.members.push_back(state.self);
+    std::ranges::sort(state.members);
+    state.members.erase(std::unique(state.members.begin(), state.members.end()), state.members.end());
+    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
+        state.preferredOwners[slot] = preferredOwner(slot, state.members);
+    }
+}
+
+void refill(const limiter &state, leased_account &account, account_id id, instant now)
+{
+    const held_share &share = state.holder.shares[slotOf(state.settings, id)];
+    refillAccount(account, state.settings, limitOf(state.limits, id), share.freeFrom, now);
+}
+
+/// Leases come from where the VM's own share is, so that they are backed by it.
+vm_id ownerFor(const limiter &state, account_id id, instant now)
+{
+    const limit_slot slot = slotOf(state.settings, id);
+    const held_share &share = state.holder.shares[slot];
+    const bool delegated = share.delegate != vm_id{} && now < share.freeFrom;
+    return delegated ? share.delegate : state.preferredOwners[slot];
+}
+
+bool requestPending(const limiter &state, const leased_account &account, instant now)
+{
+    return account.asking && now - account.askedAt < state.settings.requestTimeout;
+}
+
+void ask(limiter &state, leased_account &account, account_id id, instant now, limit_effects &effects)
+{
+    const vm_id owner = ownerFor(state, id, now);
+    lease_request request{.sequence = ++state.entry.lastSequence};
+    request.items.push_back(prepareRequest(account, id, state.settings, owner, request.sequence, now));
+    send(state, owner, std::move(request), now, effects);
+}
+
+bool needsRenewal(const leased_account &account)
+{
+    return account.lease.limit.burst > 0 || account.arrivals > 0 || account.demand > 0;
+}
+
+/// One request for each owner, with accounts in order.
+void renewLeases(limiter &state, instant now, limit_effects &effects)
+{
+    std::vector<account_id> due;
+    for (auto &[id, account] : state.entry.accounts) {
+        refill(state, account, id, now);
+        if (needsRenewal(account) && !requestPending(state, account, now)) {
+            due.push_back(id);
+        }
+    }
+    std::ranges::sort(due);
+    std::map<vm_id, lease_request> requests;
+    for (const account_id id : due) {
+        const vm_id owner = ownerFor(state, id, now);
+        const auto [place, created] = requests.try_emplace(owner);
+        lease_request &request = place->second;
+        if (created) {
+            request.sequence = ++state.entry.lastSequence;
+        }
+        leased_account &account = state.entry.accounts.at(id);
+        request.items.push_back(prepareRequest(account, id, state.settings, owner, request.sequence, now));
+    }
+    for (auto &[owner, request] : requests) {
+        send(state, owner, std::move(request), now, effects);
+    }
+}
+
+/// An account is forgotten when a fresh start of it would give no more tokens than it has.
+void dropIdleLeases(limiter &state, instant now)
+{
+    std::erase_if(state.entry.accounts, [&](const auto &entry) {
+        const leased_account &account = entry.second;
+        const bool shareAway = now < state.holder.shares[slotOf(state.settings, entry.first)].freeFrom;
+        const bool ownFull = account.own.level >= account.own.limit.burst;
+        const bool idle = !needsRenewal(account) && account.waiting == 0 && !requestPending(state, account, now);
+        return idle && (shareAway || ownFull);
+    });
+}
+
+void requestShares(limiter &state, instant now, limit_effects &effects)
+{
+    std::vector<limit_slot> slots;
+    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
+        if (state.preferredOwners[slot] == state.self) {
+            slots.push_back(slot);
+        }
+    }
+    if (slots.empty()) {
+        return;
+    }
+    const share_request request = startRound(state.owner, std::move(slots), now);
+    const std::vector<vm_id> members = state.members;
+    for (const vm_id member : members) {
+        send(state, member, request, now, effects);
+    }
+}
+
+void passTime(limiter &state, instant now, limit_effects &effects)
+{
+    if (now >= state.nextRound) {
+        state.nextRound = now + state.settings.roundPeriod;
+        requestShares(state, now, effects);
+        dropIdleAccounts(state.owner, state.settings, state.limits, now);
+    }
+    if (now >= state.nextRenewal) {
+        state.nextRenewal = now + state.settings.renewPeriod;
+        renewLeases(state, now, effects);
+        dropIdleLeases(state, now);
+    }
+}
+
+void giveBackLeases(limiter &state, instant now, limit_effects &effects)
+{
+    state.nextRound = instant::max();
+    for (auto &[id, account] : state.entry.accounts) {
+        account.arrivals = 0;
+        account.demand = 0;
+        account.waiting = 0;
+    }
+    renewLeases(state, now, effects);
+    state.nextRenewal = instant::max();
+}
+
+void apply(limiter &state, vm_id from, const share_request &request, instant now, limit_effects &effects)
+{
+    share_delegation delegation =
+        delegateShares(state.holder, state.settings, from, request, state.preferredOwners, now);
+    if (!delegation.slots.empty()) {
+        send(state, from, std::move(delegation), now, effects);
+    }
+}
+
+void apply(limiter &state, vm_id from, const share_delegation &delegation, instant now, limit_effects & /*effects*/)
+{
+    acceptDelegation(state.owner, state.settings, from, delegation, now);
+}
+
+void apply(limiter &state, vm_id from, const lease_request &request, instant now, limit_effects &effects)
+{
+    lease_grant grant = grantLeases(state.owner, state.settings, state.limits, from, request, now);
+    if (!grant.items.empty()) {
+        send(state, from, std::move(grant), now, effects);
+    }
+}
+
+void apply(limiter &state, vm_id from, const lease_grant &grant, instant now, limit_effects &effects)
+{
+    for (const lease_grant_item &item : grant.items) {
+        const auto found = state.entry.accounts.find(item.account);
+        if (found == state.entry.accounts.end()) {
+            continue;
+        }
+        refill(state, found->second, item.account, now);
+        if (acceptGrant(found->second, state.settings, from, grant.sequence, item, now) && found->second.waiting > 0) {
+            effects.settled.push_back(item.account);
+        }
+    }
+}
+
+void deliver(limiter &state, vm_id from, const limit_message &message, instant now, limit_effects &effects)
+{
+    std::visit([&](const auto &content) { apply(state, from, content, now, effects); }, message);
+}
+
+take_result verdictWithoutToken(limiter &state, leased_account &account, account_id id, instant now,
+                                limit_effects &effects)
+{
+    if (now < account.emptyUntil) {
+        return {.verdict = take_verdict::Refused, .retryAfter = account.retryAfter};
+    }
+    if (!requestPending(state, account, now)) {
+        ++account.waiting;
+        ask(state, account, id, now, effects);
+        --account.waiting;
+        if (takeToken(account)) {
+            return {.verdict = take_verdict::Granted};
+        }
+        if (now < account.emptyUntil) {
+            return {.verdict = take_verdict::Refused, .retryAfter = account.retryAfter};
+        }
+    }
+    return {.verdict = take_verdict::Wait};
+}
+
+take_result verdict(limiter &state, leased_account &account, account_id id, instant now, limit_effects &effects)
+{
+    if (!takeToken(account)) {
+        return verdictWithoutToken(state, account, id, now, effects);
+    }
+    const bool low = account.lease.level < lowLevelPart * account.lease.limit.burst;
+    const bool askedLately = now - account.askedAt < state.settings.renewPeriod / 8;
+    if (low && !askedLately && now >= account.emptyUntil && !requestPending(state, account, now)) {
+        ask(state, account, id, now, effects);
+    }
+    return {.verdict = take_verdict::Granted};
+}
+
+} // namespace
+
+limiter startLimiter(vm_id self, const limit_settings &settings, const limit_table &limits, instant now)
+{
+    limiter state{.self = self,
+                  .settings = settings,
+                  .limits = limits,
+                  .holder = startShareHolder(settings, now),
+                  .owner = startOwner(settings, now),
+                  .nextRound = now,
+                  .nextRenewal = now};
+    state.preferredOwners.resize(settings.slotCount);
+    changeMembers(state, {});
+    return state;
+}
+
+void step(limiter &state, const limit_event &event, instant now, limit_effects &effects)
+{
+    if (const auto *members = std::get_if<limit_members_changed>(&event)) {
+        changeMembers(state, members->members);
+    } else if (const auto *limits = std::get_if<limits_changed>(&event)) {
+        state.limits = limits->limits;
+    } else if (const auto *received = std::get_if<limit_message_received>(&event)) {
+        deliver(state, received->from, received->message, now, effects);
+    } else if (std::holds_alternative<limit_tick>(event)) {
+        passTime(state, now, effects);
+    } else {
+        giveBackLeases(state, now, effects);
+    }
+}
+
+take_result tryTake(limiter &state, account_id id, take_attempt attempt, instant now, limit_effects &effects)
+{
+    const auto [place, created] = state.entry.accounts.try_emplace(id);
+    leased_account &account = place->second;
+    if (created) {
+        account.measuredAt = now;
+    }
+    if (attempt == take_attempt::First) {
+        ++account.arrivals;
+    }
+    refill(state, account, id, now);
+    take_result result = verdict(state, account, id, now, effects);
+    if (attempt == take_attempt::Last && result.verdict == take_verdict::Wait) {
+        result = {.verdict = take_verdict::Refused, .retryAfter = state.settings.requestTimeout};
+    }
+    if (attempt == take_attempt::First && result.verdict == take_verdict::Wait) {
+        ++account.waiting;
+    } else if (attempt != take_attempt::First && result.verdict != take_verdict::Wait) {
+        abandonWait(state, id);
+    }
+    return result;
+}
+
+void abandonWait(limiter &state, account_id id)
+{
+    const auto found = state.entry.accounts.find(id);
+    if (found != state.entry.accounts.end() && found->second.waiting > 0) {
+        --found->second.waiting;
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/limits/share_holder.cpp
@@ -0,0 +1,32 @@
+#include <guavafront/coordination/limits/share_holder.h>
+
+namespace guavafront
+{
+
+share_holder startShareHolder(const limit_settings &settings, instant now)
+{
+    share_holder holder;
+    holder.shares.assign(settings.slotCount, {.freeFrom = now + stretched(settings, settings.delegationLifetime)});
+    return holder;
+}
+
+share_delegation delegateShares(share_holder &holder, const limit_settings &settings, vm_id owner,
+                                const share_request &request, std::span<const vm_id> preferredOwners, instant now)
+{
+    share_delegation delegation{.round = request.round};
+    for (const limit_slot slot : request.slots) {
+        if (slot >= holder.shares.size() || preferredOwners[slot] != owner) {
+            continue;
+        }
+        held_share &share = holder.shares[slot];
+        if (share.delegate != owner && now < share.freeFrom) {
+            continue;
+        }
+        share.delegate = owner;
+        share.freeFrom = now + stretched(settings, settings.delegationLifetime);
+        delegation.slots.push_back(slot);
+    }
+    return delegation;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/limits/share_pool.cpp
@@ -0,0 +1,120 @@
+#include <guavafront/coordination/limits/share_pool.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t historyLimit = 32;
+constexpr duration mergeWindow = std::chrono::milliseconds(50);
+
+/// Growth in quick succession counts from the last moment, which errs to the low side; a loss is never merged.
+void noteWeight(share_pool &pool, instant from, std::uint32_t shares)
+{
+    pool_weight &last = pool.history.back();
+    if (shares == last.shares) {
+        return;
+    }
+    const bool grown = shares > last.shares;
+    if (grown && last.grown && from - last.from < mergeWindow) {
+        last.shares = shares;
+        last.from = from;
+        return;
+    }
+    pool.history.push_back({.from = from, .shares = shares, .grown = grown});
+    if (pool.history.size() > historyLimit) {
+        pool.history.pop_front();
+    }
+}
+
+void dropLapsed(share_pool &pool, instant now)
+{
+    const instant lapsedAt = pool.nextLapse;
+    std::erase_if(pool.shares, [now](const pooled_share &share) { return share.usableUntil <= now; });
+    pool.nextLapse = instant::max();
+    for (const pooled_share &share : pool.shares) {
+        pool.nextLapse = std::min(pool.nextLapse, share.usableUntil);
+    }
+    const instant from = std::max(lapsedAt, pool.history.back().from);
+    noteWeight(pool, from, static_cast<std::uint32_t>(pool.shares.size()));
+}
+
+void mint(pool_reserve &reserve, const limit_settings &settings, const rate_limit &limit, const rate_limit &leased,
+          instant until)
+{
+    const rate_limit part = partOf(limit, settings, reserve.shares);
+    if (until > reserve.refilledAt) {
+        const double rate = std::max(0.0, part.ratePerSecond - leased.ratePerSecond);
+        reserve.level += mintedTokens(settings, rate, until - reserve.refilledAt);
+        reserve.refilledAt = until;
+    }
+    reserve.level = std::min(reserve.level, std::max(0.0, part.burst - leased.burst));
+}
+
+} // namespace
+
+share_pool startPool(instant now)
+{
+    share_pool pool;
+    pool.history.push_back({.from = now});
+    return pool;
+}
+
+void addShare(share_pool &pool, vm_id holder, instant usableUntil, instant now)
+{
+    usableShares(pool, now);
+    if (usableUntil <= now) {
+        return;
+    }
+    const auto place = std::ranges::lower_bound(pool.shares, holder, {}, &pooled_share::holder);
+    if (place != pool.shares.end() && place->holder == holder) {
+        place->usableUntil = std::max(place->usableUntil, usableUntil);
+    } else {
+        pool.shares.insert(place, {.holder = holder, .usableUntil = usableUntil});
+    }
+    pool.nextLapse = std::min(pool.nextLapse, usableUntil);
+    noteWeight(pool, now, static_cast<std::uint32_t>(pool.shares.size()));
+}
+
+std::uint32_t usableShares(share_pool &pool, instant now)
+{
+    if (now >= pool.nextLapse) {
+        dropLapsed(pool, now);
+    }
+    return static_cast<std::uint32_t>(pool.shares.size());
+}
+
+pool_reserve startReserve(const share_pool &pool)
+{
+    assert(!pool.history.empty());
+    return {.refilledAt = pool.history.front().from, .shares = pool.history.front().shares};
+}
+
+void refillReserve(pool_reserve &reserve, share_pool &pool, const limit_settings &settings, const rate_limit &limit,
+                   const rate_limit &leased, instant now)
+{
+    usableShares(pool, now);
+    if (reserve.refilledAt < pool.history.front().from) {
+        reserve = startReserve(pool);
+    }
+    for (const pool_weight &weight : pool.history) {
+        if (weight.from < reserve.refilledAt) {
+            continue;
+        }
+        mint(reserve, settings, limit, leased, weight.from);
+        reserve.shares = weight.shares;
+    }
+    mint(reserve, settings, limit, leased, now);
+}
+
+rate_limit partOf(const rate_limit &limit, const limit_settings &settings, std::uint32_t shares)
+{
+    const double part = static_cast<double>(std::min(shares, settings.fleetSize)) / settings.fleetSize;
+    return {.ratePerSecond = limit.ratePerSecond * part, .burst = limit.burst * part};
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/limits/limiter_test.cpp
@@ -0,0 +1,187 @@
+#include "limits/limiter_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr account_id customer{7};
+constexpr double rounding = 1e-6;
+
+/// Six VMs in steady state; one account of 100 a second and 60 at once.
+struct limiter_fixture {
+    limit_settings settings{.fleetSize = 6, .slotCount = 4};
+    limit_table limits{.defaults = {.ratePerSecond = 100, .burst = 60}};
+    limiter_fleet fleet{6, settings, limits, 1};
+
+    limiter_fixture()
+    {
+        fleet.runUntil(instant(8s));
+    }
+
+    /// Requests at even distances, the seats in turn.
+    void offer(duration span, duration distance, const std::vector<std::size_t> &seats)
+    {
+        const instant end = fleet.now + span;
+        std::size_t number = 0;
+        for (instant when = fleet.now + distance; when < end; when += distance) {
+            const std::size_t seat = seats[number++ % seats.size()];
+            fleet.at(when, [this, seat] { fleet.request(seat, customer); });
+        }
+        fleet.runUntil(end + 100ms);
+    }
+
+    /// Seat that owns the account in the eyes of the first one.
+    std::size_t ownerSeat() const
+    {
+        const vm_id owner = fleet.vms[0].state.preferredOwners[slotOf(settings, customer)];
+        return static_cast<std::size_t>(
+            std::ranges::find(fleet.vms, owner, [](const fleet_vm &vm) { return vm.state.self; }) - fleet.vms.begin());
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(limiter_test, limiter_fixture)
+
+BOOST_AUTO_TEST_CASE(limiter_trafficAtOneVm_wholeRateServed)
+{
+    offer(10s, 11ms, {3});
+    BOOST_TEST(fleet.refused == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_trafficMovesSuddenly_wholeRateServed)
+{
+    offer(5s, 12ms, {0});
+    offer(5s, 12ms, {5});
+    offer(5s, 12ms, {0, 1, 2, 3, 4, 5});
+    BOOST_TEST(fleet.refused == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_burstAtOneVm_burstServedAndNoMore)
+{
+    for (int number = 0; number < 100; ++number) {
+        fleet.request(2, customer);
+    }
+    fleet.runUntil(fleet.now + 100ms);
+    BOOST_TEST(fleet.admitted[customer].size() >= 59U);
+    BOOST_TEST(fleet.worstExcess(customer) <= rounding);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_fiveTimesTheRate_rateServedAndNoMore)
+{
+    offer(10s, 2ms, {0, 1, 2, 3, 4, 5});
+    BOOST_TEST(fleet.worstExcess(customer) <= rounding);
+    BOOST_TEST(fleet.admitted[customer].size() >= 950U);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_hotAccount_messagesDontGrowWithRequests)
+{
+    fleet.limits.defaults = {.ratePerSecond = 10'000, .burst = 5'000};
+    for (std::size_t seat = 0; seat < fleet.vms.size(); ++seat) {
+        fleet.run(seat, limits_changed{fleet.limits});
+    }
+    offer(2s, 200us, {1, 2});
+    const std::uint64_t before = fleet.sent;
+    offer(5s, 200us, {1, 2});
+    BOOST_TEST(fleet.refused == 0U);
+    BOOST_TEST((fleet.sent - before) < 1'000U);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_ownerDies_limitHoldsAndServiceReturns)
+{
+    const std::size_t owner = ownerSeat();
+    const std::size_t caller = (owner + 1) % 6;
+    offer(2s, 15ms, {caller});
+    fleet.vms[owner].alive = false;
+    fleet.announceAll();
+    offer(6s, 15ms, {caller});
+    const std::uint64_t refusedBefore = fleet.refused;
+    offer(5s, 15ms, {caller});
+    BOOST_TEST(fleet.refused == refusedBefore);
+    BOOST_TEST(fleet.worstExcess(customer) <= rounding);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_fleetSplits_eachSideServesItsPart)
+{
+    for (std::size_t left = 0; left < 3; ++left) {
+        for (std::size_t right = 3; right < 6; ++right) {
+            fleet.cut.insert({left, right});
+            fleet.cut.insert({right, left});
+        }
+    }
+    for (std::size_t seat = 0; seat < 6; ++seat) {
+        const std::size_t first = seat < 3 ? 0 : 3;
+        fleet.announce(seat,
+                       {fleet.vms[first].state.self, fleet.vms[first + 1].state.self, fleet.vms[first + 2].state.self});
+    }
+    fleet.runUntil(fleet.now + 6s);
+    offer(10s, 5ms, {0, 5});
+    BOOST_TEST(fleet.worstExcess(customer) <= rounding);
+    BOOST_TEST(fleet.admitted[customer].size() >= 950U);
+}
+
+BOOST_AUTO_TEST_CASE(limiter_grantLateOrRepeated_ignored)
+{
+    leased_account account;
+    const instant start(1h);
+    prepareRequest(account, customer, settings, {9}, 4, start);
+    const lease_grant_item grant{.account = customer, .rate = 5, .capacity = 10, .tokens = 10};
+    BOOST_TEST(!acceptGrant(account, settings, {8}, 4, grant, start + 1ms));
+    BOOST_TEST(!acceptGrant(account, settings, {9}, 3, grant, start + 1ms));
+    BOOST_TEST(!acceptGrant(account, settings, {9}, 4, grant, start + settings.leaseLifetime));
+    BOOST_TEST(acceptGrant(account, settings, {9}, 4, grant, start + 1ms));
+    BOOST_TEST(takeToken(account));
+    BOOST_TEST(!acceptGrant(account, settings, {9}, 4, grant, start + 2ms));
+    BOOST_TEST(account.lease.level == 9);
+    BOOST_TEST((account.leaseEnd == start + settings.leaseLifetime));
+}
+
+BOOST_AUTO_TEST_CASE(owner_lesseeForgotItsLease_tokensNotTakenBack)
+{
+    const instant start(1h);
+    lease_owner owner = startOwner(settings, start);
+    const share_request round = startRound(owner, {slotOf(settings, customer)}, start);
+    acceptDelegation(owner, settings, {1}, {.round = round.round, .slots = round.slots}, start);
+    const instant filled = start + 2s;
+    lease_request request{.sequence = 1, .items = {{.account = customer, .waiting = 9}}};
+    const lease_grant first = grantLeases(owner, settings, limits, {2}, request, filled);
+    BOOST_TEST(first.items.front().tokens == 10);
+    request.sequence = 2;
+    const lease_grant second = grantLeases(owner, settings, limits, {2}, request, filled);
+    BOOST_TEST(second.items.front().tokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(share_delegatedElsewhere_notDelegatedTwice)
+{
+    const instant start(1h);
+    share_holder holder = startShareHolder(settings, start);
+    const std::vector<vm_id> first(settings.slotCount, vm_id{1});
+    const std::vector<vm_id> second(settings.slotCount, vm_id{2});
+    const share_request request{.round = 1, .slots = {0}};
+    BOOST_TEST(delegateShares(holder, settings, {1}, request, first, start).slots.empty());
+    const instant free = start + stretched(settings, settings.delegationLifetime);
+    BOOST_TEST(delegateShares(holder, settings, {1}, request, first, free).slots.size() == 1U);
+    BOOST_TEST(delegateShares(holder, settings, {2}, request, second, free + 1ms).slots.empty());
+    BOOST_TEST(delegateShares(holder, settings, {1}, request, second, free + 1ms).slots.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stretched_fastestAndSlowestClock_coversTheSpan)
+{
+    for (const double drift : {0.0, 0.001, 0.1}) {
+        const limit_settings drifting{.clockDrift = drift};
+        const duration span = drifting.leaseLifetime;
+        const double slowest = static_cast<double>(span.count()) / (1 - drift);
+        const double fastest = static_cast<double>(stretched(drifting, span).count()) / (1 + drift);
+        BOOST_TEST(fastest >= slowest);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
