Queue requests before each service's slots, fair between accounts

Cause: a large account at several times its rate must harm nobody else, and the account manager's order of kinds must hold before the slots.

Change: bounded queues for each account and kind; least attained service (Sengupta et al. 2013, 4.2.1), decayed and weighted by the account's rate; first-come and deficit round robin stay selectable.

Conclusion: least attained service weighted by rate is kept as the default.

--- /dev/null
+++ b/src/coordination/admission/account_order.cpp
@@ -0,0 +1,152 @@
+#include "account_order.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Service time added to the deficit of an account of weight 1 in each round.
+constexpr double quantumSeconds = 0.02;
+/// Weight of the latest service time in an account's estimate.
+constexpr double smoothing = 0.1;
+
+double secondsOf(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+double estimateOf(const admission_settings &settings, const account_queue &account)
+{
+    return account.estimateSeconds > 0 ? account.estimateSeconds : secondsOf(settings.firstEstimate);
+}
+
+double quantumOf(const account_queue &account)
+{
+    return quantumSeconds * account.weight;
+}
+
+std::uint64_t oldestArrival(const account_queue &account)
+{
+    std::uint64_t oldest = account.kinds.front().waiting.front().arrival;
+    for (const kind_queue &kind : account.kinds) {
+        oldest = std::min(oldest, kind.waiting.front().arrival);
+    }
+    return oldest;
+}
+
+account_queue *oldestAccount(admission_queue &queue)
+{
+    const auto oldest = std::ranges::min_element(
+        queue.round, {}, [&queue](account_id id) { return oldestArrival(queue.accounts.at(id)); });
+    return &queue.accounts.at(*oldest);
+}
+
+account_queue *leastServedAccount(admission_queue &queue, instant now)
+{
+    account_queue *least = nullptr;
+    double leastService = 0;
+    for (const account_id id : queue.round) {
+        account_queue &account = queue.accounts.at(id);
+        decayAttained(queue.settings, account, now);
+        const double service = account.attainedSeconds / account.weight;
+        const bool older = least && service == leastService && oldestArrival(account) < oldestArrival(*least);
+        if (!least || service < leastService || older) {
+            least = &account;
+            leastService = service;
+        }
+    }
+    return least;
+}
+
+/// Whole rounds after which the first account can pay for a request; no account can before.
+double roundsUntilPayable(const admission_queue &queue)
+{
+    double fewest = INFINITY;
+    for (const account_id id : queue.round) {
+        const account_queue &account = queue.accounts.at(id);
+        const double missing = estimateOf(queue.settings, account) - account.deficitSeconds;
+        fewest = std::min(fewest, std::max(0.0, std::ceil(missing / quantumOf(account))));
+    }
+    return fewest;
+}
+
+bool canPay(const admission_queue &queue, const account_queue &account)
+{
+    return account.deficitSeconds + 1e-9 >= estimateOf(queue.settings, account);
+}
+
+/// The account at the front is served as long as its deficit pays, then it goes to the back with a new quantum.
+account_queue *roundRobinAccount(admission_queue &queue)
+{
+    const double skipped = roundsUntilPayable(queue) - 1;
+    if (skipped > 0) {
+        for (const account_id id : queue.round) {
+            account_queue &account = queue.accounts.at(id);
+            account.deficitSeconds += skipped * quantumOf(account);
+        }
+    }
+    // Two rounds of one quantum each reach the first account that can pay.
+    const std::size_t visits = 2 * queue.round.size() + 1;
+    for (std::size_t visit = 0; visit < visits; ++visit) {
+        account_queue &account = queue.accounts.at(queue.round.front());
+        if (canPay(queue, account)) {
+            return &account;
+        }
+        account.deficitSeconds += quantumOf(account);
+        queue.round.push_back(queue.round.front());
+        queue.round.pop_front();
+    }
+    return &queue.accounts.at(queue.round.front());
+}
+
+} // namespace
+
+account_queue *nextAccount(admission_queue &queue, instant now)
+{
+    if (queue.round.empty()) {
+        return nullptr;
+    }
+    switch (queue.settings.policy) {
+    case admission_policy::FirstCome:
+        return oldestAccount(queue);
+    case admission_policy::DeficitRoundRobin:
+        return roundRobinAccount(queue);
+    case admission_policy::LeastAttainedService:
+        break;
+    }
+    return leastServedAccount(queue, now);
+}
+
+void decayAttained(const admission_settings &settings, account_queue &account, instant now)
+{
+    if (now > account.decayedAt) {
+        account.attainedSeconds *= std::exp2(-secondsOf(now - account.decayedAt) / secondsOf(settings.halfLife));
+        account.decayedAt = now;
+    }
+}
+
+void chargeStart(const admission_settings &settings, account_queue &account, instant now)
+{
+    decayAttained(settings, account, now);
+    const double estimate = estimateOf(settings, account);
+    account.attainedSeconds += estimate;
+    account.deficitSeconds -= estimate;
+    ++account.running;
+}
+
+void chargeFinish(const admission_settings &settings, account_queue &account, duration service, instant now)
+{
+    decayAttained(settings, account, now);
+    const double estimate = estimateOf(settings, account);
+    const double seconds = secondsOf(service);
+    account.attainedSeconds = std::max(0.0, account.attainedSeconds + seconds - estimate);
+    account.deficitSeconds -= account.waiting > 0 ? seconds - estimate : 0;
+    account.estimateSeconds = estimate + smoothing * (seconds - estimate);
+    --account.running;
+}
+
+} // namespace guavafront
