--- /dev/null
+++ b/bench/health_bench.cpp
@@ -0,0 +1,145 @@
+#include "model/upstream_model.h"
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <string_view>
+
+namespace
+{
+
+using namespace guavafront;
+using namespace guavafront::bench;
+
+/// Sizes of one deployment's service.
+struct deployment {
+    std::string_view name; ///< Service.
+    std::uint32_t instances; ///< Announced.
+    std::uint16_t slots; ///< Of each.
+    duration trip; ///< Between data centres.
+};
+
+/// One way to judge and choose instances.
+struct way {
+    std::string_view name; ///< Short.
+    detection_kind judge; ///< How instances are judged.
+    balancing_policy policy; ///< How they are chosen.
+};
+
+constexpr std::array deployments{
+    deployment{"rutas", 10, 4, std::chrono::milliseconds(4)},
+    deployment{"flaggstjorn", 6, 6, std::chrono::milliseconds(5)},
+};
+
+constexpr std::array<std::pair<fault_kind, std::string_view>, 11> faults{{
+    {fault_kind::None, "none"},
+    {fault_kind::Slow, "slow"},
+    {fault_kind::HalfAnswers, "half answers"},
+    {fault_kind::DeadToOneDataCentre, "dead to one DC"},
+    {fault_kind::OneBadLink, "one bad link"},
+    {fault_kind::Flapping, "flapping"},
+    {fault_kind::SilentConnections, "silent conns"},
+    {fault_kind::LyingLoad, "lying load"},
+    {fault_kind::ColdStart, "cold start"},
+    {fault_kind::CrashRequest, "crash request"},
+    {fault_kind::TwoSlow, "two slow"},
+}};
+
+constexpr std::array ways{
+    way{"errors+two choices", detection_kind::ConsecutiveErrors, balancing_policy::TwoChoices},
+    way{"evidence+two choices", detection_kind::Evidence, balancing_policy::TwoChoices},
+    way{"evidence+latency", detection_kind::Evidence, balancing_policy::ExpectedLatency},
+};
+
+constexpr std::array policies{
+    way{"random", detection_kind::Evidence, balancing_policy::Random},
+    way{"round robin", detection_kind::Evidence, balancing_policy::RoundRobin},
+    way{"two choices", detection_kind::Evidence, balancing_policy::TwoChoices},
+    way{"expected latency", detection_kind::Evidence, balancing_policy::ExpectedLatency},
+};
+
+void printHeader()
+{
+    std::printf("%-11s %-14s %-21s %8s %6s %9s %8s %8s %8s %7s %7s\n", "service", "fault", "way", "detect s", "false",
+                "failed %", "p50 ms", "p99 ms", "capacity", "union", "deaths");
+}
+
+void printRow(std::string_view service, std::string_view fault, std::string_view way, const model_result &result)
+{
+    const double failedPercent =
+        result.requests == 0 ? 0 : 100.0 * static_cast<double>(result.failed) / static_cast<double>(result.requests);
+    std::printf("%-11s %-14s %-21s %8.2f %6llu %9.3f %8.1f %8.1f %8.2f %7.2f %7llu\n", service.data(), fault.data(),
+                way.data(), result.detectSeconds, static_cast<unsigned long long>(result.falseEjections),
+                failedPercent, result.p50Ms, result.p99Ms, result.lowestCapacity, result.lowestUnion,
+                static_cast<unsigned long long>(result.deaths));
+}
+
+model_options optionsFor(const deployment &service, std::uint64_t seed)
+{
+    return {.instances = service.instances, .slots = service.slots, .trip = service.trip, .seed = seed};
+}
+
+void compareDetection(std::uint64_t seed)
+{
+    std::printf("Detection, 45 VMs, half of the slots busy, seed %llu\n", static_cast<unsigned long long>(seed));
+    printHeader();
+    for (const deployment &service : deployments) {
+        for (const auto &[kind, name] : faults) {
+            for (const way &each : ways) {
+                model_options options = optionsFor(service, seed);
+                options.fault = kind;
+                options.detection = each.judge;
+                options.policy = each.policy;
+                printRow(service.name, name, each.name, run(options));
+            }
+        }
+    }
+}
+
+void compareBalancing(std::uint64_t seed)
+{
+    std::printf("\nBalancing, no fault, share of busy slots as the fault's name, seed %llu\n",
+                static_cast<unsigned long long>(seed));
+    printHeader();
+    for (const deployment &service : deployments) {
+        for (const auto &[utilization, name] : {std::pair{0.3, "30 %"}, {0.6, "60 %"}, {0.8, "80 %"}}) {
+            for (const way &each : policies) {
+                for (const bool loadReports : {false, true}) {
+                    model_options options = optionsFor(service, seed);
+                    options.utilization = utilization;
+                    options.policy = each.policy;
+                    options.loadReports = loadReports;
+                    const std::string label = std::string(each.name) + (loadReports ? "+load" : "");
+                    printRow(service.name, name, label, run(options));
+                }
+            }
+        }
+    }
+}
+
+void compareSilence(std::uint64_t seed)
+{
+    std::printf("\nSilent connections, with and without leaving them early, seed %llu\n",
+                static_cast<unsigned long long>(seed));
+    printHeader();
+    for (const deployment &service : deployments) {
+        for (const bool replace : {false, true}) {
+            model_options options = optionsFor(service, seed);
+            options.fault = fault_kind::SilentConnections;
+            options.replaceSilent = replace;
+            printRow(service.name, "silent conns", replace ? "leave early" : "wait", run(options));
+        }
+    }
+}
+
+} // namespace
+
+/// Prints the tables of docs/design/upstreams.md; the argument is the seed, 1 by default.
+int main(int argc, char **argv)
+{
+    const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    compareDetection(seed);
+    compareBalancing(seed);
+    compareSilence(seed);
+    return 0;
+}
--- /dev/null
+++ b/bench/model/consecutive_errors.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <guavafront/coordination/health/outcome.h>
+#include <guavafront/coordination/routing/candidate_set.h>
+
+#include <cstdint>
+#include <map>
+
+namespace guavafront::bench
+{
+
+/// The baseline at one VM: errors in a row eject an instance, each time for longer.
+struct consecutive_errors {
+    /// What is known of one instance.
+    struct instance_errors {
+        std::uint32_t inRow = 0; ///< Errors since the last answer.
+        std::uint32_t strikes = 0; ///< Ejections so far.
+        instant until{}; ///< End of the ejection.
+    };
+
+    std::map<std::uint64_t, instance_errors> instances; ///< By instance id.
+};
+
+/// Counts an outcome; ejects at five errors in a row.
+inline void onOutcome(consecutive_errors &state, const outcome &news, instant now)
+{
+    constexpr std::uint32_t limit = 5;
+    constexpr duration firstEjection = std::chrono::seconds(30);
+    consecutive_errors::instance_errors &errors = state.instances[news.instance.value];
+    if (news.kind == outcome_kind::Answered) {
+        errors.inRow = 0;
+    } else if (news.kind != outcome_kind::Shed && ++errors.inRow >= limit && errors.until <= now) {
+        errors.inRow = 0;
+        ++errors.strikes;
+        errors.until = now + firstEjection * errors.strikes;
+    }
+}
+
+/// Takes ejected members out, at most 30 % of them.
+inline void applyTo(const consecutive_errors &state, candidate_set &set, instant now)
+{
+    constexpr std::size_t maxPercent = 30;
+    std::size_t left = set.items.size() * maxPercent / 100;
+    for (candidate &member : set.items) {
+        const auto errors = state.instances.find(member.instance.value);
+        const bool ejected = errors != state.instances.end() && errors->second.until > now && left > 0;
+        left -= ejected ? 1U : 0U;
+        member.standing = ejected ? candidate_standing::LastResort : candidate_standing::InRotation;
+    }
+}
+
+} // namespace guavafront::bench
--- a/include/guavafront/coordination/retries/retry.h
+++ b/include/guavafront/coordination/retries/retry.h
@@ -29,6 +29,10 @@
 /// when it was proved not to have run. Failed connections cost no token: no upstream did any work for them.
 bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt);
 
+/// How long a repeatable request waits on a used connection before it is tried on another one: ten times the usual
+/// latency, so that a connection that went silent costs less than the deadline.
+duration silenceTimeout(duration typicalLatency);
+
 /// What the caller is told when there is no further attempt.
 refusal refusalAfter(const failed_attempt &attempt);
 
--- a/src/coordination/retries/retry.cpp
+++ b/src/coordination/retries/retry.cpp
@@ -1,5 +1,7 @@
 #include <guavafront/coordination/retries/retry.h>
 
+#include <algorithm>
+
 namespace guavafront
 {
 
@@ -15,6 +17,13 @@
     return attempt.kind == outcome_kind::ConnectFailed || takeRetry(budget);
 }
 
+duration silenceTimeout(duration typicalLatency)
+{
+    constexpr int factor = 10;
+    constexpr duration least = std::chrono::milliseconds(100);
+    return std::max(least, typicalLatency * factor);
+}
+
 refusal refusalAfter(const failed_attempt &attempt)
 {
     constexpr duration retryAfter = std::chrono::seconds(1);
