Pool weak evidence over VMs, drop load reports, count losses before proof

Change: VMs report hints as well, whose levels add up; stale averages drift back so that a recovered instance is tried again; lost connections count towards the quarantine until the instance proves alive; one retry only after a loss.

--- a/bench/health_bench.cpp
+++ b/bench/health_bench.cpp
@@ -31,7 +31,7 @@
     deployment{"flaggstjorn", 6, 6, std::chrono::milliseconds(5)},
 };
 
-constexpr std::array<std::pair<fault_kind, std::string_view>, 11> faults{{
+constexpr std::array<std::pair<fault_kind, std::string_view>, 12> faults{{
     {fault_kind::None, "none"},
     {fault_kind::Slow, "slow"},
     {fault_kind::HalfAnswers, "half answers"},
@@ -43,6 +43,7 @@
     {fault_kind::ColdStart, "cold start"},
     {fault_kind::CrashRequest, "crash request"},
     {fault_kind::TwoSlow, "two slow"},
+    {fault_kind::AllErrors, "all 30% errors"},
 }};
 
 constexpr std::array ways{
@@ -69,8 +70,8 @@
     const double failedPercent =
         result.requests == 0 ? 0 : 100.0 * static_cast<double>(result.failed) / static_cast<double>(result.requests);
     std::printf("%-11s %-14s %-21s %8.2f %6llu %9.3f %8.1f %8.1f %8.2f %7.2f %7llu\n", service.data(), fault.data(),
-                way.data(), result.detectSeconds, static_cast<unsigned long long>(result.falseEjections),
-                failedPercent, result.p50Ms, result.p99Ms, result.lowestCapacity, result.lowestUnion,
+                way.data(), result.detectSeconds, static_cast<unsigned long long>(result.falseEjections), failedPercent,
+                result.p50Ms, result.p99Ms, result.lowestCapacity, result.lowestUnion,
                 static_cast<unsigned long long>(result.deaths));
 }
 
@@ -104,14 +105,10 @@
     for (const deployment &service : deployments) {
         for (const auto &[utilization, name] : {std::pair{0.3, "30 %"}, {0.6, "60 %"}, {0.8, "80 %"}}) {
             for (const way &each : policies) {
-                for (const bool loadReports : {false, true}) {
-                    model_options options = optionsFor(service, seed);
-                    options.utilization = utilization;
-                    options.policy = each.policy;
-                    options.loadReports = loadReports;
-                    const std::string label = std::string(each.name) + (loadReports ? "+load" : "");
-                    printRow(service.name, name, label, run(options));
-                }
+                model_options options = optionsFor(service, seed);
+                options.utilization = utilization;
+                options.policy = each.policy;
+                printRow(service.name, name, each.name, run(options));
             }
         }
     }
--- a/bench/model/upstream_model.cpp
+++ b/bench/model/upstream_model.cpp
@@ -125,6 +125,7 @@
         vm.selection.dataCentre = std::string(1, static_cast<char>('a' + dataCentreOf(index)));
         vm.selection.policy = m_options.policy;
         vm.selection.fleet.vmsInDataCentre = m_options.vmsPerDataCentre;
+        vm.selection.fleet.vms = m_options.vmsPerDataCentre * 3;
         for (const upstream_instance &each : m_instances) {
             announceTo(vm, each.self);
         }
@@ -146,7 +147,7 @@
     void scheduleArrival()
     {
         const double perSecond = m_options.utilization * m_options.instances * m_options.slots
-            / std::chrono::duration<double>(meanService).count();
+                                 / std::chrono::duration<double>(meanService).count();
         std::exponential_distribution<double> gap(perSecond);
         m_events.after(duration(static_cast<std::int64_t>(gap(m_random) * 1e6)), [this] {
             scheduleArrival();
@@ -255,7 +256,7 @@
             return false;
         }
         return (m_options.fault == fault_kind::DeadToOneDataCentre && dataCentreOf(vm) == 0)
-            || (m_options.fault == fault_kind::OneBadLink && vm == 0);
+               || (m_options.fault == fault_kind::OneBadLink && vm == 0);
     }
 
     bool faultActive() const
@@ -288,7 +289,7 @@
             return cold;
         }
         const bool slow = (m_options.fault == fault_kind::Slow && index == 0)
-            || (m_options.fault == fault_kind::TwoSlow && index < 2);
+                          || (m_options.fault == fault_kind::TwoSlow && index < 2);
         const bool lying = m_options.fault == fault_kind::LyingLoad && index == 0;
         return slow ? 10 : (lying ? 2.5 : cold);
     }
@@ -339,6 +340,10 @@
                 return outcome_kind::HalfAnswer;
             }
         }
+        if (m_options.fault == fault_kind::AllErrors && faultActive() && m_events.now() < faultBegin + 10s
+            && draw < 0.3) {
+            return outcome_kind::ErrorAnswer;
+        }
         constexpr double backgroundErrors = 0.002;
         return draw < backgroundErrors ? outcome_kind::ErrorAnswer : outcome_kind::Answered;
     }
@@ -375,14 +380,20 @@
 
     void confirmDeath(std::size_t vmIndex, std::size_t at)
     {
-        const instance_id id = m_instances[at].self.instance;
-        for (const lost_request &death : onInstanceDied(m_vms[vmIndex].held, id, m_events.now())) {
-            m_events.after(spreadDelay, [this, death] {
-                for (entry_vm &vm : m_vms) {
-                    learnDeath(vm.held, death, m_events.now());
+        onInstanceDied(m_vms[vmIndex].held, m_instances[at].self.instance, m_events.now());
+    }
+
+    void spreadLoss(std::size_t vmIndex, request_fingerprint print, instance_id instance)
+    {
+        const lost_request lost{.what = {print, instance}, .at = m_events.now()};
+        onConnectionLost(m_vms[vmIndex].held, lost);
+        m_events.after(spreadDelay, [this, vmIndex, lost] {
+            for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+                if (vm != vmIndex) {
+                    onConnectionLost(m_vms[vm].held, lost);
                 }
-            });
-        }
+            }
+        });
     }
 
     void endTry(std::size_t index, outcome_kind kind, bool notRun)
@@ -403,7 +414,10 @@
         judgeByErrors(vm, news);
         keepOrDrop(vm, attempt, kind);
         if (kind == outcome_kind::ConnectionLost) {
-            onConnectionLost(vm.held, {.what = {print, news.instance}, .at = m_events.now()});
+            spreadLoss(attempt.vm, print, news.instance);
+        }
+        if (kind == outcome_kind::Answered) {
+            onInstanceAlive(vm.held, news.instance, attempt.sent);
         }
         if (kind == outcome_kind::ConnectFailed && !m_instances[attempt.instance].alive) {
             confirmDeath(attempt.vm, attempt.instance);
@@ -421,8 +435,8 @@
 
     void keepOrDrop(entry_vm &vm, const try_state &attempt, outcome_kind kind)
     {
-        const bool whole = kind == outcome_kind::Answered || kind == outcome_kind::ErrorAnswer
-            || kind == outcome_kind::Shed;
+        const bool whole =
+            kind == outcome_kind::Answered || kind == outcome_kind::ErrorAnswer || kind == outcome_kind::Shed;
         if (whole && m_instances[attempt.instance].alive) {
             vm.idle[attempt.instance].push_back(false);
         }
@@ -439,13 +453,12 @@
             return;
         }
         entry_vm &vm = m_vms[attempt.vm];
-        const failed_attempt failed{
-            .kind = kind,
-            .ran = notRun ? execution::NotRun : execution::Unknown,
-            .repeatable = state.repeatable,
-            .quarantined = isQuarantined(vm.held, fingerprint(attempt.request), deaths),
-            .attempts = static_cast<std::uint32_t>(state.tried.size()),
-            .timeLeft = state.arrived + requestTimeout - m_events.now()};
+        const failed_attempt failed{.kind = kind,
+                                    .ran = notRun ? execution::NotRun : execution::Unknown,
+                                    .repeatable = state.repeatable,
+                                    .quarantined = isQuarantined(vm.held, fingerprint(attempt.request), deaths),
+                                    .attempts = static_cast<std::uint32_t>(state.tried.size()),
+                                    .timeLeft = state.arrived + requestTimeout - m_events.now()};
         if (shouldRetry(*findRetryBudget(vm.selection, vm.known, serviceName), retry_limits{}, failed)) {
             tryOnce(attempt.request, attempt.vm);
         } else {
@@ -508,9 +521,6 @@
     void superviseVm(std::size_t index)
     {
         entry_vm &vm = m_vms[index];
-        if (m_options.loadReports) {
-            reportLoads(vm);
-        }
         if (m_options.detection == detection_kind::Evidence) {
             if (const auto report = supervise(vm.selection, vm.known, m_events.now())) {
                 m_events.after(spreadDelay, [this, report, id = vm.selection.self] {
@@ -527,15 +537,6 @@
         noteEjections(index);
     }
 
-    void reportLoads(entry_vm &vm)
-    {
-        for (candidate &member : vm.selection.services[0].candidates.items) {
-            const std::size_t at = member.instance.value - 1;
-            const bool lies = m_options.fault == fault_kind::LyingLoad && at == 0 && faultActive();
-            member.reportedLoad = lies ? 0 : static_cast<float>(m_instances[at].busy) / m_options.slots;
-        }
-    }
-
     static std::set<std::uint64_t> outOf(const entry_vm &vm)
     {
         std::set<std::uint64_t> out;
@@ -569,6 +570,7 @@
         case fault_kind::None:
         case fault_kind::SilentConnections:
         case fault_kind::ColdStart:
+        case fault_kind::AllErrors:
             break;
         }
         return false;
@@ -628,7 +630,9 @@
     {
         std::ranges::sort(m_latencies);
         const auto quantile = [this](double share) {
-            return m_latencies.empty() ? 0 : m_latencies[static_cast<std::size_t>(share * static_cast<double>(m_latencies.size() - 1))];
+            return m_latencies.empty()
+                       ? 0
+                       : m_latencies[static_cast<std::size_t>(share * static_cast<double>(m_latencies.size() - 1))];
         };
         m_result.p50Ms = quantile(0.5);
         m_result.p99Ms = quantile(0.99);
--- a/bench/model/upstream_model.h
+++ b/bench/model/upstream_model.h
@@ -28,6 +28,7 @@
     ColdStart,
     CrashRequest,
     TwoSlow,
+    AllErrors,
 };
 
 /// How instances are judged.
@@ -47,7 +48,6 @@
     duration trip = std::chrono::milliseconds(4); ///< There and back between data centres.
     double utilization = 0.5; ///< Share of all slots that is busy.
     double repeatableShare = 0.7; ///< Of the requests.
-    bool loadReports = false; ///< Balancer takes the instances' reports of load, a second old.
     bool replaceSilent = true; ///< Repeatable requests leave a silent used connection early.
     std::uint64_t seed = 1; ///< Of all random numbers.
 };
--- a/include/guavafront/coordination/health/service_health.h
+++ b/include/guavafront/coordination/health/service_health.h
@@ -12,13 +12,15 @@
 
 /// Limits of the detector.
 struct health_limits {
-    float reportScore = 6; ///< From here on a VM tells the others.
+    float hintScore = 2; ///< From here on, when it lasts, a VM gives the others a hint.
+    float suspectScore = 6; ///< From here on it reports a suspicion.
+    duration hintDelay = std::chrono::milliseconds(500); ///< A hint must last so long; a stray error doesn't.
     float holdScore = 9; ///< From here on a VM acts on its own evidence alone.
     float faultyShare = 0.5F; ///< Share of bad outcomes at a faulty instance, for the likelihood ratio.
     float minBackgroundShare = 0.02F; ///< Bad outcomes that a healthy instance is granted in any case.
     float slowFactor = 3; ///< An answer this many times slower than the peers' is bad.
     duration slowMargin = std::chrono::milliseconds(20); ///< It must be slower by this as well; more than a trip.
-    duration scoreHalfLife = std::chrono::seconds(15); ///< Old evidence loses half its weight in it.
+    duration scoreHalfLife = std::chrono::seconds(60); ///< Old evidence loses half its weight in it.
     duration firstHold = std::chrono::seconds(5); ///< First time out of rotation; doubles with each strike.
     duration longestHold = std::chrono::minutes(5); ///< Bound of the doubling.
     duration strikeMemory = std::chrono::minutes(2); ///< Healthy time after which one strike is forgotten.
@@ -27,6 +29,14 @@
     float firstWeight = 0.1F; ///< Where both ramps begin.
 };
 
+/// How strongly one VM suspects an instance; the numbers add up over VMs.
+enum class suspicion_level : std::uint8_t {
+    None = 0, ///< Not at all.
+    Hint = 1, ///< One bad outcome that nothing has outweighed.
+    Suspect = 2, ///< Several.
+    Held = 3, ///< It holds the instance out of rotation.
+};
+
 /// Where an instance stands by this VM's own evidence.
 enum class local_standing : std::uint8_t {
     Healthy, ///< In rotation.
@@ -44,6 +54,7 @@
     std::uint16_t silentConnections = 0; ///< Timeouts on used connections since the last answer.
     local_standing standing = local_standing::Healthy; ///< Where it stands.
     instant scoredAt{}; ///< When score was last updated.
+    instant hintSince{}; ///< Since when the score is at least hintScore; meaningless below.
     instant since{}; ///< Begin of the standing.
     instant until{}; ///< End of a hold or probation; of a healthy one, when its next strike is forgotten.
     instant servingSince{}; ///< Begin of the cold-start ramp.
@@ -72,8 +83,8 @@
 /// Evidence of one instance; null when it isn't known.
 const instance_health *findHealth(const service_health &service, instance_id instance);
 
-/// Whether the evidence is strong enough to tell the other VMs.
-bool isSuspect(const service_health &service, const instance_health &instance, instant now);
+/// How strong the evidence is, for the other VMs.
+suspicion_level suspicionOf(const service_health &service, const instance_health &instance, instant now);
 
 /// Share of its turns that an instance takes by its cold-start and return ramps, above 0 to 1.
 float rampWeight(const health_limits &limits, const instance_health &instance, instant now);
--- a/include/guavafront/coordination/health/shared_evidence.h
+++ b/include/guavafront/coordination/health/shared_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/health/service_health.h>
 
 #include <cstdint>
 #include <string>
@@ -11,20 +12,29 @@
 namespace guavafront
 {
 
+/// One VM's suspicion of one instance.
+struct suspicion {
+    instance_id instance; ///< The instance.
+    suspicion_level level = suspicion_level::None; ///< How strongly.
+
+    /// Memberwise equality.
+    bool operator==(const suspicion &) const = default;
+};
+
 /// What one VM tells the others of upstreams' health; sent when it changes, not when time passes.
 struct health_report {
     std::string dataCentre; ///< Data centre of the VM, since health is a view per data centre.
-    std::vector<instance_id> suspects; ///< Instances with strong evidence against them, in order of id.
+    std::vector<suspicion> suspects; ///< Instances with evidence against them, in order of id.
     std::vector<instance_id> ejected; ///< Instances that the VM ejects, in order of id.
 
     /// Memberwise equality.
     bool operator==(const health_report &) const = default;
 };
 
-/// How many VMs suspect an instance.
-struct suspicion_count {
-    std::uint32_t here = 0; ///< VMs of the asked data centre.
-    std::uint32_t mostInOneDataCentre = 0; ///< The largest number in any one data centre.
+/// What the VMs together say of an instance.
+struct fleet_opinion {
+    bool corroboratedHere = false; ///< Enough VMs of the asked data centre suspect it strongly enough.
+    bool corroborated = false; ///< Enough VMs of some data centre do.
     bool ejected = false; ///< Some VM ejects it.
 };
 
@@ -40,8 +50,10 @@
 /// Forgets a VM that was lost.
 void removeReport(shared_evidence &evidence, vm_id reporter);
 
-/// Counts the VMs that suspect an instance.
-suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre);
+/// Adds up the suspicions of an instance in each data centre. It takes `needed` VMs, and on average a suspicion of
+/// level Suspect from each of so many.
+fleet_opinion opinionOf(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
+                        std::uint32_t needed);
 
 /// VMs of one data centre that must agree before an instance is ejected there: one bad link is not enough, unless the
 /// VM is the only one.
--- a/include/guavafront/coordination/retries/retry.h
+++ b/include/guavafront/coordination/retries/retry.h
@@ -12,6 +12,7 @@
 /// Limits of the attempts of one request.
 struct retry_limits {
     std::uint32_t maxAttempts = 3; ///< Attempts of one request, the first included.
+    std::uint32_t maxAttemptsAfterLoss = 2; ///< The same after a lost connection: the request may be the cause.
     duration minTimeLeft = std::chrono::milliseconds(5); ///< With less time left a retry can't end in time.
 };
 
--- a/include/guavafront/coordination/routing/candidate_set.h
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -25,7 +25,6 @@
     instant lastAnswer{}; ///< When latencyUs was last updated.
     float latencyUs = 0; ///< Moving average of answers' latency as seen here, trip included; 0 before the first.
     float weight = 1; ///< Share of its turns that it takes, 0 to 1; 0 takes it out.
-    float reportedLoad = 0; ///< Share of slots in use by its own word; a hint.
     candidate_standing standing = candidate_standing::InRotation; ///< When it may be chosen.
     std::uint16_t slots = 1; ///< Requests it runs at once.
     std::uint16_t outstanding = 0; ///< Requests of this VM that it runs now.
@@ -59,6 +58,10 @@
 /// The request ended without an answer that says anything of latency.
 void onRequestEnded(candidate &member);
 
+/// Lets the averages of members without recent answers drift to the typical latency, so that an instance which has
+/// recovered is tried again; call a few times a second.
+void relaxLatencies(candidate_set &set, instant now);
+
 /// The request was answered; latency runs from sending to the whole answer.
 void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now);
 
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -29,6 +29,7 @@
 /// What a VM knows of the fleet's other VMs.
 struct fleet_view {
     std::uint32_t vmsInDataCentre = 1; ///< Living VMs of this one's data centre, itself included.
+    std::uint32_t vms = 1; ///< All living VMs.
     bool hearsMajority = true; ///< It hears most of the fleet; otherwise it begins no ejection on others' word.
 };
 
@@ -42,6 +43,7 @@
     std::vector<selected_service> services; ///< Same indexes as in the registry.
     shared_evidence evidence; ///< Reports of all VMs, the own one included.
     std::unordered_map<instance_id, instant> corroboratedSince; ///< When enough VMs agreed, as heard here.
+    instant lastReport{}; ///< When the own report last changed.
 };
 
 /// Follows the registry: members of every service whose list has changed.
--- a/src/coordination/health/service_health.cpp
+++ b/src/coordination/health/service_health.cpp
@@ -90,8 +90,10 @@
 
 void addEvidence(service_health &service, instance_health &instance, float ratio, instant now)
 {
+    const bool wasHint = decayedScore(service.limits, instance, now) >= service.limits.hintScore;
     instance.score = std::max(0.0F, decayedScore(service.limits, instance, now) + ratio);
     instance.scoredAt = now;
+    instance.hintSince = wasHint ? instance.hintSince : now;
     if (instance.score >= service.limits.holdScore && instance.standing != local_standing::Held) {
         hold(service.limits, instance, now);
     }
@@ -215,12 +217,17 @@
     return found != service.instances.end() && found->instance == instance ? &*found : nullptr;
 }
 
-bool isSuspect(const service_health &service, const instance_health &instance, instant now)
+suspicion_level suspicionOf(const service_health &service, const instance_health &instance, instant now)
 {
     if (instance.standing != local_standing::Healthy) {
-        return instance.standing == local_standing::Held;
+        return instance.standing == local_standing::Held ? suspicion_level::Held : suspicion_level::None;
     }
-    return decayedScore(service.limits, instance, now) >= service.limits.reportScore;
+    const float score = decayedScore(service.limits, instance, now);
+    if (score >= service.limits.suspectScore) {
+        return suspicion_level::Suspect;
+    }
+    const bool lasts = instance.hintSince + service.limits.hintDelay <= now;
+    return score >= service.limits.hintScore && lasts ? suspicion_level::Hint : suspicion_level::None;
 }
 
 float rampWeight(const health_limits &limits, const instance_health &instance, instant now)
--- a/src/coordination/health/shared_evidence.cpp
+++ b/src/coordination/health/shared_evidence.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <span>
 
 namespace guavafront
 {
@@ -16,10 +15,13 @@
 constexpr std::uint32_t reportersPerInstance = 16; ///< Expected number in one data centre.
 constexpr std::uint32_t reportersPerVote = 5; ///< One in so many reporters must agree.
 
-bool contains(std::span<const instance_id> ordered, instance_id instance)
-{
-    return std::ranges::binary_search(ordered, instance.value, {}, &instance_id::value);
-}
+constexpr auto levelsPerVote = static_cast<std::uint32_t>(suspicion_level::Suspect);
+
+/// Suspicions of one instance in one data centre.
+struct suspicion_sum {
+    std::uint32_t reporters = 0; ///< VMs.
+    std::uint32_t levels = 0; ///< Sum of their levels.
+};
 
 void addReporter(shared_evidence &evidence, instance_id instance, vm_id reporter)
 {
@@ -44,7 +46,7 @@
 template<class action>
 void forEachInstance(const health_report &report, action apply)
 {
-    std::ranges::for_each(report.suspects, apply);
+    std::ranges::for_each(report.suspects, [&apply](const suspicion &each) { apply(each.instance); });
     std::ranges::for_each(report.ejected, apply);
 }
 
@@ -67,25 +69,31 @@
     evidence.reports.erase(known);
 }
 
-suspicion_count countSuspicions(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre)
+fleet_opinion opinionOf(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
+                        std::uint32_t needed)
 {
     const auto known = evidence.reporters.find(instance);
     if (known == evidence.reporters.end()) {
         return {};
     }
-    std::map<std::string_view, std::uint32_t> perDataCentre;
-    suspicion_count count;
+    std::map<std::string_view, suspicion_sum> sums;
+    fleet_opinion opinion;
     for (const vm_id reporter : known->second) {
         const health_report &report = evidence.reports.at(reporter);
-        count.ejected = count.ejected || contains(report.ejected, instance);
-        if (contains(report.suspects, instance)) {
-            const std::uint32_t number = ++perDataCentre[report.dataCentre];
-            count.mostInOneDataCentre = std::max(count.mostInOneDataCentre, number);
+        opinion.ejected = opinion.ejected || std::ranges::find(report.ejected, instance) != report.ejected.end();
+        const auto suspicion = std::ranges::find(report.suspects, instance, &suspicion::instance);
+        if (suspicion != report.suspects.end()) {
+            suspicion_sum &sum = sums[report.dataCentre];
+            ++sum.reporters;
+            sum.levels += static_cast<std::uint32_t>(suspicion->level);
         }
     }
-    const auto here = perDataCentre.find(dataCentre);
-    count.here = here == perDataCentre.end() ? 0 : here->second;
-    return count;
+    for (const auto &[where, sum] : sums) {
+        const bool enough = sum.reporters >= needed && sum.levels >= needed * levelsPerVote;
+        opinion.corroborated = opinion.corroborated || enough;
+        opinion.corroboratedHere = opinion.corroboratedHere || (enough && where == dataCentre);
+    }
+    return opinion;
 }
 
 std::uint32_t reportersNeeded(std::uint32_t vmsInDataCentre)
--- a/src/coordination/quarantine/quarantine.cpp
+++ b/src/coordination/quarantine/quarantine.cpp
@@ -45,12 +45,32 @@
     return *state.records.insert(position, death_record{.request = request, .lastDeath = now});
 }
 
-std::size_t counted(const death_record &record)
+bool isForgiven(const death_record *record, instance_id instance)
 {
-    const auto isCounted = [&record](instance_id instance) {
-        return !std::ranges::binary_search(record.forgiven, instance.value, {}, &instance_id::value);
-    };
-    return static_cast<std::size_t>(std::ranges::count_if(record.died, isCounted));
+    return record && std::ranges::binary_search(record->forgiven, instance.value, {}, &instance_id::value);
+}
+
+/// Distinct instances that died of a request or may have, without the forgiven ones.
+std::size_t countDeaths(const quarantine &state, request_fingerprint request)
+{
+    const death_record *record = find(state, request);
+    std::vector<instance_id> instances = record ? record->died : std::vector<instance_id>();
+    for (const lost_request &lost : state.lost) {
+        if (lost.what.request == request) {
+            add(instances, lost.what.instance);
+        }
+    }
+    std::erase_if(instances, [record](instance_id instance) { return isForgiven(record, instance); });
+    return instances.size();
+}
+
+void countDeath(quarantine &state, const lost_request &death, instant now)
+{
+    death_record &record = recordFor(state, death.what.request, now);
+    record.account = death.account;
+    record.route = death.route;
+    record.lastDeath = now;
+    add(record.died, death.what.instance);
 }
 
 } // namespace
@@ -63,40 +83,33 @@
     state.lost.push_back(lost);
 }
 
-std::vector<lost_request> onInstanceDied(quarantine &state, instance_id instance, instant now)
+void onInstanceAlive(quarantine &state, instance_id instance, instant sentAt)
 {
-    std::vector<lost_request> confirmed;
-    const auto concerns = [&](const lost_request &lost) {
-        return lost.what.instance == instance;
-    };
-    for (const lost_request &lost : state.lost) {
-        if (concerns(lost) && lost.at + confirmationLimit >= now) {
-            confirmed.push_back(lost);
-        }
-    }
-    std::erase_if(state.lost, concerns);
-    for (const lost_request &death : confirmed) {
-        learnDeath(state, death, now);
-    }
-    return confirmed;
+    std::erase_if(state.lost,
+                  [&](const lost_request &lost) { return lost.what.instance == instance && lost.at < sentAt; });
 }
 
-void learnDeath(quarantine &state, const lost_request &death, instant now)
+void onInstanceDied(quarantine &state, instance_id instance, instant now)
 {
-    death_record &record = recordFor(state, death.what.request, now);
-    record.account = death.account;
-    record.route = death.route;
-    record.lastDeath = now;
-    add(record.died, death.what.instance);
+    for (const lost_request &lost : state.lost) {
+        if (lost.what.instance == instance && lost.at + confirmationLimit >= now) {
+            countDeath(state, lost, now);
+        }
+    }
+    std::erase_if(state.lost, [instance](const lost_request &lost) { return lost.what.instance == instance; });
 }
 
-std::optional<death_record> release(quarantine &state, request_fingerprint request)
+std::optional<death_record> release(quarantine &state, request_fingerprint request, instant now)
 {
-    const death_record *known = find(state, request);
-    if (!known) {
+    if (countDeaths(state, request) == 0) {
         return std::nullopt;
     }
-    auto &record = const_cast<death_record &>(*known);
+    death_record &record = recordFor(state, request, now);
+    for (const lost_request &lost : state.lost) {
+        if (lost.what.request == request) {
+            add(record.died, lost.what.instance);
+        }
+    }
     record.forgiven = record.died;
     return record;
 }
@@ -111,21 +124,19 @@
 
 bool isQuarantined(const quarantine &state, request_fingerprint request, std::uint32_t deaths)
 {
-    const death_record *record = find(state, request);
-    return record && counted(*record) >= deaths;
+    return countDeaths(state, request) >= deaths;
 }
 
 bool isSuspectRequest(const quarantine &state, request_fingerprint request)
 {
-    const death_record *record = find(state, request);
-    return record && counted(*record) > 0;
+    return countDeaths(state, request) > 0;
 }
 
 std::vector<death_record> listQuarantined(const quarantine &state, std::uint32_t deaths)
 {
     std::vector<death_record> held;
     std::ranges::copy_if(state.records, std::back_inserter(held),
-                         [deaths](const death_record &record) { return counted(record) >= deaths; });
+                         [&](const death_record &record) { return countDeaths(state, record.request) >= deaths; });
     return held;
 }
 
--- a/src/coordination/routing/balancer.cpp
+++ b/src/coordination/routing/balancer.cpp
@@ -71,12 +71,11 @@
     return search(part, below(part.size(), nextRandom(random)), filter);
 }
 
-/// Share of slots in use after one more request, by what this VM knows and the instance says.
+/// Share of slots in use after one more request, by what this VM knows. The instances' own reports are left out: all
+/// VMs follow the same old ones and herd to the same instance.
 float occupancy(const candidate &member)
 {
-    const auto slots = static_cast<float>(member.slots);
-    const float inUse = std::max(static_cast<float>(member.outstanding), member.reportedLoad * slots);
-    return (inUse + 1) / slots;
+    return static_cast<float>(member.outstanding + 1) / static_cast<float>(member.slots);
 }
 
 /// The less loaded of two members drawn from a part; null when none is usable.
--- a/src/coordination/routing/candidate_set.cpp
+++ b/src/coordination/routing/candidate_set.cpp
@@ -13,6 +13,8 @@
 
 constexpr float decaySeconds = 10; ///< Time in which an old average loses 63 % of its weight.
 constexpr float minSampleShare = 0.2F; ///< A sample's least share, so that busy instances are followed as well.
+constexpr duration staleAfter = std::chrono::seconds(1); ///< Without an answer for longer an average drifts.
+constexpr float driftPerCall = 0.02F; ///< Share of the way to the typical latency.
 constexpr float typicalSampleShare = 0.01F; ///< A sample's share in the average over all.
 
 std::uint64_t orderOf(const candidate &member)
@@ -58,7 +60,6 @@
     const candidate *before = findCandidate(from, id);
     candidate member = before ? *before : candidate{.instance = id};
     member.slots = entry->last.slots;
-    member.reportedLoad = entry->last.load;
     to.items.push_back(member);
 }
 
@@ -96,6 +97,15 @@
     }
 }
 
+void relaxLatencies(candidate_set &set, instant now)
+{
+    for (candidate &member : set.items) {
+        if (member.latencyUs > 0 && member.lastAnswer + staleAfter < now) {
+            member.latencyUs += (set.typicalLatencyUs - member.latencyUs) * driftPerCall;
+        }
+    }
+}
+
 void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now)
 {
     onRequestEnded(member);
--- a/src/coordination/upstreams/rotation.cpp
+++ b/src/coordination/upstreams/rotation.cpp
@@ -38,13 +38,13 @@
 ejection_request requestFor(upstream_selection &selection, const selected_service &service,
                             const announcement &instance, instant now)
 {
-    const suspicion_count count = countSuspicions(selection.evidence, instance.instance, selection.dataCentre);
     const std::uint32_t needed = reportersNeeded(selection.fleet.vmsInDataCentre);
-    const bool settled = isSettled(selection, instance.instance, count.mostInOneDataCentre >= needed, now);
-    const bool onOthersWord = count.here >= needed && settled && selection.fleet.hearsMajority;
+    const fleet_opinion opinion = opinionOf(selection.evidence, instance.instance, selection.dataCentre, needed);
+    const bool settled = isSettled(selection, instance.instance, opinion.corroborated, now);
+    const bool onOthersWord = opinion.corroboratedHere && settled && selection.fleet.hearsMajority;
     ejection_request request{.instance = instance.instance, .slots = instance.slots};
     request.appliesHere = onOthersWord || isHeld(service, instance.instance);
-    if (count.ejected) {
+    if (opinion.ejected) {
         request.claim = ejection_claim::Ejected;
     } else if (settled) {
         request.claim = ejection_claim::Corroborated;
@@ -147,8 +147,9 @@
         return isReporter(selection.self, instance, selection.fleet.vmsInDataCentre);
     };
     for (const instance_health &health : service.health.instances) {
-        if (isSuspect(service.health, health, now) && reports(health.instance)) {
-            report.suspects.push_back(health.instance);
+        const suspicion_level level = suspicionOf(service.health, health, now);
+        if (level != suspicion_level::None && reports(health.instance)) {
+            report.suspects.push_back({health.instance, level});
         }
     }
     for (const ejection_request &request : requests) {
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -52,6 +52,35 @@
     return news.kind == outcome_kind::Answered || news.kind == outcome_kind::TimedOut;
 }
 
+void sortReport(health_report &report)
+{
+    std::ranges::sort(report.suspects, {}, [](const suspicion &each) { return each.instance.value; });
+    std::ranges::sort(report.ejected, {}, &instance_id::value);
+}
+
+/// Whether a report says something that the others should hear at once: more than a hint, or an ejection.
+bool isUrgent(const health_report &before, const health_report &after)
+{
+    const auto isNewSuspicion = [&before](const suspicion &each) {
+        return each.level > suspicion_level::Hint && std::ranges::find(before.suspects, each) == before.suspects.end();
+    };
+    return before.ejected != after.ejected || std::ranges::any_of(after.suspects, isNewSuspicion);
+}
+
+/// Whether a report is to be published now. What isn't urgent waits, the longer the more VMs there are, so that all
+/// reports together stay within a budget of bytes.
+bool isDue(const upstream_selection &selection, const health_report &report, instant now)
+{
+    constexpr duration intervalPerVm = std::chrono::milliseconds(10);
+    const auto known = selection.evidence.reports.find(selection.self);
+    const health_report before =
+        known == selection.evidence.reports.end() ? health_report{.dataCentre = report.dataCentre} : known->second;
+    if (before == report) {
+        return false;
+    }
+    return isUrgent(before, report) || selection.lastReport + intervalPerVm * selection.fleet.vms <= now;
+}
+
 } // namespace
 
 void followRegistry(upstream_selection &selection, const registry &known)
@@ -107,6 +136,7 @@
 {
     for (selected_service &service : selection.services) {
         advance(service.health, now);
+        relaxLatencies(service.candidates, now);
     }
     const std::vector<std::vector<ejection_request>> requests = collectRequests(selection, known, now);
     health_report report{.dataCentre = selection.dataCentre};
@@ -114,14 +144,11 @@
         decideRotation(selection, selection.services[index], requests[index], now);
         addToReport(selection, selection.services[index], requests[index], now, report);
     }
-    std::ranges::sort(report.suspects, {}, &instance_id::value);
-    std::ranges::sort(report.ejected, {}, &instance_id::value);
-    const auto before = selection.evidence.reports.find(selection.self);
-    const bool same = before == selection.evidence.reports.end() ? report.suspects.empty() && report.ejected.empty()
-                                                                 : before->second == report;
-    if (same) {
+    sortReport(report);
+    if (!isDue(selection, report, now)) {
         return std::nullopt;
     }
+    selection.lastReport = now;
     putReport(selection.evidence, selection.self, report);
     return report;
 }
--- a/tests/health/ejection_test.cpp
+++ b/tests/health/ejection_test.cpp
@@ -20,10 +20,11 @@
 
     ejection_fixture()
     {
-        putReport(evidence, {1}, {.dataCentre = "a", .suspects = {{1}, {2}}});
-        putReport(evidence, {2}, {.dataCentre = "a", .suspects = {{1}}});
-        putReport(evidence, {3}, {.dataCentre = "a", .suspects = {{1}}});
-        putReport(evidence, {4}, {.dataCentre = "b", .suspects = {{2}}, .ejected = {{2}}});
+        using enum suspicion_level;
+        putReport(evidence, {1}, {.dataCentre = "a", .suspects = {{{1}, Held}, {{2}, Held}}});
+        putReport(evidence, {2}, {.dataCentre = "a", .suspects = {{{1}, Suspect}}});
+        putReport(evidence, {3}, {.dataCentre = "a", .suspects = {{{1}, Hint}}});
+        putReport(evidence, {4}, {.dataCentre = "b", .suspects = {{{2}, Held}}, .ejected = {{2}}});
     }
 
     static ejection_request request(std::uint64_t id, ejection_claim claim, bool here = true)
@@ -36,22 +37,37 @@
 
 BOOST_FIXTURE_TEST_SUITE(ejection_test, ejection_fixture)
 
-BOOST_AUTO_TEST_CASE(countSuspicions_severalDataCentres_countedApart)
+BOOST_AUTO_TEST_CASE(opinionOf_severalDataCentres_judgedApart)
 {
-    const suspicion_count one = countSuspicions(evidence, {1}, "b");
-    BOOST_TEST(one.here == 0);
-    BOOST_TEST(one.mostInOneDataCentre == 3);
-    BOOST_TEST(!one.ejected);
-    const suspicion_count two = countSuspicions(evidence, {2}, "a");
-    BOOST_TEST(two.here == 1);
-    BOOST_TEST(two.ejected);
+    BOOST_TEST(opinionOf(evidence, {1}, "a", 3).corroboratedHere);
+    const fleet_opinion inB = opinionOf(evidence, {1}, "b", 3);
+    BOOST_TEST(!inB.corroboratedHere);
+    BOOST_TEST(inB.corroborated);
+    BOOST_TEST(!inB.ejected);
+}
+
+BOOST_AUTO_TEST_CASE(opinionOf_oneVmInEachDataCentre_notCorroborated)
+{
+    const fleet_opinion opinion = opinionOf(evidence, {2}, "a", 2);
+    BOOST_TEST(!opinion.corroborated);
+    BOOST_TEST(opinion.ejected);
+}
+
+BOOST_AUTO_TEST_CASE(opinionOf_hintsOnly_moreVmsNeeded)
+{
+    for (std::uint64_t vm = 11; vm <= 16; ++vm) {
+        BOOST_TEST(!opinionOf(evidence, {3}, "c", 3).corroboratedHere);
+        putReport(evidence, {vm}, {.dataCentre = "c", .suspects = {{{3}, suspicion_level::Hint}}});
+    }
+    BOOST_TEST(opinionOf(evidence, {3}, "c", 3).corroboratedHere);
 }
 
 BOOST_AUTO_TEST_CASE(removeReport_lostVm_suspicionsGone)
 {
     removeReport(evidence, {4});
-    BOOST_TEST(!countSuspicions(evidence, {2}, "a").ejected);
-    BOOST_TEST(countSuspicions(evidence, {2}, "a").here == 1);
+    BOOST_TEST(!opinionOf(evidence, {2}, "a", 3).ejected);
+    removeReport(evidence, {1});
+    BOOST_TEST(!opinionOf(evidence, {1}, "a", 3).corroborated);
 }
 
 BOOST_AUTO_TEST_CASE(reportersNeeded_oneBadLink_neverEnoughUnlessAlone)
--- a/tests/health/service_health_test.cpp
+++ b/tests/health/service_health_test.cpp
@@ -97,7 +97,7 @@
         }
     }
     BOOST_TEST(!isHeld(1));
-    BOOST_TEST(!isSuspect(service, health(1), now));
+    BOOST_TEST((suspicionOf(service, health(1), now) == suspicion_level::None));
 }
 
 BOOST_AUTO_TEST_CASE(recordOutcome_allInstancesFailAlike_noneSingledOut)
--- a/tests/quarantine/quarantine_test.cpp
+++ b/tests/quarantine/quarantine_test.cpp
@@ -16,7 +16,7 @@
 constexpr instant start{1h};
 constexpr request_fingerprint culprit{77};
 
-/// Two VMs that hear each other's confirmed deaths.
+/// Two VMs that hear of each other's lost connections and of each instance that is gone.
 struct quarantine_fixture {
     quarantine here;
     quarantine there;
@@ -26,12 +26,12 @@
         return {.what = {.request = request, .instance = {instance}}, .account = {5}, .route = {6}, .at = start};
     }
 
-    /// The request runs on the instance, which dies of it; the other VM hears.
-    void die(quarantine &seenBy, quarantine &hears, std::uint64_t instance)
+    /// The request runs on the instance, which dies of it.
+    void die(std::uint64_t instance)
     {
-        onConnectionLost(seenBy, lost(instance));
-        for (const lost_request &death : onInstanceDied(seenBy, {instance}, start + 1s)) {
-            learnDeath(hears, death, start + 1s);
+        for (quarantine *vm : {&here, &there}) {
+            onConnectionLost(*vm, lost(instance));
+            onInstanceDied(*vm, {instance}, start + 1s);
         }
     }
 };
@@ -40,46 +40,58 @@
 
 BOOST_FIXTURE_TEST_SUITE(quarantine_test, quarantine_fixture)
 
-BOOST_AUTO_TEST_CASE(isQuarantined_deathsSeenByDifferentVms_heldOnBoth)
+BOOST_AUTO_TEST_CASE(isQuarantined_diedOfItThreeTimes_heldOnBothVms)
 {
-    die(here, there, 1);
-    die(there, here, 2);
+    die(1);
+    die(2);
     BOOST_TEST(!isQuarantined(here, culprit, deaths));
     BOOST_TEST(isSuspectRequest(there, culprit));
-    die(here, there, 3);
+    die(3);
     BOOST_TEST(isQuarantined(here, culprit, deaths));
     BOOST_TEST(isQuarantined(there, culprit, deaths));
     BOOST_TEST(!isQuarantined(here, {78}, deaths));
 }
 
-BOOST_AUTO_TEST_CASE(onConnectionLost_instanceLives_notCounted)
+BOOST_AUTO_TEST_CASE(isQuarantined_deathsNotProvedYet_heldAlready)
+{
+    for (std::uint64_t instance = 1; instance <= 3; ++instance) {
+        onConnectionLost(here, lost(instance));
+    }
+    BOOST_TEST(isQuarantined(here, culprit, deaths));
+}
+
+BOOST_AUTO_TEST_CASE(onInstanceAlive_answersAfterTheLoss_notCounted)
 {
     for (std::uint64_t instance = 1; instance <= 5; ++instance) {
         onConnectionLost(here, lost(instance));
+        onInstanceAlive(here, {instance}, start - 1s); // Sent before the loss: proves nothing.
+        BOOST_TEST(isSuspectRequest(here, culprit));
+        onInstanceAlive(here, {instance}, start + 1s);
+        BOOST_TEST(!isSuspectRequest(here, culprit));
     }
-    BOOST_TEST(!isSuspectRequest(here, culprit));
 }
 
 BOOST_AUTO_TEST_CASE(onInstanceDied_sameDeathTwice_countedOnce)
 {
-    die(here, there, 1);
-    die(there, here, 1);
-    die(here, there, 1);
+    die(1);
+    die(1);
+    die(1);
     BOOST_TEST(!isQuarantined(here, culprit, 2));
 }
 
 BOOST_AUTO_TEST_CASE(onInstanceDied_longAfterTheLoss_notCounted)
 {
     onConnectionLost(here, lost(1));
-    BOOST_TEST(onInstanceDied(here, {1}, start + 1min).empty());
+    onInstanceDied(here, {1}, start + 1min);
+    BOOST_TEST(!isSuspectRequest(here, culprit));
 }
 
 BOOST_AUTO_TEST_CASE(isQuarantined_bystanderOfOneDeath_notHeld)
 {
     onConnectionLost(here, lost(1, {99}));
-    die(here, there, 1);
-    die(here, there, 2);
-    die(here, there, 3);
+    die(1);
+    die(2);
+    die(3);
     BOOST_TEST(!isQuarantined(here, {99}, deaths));
     BOOST_TEST(listQuarantined(here, deaths).size() == 1);
 }
@@ -87,17 +99,17 @@
 BOOST_AUTO_TEST_CASE(release_heldRequest_runsAgainUntilNewDeaths)
 {
     for (std::uint64_t instance = 1; instance <= 3; ++instance) {
-        die(here, there, instance);
+        die(instance);
     }
-    const std::optional<death_record> released = release(here, culprit);
+    const std::optional<death_record> released = release(here, culprit, start);
     BOOST_REQUIRE(released);
     learnRelease(there, culprit, released->forgiven, start);
     BOOST_TEST(!isQuarantined(here, culprit, deaths));
     BOOST_TEST(!isQuarantined(there, culprit, deaths));
-    die(here, there, 3); // An old death told again stays forgiven.
+    die(3); // An old death told again stays forgiven.
     BOOST_TEST(!isSuspectRequest(there, culprit));
     for (std::uint64_t instance = 4; instance <= 6; ++instance) {
-        die(here, there, instance);
+        die(instance);
     }
     BOOST_TEST(isQuarantined(there, culprit, deaths));
 }
@@ -107,7 +119,7 @@
     const std::array forgiven{instance_id{1}, instance_id{2}, instance_id{3}};
     learnRelease(there, culprit, forgiven, start);
     for (std::uint64_t instance = 1; instance <= 3; ++instance) {
-        die(here, there, instance);
+        die(instance);
     }
     BOOST_TEST(isQuarantined(here, culprit, deaths));
     BOOST_TEST(!isSuspectRequest(there, culprit));
@@ -115,7 +127,7 @@
 
 BOOST_AUTO_TEST_CASE(expire_noNewDeath_forgotten)
 {
-    die(here, there, 1);
+    die(1);
     expire(here, start + 2h);
     BOOST_TEST(here.records.empty());
 }
