Judge bad outcomes against what is usual at the peers now

Change: the usual share is that of the better, used and not held instances over the last half second, taken anew with each bad outcome; earlier scores shrink when it rises; only what stands out against the median score counts; others' reports count only above twice the median of the service. A silent connection no longer slows its instance's average, so that a fresh connection confirms a dead one.

--- a/include/guavafront/coordination/health/service_health.h
+++ b/include/guavafront/coordination/health/service_health.h
@@ -21,6 +21,7 @@
     float slowFactor = 3; ///< An answer this many times slower than the peers' is bad.
     duration slowMargin = std::chrono::milliseconds(20); ///< It must be slower by this as well; more than a trip.
     duration scoreHalfLife = std::chrono::seconds(60); ///< Old evidence loses half its weight in it.
+    duration outcomeHalfLife = std::chrono::milliseconds(400); ///< Of the outcomes that show what is usual.
     duration firstHold = std::chrono::seconds(5); ///< First time out of rotation; doubles with each strike.
     duration longestHold = std::chrono::minutes(5); ///< Bound of the doubling.
     duration strikeMemory = std::chrono::minutes(2); ///< Healthy time after which one strike is forgotten.
@@ -48,7 +49,8 @@
 struct instance_health {
     instance_id instance; ///< The instance.
     float score = 0; ///< Cumulative log likelihood ratio of faulty against healthy (CUSUM; Page, 1954), 0 or more.
-    float badShare = 0; ///< Moving share of bad outcomes.
+    float goodOutcomes = 0; ///< Good ones lately.
+    float badOutcomes = 0; ///< Bad ones lately.
     float latencyUs = 0; ///< Moving average of answers' latency; 0 before the first.
     std::uint16_t strikes = 0; ///< Holds not yet forgotten.
     std::uint16_t silentConnections = 0; ///< Timeouts on used connections since the last answer.
@@ -65,7 +67,9 @@
     health_limits limits; ///< Limits of the detector.
     std::vector<instance_health> instances; ///< Ordered by instance id.
     float peerLatencyUs = 0; ///< Median of the instances' latency.
-    float backgroundShare = 0; ///< Median of the instances' share of bad outcomes.
+    float backgroundShare = 0; ///< Share of bad outcomes at the better instances; what is usual for the service now.
+    float peerScore = 0; ///< Median of the instances' scores; only what stands out against it counts.
+    instant advancedAt{}; ///< When advance() was last called.
 };
 
 /// Follows the registry: adds new instances, drops gone ones, keeps the evidence of the others.
@@ -74,7 +78,8 @@
 /// Takes the evidence of one attempt; may begin a hold.
 void recordOutcome(service_health &service, const outcome &news, instant now);
 
-/// Moves holds, probations and strikes on and takes the peers' medians anew; call a few times a second.
+/// Moves holds, probations and strikes on and takes anew what is usual at the peers; call a few times a second. When
+/// bad outcomes become usual for the service, earlier ones lose weight: they say nothing of one instance.
 void advance(service_health &service, instant now);
 
 /// An instance that was out of rotation on the others' word comes back gradually.
--- a/include/guavafront/coordination/health/shared_evidence.h
+++ b/include/guavafront/coordination/health/shared_evidence.h
@@ -50,10 +50,18 @@
 /// Forgets a VM that was lost.
 void removeReport(shared_evidence &evidence, vm_id reporter);
 
-/// Adds up the suspicions of an instance in each data centre. It takes `needed` VMs, and on average a suspicion of
-/// level Suspect from each of so many.
+/// What it takes to corroborate a suspicion in a data centre.
+struct corroboration_rule {
+    std::uint32_t reporters = 2; ///< VMs; their levels must add up to Suspect from each of so many.
+    std::uint32_t usualLevels = 0; ///< Sum of levels that is usual at the service's instances; twice it is needed more.
+};
+
+/// Adds up the suspicions of an instance in each data centre.
 fleet_opinion opinionOf(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
-                        std::uint32_t needed);
+                        const corroboration_rule &rule);
+
+/// Largest sum of levels against an instance in any one data centre.
+std::uint32_t levelsAgainst(const shared_evidence &evidence, instance_id instance);
 
 /// VMs of one data centre that must agree before an instance is ejected there: one bad link is not enough, unless the
 /// VM is the only one.
--- a/src/coordination/health/service_health.cpp
+++ b/src/coordination/health/service_health.cpp
@@ -9,7 +9,9 @@
 namespace
 {
 
-constexpr float shareOfNewest = 0.1F; ///< Weight of the newest outcome in the moving averages.
+constexpr float shareOfNewest = 0.1F; ///< Weight of the newest answer in the average latency.
+constexpr float mostUsualShare = 0.95F; ///< Of faultyShare; keeps the ratio of a bad outcome above zero.
+constexpr float betterShare = 0.7F; ///< Part of the instances that shows what is usual.
 constexpr float connectBackgroundShare = 0.01F; ///< Failed connections are rarer than other faults.
 constexpr std::uint16_t maxSilentConnections = 2; ///< Silent connections that one failure of a fresh one confirms.
 
@@ -61,14 +63,23 @@
     return news.kind != outcome_kind::Answered || isSlow(service, instance, news.latency, now);
 }
 
+/// Log likelihood ratio of a bad outcome against a usual share of them.
+float badRatio(const health_limits &limits, float usualShare, float leastShare)
+{
+    return std::log(limits.faultyShare / std::clamp(usualShare, leastShare, mostUsualShare * limits.faultyShare));
+}
+
 /// Log likelihood ratio that one outcome adds.
 float likelihoodRatio(const service_health &service, const outcome &news, bool bad)
 {
     const health_limits &limits = service.limits;
-    const bool connect = news.kind == outcome_kind::ConnectFailed;
-    const float least = connect ? connectBackgroundShare : limits.minBackgroundShare;
-    const float background = std::clamp(service.backgroundShare, least, limits.faultyShare);
-    return bad ? std::log(limits.faultyShare / background) : std::log((1 - limits.faultyShare) / (1 - background));
+    if (bad) {
+        const bool connect = news.kind == outcome_kind::ConnectFailed;
+        const float least = connect ? connectBackgroundShare : limits.minBackgroundShare;
+        return badRatio(limits, service.backgroundShare, least);
+    }
+    const float background = std::clamp(service.backgroundShare, limits.minBackgroundShare, limits.faultyShare);
+    return std::log((1 - limits.faultyShare) / (1 - background));
 }
 
 duration holdFor(const health_limits &limits, std::uint16_t strikes)
@@ -94,7 +105,7 @@
     instance.score = std::max(0.0F, decayedScore(service.limits, instance, now) + ratio);
     instance.scoredAt = now;
     instance.hintSince = wasHint ? instance.hintSince : now;
-    if (instance.score >= service.limits.holdScore && instance.standing != local_standing::Held) {
+    if (instance.score - service.peerScore >= service.limits.holdScore && instance.standing != local_standing::Held) {
         hold(service.limits, instance, now);
     }
 }
@@ -118,7 +129,8 @@
     instance.until = now + limits.returnRamp;
     instance.score = limits.holdScore - oneBadOutcome;
     instance.scoredAt = now;
-    instance.badShare = 0;
+    instance.goodOutcomes = 0;
+    instance.badOutcomes = 0;
     instance.latencyUs = 0;
 }
 
@@ -154,6 +166,83 @@
     return *middle;
 }
 
+float medianLatency(const service_health &service)
+{
+    std::vector<float> latencies;
+    for (const instance_health &instance : service.instances) {
+        if (instance.latencyUs > 0) {
+            latencies.push_back(instance.latencyUs);
+        }
+    }
+    return lowerMedian(latencies);
+}
+
+/// Whether the instance was used lately and isn't known to be faulty, so that it can stand for what is usual.
+bool isUsed(const instance_health &instance)
+{
+    return instance.standing != local_standing::Held && instance.goodOutcomes + instance.badOutcomes >= 1;
+}
+
+float medianScore(const service_health &service, instant now)
+{
+    std::vector<float> scores;
+    for (const instance_health &instance : service.instances) {
+        if (isUsed(instance)) {
+            scores.push_back(decayedScore(service.limits, instance, now));
+        }
+    }
+    return lowerMedian(scores);
+}
+
+float badShare(float bad, float good)
+{
+    return bad + good > 0 ? bad / (bad + good) : 0;
+}
+
+/// Share of bad outcomes at the better instances together.
+float usualShare(const service_health &service)
+{
+    std::vector<const instance_health *> ordered;
+    for (const instance_health &instance : service.instances) {
+        if (isUsed(instance)) {
+            ordered.push_back(&instance);
+        }
+    }
+    std::ranges::sort(ordered, {},
+                      [](const instance_health *each) { return badShare(each->badOutcomes, each->goodOutcomes); });
+    ordered.resize(static_cast<std::size_t>(static_cast<float>(ordered.size()) * betterShare));
+    float bad = 0;
+    float good = 0;
+    for (const instance_health *each : ordered) {
+        bad += each->badOutcomes;
+        good += each->goodOutcomes;
+    }
+    return badShare(bad, good);
+}
+
+/// Takes what is usual anew; evidence from before bad outcomes became more usual loses weight.
+void updateUsualShare(service_health &service)
+{
+    const float least = service.limits.minBackgroundShare;
+    const float before = badRatio(service.limits, service.backgroundShare, least);
+    service.backgroundShare = usualShare(service);
+    const float after = badRatio(service.limits, service.backgroundShare, least);
+    for (instance_health &instance : service.instances) {
+        instance.score *= std::min(1.0F, after / before);
+    }
+}
+
+/// Lets outcomes fade with time.
+void fadeOutcomes(service_health &service, instant now)
+{
+    const float fade = std::exp2(-seconds(now - service.advancedAt) / seconds(service.limits.outcomeHalfLife));
+    service.advancedAt = now;
+    for (instance_health &instance : service.instances) {
+        instance.goodOutcomes *= fade;
+        instance.badOutcomes *= fade;
+    }
+}
+
 } // namespace
 
 void updateMembers(service_health &service, std::span<const registered_instance> instances)
@@ -176,13 +265,16 @@
         return;
     }
     const bool bad = isBad(service, *instance, news, now);
-    instance->badShare += ((bad ? 1.0F : 0.0F) - instance->badShare) * shareOfNewest;
+    (bad ? instance->badOutcomes : instance->goodOutcomes) += 1;
     if (news.kind == outcome_kind::Answered) {
         const auto latencyUs = static_cast<float>(news.latency.count());
         const float before = instance->latencyUs > 0 ? instance->latencyUs : latencyUs;
         instance->latencyUs = before + (latencyUs - before) * shareOfNewest;
     }
     const bool noAnswer = news.kind == outcome_kind::TimedOut || news.kind == outcome_kind::ConnectFailed;
+    if (bad) {
+        updateUsualShare(service);
+    }
     const int events = noAnswer ? instance->silentConnections + 1 : 1;
     instance->silentConnections = 0;
     addEvidence(service, *instance, likelihoodRatio(service, news, bad) * static_cast<float>(events), now);
@@ -190,17 +282,13 @@
 
 void advance(service_health &service, instant now)
 {
-    std::vector<float> latencies;
-    std::vector<float> badShares;
+    fadeOutcomes(service, now);
     for (instance_health &instance : service.instances) {
         moveOn(service.limits, instance, now);
-        badShares.push_back(instance.badShare);
-        if (instance.latencyUs > 0) {
-            latencies.push_back(instance.latencyUs);
-        }
     }
-    service.peerLatencyUs = lowerMedian(latencies);
-    service.backgroundShare = lowerMedian(badShares);
+    service.peerLatencyUs = medianLatency(service);
+    updateUsualShare(service);
+    service.peerScore = medianScore(service, now);
 }
 
 void startProbation(service_health &service, instance_id instance, instant now)
@@ -222,7 +310,7 @@
     if (instance.standing != local_standing::Healthy) {
         return instance.standing == local_standing::Held ? suspicion_level::Held : suspicion_level::None;
     }
-    const float score = decayedScore(service.limits, instance, now);
+    const float score = decayedScore(service.limits, instance, now) - service.peerScore;
     if (score >= service.limits.suspectScore) {
         return suspicion_level::Suspect;
     }
--- a/src/coordination/health/shared_evidence.cpp
+++ b/src/coordination/health/shared_evidence.cpp
@@ -21,8 +21,30 @@
 struct suspicion_sum {
     std::uint32_t reporters = 0; ///< VMs.
     std::uint32_t levels = 0; ///< Sum of their levels.
+    bool ejected = false; ///< Some VM ejects the instance.
 };
 
+/// Sums by data centre of the reporting VMs.
+std::map<std::string_view, suspicion_sum> sumSuspicions(const shared_evidence &evidence, instance_id instance)
+{
+    std::map<std::string_view, suspicion_sum> sums;
+    const auto known = evidence.reporters.find(instance);
+    if (known == evidence.reporters.end()) {
+        return sums;
+    }
+    for (const vm_id reporter : known->second) {
+        const health_report &report = evidence.reports.at(reporter);
+        suspicion_sum &sum = sums[report.dataCentre];
+        sum.ejected = sum.ejected || std::ranges::find(report.ejected, instance) != report.ejected.end();
+        const auto suspicion = std::ranges::find(report.suspects, instance, &suspicion::instance);
+        if (suspicion != report.suspects.end()) {
+            ++sum.reporters;
+            sum.levels += static_cast<std::uint32_t>(suspicion->level);
+        }
+    }
+    return sums;
+}
+
 void addReporter(shared_evidence &evidence, instance_id instance, vm_id reporter)
 {
     std::vector<vm_id> &reporters = evidence.reporters[instance];
@@ -70,32 +92,28 @@
 }
 
 fleet_opinion opinionOf(const shared_evidence &evidence, instance_id instance, std::string_view dataCentre,
-                        std::uint32_t needed)
+                        const corroboration_rule &rule)
 {
-    const auto known = evidence.reporters.find(instance);
-    if (known == evidence.reporters.end()) {
-        return {};
-    }
-    std::map<std::string_view, suspicion_sum> sums;
+    const std::uint32_t levelsNeeded = rule.reporters * levelsPerVote + 2 * rule.usualLevels;
     fleet_opinion opinion;
-    for (const vm_id reporter : known->second) {
-        const health_report &report = evidence.reports.at(reporter);
-        opinion.ejected = opinion.ejected || std::ranges::find(report.ejected, instance) != report.ejected.end();
-        const auto suspicion = std::ranges::find(report.suspects, instance, &suspicion::instance);
-        if (suspicion != report.suspects.end()) {
-            suspicion_sum &sum = sums[report.dataCentre];
-            ++sum.reporters;
-            sum.levels += static_cast<std::uint32_t>(suspicion->level);
-        }
-    }
-    for (const auto &[where, sum] : sums) {
-        const bool enough = sum.reporters >= needed && sum.levels >= needed * levelsPerVote;
+    for (const auto &[where, sum] : sumSuspicions(evidence, instance)) {
+        const bool enough = sum.reporters >= rule.reporters && sum.levels >= levelsNeeded;
         opinion.corroborated = opinion.corroborated || enough;
         opinion.corroboratedHere = opinion.corroboratedHere || (enough && where == dataCentre);
+        opinion.ejected = opinion.ejected || sum.ejected;
     }
     return opinion;
 }
 
+std::uint32_t levelsAgainst(const shared_evidence &evidence, instance_id instance)
+{
+    std::uint32_t most = 0;
+    for (const auto &[where, sum] : sumSuspicions(evidence, instance)) {
+        most = std::max(most, sum.levels);
+    }
+    return most;
+}
+
 std::uint32_t reportersNeeded(std::uint32_t vmsInDataCentre)
 {
     if (vmsInDataCentre <= 1) {
--- a/src/coordination/upstreams/rotation.cpp
+++ b/src/coordination/upstreams/rotation.cpp
@@ -36,10 +36,10 @@
 
 /// The request that reports and own evidence make for an instance.
 ejection_request requestFor(upstream_selection &selection, const selected_service &service,
-                            const announcement &instance, instant now)
+                            const announcement &instance, std::uint32_t usual, instant now)
 {
-    const std::uint32_t needed = reportersNeeded(selection.fleet.vmsInDataCentre);
-    const fleet_opinion opinion = opinionOf(selection.evidence, instance.instance, selection.dataCentre, needed);
+    const corroboration_rule rule{.reporters = reportersNeeded(selection.fleet.vmsInDataCentre), .usualLevels = usual};
+    const fleet_opinion opinion = opinionOf(selection.evidence, instance.instance, selection.dataCentre, rule);
     const bool settled = isSettled(selection, instance.instance, opinion.corroborated, now);
     const bool onOthersWord = opinion.corroboratedHere && settled && selection.fleet.hearsMajority;
     ejection_request request{.instance = instance.instance, .slots = instance.slots};
@@ -52,6 +52,18 @@
     return request;
 }
 
+/// Lower median of the levels against a service's instances: when all look alike, none of them is the fault.
+std::uint32_t usualLevels(const shared_evidence &evidence, std::span<const registered_instance> instances)
+{
+    std::vector<std::uint32_t> levels;
+    for (const registered_instance &entry : instances) {
+        levels.push_back(levelsAgainst(evidence, entry.last.instance));
+    }
+    const auto middle = levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
+    std::ranges::nth_element(levels, middle);
+    return *middle;
+}
+
 /// Whether a request concerns other VMs: own evidence alone takes up no capacity but here.
 bool isRelevant(const ejection_request &request)
 {
@@ -114,7 +126,8 @@
             continue;
         }
         const std::uint32_t index = known.serviceOf.at(instance);
-        const ejection_request request = requestFor(selection, selection.services[index], entry->last, now);
+        const std::uint32_t usual = usualLevels(selection.evidence, known.services[index].instances);
+        const ejection_request request = requestFor(selection, selection.services[index], entry->last, usual, now);
         if (isRelevant(request)) {
             requests[index].push_back(request);
         }
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -47,9 +47,19 @@
     service.generation = group.generation;
 }
 
-bool saysLatency(const outcome &news)
+/// Counts the end of a try at the candidate. A failure never makes an instance look faster; a used connection that went
+/// silent says nothing of its instance.
+void updateCandidate(candidate_set &set, candidate &member, const outcome &news, instant now)
 {
-    return news.kind == outcome_kind::Answered || news.kind == outcome_kind::TimedOut;
+    const bool silent = news.kind == outcome_kind::TimedOut && news.reusedConnection;
+    if (silent || news.kind == outcome_kind::Shed || news.kind == outcome_kind::Cancelled) {
+        onRequestEnded(member);
+    } else if (news.kind == outcome_kind::Answered) {
+        onRequestAnswered(set, member, news.latency, now);
+    } else {
+        const auto average = duration(static_cast<std::int64_t>(member.latencyUs));
+        onRequestAnswered(set, member, std::max(news.latency, average), now);
+    }
 }
 
 void sortReport(health_report &report)
@@ -116,13 +126,8 @@
     }
     recordOutcome(selected->health, news, now);
     candidate *member = findCandidate(selected->candidates, news.instance);
-    if (!member) {
-        return;
-    }
-    if (saysLatency(news)) {
-        onRequestAnswered(selected->candidates, *member, news.latency, now);
-    } else {
-        onRequestEnded(*member);
+    if (member) {
+        updateCandidate(selected->candidates, *member, news, now);
     }
 }
 
--- a/tests/health/ejection_test.cpp
+++ b/tests/health/ejection_test.cpp
@@ -39,8 +39,8 @@
 
 BOOST_AUTO_TEST_CASE(opinionOf_severalDataCentres_judgedApart)
 {
-    BOOST_TEST(opinionOf(evidence, {1}, "a", 3).corroboratedHere);
-    const fleet_opinion inB = opinionOf(evidence, {1}, "b", 3);
+    BOOST_TEST(opinionOf(evidence, {1}, "a", {.reporters = 3}).corroboratedHere);
+    const fleet_opinion inB = opinionOf(evidence, {1}, "b", {.reporters = 3});
     BOOST_TEST(!inB.corroboratedHere);
     BOOST_TEST(inB.corroborated);
     BOOST_TEST(!inB.ejected);
@@ -48,7 +48,7 @@
 
 BOOST_AUTO_TEST_CASE(opinionOf_oneVmInEachDataCentre_notCorroborated)
 {
-    const fleet_opinion opinion = opinionOf(evidence, {2}, "a", 2);
+    const fleet_opinion opinion = opinionOf(evidence, {2}, "a", {.reporters = 2});
     BOOST_TEST(!opinion.corroborated);
     BOOST_TEST(opinion.ejected);
 }
@@ -56,18 +56,25 @@
 BOOST_AUTO_TEST_CASE(opinionOf_hintsOnly_moreVmsNeeded)
 {
     for (std::uint64_t vm = 11; vm <= 16; ++vm) {
-        BOOST_TEST(!opinionOf(evidence, {3}, "c", 3).corroboratedHere);
+        BOOST_TEST(!opinionOf(evidence, {3}, "c", {.reporters = 3}).corroboratedHere);
         putReport(evidence, {vm}, {.dataCentre = "c", .suspects = {{{3}, suspicion_level::Hint}}});
     }
-    BOOST_TEST(opinionOf(evidence, {3}, "c", 3).corroboratedHere);
+    BOOST_TEST(opinionOf(evidence, {3}, "c", {.reporters = 3}).corroboratedHere);
+}
+
+BOOST_AUTO_TEST_CASE(opinionOf_allInstancesLookAlike_notCorroborated)
+{
+    const std::uint32_t usual = levelsAgainst(evidence, {1});
+    BOOST_TEST(usual == 6);
+    BOOST_TEST(!opinionOf(evidence, {1}, "a", {.reporters = 3, .usualLevels = usual}).corroborated);
 }
 
 BOOST_AUTO_TEST_CASE(removeReport_lostVm_suspicionsGone)
 {
     removeReport(evidence, {4});
-    BOOST_TEST(!opinionOf(evidence, {2}, "a", 3).ejected);
+    BOOST_TEST(!opinionOf(evidence, {2}, "a", {.reporters = 3}).ejected);
     removeReport(evidence, {1});
-    BOOST_TEST(!opinionOf(evidence, {1}, "a", 3).corroborated);
+    BOOST_TEST(!opinionOf(evidence, {1}, "a", {.reporters = 3}).corroborated);
 }
 
 BOOST_AUTO_TEST_CASE(reportersNeeded_oneBadLink_neverEnoughUnlessAlone)
--- a/tests/health/service_health_test.cpp
+++ b/tests/health/service_health_test.cpp
@@ -114,6 +114,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(recordOutcome_errorsBeginEverywhere_earlierOnesLoseWeight)
+{
+    record(1, outcome_kind::ErrorAnswer);
+    BOOST_TEST(health(1).score > service.limits.hintScore);
+    for (std::uint64_t id = 2; id <= instanceCount; ++id) {
+        record(id, outcome_kind::ErrorAnswer);
+    }
+    now += 250ms;
+    advance(service, now);
+    BOOST_TEST(health(1).score < service.limits.hintScore);
+    BOOST_TEST((suspicionOf(service, health(1), now + 1s) == suspicion_level::None));
+}
+
 BOOST_AUTO_TEST_CASE(recordOutcome_allSlowerAlike_noneSingledOut)
 {
     for (int round = 0; round < 30; ++round) {
