--- a/tests/replication/schedule_test.cpp
+++ b/tests/replication/schedule_test.cpp
@@ -48,8 +48,9 @@
         const std::vector<vm_id> vms = cluster.present();
         const vm_id vm = vms[cluster.random(vms.size())];
         const vm_id other = vms[cluster.random(vms.size())];
-        const milliseconds length(50 + cluster.random(4'000));
-        switch (cluster.random(5)) {
+        const bool isShort = cluster.random(2) == 0;
+        const milliseconds length(1 + cluster.random(isShort ? 100 : 3'000));
+        switch (cluster.random(8)) {
         case 0:
             cluster.cuts.insert({vm, other});
             cluster.after(length, [&cluster, vm, other] { cluster.cuts.erase({vm, other}); });
@@ -63,12 +64,24 @@
         case 3:
             freezeFor(cluster, cluster.random(2) == 0 ? vm : cluster.leader(), length);
             break;
+        case 4:
+            crashFor(cluster, cluster.leader(), length);
+            break;
+        case 5:
+            for (const vm_id each : vms) {
+                crashFor(cluster, each, milliseconds(1 + cluster.random(500)));
+            }
+            break;
+        case 6:
+            cluster.at(vm).slowDisk = true;
+            cluster.after(length, [&cluster, vm] { cluster.at(vm).slowDisk = false; });
+            break;
         default:
             if (!cluster.isReplacing() && vms.size() >= 3) {
                 cluster.replaceDisk(vm);
             }
         }
-        cluster.after(milliseconds(cluster.random(1'500)), [&cluster, until] { injectFaults(cluster, until); });
+        cluster.after(milliseconds(cluster.random(600)), [&cluster, until] { injectFaults(cluster, until); });
     }
 
     /// Cuts a VM off from all others: 0 both ways, 1 it can't be heard, 2 it can't hear.
@@ -86,7 +99,7 @@
 
     static void crashFor(simulated_cluster &cluster, vm_id vm, milliseconds length)
     {
-        if (!cluster.at(vm).up) {
+        if (vm.value == 0 || !cluster.at(vm).up) {
             return;
         }
         cluster.crash(vm);
@@ -154,6 +167,40 @@
     forEachSeed(200, [](std::uint64_t seed) { runFaulty(seed, 5, seconds(8)); });
 }
 
+BOOST_AUTO_TEST_CASE(leaderKilled_atEachEffectOfAChange_resendDecidedOnce)
+{
+    bool reached = true;
+    for (std::uint64_t killAt = 1; reached; ++killAt) {
+        simulated_cluster cluster(killAt, 3);
+        cluster.runUntilTrue([&] { return cluster.leader().value != 0 && isSettled(cluster); }, seconds(10), "start");
+        const vm_id leading = cluster.leader();
+        std::uint64_t count = 0;
+        reached = false;
+        cluster.onEffect = [&](vm_id vm, const replica_effect &) {
+            if (vm == leading && ++count == killAt) {
+                reached = true;
+                crashFor(cluster, vm, milliseconds(cluster.random(3'000)));
+            }
+        };
+        std::optional<change_answer> answer;
+        const change_proposal proposal =
+            makeProposal({operator_role::Operator, {}}, {{1, 1}, {}, {create_account{"a"}}});
+        const auto take = [&answer](std::uint64_t, const auto &given) {
+            if (given && given->code == result_code::Ok) {
+                answer = given;
+            }
+        };
+        cluster.propose(leading, proposal, take);
+        cluster.runUntil(cluster.now() + seconds(1));
+        const bool decidedAtOnce = answer.has_value();
+        cluster.runUntilTrue([&] { return isSettled(cluster); }, seconds(10), "successor");
+        cluster.propose(cluster.leader(), proposal, take);
+        cluster.runUntilTrue([&] { return answer.has_value(); }, seconds(5), "answer to the resend");
+        BOOST_TEST(answer->at.value == 1U);
+        reached = reached && !decidedAtOnce;
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::uint64_t maxNetworkDelayUs = 20'000;
 constexpr std::uint64_t maxSyncDelayUs = 4'000;
+constexpr std::uint64_t maxSlowSyncDelayUs = 600'000;
 constexpr duration offerInterval = milliseconds(300);
 
 void check(bool holds, const std::string &promise)
@@ -264,19 +265,19 @@
 {
     simulated_vm &node = m_vms.at(vm);
     node.syncing = true;
-    after(microseconds(static_cast<std::int64_t>(random(maxSyncDelayUs))),
-          [this, vm, sequence, life = node.incarnation] {
-              simulated_vm &synced = m_vms.at(vm);
-              if (synced.incarnation != life) {
-                  return;
-              }
-              for (const replica_effect &effect : synced.written) {
-                  writeTo(synced.disk, effect);
-              }
-              synced.written.clear();
-              synced.syncing = false;
-              handle(vm, writes_synced{sequence});
-          });
+    const auto delayUs = static_cast<std::int64_t>(random(node.slowDisk ? maxSlowSyncDelayUs : maxSyncDelayUs));
+    after(microseconds(delayUs), [this, vm, sequence, life = node.incarnation] {
+        simulated_vm &synced = m_vms.at(vm);
+        if (synced.incarnation != life) {
+            return;
+        }
+        for (const replica_effect &effect : synced.written) {
+            writeTo(synced.disk, effect);
+        }
+        synced.written.clear();
+        synced.syncing = false;
+        handle(vm, writes_synced{sequence});
+    });
 }
 
 void simulated_cluster::deliver(const replication_message &message)
--- a/tests/replication/simulated_cluster.h
+++ b/tests/replication/simulated_cluster.h
@@ -30,6 +30,7 @@
     std::uint64_t incarnation = 0; ///< Goes up with each crash, so that old callbacks are void.
     bool up = true; ///< Runs, or is frozen.
     bool frozen = false; ///< Handles nothing for now.
+    bool slowDisk = false; ///< Its syncs take long.
     bool syncing = false; ///< A sync is under way.
     instant timerDue; ///< When the armed timer fires; the epoch for none.
 };
