--- /dev/null
+++ b/src/storage/replica_store.cpp
@@ -0,0 +1,144 @@
+#include "storage/replica_store.h"
+
+#include "storage/journal.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr const char *lockName = "lock";
+constexpr const char *journalName = "journal";
+constexpr const char *freshJournalName = "journal.new";
+
+} // namespace
+
+replica_store::replica_store(std::string folder, vm_id freshIdentity)
+    : m_folder(std::move(folder))
+    , m_lock(path(lockName))
+    , m_journal(path(journalName))
+    , m_self(freshIdentity)
+{
+    if (!m_lock.tryLock()) {
+        throw coordination_error(result_code::FileUnreadable, "another process uses the data folder " + m_folder);
+    }
+    load();
+}
+
+vm_id replica_store::self() const
+{
+    return m_self;
+}
+
+const stored_state &replica_store::state() const
+{
+    return m_state;
+}
+
+std::uint64_t replica_store::size() const
+{
+    return m_size;
+}
+
+void replica_store::write(storage_write write)
+{
+    std::visit([this](const auto &value) { applyWrite(m_state, value); }, write);
+    m_rewrite = m_rewrite || std::holds_alternative<write_snapshot>(write);
+    m_unsynced.push_back(std::move(write));
+}
+
+void replica_store::sync()
+{
+    if (m_unsynced.empty()) {
+        return;
+    }
+    if (m_rewrite) {
+        rewrite();
+    } else {
+        const std::vector<std::byte> frame = encodeFrame(encodeWrites(m_unsynced));
+        m_journal.writeAt(m_size, frame);
+        m_journal.sync();
+        m_size += frame.size();
+    }
+    m_unsynced.clear();
+    m_rewrite = false;
+}
+
+void replica_store::bootstrap(const std::string &folder, vm_id self, cluster_id cluster)
+{
+    replica_store store(folder, self);
+    if (store.m_self != self || store.m_state.cluster.value != 0) {
+        throw coordination_error(result_code::SubjectExists, "the data folder " + folder + " is in use already");
+    }
+    store.m_state = bootstrapState(cluster, self);
+    store.rewrite();
+}
+
+void replica_store::load()
+{
+    const std::vector<std::byte> bytes = m_journal.readAll();
+    if (bytes.empty()) {
+        rewrite();
+        return;
+    }
+    const journal_content content = readJournal(bytes);
+    if (content.frames.empty()) {
+        throw coordination_error(result_code::StoreCorrupt, "the journal's first frame is damaged");
+    }
+    try {
+        identified_state stored = decodeStoredState(content.frames.front());
+        m_self = stored.self;
+        m_state = std::move(stored.state);
+        for (const std::span<const std::byte> frame : std::span(content.frames).subspan(1)) {
+            replay(frame);
+        }
+    } catch (const coordination_error &fault) {
+        const bool newer = fault.code() == result_code::MessageUnknown;
+        throw coordination_error(newer ? result_code::StoreVersionUnknown : result_code::StoreCorrupt, fault.what());
+    }
+    m_size = content.validBytes;
+    if (m_size < bytes.size()) {
+        m_journal.resize(m_size);
+        m_journal.sync();
+    }
+}
+
+void replica_store::rewrite()
+{
+    const std::span header = std::as_bytes(std::span(journalHeader));
+    std::vector<std::byte> content(header.begin(), header.end());
+    const std::vector<std::byte> frame = encodeFrame(encodeStoredState(m_self, m_state));
+    content.insert(content.end(), frame.begin(), frame.end());
+    file fresh(path(freshJournalName));
+    fresh.resize(0);
+    fresh.writeAt(0, content);
+    fresh.sync();
+    renameDurably(path(freshJournalName), path(journalName), m_folder);
+    m_journal = std::move(fresh);
+    m_size = content.size();
+}
+
+void replica_store::replay(std::span<const std::byte> frame)
+{
+    for (const storage_write &write : decodeWrites(frame)) {
+        if (const auto *appended = std::get_if<append_records>(&write)) {
+            const log_index expected{lastIndex(m_state.log).value + 1};
+            if (!appended->records.empty() && appended->records.front().index != expected) {
+                throw coordination_error(result_code::StoreCorrupt, "the journal's records have a gap");
+            }
+        }
+        std::visit([this](const auto &value) { applyWrite(m_state, value); }, write);
+    }
+}
+
+std::string replica_store::path(const char *name) const
+{
+    return m_folder + "/" + name;
+}
+
+} // namespace guavafront
