Add a stand-in upstream for tests and examples

Cause: the path, the fault matrix and the README need an upstream that fails on demand and counts the runs of each request. Ruled out: raw sockets of its own; the server's caller descriptor suffices to cut an answer or leave bytes after it.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -284,6 +284,16 @@
     return true;
 }
 
+int http_server::callerDescriptor(exchange_id id) const
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end()) {
+        return -1;
+    }
+    evhttp_connection *connection = evhttp_request_get_connection(found->second->received);
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
 void http_server::send(evhttp_request *received, const http_answer &reply)
 {
     constexpr int noContent = 204;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -61,6 +61,9 @@
     /// Answers an exchange, exactly once; false when its caller has gone.
     bool answer(exchange_id id, const http_answer &reply);
 
+    /// Socket of an exchange's caller, for its address; -1 when the caller has gone. Stays owned by the server.
+    int callerDescriptor(exchange_id id) const;
+
     /// Graceful stop: closes the listener, answers what runs with Connection: close, closes idle connections after
     /// idleGrace, then calls onStopped. The server may be destroyed only after that callback has returned.
     void stop(duration idleGrace, std::function<void()> onStopped);
--- /dev/null
+++ b/tests/stand_in/announcer.cpp
@@ -0,0 +1,68 @@
+#include "stand_in/announcer.h"
+
+#include "wire/announcement_json.h"
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration answerTimeout = std::chrono::milliseconds(500);
+constexpr int announcementsPerLease = 3;
+constexpr int firstFailureStatus = 300;
+
+} // namespace
+
+announcer::announcer(loop &owner, std::vector<endpoint> targets, std::string token,
+                     std::function<announcement()> current)
+    : m_loop(owner)
+    , m_targets(std::move(targets))
+    , m_token(std::move(token))
+    , m_current(std::move(current))
+    , m_next(owner, [this] { send(); })
+{
+}
+
+void announcer::announceNow()
+{
+    m_next.arm(duration::zero());
+}
+
+void announcer::send()
+{
+    if (m_targets.empty()) {
+        return;
+    }
+    const endpoint &target = m_targets[m_target % m_targets.size()];
+    announcement news = m_current();
+    news.sequence = ++m_sequence;
+    const std::string body = toJson(news);
+    const std::string authorization = "Bearer " + m_token;
+    const std::string host = toText(target);
+    const header_view headers[] = {
+        {.name = "Host", .value = host},
+        {.name = "Authorization", .value = authorization},
+        {.name = "Content-Type", .value = "application/json"},
+    };
+    m_connection = std::make_unique<upstream_connection>(
+        m_loop, upstream_connection_options{.address = target.ip, .port = target.port}, [] {});
+    m_connection->send({.method = "POST",
+                        .target = "/announcements",
+                        .headers = headers,
+                        .body = bytesOf(body),
+                        .timeout = answerTimeout},
+                       [this](const upstream_outcome &outcome) { answered(outcome); });
+    m_next.arm(news.lease / announcementsPerLease);
+}
+
+void announcer::answered(const upstream_outcome &outcome)
+{
+    if (outcome.result != upstream_result::Answered || outcome.answer.status >= firstFailureStatus) {
+        ++m_target; // Another VM may hear it.
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/stand_in/stand_in.cpp
@@ -0,0 +1,221 @@
+#include "stand_in/stand_in.h"
+
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::string_view foreignAnswer = "HTTP/1.1 201 Created\r\nContent-Length: 7\r\n\r\nforeign";
+
+constexpr std::array<std::pair<std::string_view, stand_in_behaviour>, 9> behaviourNames{{
+    {"normal", stand_in_behaviour::Normal},
+    {"silent", stand_in_behaviour::Silent},
+    {"cut", stand_in_behaviour::Cut},
+    {"cut-header", stand_in_behaviour::CutHeader},
+    {"close", stand_in_behaviour::Close},
+    {"crash", stand_in_behaviour::Crash},
+    {"shed", stand_in_behaviour::Shed},
+    {"left-over", stand_in_behaviour::LeftOver},
+    {"early-hints", stand_in_behaviour::EarlyHints},
+}};
+
+/// Value of a query parameter; empty when absent.
+std::string_view parameter(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        if (pair.substr(0, pair.find('=')) == name && pair.size() > name.size()) {
+            return pair.substr(name.size() + 1);
+        }
+        query.remove_prefix(std::min(pair.size() + 1, query.size()));
+    }
+    return {};
+}
+
+http_answer textAnswer(int status, std::string_view text)
+{
+    const std::span<const std::byte> bytes = bytesOf(text);
+    return {.status = status,
+            .headers = {{.name = "Content-Type", .value = "application/json"}},
+            .body = {bytes.begin(), bytes.end()}};
+}
+
+http_answer shedAnswer()
+{
+    http_answer answer = textAnswer(503, R"({"error":"shed"})");
+    answer.headers.push_back({.name = "Retry-After", .value = "1"});
+    return answer;
+}
+
+std::string rawAnswer(std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+} // namespace
+
+stand_in::stand_in(loop &owner, stand_in_options options, std::function<void()> onStateChange)
+    : m_loop(owner)
+    , m_options(std::move(options))
+    , m_onStateChange(std::move(onStateChange))
+    , m_default{.behaviour = stand_in_behaviour::Normal, .latency = m_options.latency}
+    , m_server(owner, m_options.server,
+               {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
+                .onCallerGone =
+                    [this](exchange_id id) {
+                        m_running.erase(id);
+                    }}) // Cancellation frees the slot.
+{
+}
+
+std::uint16_t stand_in::port() const
+{
+    return m_server.port();
+}
+
+instance_state stand_in::state() const
+{
+    return m_state;
+}
+
+float stand_in::load() const
+{
+    return static_cast<float>(m_running.size()) / static_cast<float>(m_options.slots);
+}
+
+void stand_in::stop(std::function<void()> onStopped)
+{
+    constexpr duration idleGrace = std::chrono::seconds(2);
+    m_state = instance_state::Leaving;
+    m_onStateChange();
+    m_server.stop(idleGrace, std::move(onStopped));
+}
+
+stand_in::order stand_in::orderOf(std::string_view query) const
+{
+    order asked = m_default;
+    const std::string_view name = parameter(query, "behaviour");
+    for (const auto &[known, behaviour] : behaviourNames) {
+        if (known == name) {
+            asked.behaviour = behaviour;
+        }
+    }
+    const std::string_view text = parameter(query, "ms");
+    std::int64_t milliseconds = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), milliseconds).ec == std::errc()) {
+        asked.latency = std::chrono::milliseconds(milliseconds);
+    }
+    return asked;
+}
+
+void stand_in::receive(exchange_id id, const http_request &request)
+{
+    if (request.path == "/counts") {
+        m_server.answer(id, textAnswer(200, nlohmann::json(m_runs).dump()));
+    } else if (request.path == "/control") {
+        control(id, request);
+    } else {
+        run(id, request);
+    }
+}
+
+void stand_in::control(exchange_id id, const http_request &request)
+{
+    m_default = orderOf(request.query);
+    const std::string_view state = parameter(request.query, "state");
+    if (state == "draining") {
+        m_state = instance_state::Draining;
+    } else if (state == "serving") {
+        m_state = instance_state::Serving;
+    }
+    m_onStateChange();
+    m_server.answer(id, textAnswer(200, "{}"));
+}
+
+void stand_in::run(exchange_id id, const http_request &request)
+{
+    const order what = orderOf(request.query);
+    if (what.behaviour == stand_in_behaviour::Shed || m_running.size() >= m_options.slots) {
+        m_server.answer(id, shedAnswer());
+        return;
+    }
+    const std::string_view given = headerValue(request.headers, "X-Request-Id");
+    const std::string_view requestId = given.empty() ? headerValue(request.headers, "Idempotency-Key") : given;
+    ++m_runs[std::string(requestId)];
+    if (what.behaviour == stand_in_behaviour::Crash) {
+        std::_Exit(EXIT_FAILURE);
+    }
+    running_request &started = m_running[id];
+    started.what = what;
+    started.answer = describeRun(request, requestId);
+    started.done = std::make_unique<timer>(m_loop, [this, id] { finish(id); });
+    started.done->arm(what.latency);
+}
+
+std::string stand_in::describeRun(const http_request &request, std::string_view requestId)
+{
+    nlohmann::json headers = nlohmann::json::array();
+    for (const header_view &field : request.headers) {
+        headers.push_back({std::string(field.name), std::string(field.value)});
+    }
+    const nlohmann::json report{
+        {"instance", m_options.name},
+        {"request", std::string(requestId)},
+        {"runs", m_runs[std::string(requestId)]},
+        {"method", std::string(request.method)},
+        {"path", std::string(request.path)},
+        {"query", std::string(request.query)},
+        {"headers", headers},
+        {"body", std::string(textOf(request.body))},
+    };
+    return report.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void stand_in::finish(exchange_id id)
+{
+    auto node = m_running.extract(id);
+    const running_request &done = node.mapped();
+    const std::string raw = rawAnswer(done.answer);
+    switch (done.what.behaviour) {
+    case stand_in_behaviour::Silent:
+        m_running.insert(std::move(node)); // Holds its slot until the caller gives up.
+        return;
+    case stand_in_behaviour::Cut:
+        sendRaw(id, std::string_view(raw).substr(0, raw.size() - done.answer.size() / 2), true);
+        break;
+    case stand_in_behaviour::CutHeader:
+        sendRaw(id, std::string_view(raw).substr(0, raw.find(':')), true);
+        break;
+    case stand_in_behaviour::Close:
+        sendRaw(id, {}, true);
+        break;
+    case stand_in_behaviour::LeftOver:
+        sendRaw(id, raw + std::string(foreignAnswer), false);
+        break;
+    case stand_in_behaviour::EarlyHints:
+        sendRaw(id, "HTTP/1.1 103 Early Hints\r\n\r\n" + raw, false);
+        break;
+    default:
+        m_server.answer(id, textAnswer(200, done.answer));
+    }
+}
+
+void stand_in::sendRaw(exchange_id id, std::string_view bytes, bool closeAfter)
+{
+    const int descriptor = m_server.callerDescriptor(id);
+    send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (closeAfter) {
+        shutdown(descriptor, SHUT_RDWR); // The server notices it as a caller that has gone.
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/stand_in/stand_in.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "runtime/timer.h"
+
+#include <guavafront/coordination/registry/announcement.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace guavafront
+{
+
+/// What a stand-in does with a request.
+enum class stand_in_behaviour : std::uint8_t {
+    Normal, ///< Answers after the latency.
+    Silent, ///< Runs the request and never answers.
+    Cut, ///< Closes in the middle of the answer's body.
+    CutHeader, ///< Closes in the middle of the answer's header.
+    Close, ///< Closes without a byte.
+    Crash, ///< Ends the process.
+    Shed, ///< Refuses with 503 before running.
+    LeftOver, ///< Sends a foreign answer right after its own.
+    EarlyHints, ///< Sends 103 before the answer.
+};
+
+/// Settings of one stand-in upstream.
+struct stand_in_options {
+    http_server_options server; ///< Where it listens.
+    std::string name = "stand-in"; ///< Shown in each answer.
+    duration latency{}; ///< Time to run a request.
+    std::size_t slots = 4; ///< Requests it runs at once; more are shed.
+};
+
+/// Upstream for tests: runs requests in slots, counts the runs of each request ID, misbehaves on demand. A request
+/// asks for a behaviour by the query parameters `behaviour` and `ms`; /control sets them for all requests.
+class stand_in
+{
+public:
+    /// Listens at once; onStateChange is called when the announced state changed.
+    stand_in(loop &owner, stand_in_options options, std::function<void()> onStateChange);
+
+    /// Bound port.
+    std::uint16_t port() const;
+
+    /// State that it announces.
+    instance_state state() const;
+
+    /// Share of its slots in use.
+    float load() const;
+
+    /// Announces that it leaves, finishes what runs, then calls onStopped.
+    void stop(std::function<void()> onStopped);
+
+private:
+    struct order {
+        stand_in_behaviour behaviour = stand_in_behaviour::Normal; ///< What to do.
+        duration latency{}; ///< Time to run.
+    };
+    struct running_request {
+        order what; ///< As asked.
+        std::string answer; ///< Body of the answer.
+        std::unique_ptr<timer> done; ///< End of the run.
+    };
+
+    order orderOf(std::string_view query) const;
+    void receive(exchange_id id, const http_request &request);
+    void control(exchange_id id, const http_request &request);
+    void run(exchange_id id, const http_request &request);
+    void finish(exchange_id id);
+    void sendRaw(exchange_id id, std::string_view bytes, bool closeAfter);
+    std::string describeRun(const http_request &request, std::string_view requestId);
+
+    loop &m_loop; ///< Not owned.
+    const stand_in_options m_options; ///< As constructed.
+    const std::function<void()> m_onStateChange; ///< As constructed.
+    order m_default; ///< For requests that ask for nothing.
+    instance_state m_state = instance_state::Serving; ///< As announced.
+    std::map<std::string, std::uint64_t> m_runs; ///< Runs by request ID.
+    std::unordered_map<exchange_id, running_request> m_running; ///< Requests in slots.
+    http_server m_server; ///< Last, so that it ends first.
+};
+
+} // namespace guavafront
