--- /dev/null
+++ b/src/coordination/membership/probing.cpp
@@ -0,0 +1,252 @@
+#include "coordination/membership/membership_steps.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+#include <unordered_set>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::uint32_t troubleLimit = 3;
+constexpr std::size_t relayedLimit = 64;
+constexpr int silentPeriods = 3;
+
+std::uint64_t ringPosition(vm_id id, std::uint64_t ring)
+{
+    return XXH64(&id.value, sizeof id.value, ring);
+}
+
+/// Nearest live successor of this VM on a ring that is not chosen yet, of one data centre or of any.
+vm_id successorOn(const membership &state, std::uint64_t ring, std::string_view dataCentre,
+                  const std::map<vm_id, probe_target> &chosen)
+{
+    const std::uint64_t own = ringPosition(state.self.id, ring);
+    vm_id nearest;
+    std::uint64_t nearestDistance = 0;
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status > member_status::Suspect || chosen.contains(id)
+            || (!dataCentre.empty() && member.record.dataCentre != dataCentre)) {
+            continue;
+        }
+        const std::uint64_t distance = ringPosition(id, ring) - own; // Wraps around the ring.
+        if (nearest.value == 0 || distance < nearestDistance) {
+            nearest = id;
+            nearestDistance = distance;
+        }
+    }
+    return nearest;
+}
+
+/// Successors to probe. The first ring holds one data centre only, so that each stays connected in itself when links
+/// between data centres fail one way; the others hold the whole fleet.
+std::vector<vm_id> chooseSuccessors(const membership &state)
+{
+    std::map<vm_id, probe_target> chosen;
+    std::vector<vm_id> result;
+    for (std::uint64_t ring = 0; ring < state.options.rings; ++ring) {
+        vm_id id = ring == 0 ? successorOn(state, ring, state.self.dataCentre, chosen) : vm_id{};
+        if (id.value == 0) {
+            id = successorOn(state, ring, {}, chosen);
+        }
+        if (id.value != 0) {
+            chosen[id] = {};
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void countMembers(membership &state)
+{
+    state.alive = 1;
+    std::unordered_set<std::string_view> liveAddresses{state.self.address};
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status <= member_status::Suspect) {
+            ++state.alive;
+            liveAddresses.insert(member.record.address);
+        }
+    }
+    state.missing = static_cast<std::size_t>(std::ranges::count_if(state.members, [&liveAddresses](const auto &entry) {
+        const member_record &record = entry.second.record;
+        return record.status == member_status::Dead && !liveAddresses.contains(record.address);
+    }));
+}
+
+void sendPing(membership &state, vm_id id, probe_target &target, instant now, std::vector<membership_effect> &effects)
+{
+    target.nonce = ++state.lastNonce;
+    target.sentAt = now;
+    target.helpersAsked = false;
+    target.nextProbe = now + state.options.probePeriod;
+    effects.emplace_back(send_membership{id, state.members.at(id).record.address, membership_ping{target.nonce}});
+}
+
+/// Random live VM that may help to reach another one; 0 when there is none.
+vm_id randomHelper(const membership &state, random_source &random,
+                   const std::function<bool(const member_record &)> &fits)
+{
+    vm_id chosen;
+    std::uint64_t best = 0;
+    for (const auto &[id, member] : state.members) {
+        const std::uint64_t rank = ringPosition(id, state.lastNonce ^ random.state);
+        if (member.record.status == member_status::Alive && rank >= best && fits(member.record)) {
+            chosen = id;
+            best = rank;
+        }
+    }
+    return chosen;
+}
+
+/// Asks VMs that see the silent one from elsewhere: one of a third data centre, one of its own, then any.
+void askHelpers(membership &state, vm_id id, probe_target &target, random_source &random,
+                std::vector<membership_effect> &effects)
+{
+    target.helpersAsked = true;
+    random();
+    const member_record &silent = state.members.at(id).record;
+    std::vector<vm_id> helpers;
+    const auto isNew = [&helpers, id](const member_record &record) {
+        return record.id != id && std::ranges::find(helpers, record.id) == helpers.end();
+    };
+    for (std::size_t i = 0; i < state.options.helpers; ++i) {
+        const vm_id helper = randomHelper(state, random, [&](const member_record &record) {
+            const bool third = record.dataCentre != silent.dataCentre && record.dataCentre != state.self.dataCentre;
+            const bool fits = i == 0 ? third : i == 1 ? record.dataCentre == silent.dataCentre : true;
+            return fits && isNew(record);
+        });
+        if (helper.value != 0) {
+            helpers.push_back(helper);
+        }
+    }
+    for (const vm_id helper : helpers) {
+        effects.emplace_back(send_membership{helper, state.members.at(helper).record.address,
+                                             membership_ping_request{target.nonce, id, silent.address}});
+    }
+}
+
+void answered(membership &state, probe_target &target, instant now)
+{
+    target.nonce = 0;
+    target.lastHeard = now;
+    state.localTrouble -= state.localTrouble > 0 ? 1 : 0;
+}
+
+} // namespace
+
+double heardShare(const membership &state, instant now)
+{
+    if (state.targets.empty()) {
+        return 1;
+    }
+    const duration limit = state.options.probePeriod * silentPeriods;
+    const auto heard = std::ranges::count_if(
+        state.targets, [now, limit](const auto &entry) { return now - entry.second.lastHeard <= limit; });
+    return static_cast<double>(heard) / static_cast<double>(state.targets.size());
+}
+
+void refreshTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+{
+    if (!std::exchange(state.changed, false)) {
+        return;
+    }
+    countMembers(state);
+    std::map<vm_id, probe_target> chosen;
+    for (const vm_id id : chooseSuccessors(state)) {
+        const auto known = state.targets.find(id);
+        const auto wait =
+            static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(state.options.probePeriod.count())));
+        chosen[id] = known != state.targets.end() ? known->second
+                                                  : probe_target{.nextProbe = now + duration(wait), .lastHeard = now};
+    }
+    const bool same = std::ranges::equal(chosen, state.targets,
+                                         [](const auto &left, const auto &right) { return left.first == right.first; });
+    state.targets = std::move(chosen);
+    if (!same) {
+        effects.emplace_back(targets_changed{});
+    }
+}
+
+void probeTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+{
+    std::vector<vm_id> failed;
+    for (auto &[id, target] : state.targets) {
+        const duration elapsed = now - target.sentAt;
+        const int factor = 1 + static_cast<int>(state.localTrouble);
+        if (target.nonce != 0 && !target.helpersAsked && elapsed >= state.options.probeTimeout * factor) {
+            askHelpers(state, id, target, random, effects);
+        }
+        if (target.nonce != 0 && elapsed >= state.options.probePeriod * factor) {
+            target.nonce = 0;
+            failed.push_back(id);
+        }
+        if (target.nonce == 0 && now >= target.nextProbe) {
+            sendPing(state, id, target, now, effects);
+        }
+    }
+    for (const vm_id id : failed) {
+        state.localTrouble = std::min(state.localTrouble + 1, troubleLimit);
+        accuse(state, id, now, effects);
+    }
+}
+
+void resumeAfterStandstill(membership &state, instant now)
+{
+    for (auto &[id, target] : state.targets) {
+        target.nonce = 0;
+        target.nextProbe = now;
+        target.lastHeard = now;
+    }
+    for (const vm_id id : state.suspects) {
+        known_member &member = state.members.at(id);
+        member.suspicionEnds = now + state.options.suspicionLongest;
+    }
+}
+
+void receivePing(const membership &state, vm_id from, const membership_ping &ping,
+                 std::vector<membership_effect> &effects)
+{
+    const member_record *sender = findMember(state, from);
+    effects.emplace_back(send_membership{from, sender ? sender->address : "", membership_ack{ping.nonce}});
+}
+
+void receiveAck(membership &state, vm_id from, const membership_ack &ack, instant now,
+                std::vector<membership_effect> &effects)
+{
+    if (const auto relayed = state.relayed.find(ack.nonce); relayed != state.relayed.end()) {
+        const member_record *origin = findMember(state, relayed->second.origin);
+        effects.emplace_back(send_membership{relayed->second.origin, origin ? origin->address : "",
+                                             membership_ack{relayed->second.originNonce}});
+        state.relayed.erase(relayed);
+        return;
+    }
+    const auto probed = std::ranges::find_if(
+        state.targets, [&ack](const auto &entry) { return ack.nonce != 0 && entry.second.nonce == ack.nonce; });
+    if (probed == state.targets.end()) {
+        return;
+    }
+    if (probed->first == from) {
+        effects.emplace_back(probe_answered{from, probed->second.sentAt});
+    }
+    answered(state, probed->second, now);
+}
+
+void receivePingRequest(membership &state, vm_id from, const membership_ping_request &request, instant now,
+                        std::vector<membership_effect> &effects)
+{
+    const duration limit = state.options.probePeriod * silentPeriods;
+    std::erase_if(state.relayed, [now, limit](const auto &entry) { return now - entry.second.sentAt > limit; });
+    if (state.relayed.size() >= relayedLimit) {
+        return;
+    }
+    const std::uint64_t nonce = ++state.lastNonce;
+    state.relayed[nonce] = {.origin = from, .originNonce = request.nonce, .sentAt = now};
+    effects.emplace_back(send_membership{request.target, request.address, membership_ping{nonce}});
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/membership/records.cpp
@@ -0,0 +1,152 @@
+#include "coordination/membership/membership_steps.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t accusersForShortest = 3;
+
+/// Entry of a record in the digest. A suspect counts as alive: suspicion ends soon, either way.
+entry_hash hashOf(const membership &state, const member_record &record)
+{
+    const member_status status = record.status == member_status::Suspect ? member_status::Alive : record.status;
+    const std::uint64_t version = std::uint64_t{record.incarnation} << 8U | static_cast<std::uint64_t>(status);
+    const std::uint64_t keyHash = XXH64(&record.id.value, sizeof record.id.value, 0);
+    return entryHash(state.index, keyHash, XXH64(record.address.data(), record.address.size(), keyHash ^ version));
+}
+
+/// Lifeguard's suspicion time: from the longest for one accuser down to the shortest for accusersForShortest.
+duration suspicionTime(const membership_options &options, std::size_t accusers)
+{
+    const double confirmed = std::log(static_cast<double>(std::clamp<std::size_t>(accusers, 1, accusersForShortest)));
+    const double share = confirmed / std::log(static_cast<double>(accusersForShortest));
+    const auto range = static_cast<double>((options.suspicionLongest - options.suspicionShortest).count());
+    return options.suspicionLongest - duration(static_cast<std::int64_t>(range * share));
+}
+
+/// Another VM accuses a suspect: less time is left to refute.
+bool addAccuser(membership &state, known_member &member, vm_id accuser)
+{
+    if (accuser.value == 0 || member.accusers.size() >= accusersForShortest
+        || std::ranges::find(member.accusers, accuser) != member.accusers.end()) {
+        return false;
+    }
+    member.accusers.push_back(accuser);
+    const instant ends = member.since + suspicionTime(state.options, member.accusers.size());
+    member.suspicionEnds = member.accusers.size() == 1 ? ends : std::min(member.suspicionEnds, ends);
+    return true;
+}
+
+void store(membership &state, known_member &member, const member_update &update, instant now)
+{
+    eraseEntry(state.index, member.hash);
+    member.record = update.record;
+    member.hash = hashOf(state, member.record);
+    insertEntry(state.index, member.hash, member.record.id);
+    member.since = now;
+    member.accusers.clear();
+    if (member.record.status == member_status::Suspect) {
+        state.suspects.insert(member.record.id);
+        member.suspicionEnds = now + state.options.suspicionLongest;
+        addAccuser(state, member, update.accuser);
+    } else {
+        state.suspects.erase(member.record.id);
+    }
+    state.changed = true;
+}
+
+/// News of this VM itself: anything but what it says is refuted by a higher incarnation.
+void applyToSelf(membership &state, const member_record &record)
+{
+    constexpr std::uint32_t troubleLimit = 3;
+    const bool outranked = record.incarnation > state.self.incarnation;
+    const bool contradicted = record.incarnation == state.self.incarnation
+                              && (record.status != state.self.status || record.address != state.self.address);
+    if (state.self.status == member_status::Left || (!outranked && !contradicted)) {
+        return;
+    }
+    republishSelf(state, record.incarnation + 1, member_status::Alive);
+    state.localTrouble = std::min(state.localTrouble + 1, troubleLimit);
+}
+
+} // namespace
+
+void republishSelf(membership &state, std::uint32_t incarnation, member_status status)
+{
+    eraseEntry(state.index, state.selfHash);
+    state.self.incarnation = incarnation;
+    state.self.status = status;
+    state.selfHash = hashOf(state, state.self);
+    insertEntry(state.index, state.selfHash, state.self.id);
+    state.news[state.self.id] = {};
+}
+
+void applyUpdate(membership &state, const member_update &update, bool passOn, instant now,
+                 std::vector<membership_effect> &effects)
+{
+    const member_record &record = update.record;
+    if (record.id == state.self.id) {
+        applyToSelf(state, record);
+        return;
+    }
+    const auto found = state.members.find(record.id);
+    const bool unknown = found == state.members.end();
+    if (unknown && (record.status > member_status::Suspect || state.members.size() >= state.options.memberLimit)) {
+        return;
+    }
+    if (!unknown && !overrides(record, found->second.record)) {
+        known_member &known = found->second;
+        const bool sameSuspicion = known.record.status == member_status::Suspect
+                                   && record.status == member_status::Suspect
+                                   && known.record.incarnation == record.incarnation;
+        if (sameSuspicion && addAccuser(state, known, update.accuser) && passOn) {
+            state.news[record.id] = update.accuser;
+        }
+        return;
+    }
+    store(state, state.members[record.id], update, now);
+    if (passOn) {
+        state.news[record.id] = update.accuser;
+    }
+    effects.emplace_back(member_changed{record});
+}
+
+void accuse(membership &state, vm_id target, instant now, std::vector<membership_effect> &effects)
+{
+    const auto found = state.members.find(target);
+    if (found == state.members.end() || found->second.record.status > member_status::Suspect) {
+        return;
+    }
+    member_record record = found->second.record;
+    record.status = member_status::Suspect;
+    applyUpdate(state, {.record = std::move(record), .accuser = state.self.id}, true, now, effects);
+}
+
+void expireSuspicions(membership &state, instant now, std::vector<membership_effect> &effects)
+{
+    // With most probed VMs silent it is more likely this VM that is cut off; its verdicts would only be refuted.
+    const bool cutOff = state.targets.size() > 1 && heardShare(state, now) < 0.5;
+    const std::set<vm_id> suspects = state.suspects;
+    for (const vm_id id : suspects) {
+        known_member &member = state.members.at(id);
+        if (now < member.suspicionEnds) {
+            continue;
+        }
+        if (cutOff) {
+            member.suspicionEnds = now + state.options.suspicionShortest;
+            continue;
+        }
+        member_record record = member.record;
+        record.status = member_status::Dead;
+        applyUpdate(state, {.record = std::move(record)}, true, now, effects);
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/membership/repair.cpp
@@ -0,0 +1,186 @@
+#include "coordination/membership/membership_steps.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace guavafront
+{
+
+namespace
+{
+
+void sendDigest(const membership &state, vm_id to, const std::string &address, std::vector<membership_effect> &effects)
+{
+    effects.emplace_back(send_membership{to, address, membership_digest{state.self, state.index.digest}});
+}
+
+std::string addressOf(const membership &state, vm_id id)
+{
+    const member_record *record = findMember(state, id);
+    return record ? record->address : std::string();
+}
+
+/// The update that tells of a VM now.
+member_update updateOf(const membership &state, vm_id id, vm_id accuser)
+{
+    return {.record = *findMember(state, id), .accuser = accuser};
+}
+
+/// Sends records in as many messages as needed.
+void sendRecords(const membership &state, vm_id to, std::span<const vm_id> ids, std::vector<membership_effect> &effects)
+{
+    const std::string address = addressOf(state, to);
+    for (std::size_t first = 0; first < ids.size(); first += state.options.updatesPerMessage) {
+        membership_gossip message{.repair = true};
+        for (const vm_id id : ids.subspan(first, std::min(state.options.updatesPerMessage, ids.size() - first))) {
+            message.updates.push_back(updateOf(state, id, {}));
+        }
+        effects.emplace_back(send_membership{to, address, std::move(message)});
+    }
+}
+
+/// Dead VMs and seeds that no live VM stands for.
+std::vector<std::pair<vm_id, std::string>> unreachedAddresses(const membership &state)
+{
+    std::unordered_set<std::string_view> reached{state.self.address};
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status <= member_status::Suspect) {
+            reached.insert(member.record.address);
+        }
+    }
+    std::vector<std::pair<vm_id, std::string>> result;
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status == member_status::Dead && !reached.contains(member.record.address)) {
+            result.emplace_back(id, member.record.address);
+        }
+    }
+    std::ranges::sort(result);
+    for (const std::string &seed : state.seeds) {
+        if (!reached.contains(seed)) {
+            result.emplace_back(vm_id{}, seed);
+        }
+    }
+    return result;
+}
+
+/// Tries a random dead VM or seed; all of them while no other VM is known.
+void reconnect(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+{
+    constexpr std::size_t fleetTriesPerPeriod = 64;
+    const auto addresses = unreachedAddresses(state);
+    if (state.alive == 1) {
+        for (const auto &[id, address] : addresses) {
+            sendDigest(state, id, address, effects);
+        }
+        state.nextReconnect = now + state.options.probePeriod;
+        return;
+    }
+    if (!addresses.empty()) {
+        const auto &[id, address] = addresses[random.below(addresses.size())];
+        sendDigest(state, id, address, effects);
+    }
+    // The whole fleet makes about fleetTriesPerPeriod tries in a period, however large it is.
+    const auto factor = static_cast<int>(1 + state.alive / fleetTriesPerPeriod);
+    const std::int64_t wait = (state.options.reconnectPeriod * factor).count();
+    state.nextReconnect =
+        now + duration(wait / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(wait))));
+}
+
+void forgetOld(membership &state, instant now, std::vector<membership_effect> &effects)
+{
+    std::vector<vm_id> old;
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status > member_status::Suspect && now - member.since > state.options.retention) {
+            old.push_back(id);
+        }
+    }
+    std::ranges::sort(old, {}, &vm_id::value);
+    for (const vm_id id : old) {
+        eraseEntry(state.index, state.members.at(id).hash);
+        state.members.erase(id);
+        state.news.erase(id);
+        state.changed = true;
+        effects.emplace_back(member_forgotten{id});
+    }
+}
+
+} // namespace
+
+void floodNews(membership &state, duration elapsed, std::vector<membership_effect> &effects)
+{
+    const double earned = std::chrono::duration<double>(elapsed).count() * state.options.updatesPerSecond;
+    state.updateAllowance = std::min(state.updateAllowance + earned, state.options.updateBurst);
+    if (state.news.empty() || state.targets.empty() || state.updateAllowance < 1) {
+        return;
+    }
+    membership_gossip message;
+    const std::size_t limit =
+        std::min(state.options.updatesPerMessage, static_cast<std::size_t>(state.updateAllowance));
+    while (!state.news.empty() && message.updates.size() < limit) {
+        const auto [id, accuser] = *state.news.begin();
+        state.news.erase(state.news.begin());
+        message.updates.push_back(updateOf(state, id, accuser));
+    }
+    state.updateAllowance -= static_cast<double>(message.updates.size());
+    for (const auto &[id, target] : state.targets) {
+        effects.emplace_back(send_membership{id, addressOf(state, id), message});
+    }
+}
+
+void maintain(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+{
+    if (now >= state.nextReconnect) {
+        reconnect(state, now, random, effects);
+    }
+    if (now < state.nextSync) {
+        return;
+    }
+    const std::int64_t period = state.options.syncPeriod.count();
+    state.nextSync =
+        now + duration(period / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(period))));
+    forgetOld(state, now, effects);
+    if (!state.targets.empty()) {
+        const auto chosen =
+            std::next(state.targets.begin(), static_cast<std::ptrdiff_t>(random.below(state.targets.size())));
+        sendDigest(state, chosen->first, addressOf(state, chosen->first), effects);
+    }
+}
+
+void receiveDigest(membership &state, vm_id from, const membership_digest &message, instant now,
+                   std::vector<membership_effect> &effects)
+{
+    if (message.sender.id != from) {
+        return;
+    }
+    applyUpdate(state, {.record = message.sender}, true, now, effects);
+    bucket_summary summary = summarizeDifferences(state.index, message.digest, 0, state.options.buckets);
+    if (!summary.buckets.empty()) {
+        std::ranges::sort(summary.hashes);
+        effects.emplace_back(send_membership{from, addressOf(state, from), membership_summary{std::move(summary)}});
+    }
+}
+
+void receiveSummary(const membership &state, vm_id from, const membership_summary &message,
+                    std::vector<membership_effect> &effects)
+{
+    repair_plan<vm_id> plan = planRepair(state.index, message.summary);
+    std::ranges::sort(plan.offer, {}, &vm_id::value);
+    sendRecords(state, from, plan.offer, effects);
+    if (!plan.want.empty()) {
+        effects.emplace_back(send_membership{from, addressOf(state, from), membership_want{std::move(plan.want)}});
+    }
+}
+
+void receiveWant(const membership &state, vm_id from, const membership_want &message,
+                 std::vector<membership_effect> &effects)
+{
+    std::vector<vm_id> ids;
+    for (const entry_hash hash : message.hashes) {
+        if (const vm_id *id = findEntry(state.index, hash)) {
+            ids.push_back(*id);
+        }
+    }
+    sendRecords(state, from, ids, effects);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/wire/membership_codec.cpp
@@ -0,0 +1,174 @@
+#include "wire/membership_codec.h"
+
+#include "wire/digest_fields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t messageLimitBytes = 1'048'576;
+constexpr std::size_t textLimitBytes = 64;
+constexpr std::size_t updateLimit = 10'000;
+constexpr std::size_t recordFields = 6;
+
+/// Number of each message on the wire; the order of the variant.
+enum class message_kind : std::uint8_t { Ping, Ack, PingRequest, Gossip, Digest, Summary, Want };
+
+nlohmann::json encodeRecord(const member_record &record)
+{
+    return nlohmann::json::array({record.id.value, record.incarnation, static_cast<std::uint8_t>(record.status),
+                                  record.address, record.dataCentre, record.roles});
+}
+
+member_record decodeRecord(const nlohmann::json &value)
+{
+    cbor_fields fields(value, "member record", recordFields);
+    member_record record;
+    record.id = {fields.whole<std::uint64_t>()};
+    record.incarnation = fields.whole<std::uint32_t>();
+    record.status = fields.oneOf(member_status::Left);
+    record.address = fields.text(textLimitBytes);
+    record.dataCentre = fields.text(textLimitBytes);
+    record.roles = fields.whole<std::uint8_t>();
+    if (record.id.value == 0) {
+        throw coordination_error(result_code::MessageMalformed, "malformed member record");
+    }
+    return record;
+}
+
+nlohmann::json encodeUpdates(const membership_gossip &message)
+{
+    auto updates = nlohmann::json::array();
+    for (const member_update &each : message.updates) {
+        updates.push_back(nlohmann::json::array({encodeRecord(each.record), each.accuser.value}));
+    }
+    return updates;
+}
+
+membership_gossip decodeGossip(cbor_fields &fields)
+{
+    membership_gossip message;
+    message.repair = fields.boolean();
+    for (const nlohmann::json &each : fields.array(updateLimit)) {
+        cbor_fields update(each, "member update", 2);
+        member_record record = decodeRecord(update.array(recordFields));
+        message.updates.push_back({.record = std::move(record), .accuser = {update.whole<std::uint64_t>()}});
+    }
+    return message;
+}
+
+/// Appends a message's fields to its kind.
+struct field_writer {
+    nlohmann::json &fields; ///< The message's array.
+
+    void operator()(const membership_ping &message) const
+    {
+        fields.push_back(message.nonce);
+    }
+
+    void operator()(const membership_ack &message) const
+    {
+        fields.push_back(message.nonce);
+    }
+
+    void operator()(const membership_ping_request &message) const
+    {
+        fields.push_back(message.nonce);
+        fields.push_back(message.target.value);
+        fields.push_back(message.address);
+    }
+
+    void operator()(const membership_gossip &message) const
+    {
+        fields.push_back(message.repair);
+        fields.push_back(encodeUpdates(message));
+    }
+
+    void operator()(const membership_digest &message) const
+    {
+        fields.push_back(encodeRecord(message.sender));
+        fields.push_back(packNumbers<std::uint32_t>(message.digest));
+    }
+
+    void operator()(const membership_summary &message) const
+    {
+        fields.push_back(packNumbers<std::uint16_t>(message.summary.buckets));
+        fields.push_back(packNumbers<entry_hash>(message.summary.hashes));
+    }
+
+    void operator()(const membership_want &message) const
+    {
+        fields.push_back(packNumbers<entry_hash>(message.hashes));
+    }
+};
+
+membership_ping_request decodePingRequest(cbor_fields &fields)
+{
+    membership_ping_request message;
+    message.nonce = fields.whole<std::uint64_t>();
+    message.target = {fields.whole<std::uint64_t>()};
+    message.address = fields.text(textLimitBytes);
+    return message;
+}
+
+membership_digest decodeDigest(cbor_fields &fields)
+{
+    membership_digest message;
+    message.sender = decodeRecord(fields.array(recordFields));
+    message.digest = unpackNumbers<std::uint32_t>(fields.bytes(messageLimitBytes));
+    return message;
+}
+
+membership_summary decodeSummary(cbor_fields &fields)
+{
+    membership_summary message;
+    message.summary.buckets = unpackNumbers<std::uint16_t>(fields.bytes(messageLimitBytes));
+    message.summary.hashes = unpackNumbers<entry_hash>(fields.bytes(messageLimitBytes));
+    return message;
+}
+
+} // namespace
+
+byte_buffer encodeMembership(const membership_message &message)
+{
+    auto fields = nlohmann::json::array({static_cast<std::uint8_t>(message.index())});
+    std::visit(field_writer{fields}, message);
+    return encodeCbor(fields);
+}
+
+membership_message decodeMembership(std::span<const std::byte> bytes)
+{
+    const nlohmann::json value = parseCbor(bytes, messageLimitBytes);
+    constexpr std::size_t mostFields = 4;
+    const std::size_t count = value.is_array() && !value.empty() ? std::min(value.size(), mostFields) : 1;
+    cbor_fields fields(value, "membership message", count);
+    const auto kind = fields.oneOf(message_kind::Want);
+    constexpr std::array<std::size_t, 7> fieldCounts{2, 2, 4, 3, 3, 3, 2};
+    if (count != fieldCounts[static_cast<std::size_t>(kind)]) {
+        throw coordination_error(result_code::MessageMalformed, "malformed membership message");
+    }
+    switch (kind) {
+    case message_kind::Ping:
+        return membership_ping{fields.whole<std::uint64_t>()};
+    case message_kind::Ack:
+        return membership_ack{fields.whole<std::uint64_t>()};
+    case message_kind::PingRequest:
+        return decodePingRequest(fields);
+    case message_kind::Gossip:
+        return decodeGossip(fields);
+    case message_kind::Digest:
+        return decodeDigest(fields);
+    case message_kind::Summary:
+        return decodeSummary(fields);
+    case message_kind::Want:
+        break;
+    }
+    return membership_want{unpackNumbers<entry_hash>(fields.bytes(messageLimitBytes))};
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/membership/membership_test.cpp
@@ -0,0 +1,290 @@
+#include "membership/memory_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/// A fleet of 48 VMs in three data centres, run once for each of some seeds.
+struct membership_fixture {
+    static constexpr std::size_t fleetSize = 48;
+    static constexpr std::uint64_t seeds = 5;
+
+    /// Runs a case on a converged fleet, for each seed.
+    static void forEachSeed(const std::function<void(memory_fleet &)> &body)
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            BOOST_TEST_CONTEXT("seed " << seed)
+            {
+                memory_fleet fleet;
+                fleet.random = {seed};
+                fleet.startAll(fleetSize);
+                BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.agrees(); }, seconds(60)));
+                body(fleet);
+            }
+        }
+    }
+
+    /// The VM at a position in the order of identifiers.
+    static vm_id vmAt(const memory_fleet &fleet, std::size_t position)
+    {
+        return std::next(fleet.vms.begin(), static_cast<std::ptrdiff_t>(position))->first;
+    }
+
+    static char zoneOf(const memory_fleet &fleet, vm_id id)
+    {
+        const auto found = fleet.vms.find(id);
+        return found == fleet.vms.end() ? ' ' : found->second.state.self.dataCentre[0];
+    }
+
+    static bool agreesWithin(memory_fleet &fleet, duration limit)
+    {
+        return fleet.runUntil([&fleet] { return fleet.agrees(); }, limit);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(membership_test, membership_fixture)
+
+BOOST_AUTO_TEST_CASE(fleet_allStartAtOnce_viewsEqual)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const std::uint64_t expected = viewFingerprint(fleet.vms.begin()->second.state);
+        for (const auto &[id, each] : fleet.vms) {
+            BOOST_TEST(viewFingerprint(each.state) == expected);
+            BOOST_TEST(each.state.targets.size() == fleet.options.rings);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(fleet_sameSeed_sameRun)
+{
+    memory_fleet first;
+    memory_fleet second;
+    for (memory_fleet *each : {&first, &second}) {
+        each->startAll(fleetSize);
+        each->run(seconds(20));
+    }
+    BOOST_TEST(first.random.state == second.random.state);
+    BOOST_TEST(first.queue.size() == second.queue.size());
+}
+
+BOOST_AUTO_TEST_CASE(vm_crashes_deadEverywhereAndNoOther)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        fleet.kill(vmAt(fleet, 20));
+        BOOST_TEST(agreesWithin(fleet, seconds(15)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vm_leaves_gonePromptlyAndNotMissing)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id leaver = vmAt(fleet, 20);
+        fleet.react(fleet.vms.at(leaver), membership_leave{});
+        fleet.kill(leaver);
+        BOOST_TEST(agreesWithin(fleet, seconds(4)));
+        for (const auto &[id, each] : fleet.vms) {
+            BOOST_TEST(each.state.missing == 0U);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(link_cutOneWayBetweenTwoVms_nobodyDead)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id from = vmAt(fleet, 3);
+        const vm_id to = fleet.vms.at(from).state.targets.begin()->first;
+        fleet.cut = [from, to](vm_id source, vm_id target) {
+            return source == from && target == to;
+        };
+        for (int second = 0; second < 60; ++second) {
+            fleet.run(seconds(1));
+            BOOST_TEST(fleet.noneHeldDead());
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(link_cutOneWayBetweenDataCentres_nobodyDead)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        fleet.cut = [&fleet](vm_id from, vm_id to) {
+            return zoneOf(fleet, from) == 'a' && zoneOf(fleet, to) == 'b';
+        };
+        for (int second = 0; second < 60; ++second) {
+            fleet.run(seconds(1));
+            BOOST_TEST(fleet.noneHeldDead());
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vm_cannotHearOrCannotSpeak_backAfterTheCut)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id deaf = vmAt(fleet, 5);
+        const vm_id mute = vmAt(fleet, 30);
+        fleet.cut = [deaf, mute](vm_id from, vm_id to) {
+            return to == deaf || from == mute;
+        };
+        fleet.run(minutes(2));
+        BOOST_TEST(aliveShare(fleet.vms.at(deaf).state, fleet.now) < 0.3);
+        BOOST_TEST(aliveShare(fleet.vms.at(mute).state, fleet.now) < 0.3);
+        fleet.cut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(agreesWithin(fleet, minutes(1)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(messages_oneInTwentyLost_nobodyStaysDead)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        fleet.cut = [&fleet](vm_id, vm_id) {
+            return fleet.random.below(20) == 0;
+        };
+        fleet.run(minutes(3));
+        BOOST_TEST(fleet.noneHeldDead());
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vm_frozenThenThawed_aliveAgainAndAccusesNobody)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id frozen = vmAt(fleet, 17);
+        fleet.freeze(frozen);
+        fleet.run(minutes(1));
+        std::size_t accusations = 0;
+        fleet.onEffect = [&accusations, frozen](memory_fleet::vm &self, const membership_effect &effect) {
+            const auto *change = std::get_if<member_changed>(&effect);
+            accusations += self.state.self.id == frozen && change && change->record.status == member_status::Suspect;
+        };
+        fleet.thaw(frozen);
+        BOOST_TEST(agreesWithin(fleet, seconds(20)));
+        BOOST_TEST(accusations == 0U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vms_hundredRestarts_viewsFollow)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        for (std::size_t i = 0; i < 100; ++i) {
+            const std::size_t slot = fleet.random.below(fleetSize);
+            fleet.kill(fleet.holders.at(memory_fleet::addressOf(slot)));
+            fleet.start(slot);
+            fleet.run(seconds(1));
+        }
+        BOOST_TEST(agreesWithin(fleet, seconds(30)));
+        for (const auto &[id, each] : fleet.vms) {
+            BOOST_TEST(each.state.missing == 0U);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vm_restartsUnderItsOldIdentifier_aliveAgain)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id control = fleet.holders.at(memory_fleet::addressOf(0));
+        fleet.kill(control);
+        fleet.run(seconds(20));
+        fleet.start(0, control);
+        BOOST_TEST(agreesWithin(fleet, seconds(20)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(rack_lost_deadEverywhereAndNoOther)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        for (std::size_t i = 0; i < 8; ++i) {
+            fleet.kill(vmAt(fleet, 5));
+        }
+        BOOST_TEST(agreesWithin(fleet, seconds(30)));
+        for (const auto &[id, each] : fleet.vms) {
+            BOOST_TEST(each.state.missing == 8U);
+            BOOST_TEST(aliveShare(each.state, fleet.now) > 0.5);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(dataCentre_cutOffThenBack_everyoneAliveAgain)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        fleet.cut = [&fleet](vm_id from, vm_id to) {
+            return (zoneOf(fleet, from) == 'a') != (zoneOf(fleet, to) == 'a');
+        };
+        fleet.run(minutes(5));
+        for (const auto &[id, each] : fleet.vms) {
+            const double share = aliveShare(each.state, fleet.now);
+            BOOST_TEST((each.state.self.dataCentre == "a" ? share < 0.5 : share > 0.5));
+        }
+        fleet.cut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(agreesWithin(fleet, minutes(2)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aliveShare_cutOffAlone_nearZeroAndDeclaresNobodyDead)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        const vm_id alone = vmAt(fleet, 11);
+        fleet.cut = [alone](vm_id from, vm_id to) {
+            return from == alone || to == alone;
+        };
+        fleet.run(seconds(5));
+        BOOST_TEST(aliveShare(fleet.vms.at(alone).state, fleet.now) < 0.3);
+        fleet.run(minutes(8));
+        BOOST_TEST(aliveShare(fleet.vms.at(alone).state, fleet.now) < 0.3);
+        BOOST_TEST(fleet.vms.at(alone).state.alive == fleetSize);
+        fleet.cut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(agreesWithin(fleet, minutes(1)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aliveShare_controlVmsAway_staysHigh)
+{
+    forEachSeed([](memory_fleet &fleet) {
+        for (std::size_t slot = 0; slot < memory_fleet::seedCount; ++slot) {
+            fleet.kill(fleet.holders.at(memory_fleet::addressOf(slot)));
+        }
+        fleet.run(minutes(1));
+        for (const auto &[id, each] : fleet.vms) {
+            BOOST_TEST(aliveShare(each.state, fleet.now) > 0.9);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(deadVm_pastRetention_forgotten)
+{
+    memory_fleet fleet;
+    fleet.options.retention = minutes(2);
+    fleet.startAll(5);
+    BOOST_REQUIRE(agreesWithin(fleet, seconds(30)));
+    const vm_id dead = vmAt(fleet, 4);
+    fleet.kill(dead);
+    fleet.run(minutes(3));
+    for (const auto &[id, each] : fleet.vms) {
+        BOOST_TEST(!findMember(each.state, dead));
+        BOOST_TEST(each.state.missing == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(digest_senderNamesAnotherVm_ignored)
+{
+    memory_fleet fleet;
+    memory_fleet::vm &victim = fleet.vms.at(fleet.start(0));
+    fleet.react(victim, membership_received{{5}, membership_digest{.sender = {.id = {6}}}});
+    BOOST_TEST(!findMember(victim.state, {6}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/membership/memory_fleet.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <guavafront/coordination/membership/membership.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace guavafront
+{
+
+/// VMs whose membership messages are handed over in memory with a delay of a few milliseconds; seeded.
+struct memory_fleet {
+    struct vm {
+        membership state;
+        instant nextTick;
+        bool frozen = false;
+        std::vector<std::function<void()>> backlog; ///< What arrived while it was frozen.
+    };
+
+    using handler = std::function<void(vm &, const membership_effect &)>;
+
+    random_source random{1};
+    membership_options options;
+    instant now{};
+    std::map<vm_id, vm> vms;
+    std::map<std::string, vm_id> holders; ///< Running VM of each address.
+    std::multimap<instant, std::function<void()>> queue;
+    std::function<bool(vm_id, vm_id)> cut = [](vm_id, vm_id) {
+        return false;
+    }; ///< Messages one way are lost.
+    handler onEffect = [](vm &, const membership_effect &) {
+    }; ///< Sees all effects.
+    std::function<void(vm &)> onTick = [](vm &) {
+    }; ///< After each tick of a VM.
+
+    static constexpr duration tickPeriod = std::chrono::milliseconds(100);
+    static constexpr std::size_t seedCount = 3;
+
+    static std::string addressOf(std::size_t slot)
+    {
+        return "10.0.0." + std::to_string(slot) + ":7000";
+    }
+
+    static std::string dataCentreOf(std::size_t slot)
+    {
+        return std::string(1, static_cast<char>('a' + slot % 3));
+    }
+
+    /// Starts a VM at an address; the first three addresses are the seeds.
+    vm_id start(std::size_t slot, vm_id id = {})
+    {
+        if (id.value == 0) {
+            id = {random() | 1U};
+        }
+        std::vector<std::string> seeds;
+        for (std::size_t i = 0; i < seedCount; ++i) {
+            seeds.push_back(addressOf(i));
+        }
+        member_record self{.id = id, .address = addressOf(slot), .dataCentre = dataCentreOf(slot), .roles = EntryRole};
+        const instant first = now + duration(static_cast<std::int64_t>(random.below(tickPeriod.count())));
+        holders[self.address] = id;
+        vms.insert_or_assign(id, vm{makeMembership(std::move(self), std::move(seeds), options), first, false, {}});
+        return id;
+    }
+
+    void startAll(std::size_t count)
+    {
+        for (std::size_t slot = 0; slot < count; ++slot) {
+            start(slot);
+        }
+    }
+
+    /// The process is gone without a word.
+    void kill(vm_id id)
+    {
+        vms.erase(id);
+    }
+
+    void freeze(vm_id id)
+    {
+        vms.at(id).frozen = true;
+    }
+
+    void thaw(vm_id id)
+    {
+        vm &target = vms.at(id);
+        target.frozen = false;
+        for (const auto &deliver : std::exchange(target.backlog, {})) {
+            deliver();
+        }
+    }
+
+    /// Hands over to a VM later, unless it is cut off or gone.
+    void deliver(vm_id from, vm_id to, std::function<void(vm &)> action)
+    {
+        if (cut(from, to)) {
+            return;
+        }
+        const duration delay(1'000 + static_cast<std::int64_t>(random.below(7'000)));
+        queue.emplace(now + delay, [this, to, action = std::move(action)] { arrive(to, action); });
+    }
+
+    void arrive(vm_id to, const std::function<void(vm &)> &action)
+    {
+        const auto target = vms.find(to);
+        if (target == vms.end()) {
+            return;
+        }
+        if (target->second.frozen) {
+            target->second.backlog.emplace_back([this, to, action] { arrive(to, action); });
+        } else {
+            action(target->second);
+        }
+    }
+
+    void react(vm &self, const membership_event &event)
+    {
+        std::vector<membership_effect> effects;
+        step(self.state, event, now, random, effects);
+        const vm_id from = self.state.self.id;
+        for (const membership_effect &each : effects) {
+            onEffect(self, each);
+            const auto *send = std::get_if<send_membership>(&each);
+            if (!send) {
+                continue;
+            }
+            const auto holder = holders.find(send->address);
+            const vm_id to = send->to.value != 0 ? send->to : holder == holders.end() ? vm_id{} : holder->second;
+            deliver(from, to, [this, from, message = send->message](vm &target) {
+                react(target, membership_received{from, message});
+            });
+        }
+    }
+
+    void tickAll()
+    {
+        for (auto &[id, each] : vms) {
+            if (!each.frozen && now >= each.nextTick) {
+                each.nextTick = now + tickPeriod;
+                react(each, membership_tick{});
+                onTick(each);
+            }
+        }
+    }
+
+    void deliverDue()
+    {
+        while (!queue.empty() && queue.begin()->first <= now) {
+            const auto action = std::move(queue.begin()->second);
+            queue.erase(queue.begin());
+            action();
+        }
+    }
+
+    /// Lets time pass until the condition holds; false when it didn't within the limit.
+    bool runUntil(const std::function<bool()> &condition, duration limit)
+    {
+        constexpr duration stepLength = std::chrono::milliseconds(10);
+        constexpr int stepsPerCheck = 10;
+        const instant end = now + limit;
+        while (now < end && !condition()) {
+            for (int i = 0; i < stepsPerCheck; ++i) {
+                now += stepLength;
+                deliverDue();
+                tickAll();
+            }
+        }
+        return condition();
+    }
+
+    void run(duration time)
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    /// Every VM holds exactly the running VMs as live.
+    bool agrees() const
+    {
+        return std::ranges::all_of(vms, [this](const auto &entry) {
+            const membership &state = entry.second.state;
+            return state.alive == vms.size()
+                   && std::ranges::all_of(vms, [&state](const auto &other) { return isLive(state, other.first); });
+        });
+    }
+
+    /// No running VM that holds another running one dead.
+    bool noneHeldDead() const
+    {
+        return std::ranges::all_of(vms, [this](const auto &entry) {
+            return std::ranges::all_of(vms, [&entry](const auto &other) {
+                const member_record *record = findMember(entry.second.state, other.first);
+                return record && record->status <= member_status::Suspect;
+            });
+        });
+    }
+};
+
+} // namespace guavafront
