Add the spread of small state, and the leader's beacon

Cause: instances, evidence and quarantine lists must reach all VMs without the log, within 4 KB/s a VM, and each VM must know how old its knowledge of withdrawals is. Change: decisions in coordination/spread, codec in wire, tests with delivery in memory. fleet_membership is renamed from membership, which the replicated log uses for its voters.

--- a/include/guavafront/coordination/core/digest_index.h
+++ b/include/guavafront/coordination/core/digest_index.h
@@ -85,18 +85,18 @@
     return found == index.entries[bucketOf(hash)].end() ? nullptr : &found->second;
 }
 
-/// Summary of the buckets whose digests differ, at most bucketLimit of them, beginning at a bucket of the caller's
+/// Summary of the buckets whose digests differ, up to about hashLimit entries, beginning at a bucket of the caller's
 /// choice. Empty when nothing differs or the other's table has another number of buckets.
 template<class key>
 bucket_summary summarizeDifferences(const digest_index<key> &index, std::span<const std::uint32_t> other,
-                                    std::size_t firstBucket, std::size_t bucketLimit)
+                                    std::size_t firstBucket, std::size_t hashLimit)
 {
     bucket_summary summary;
     const std::size_t count = index.digest.size();
     if (other.size() != count) {
         return summary;
     }
-    for (std::size_t step = 0; step < count && summary.buckets.size() < bucketLimit; ++step) {
+    for (std::size_t step = 0; step < count && summary.hashes.size() < hashLimit; ++step) {
         const std::size_t bucket = (firstBucket + step) % count;
         if (other[bucket] != index.digest[bucket]) {
             summary.buckets.push_back(static_cast<std::uint16_t>(bucket));
--- a/include/guavafront/coordination/membership/membership.h
+++ b/include/guavafront/coordination/membership/membership.h
@@ -64,7 +64,7 @@
 /// (Das, Gupta, Motivala 2002); timeouts that grow with this VM's own trouble and shrink with independent accusers
 /// follow Lifeguard (Dadgar, Phillips, Currey 2018); the VMs to probe are neighbours in pseudo-random rings, as in
 /// Rapid (Suresh et al. 2018), so that links are few and last.
-struct membership {
+struct fleet_membership {
     membership_options options; ///< As constructed.
     member_record self; ///< This VM.
     entry_hash selfHash = 0; ///< Its entry in the digest.
@@ -135,26 +135,26 @@
     std::variant<send_membership, probe_answered, member_changed, member_forgotten, targets_changed>;
 
 /// Membership that knows only itself.
-membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options);
+fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options);
 
 /// Reacts to one event; appends what is to be done.
-void step(membership &state, const membership_event &event, instant now, random_source &random,
+void step(fleet_membership &state, const membership_event &event, instant now, random_source &random,
           std::vector<membership_effect> &effects);
 
 /// Whether news of a VM holds it alive or suspect.
-bool isLive(const membership &state, vm_id id);
+bool isLive(const fleet_membership &state, vm_id id);
 
 /// Record of a VM, this one included; null when unknown.
-const member_record *findMember(const membership &state, vm_id id);
+const member_record *findMember(const fleet_membership &state, vm_id id);
 
 /// Records of VMs that are alive or suspect, this one included, ordered by id.
-std::vector<member_record> liveMembers(const membership &state);
+std::vector<member_record> liveMembers(const fleet_membership &state);
 
 /// Share of the fleet that this VM hears, 0 to 1: of the VMs it probes, those that answered lately, times the live
 /// VMs over the live and the missing ones. Near 0: this VM is cut off alone. 1 for a VM that knows no other.
-double aliveShare(const membership &state, instant now);
+double aliveShare(const fleet_membership &state, instant now);
 
 /// Hash of the live VMs' identifiers: equal on two VMs exactly when their views are.
-std::uint64_t viewFingerprint(const membership &state);
+std::uint64_t viewFingerprint(const fleet_membership &state);
 
 } // namespace guavafront
--- a/include/guavafront/coordination/membership/membership_message.h
+++ b/include/guavafront/coordination/membership/membership_message.h
@@ -2,8 +2,10 @@
 
 #include <guavafront/coordination/core/digest_index.h>
 #include <guavafront/coordination/membership/member.h>
+#include <guavafront/coordination/spread/beacon.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,6 +22,7 @@
 /// Sign of life.
 struct membership_ack {
     std::uint64_t nonce = 0; ///< From the ping or the ping request.
+    std::optional<beacon> freshness; ///< What the sender knows of the leader; filled in by the sender's task.
     bool operator==(const membership_ack &) const = default; ///< Memberwise equality.
 };
 
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -14,7 +14,7 @@
 
 constexpr int standstillPeriods = 3;
 
-void tick(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+void tick(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
 {
     const duration elapsed = state.lastTick ? now - *state.lastTick : duration{};
     state.lastTick = now;
@@ -30,7 +30,7 @@
 }
 
 /// Tells a VM what is wrongly held of it, so that it refutes; asks an unknown one who it is.
-void correctSender(const membership &state, vm_id from, std::vector<membership_effect> &effects)
+void correctSender(const fleet_membership &state, vm_id from, std::vector<membership_effect> &effects)
 {
     const auto sender = state.members.find(from);
     if (sender == state.members.end()) {
@@ -41,7 +41,7 @@
     }
 }
 
-void receiveGossip(membership &state, vm_id from, const membership_gossip &message, instant now,
+void receiveGossip(fleet_membership &state, vm_id from, const membership_gossip &message, instant now,
                    std::vector<membership_effect> &effects)
 {
     const std::uint32_t incarnationBefore = state.self.incarnation;
@@ -54,7 +54,8 @@
     }
 }
 
-void receive(membership &state, const membership_received &event, instant now, std::vector<membership_effect> &effects)
+void receive(fleet_membership &state, const membership_received &event, instant now,
+             std::vector<membership_effect> &effects)
 {
     const vm_id from = event.from;
     if (const auto *gossip = std::get_if<membership_gossip>(&event.message)) {
@@ -78,7 +79,7 @@
 }
 
 /// Tells the probed VMs at once, since no later tick will.
-void leave(membership &state, std::vector<membership_effect> &effects)
+void leave(fleet_membership &state, std::vector<membership_effect> &effects)
 {
     republishSelf(state, state.self.incarnation, member_status::Left);
     for (const auto &[id, target] : state.targets) {
@@ -89,19 +90,19 @@
 
 } // namespace
 
-membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options)
+fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options)
 {
     assert(self.id.value != 0);
-    membership state{.options = options,
-                     .self = std::move(self),
-                     .seeds = std::move(seeds),
-                     .index = digest_index<vm_id>(options.buckets),
-                     .updateAllowance = options.updateBurst};
+    fleet_membership state{.options = options,
+                           .self = std::move(self),
+                           .seeds = std::move(seeds),
+                           .index = digest_index<vm_id>(options.buckets),
+                           .updateAllowance = options.updateBurst};
     republishSelf(state, state.self.incarnation, member_status::Alive);
     return state;
 }
 
-void step(membership &state, const membership_event &event, instant now, random_source &random,
+void step(fleet_membership &state, const membership_event &event, instant now, random_source &random,
           std::vector<membership_effect> &effects)
 {
     if (const auto *received = std::get_if<membership_received>(&event)) {
@@ -115,13 +116,13 @@
     }
 }
 
-bool isLive(const membership &state, vm_id id)
+bool isLive(const fleet_membership &state, vm_id id)
 {
     const member_record *record = findMember(state, id);
     return record && record->status <= member_status::Suspect;
 }
 
-const member_record *findMember(const membership &state, vm_id id)
+const member_record *findMember(const fleet_membership &state, vm_id id)
 {
     if (id == state.self.id) {
         return &state.self;
@@ -130,7 +131,7 @@
     return found == state.members.end() ? nullptr : &found->second.record;
 }
 
-std::vector<member_record> liveMembers(const membership &state)
+std::vector<member_record> liveMembers(const fleet_membership &state)
 {
     std::vector<member_record> live{state.self};
     for (const auto &[id, member] : state.members) {
@@ -142,13 +143,13 @@
     return live;
 }
 
-double aliveShare(const membership &state, instant now)
+double aliveShare(const fleet_membership &state, instant now)
 {
     const auto alive = static_cast<double>(state.alive);
     return heardShare(state, now) * alive / (alive + static_cast<double>(state.missing));
 }
 
-std::uint64_t viewFingerprint(const membership &state)
+std::uint64_t viewFingerprint(const fleet_membership &state)
 {
     std::uint64_t fingerprint = 0;
     for (const member_record &each : liveMembers(state)) {
--- a/src/coordination/membership/membership_steps.h
+++ b/src/coordination/membership/membership_steps.h
@@ -8,50 +8,51 @@
 {
 
 /// Takes a record of this or another VM; passOn floods it when it is news.
-void applyUpdate(membership &state, const member_update &update, bool passOn, instant now,
+void applyUpdate(fleet_membership &state, const member_update &update, bool passOn, instant now,
                  std::vector<membership_effect> &effects);
 
 /// Gives this VM's record a new incarnation or status and floods it.
-void republishSelf(membership &state, std::uint32_t incarnation, member_status status);
+void republishSelf(fleet_membership &state, std::uint32_t incarnation, member_status status);
 
 /// Holds a VM under suspicion because this one got no answer.
-void accuse(membership &state, vm_id target, instant now, std::vector<membership_effect> &effects);
+void accuse(fleet_membership &state, vm_id target, instant now, std::vector<membership_effect> &effects);
 
 /// Declares suspects dead that did not refute in time.
-void expireSuspicions(membership &state, instant now, std::vector<membership_effect> &effects);
+void expireSuspicions(fleet_membership &state, instant now, std::vector<membership_effect> &effects);
 
 /// Share of the probed VMs that answered lately; 1 when there are none.
-double heardShare(const membership &state, instant now);
+double heardShare(const fleet_membership &state, instant now);
 
 /// Works out anew which VMs to probe and how many are missing.
-void refreshTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects);
+void refreshTargets(fleet_membership &state, instant now, random_source &random,
+                    std::vector<membership_effect> &effects);
 
 /// Sends due pings, asks helpers and accuses VMs that did not answer.
-void probeTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects);
+void probeTargets(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects);
 
 /// Forgets unanswered pings and suspicion times after this VM stood still.
-void resumeAfterStandstill(membership &state, instant now);
+void resumeAfterStandstill(fleet_membership &state, instant now);
 
 /// Handles a ping, an answer and a ping request.
-void receivePing(const membership &state, vm_id from, const membership_ping &ping,
+void receivePing(const fleet_membership &state, vm_id from, const membership_ping &ping,
                  std::vector<membership_effect> &effects);
-void receiveAck(membership &state, vm_id from, const membership_ack &ack, instant now,
+void receiveAck(fleet_membership &state, vm_id from, const membership_ack &ack, instant now,
                 std::vector<membership_effect> &effects); ///< See receivePing().
-void receivePingRequest(membership &state, vm_id from, const membership_ping_request &request, instant now,
+void receivePingRequest(fleet_membership &state, vm_id from, const membership_ping_request &request, instant now,
                         std::vector<membership_effect> &effects); ///< See receivePing().
 
 /// Passes news on to the probed VMs, within the allowance.
-void floodNews(membership &state, duration elapsed, std::vector<membership_effect> &effects);
+void floodNews(fleet_membership &state, duration elapsed, std::vector<membership_effect> &effects);
 
 /// Compares tables with one VM, tries dead VMs and seeds, forgets old records.
-void maintain(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects);
+void maintain(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects);
 
 /// Handles the three messages of a comparison.
-void receiveDigest(membership &state, vm_id from, const membership_digest &message, instant now,
+void receiveDigest(fleet_membership &state, vm_id from, const membership_digest &message, instant now,
                    std::vector<membership_effect> &effects);
-void receiveSummary(const membership &state, vm_id from, const membership_summary &message,
+void receiveSummary(const fleet_membership &state, vm_id from, const membership_summary &message,
                     std::vector<membership_effect> &effects); ///< See receiveDigest().
-void receiveWant(const membership &state, vm_id from, const membership_want &message,
+void receiveWant(const fleet_membership &state, vm_id from, const membership_want &message,
                  std::vector<membership_effect> &effects); ///< See receiveDigest().
 
 } // namespace guavafront
--- a/src/coordination/membership/probing.cpp
+++ b/src/coordination/membership/probing.cpp
@@ -23,7 +23,7 @@
 }
 
 /// Nearest live successor of this VM on a ring that is not chosen yet, of one data centre or of any.
-vm_id successorOn(const membership &state, std::uint64_t ring, std::string_view dataCentre,
+vm_id successorOn(const fleet_membership &state, std::uint64_t ring, std::string_view dataCentre,
                   const std::map<vm_id, probe_target> &chosen)
 {
     const std::uint64_t own = ringPosition(state.self.id, ring);
@@ -45,7 +45,7 @@
 
 /// Successors to probe. The first ring holds one data centre only, so that each stays connected in itself when links
 /// between data centres fail one way; the others hold the whole fleet.
-std::vector<vm_id> chooseSuccessors(const membership &state)
+std::vector<vm_id> chooseSuccessors(const fleet_membership &state)
 {
     std::map<vm_id, probe_target> chosen;
     std::vector<vm_id> result;
@@ -62,7 +62,7 @@
     return result;
 }
 
-void countMembers(membership &state)
+void countMembers(fleet_membership &state)
 {
     state.alive = 1;
     std::unordered_set<std::string_view> liveAddresses{state.self.address};
@@ -78,7 +78,8 @@
     }));
 }
 
-void sendPing(membership &state, vm_id id, probe_target &target, instant now, std::vector<membership_effect> &effects)
+void sendPing(fleet_membership &state, vm_id id, probe_target &target, instant now,
+              std::vector<membership_effect> &effects)
 {
     target.nonce = ++state.lastNonce;
     target.sentAt = now;
@@ -88,7 +89,7 @@
 }
 
 /// Random live VM that may help to reach another one; 0 when there is none.
-vm_id randomHelper(const membership &state, random_source &random,
+vm_id randomHelper(const fleet_membership &state, random_source &random,
                    const std::function<bool(const member_record &)> &fits)
 {
     vm_id chosen;
@@ -104,7 +105,7 @@
 }
 
 /// Asks VMs that see the silent one from elsewhere: one of a third data centre, one of its own, then any.
-void askHelpers(membership &state, vm_id id, probe_target &target, random_source &random,
+void askHelpers(fleet_membership &state, vm_id id, probe_target &target, random_source &random,
                 std::vector<membership_effect> &effects)
 {
     target.helpersAsked = true;
@@ -130,7 +131,7 @@
     }
 }
 
-void answered(membership &state, probe_target &target, instant now)
+void answered(fleet_membership &state, probe_target &target, instant now)
 {
     target.nonce = 0;
     target.lastHeard = now;
@@ -139,7 +140,7 @@
 
 } // namespace
 
-double heardShare(const membership &state, instant now)
+double heardShare(const fleet_membership &state, instant now)
 {
     if (state.targets.empty()) {
         return 1;
@@ -150,7 +151,8 @@
     return static_cast<double>(heard) / static_cast<double>(state.targets.size());
 }
 
-void refreshTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+void refreshTargets(fleet_membership &state, instant now, random_source &random,
+                    std::vector<membership_effect> &effects)
 {
     if (!std::exchange(state.changed, false)) {
         return;
@@ -172,7 +174,7 @@
     }
 }
 
-void probeTargets(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+void probeTargets(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
 {
     std::vector<vm_id> failed;
     for (auto &[id, target] : state.targets) {
@@ -195,7 +197,7 @@
     }
 }
 
-void resumeAfterStandstill(membership &state, instant now)
+void resumeAfterStandstill(fleet_membership &state, instant now)
 {
     for (auto &[id, target] : state.targets) {
         target.nonce = 0;
@@ -208,20 +210,20 @@
     }
 }
 
-void receivePing(const membership &state, vm_id from, const membership_ping &ping,
+void receivePing(const fleet_membership &state, vm_id from, const membership_ping &ping,
                  std::vector<membership_effect> &effects)
 {
     const member_record *sender = findMember(state, from);
-    effects.emplace_back(send_membership{from, sender ? sender->address : "", membership_ack{ping.nonce}});
+    effects.emplace_back(send_membership{from, sender ? sender->address : "", membership_ack{.nonce = ping.nonce}});
 }
 
-void receiveAck(membership &state, vm_id from, const membership_ack &ack, instant now,
+void receiveAck(fleet_membership &state, vm_id from, const membership_ack &ack, instant now,
                 std::vector<membership_effect> &effects)
 {
     if (const auto relayed = state.relayed.find(ack.nonce); relayed != state.relayed.end()) {
         const member_record *origin = findMember(state, relayed->second.origin);
         effects.emplace_back(send_membership{relayed->second.origin, origin ? origin->address : "",
-                                             membership_ack{relayed->second.originNonce}});
+                                             membership_ack{.nonce = relayed->second.originNonce}});
         state.relayed.erase(relayed);
         return;
     }
@@ -236,7 +238,7 @@
     answered(state, probed->second, now);
 }
 
-void receivePingRequest(membership &state, vm_id from, const membership_ping_request &request, instant now,
+void receivePingRequest(fleet_membership &state, vm_id from, const membership_ping_request &request, instant now,
                         std::vector<membership_effect> &effects)
 {
     const duration limit = state.options.probePeriod * silentPeriods;
--- a/src/coordination/membership/records.cpp
+++ b/src/coordination/membership/records.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t accusersForShortest = 3;
 
 /// Entry of a record in the digest. A suspect counts as alive: suspicion ends soon, either way.
-entry_hash hashOf(const membership &state, const member_record &record)
+entry_hash hashOf(const fleet_membership &state, const member_record &record)
 {
     const member_status status = record.status == member_status::Suspect ? member_status::Alive : record.status;
     const std::uint64_t version = std::uint64_t{record.incarnation} << 8U | static_cast<std::uint64_t>(status);
@@ -32,7 +32,7 @@
 }
 
 /// Another VM accuses a suspect: less time is left to refute.
-bool addAccuser(membership &state, known_member &member, vm_id accuser)
+bool addAccuser(fleet_membership &state, known_member &member, vm_id accuser)
 {
     if (accuser.value == 0 || member.accusers.size() >= accusersForShortest
         || std::ranges::find(member.accusers, accuser) != member.accusers.end()) {
@@ -44,7 +44,7 @@
     return true;
 }
 
-void store(membership &state, known_member &member, const member_update &update, instant now)
+void store(fleet_membership &state, known_member &member, const member_update &update, instant now)
 {
     eraseEntry(state.index, member.hash);
     member.record = update.record;
@@ -63,7 +63,7 @@
 }
 
 /// News of this VM itself: anything but what it says is refuted by a higher incarnation.
-void applyToSelf(membership &state, const member_record &record)
+void applyToSelf(fleet_membership &state, const member_record &record)
 {
     constexpr std::uint32_t troubleLimit = 3;
     const bool outranked = record.incarnation > state.self.incarnation;
@@ -78,7 +78,7 @@
 
 } // namespace
 
-void republishSelf(membership &state, std::uint32_t incarnation, member_status status)
+void republishSelf(fleet_membership &state, std::uint32_t incarnation, member_status status)
 {
     eraseEntry(state.index, state.selfHash);
     state.self.incarnation = incarnation;
@@ -88,7 +88,7 @@
     state.news[state.self.id] = {};
 }
 
-void applyUpdate(membership &state, const member_update &update, bool passOn, instant now,
+void applyUpdate(fleet_membership &state, const member_update &update, bool passOn, instant now,
                  std::vector<membership_effect> &effects)
 {
     const member_record &record = update.record;
@@ -118,7 +118,7 @@
     effects.emplace_back(member_changed{record});
 }
 
-void accuse(membership &state, vm_id target, instant now, std::vector<membership_effect> &effects)
+void accuse(fleet_membership &state, vm_id target, instant now, std::vector<membership_effect> &effects)
 {
     const auto found = state.members.find(target);
     if (found == state.members.end() || found->second.record.status > member_status::Suspect) {
@@ -129,7 +129,7 @@
     applyUpdate(state, {.record = std::move(record), .accuser = state.self.id}, true, now, effects);
 }
 
-void expireSuspicions(membership &state, instant now, std::vector<membership_effect> &effects)
+void expireSuspicions(fleet_membership &state, instant now, std::vector<membership_effect> &effects)
 {
     // With most probed VMs silent it is more likely this VM that is cut off; its verdicts would only be refuted.
     const bool cutOff = state.targets.size() > 1 && heardShare(state, now) < 0.5;
--- a/src/coordination/membership/repair.cpp
+++ b/src/coordination/membership/repair.cpp
@@ -9,25 +9,27 @@
 namespace
 {
 
-void sendDigest(const membership &state, vm_id to, const std::string &address, std::vector<membership_effect> &effects)
+void sendDigest(const fleet_membership &state, vm_id to, const std::string &address,
+                std::vector<membership_effect> &effects)
 {
     effects.emplace_back(send_membership{to, address, membership_digest{state.self, state.index.digest}});
 }
 
-std::string addressOf(const membership &state, vm_id id)
+std::string addressOf(const fleet_membership &state, vm_id id)
 {
     const member_record *record = findMember(state, id);
     return record ? record->address : std::string();
 }
 
 /// The update that tells of a VM now.
-member_update updateOf(const membership &state, vm_id id, vm_id accuser)
+member_update updateOf(const fleet_membership &state, vm_id id, vm_id accuser)
 {
     return {.record = *findMember(state, id), .accuser = accuser};
 }
 
 /// Sends records in as many messages as needed.
-void sendRecords(const membership &state, vm_id to, std::span<const vm_id> ids, std::vector<membership_effect> &effects)
+void sendRecords(const fleet_membership &state, vm_id to, std::span<const vm_id> ids,
+                 std::vector<membership_effect> &effects)
 {
     const std::string address = addressOf(state, to);
     for (std::size_t first = 0; first < ids.size(); first += state.options.updatesPerMessage) {
@@ -40,7 +42,7 @@
 }
 
 /// Dead VMs and seeds that no live VM stands for.
-std::vector<std::pair<vm_id, std::string>> unreachedAddresses(const membership &state)
+std::vector<std::pair<vm_id, std::string>> unreachedAddresses(const fleet_membership &state)
 {
     std::unordered_set<std::string_view> reached{state.self.address};
     for (const auto &[id, member] : state.members) {
@@ -64,7 +66,7 @@
 }
 
 /// Tries a random dead VM or seed; all of them while no other VM is known.
-void reconnect(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+void reconnect(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
 {
     constexpr std::size_t fleetTriesPerPeriod = 64;
     const auto addresses = unreachedAddresses(state);
@@ -86,7 +88,7 @@
         now + duration(wait / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(wait))));
 }
 
-void forgetOld(membership &state, instant now, std::vector<membership_effect> &effects)
+void forgetOld(fleet_membership &state, instant now, std::vector<membership_effect> &effects)
 {
     std::vector<vm_id> old;
     for (const auto &[id, member] : state.members) {
@@ -106,7 +108,7 @@
 
 } // namespace
 
-void floodNews(membership &state, duration elapsed, std::vector<membership_effect> &effects)
+void floodNews(fleet_membership &state, duration elapsed, std::vector<membership_effect> &effects)
 {
     const double earned = std::chrono::duration<double>(elapsed).count() * state.options.updatesPerSecond;
     state.updateAllowance = std::min(state.updateAllowance + earned, state.options.updateBurst);
@@ -127,7 +129,7 @@
     }
 }
 
-void maintain(membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+void maintain(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
 {
     if (now >= state.nextReconnect) {
         reconnect(state, now, random, effects);
@@ -146,21 +148,21 @@
     }
 }
 
-void receiveDigest(membership &state, vm_id from, const membership_digest &message, instant now,
+void receiveDigest(fleet_membership &state, vm_id from, const membership_digest &message, instant now,
                    std::vector<membership_effect> &effects)
 {
     if (message.sender.id != from) {
         return;
     }
     applyUpdate(state, {.record = message.sender}, true, now, effects);
-    bucket_summary summary = summarizeDifferences(state.index, message.digest, 0, state.options.buckets);
+    bucket_summary summary = summarizeDifferences(state.index, message.digest, 0, state.options.memberLimit);
     if (!summary.buckets.empty()) {
         std::ranges::sort(summary.hashes);
         effects.emplace_back(send_membership{from, addressOf(state, from), membership_summary{std::move(summary)}});
     }
 }
 
-void receiveSummary(const membership &state, vm_id from, const membership_summary &message,
+void receiveSummary(const fleet_membership &state, vm_id from, const membership_summary &message,
                     std::vector<membership_effect> &effects)
 {
     repair_plan<vm_id> plan = planRepair(state.index, message.summary);
@@ -171,7 +173,7 @@
     }
 }
 
-void receiveWant(const membership &state, vm_id from, const membership_want &message,
+void receiveWant(const fleet_membership &state, vm_id from, const membership_want &message,
                  std::vector<membership_effect> &effects)
 {
     std::vector<vm_id> ids;
--- /dev/null
+++ b/src/coordination/spread/beacon.cpp
@@ -0,0 +1,59 @@
+#include <guavafront/coordination/spread/beacon.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Order in which leaders issued beacons.
+std::pair<std::uint64_t, std::uint64_t> issueOrder(const beacon &value)
+{
+    return {value.leaderTerm.value, value.counter};
+}
+
+} // namespace
+
+bool hearBeacon(beacon_state &state, const beacon &news, instant askedAt)
+{
+    const instant issuedAfter = askedAt - news.age;
+    if (!state.newest || issueOrder(news) > issueOrder(*state.newest)) {
+        // A later beacon can't be older than an earlier one, whichever way it came.
+        state.issuedAfter = state.newest ? std::max(state.issuedAfter, issuedAfter) : issuedAfter;
+        state.newest = news;
+        return true;
+    }
+    if (issueOrder(news) == issueOrder(*state.newest) && issuedAfter > state.issuedAfter) {
+        state.issuedAfter = issuedAfter;
+        return true;
+    }
+    return false;
+}
+
+void issueBeacon(beacon_state &state, term leaderTerm, std::uint64_t counter, revision accepted, instant asOf)
+{
+    hearBeacon(state, {.leaderTerm = leaderTerm, .counter = counter, .accepted = accepted}, asOf);
+}
+
+std::optional<beacon> relayedBeacon(const beacon_state &state, instant now)
+{
+    if (!state.newest) {
+        return std::nullopt;
+    }
+    beacon result = *state.newest;
+    result.age = std::max(duration{}, now - state.issuedAfter);
+    return result;
+}
+
+std::optional<duration> beaconAge(const beacon_state &state, instant now)
+{
+    if (!state.newest) {
+        return std::nullopt;
+    }
+    return std::max(duration{}, now - state.issuedAfter);
+}
+
+} // namespace guavafront
--- a/src/wire/membership_codec.cpp
+++ b/src/wire/membership_codec.cpp
@@ -41,6 +41,30 @@
     return record;
 }
 
+nlohmann::json encodeBeacon(const beacon &value)
+{
+    const auto age = static_cast<std::uint64_t>(std::max<std::int64_t>(value.age.count(), 0));
+    return nlohmann::json::array({value.leaderTerm.value, value.counter, value.accepted.value, age});
+}
+
+membership_ack decodeAck(cbor_fields &fields)
+{
+    constexpr std::size_t beaconFields = 4;
+    constexpr std::uint64_t longestAgeUs = 1ULL << 53U;
+    membership_ack message{.nonce = fields.whole<std::uint64_t>(), .freshness = {}};
+    const nlohmann::json &value = fields.array(beaconFields);
+    if (!value.empty()) {
+        cbor_fields inner(value, "beacon", beaconFields);
+        beacon stamp;
+        stamp.leaderTerm = {inner.whole<std::uint64_t>()};
+        stamp.counter = inner.whole<std::uint64_t>();
+        stamp.accepted = {inner.whole<std::uint64_t>()};
+        stamp.age = duration(static_cast<std::int64_t>(inner.wholeUpTo(longestAgeUs)));
+        message.freshness = stamp;
+    }
+    return message;
+}
+
 nlohmann::json encodeUpdates(const membership_gossip &message)
 {
     auto updates = nlohmann::json::array();
@@ -74,6 +98,7 @@
     void operator()(const membership_ack &message) const
     {
         fields.push_back(message.nonce);
+        fields.push_back(message.freshness ? encodeBeacon(*message.freshness) : nlohmann::json::array());
     }
 
     void operator()(const membership_ping_request &message) const
@@ -148,7 +173,7 @@
     const std::size_t count = value.is_array() && !value.empty() ? std::min(value.size(), mostFields) : 1;
     cbor_fields fields(value, "membership message", count);
     const auto kind = fields.oneOf(message_kind::Want);
-    constexpr std::array<std::size_t, 7> fieldCounts{2, 2, 4, 3, 3, 3, 2};
+    constexpr std::array<std::size_t, 7> fieldCounts{2, 3, 4, 3, 3, 3, 2};
     if (count != fieldCounts[static_cast<std::size_t>(kind)]) {
         throw coordination_error(result_code::MessageMalformed, "malformed membership message");
     }
@@ -156,7 +181,7 @@
     case message_kind::Ping:
         return membership_ping{fields.whole<std::uint64_t>()};
     case message_kind::Ack:
-        return membership_ack{fields.whole<std::uint64_t>()};
+        return decodeAck(fields);
     case message_kind::PingRequest:
         return decodePingRequest(fields);
     case message_kind::Gossip:
--- /dev/null
+++ b/src/wire/spread_codec.cpp
@@ -0,0 +1,127 @@
+#include "wire/spread_codec.h"
+
+#include "wire/digest_fields.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t messageLimitBytes = 1'048'576;
+constexpr std::size_t nameLimitBytes = 1'024;
+constexpr std::size_t entryLimit = 10'000;
+constexpr std::size_t entryFields = 6;
+
+/// Number of each message on the wire; the order of the variant.
+enum class message_kind : std::uint8_t { Delta, Digest, Summary, Want };
+
+nlohmann::json encodeEntry(const spread_entry &entry)
+{
+    auto fields = nlohmann::json::array();
+    fields.push_back(static_cast<std::uint8_t>(entry.key.topic));
+    fields.push_back(entry.key.owner.value);
+    fields.push_back(entry.key.name);
+    fields.push_back(entry.version);
+    fields.push_back(entry.removed);
+    fields.push_back(cborBytes(entry.payload));
+    return fields;
+}
+
+spread_entry decodeEntry(const nlohmann::json &value)
+{
+    cbor_fields fields(value, "spread entry", entryFields);
+    spread_entry entry;
+    entry.key.topic = fields.oneOf(spread_topic::Last);
+    entry.key.owner = {fields.whole<std::uint64_t>()};
+    entry.key.name = fields.text(nameLimitBytes);
+    entry.version = fields.whole<std::uint64_t>();
+    entry.removed = fields.boolean();
+    const std::span<const std::byte> payload = fields.bytes(messageLimitBytes);
+    entry.payload.assign(payload.begin(), payload.end());
+    return entry;
+}
+
+/// Appends a message's fields to its kind.
+struct field_writer {
+    nlohmann::json &fields; ///< The message's array.
+
+    void operator()(const spread_delta &message) const
+    {
+        auto entries = nlohmann::json::array();
+        for (const spread_entry &each : message.entries) {
+            entries.push_back(encodeEntry(each));
+        }
+        fields.push_back(std::move(entries));
+    }
+
+    void operator()(const spread_digest &message) const
+    {
+        fields.push_back(packNumbers<std::uint32_t>(message.digest));
+    }
+
+    void operator()(const spread_summary &message) const
+    {
+        fields.push_back(packNumbers<std::uint16_t>(message.summary.buckets));
+        fields.push_back(packNumbers<entry_hash>(message.summary.hashes));
+    }
+
+    void operator()(const spread_want &message) const
+    {
+        fields.push_back(packNumbers<entry_hash>(message.hashes));
+    }
+};
+
+spread_delta decodeDelta(cbor_fields &fields)
+{
+    spread_delta message;
+    for (const nlohmann::json &each : fields.array(entryLimit)) {
+        message.entries.push_back(decodeEntry(each));
+    }
+    return message;
+}
+
+spread_summary decodeSummary(cbor_fields &fields)
+{
+    spread_summary message;
+    message.summary.buckets = unpackNumbers<std::uint16_t>(fields.bytes(messageLimitBytes));
+    message.summary.hashes = unpackNumbers<entry_hash>(fields.bytes(messageLimitBytes));
+    return message;
+}
+
+} // namespace
+
+byte_buffer encodeSpread(const spread_message &message)
+{
+    auto fields = nlohmann::json::array({static_cast<std::uint8_t>(message.index())});
+    std::visit(field_writer{fields}, message);
+    return encodeCbor(fields);
+}
+
+spread_message decodeSpread(std::span<const std::byte> bytes)
+{
+    const nlohmann::json value = parseCbor(bytes, messageLimitBytes);
+    constexpr std::size_t summaryFields = 3;
+    const bool asSummary = value.is_array() && value.size() == summaryFields;
+    cbor_fields fields(value, "spread message", asSummary ? summaryFields : 2);
+    const auto kind = fields.oneOf(message_kind::Want);
+    if (asSummary != (kind == message_kind::Summary)) {
+        throw coordination_error(result_code::MessageMalformed, "malformed spread message");
+    }
+    switch (kind) {
+    case message_kind::Delta:
+        return decodeDelta(fields);
+    case message_kind::Digest:
+        return spread_digest{unpackNumbers<std::uint32_t>(fields.bytes(messageLimitBytes))};
+    case message_kind::Summary:
+        return decodeSummary(fields);
+    case message_kind::Want:
+        break;
+    }
+    return spread_want{unpackNumbers<entry_hash>(fields.bytes(messageLimitBytes))};
+}
+
+} // namespace guavafront
--- a/tests/membership/memory_fleet.h
+++ b/tests/membership/memory_fleet.h
@@ -16,7 +16,7 @@
 /// VMs whose membership messages are handed over in memory with a delay of a few milliseconds; seeded.
 struct memory_fleet {
     struct vm {
-        membership state;
+        fleet_membership state;
         instant nextTick;
         bool frozen = false;
         std::vector<std::function<void()>> backlog; ///< What arrived while it was frozen.
@@ -35,6 +35,10 @@
     }; ///< Messages one way are lost.
     handler onEffect = [](vm &, const membership_effect &) {
     }; ///< Sees all effects.
+    std::function<void(vm &, membership_ack &)> onAck = [](vm &, membership_ack &) {
+    }; ///< Fills an answer in.
+    std::function<void(vm &, const membership_ack &, instant)> onAnswered = [](vm &, const membership_ack &, instant) {
+    }; ///< An own ping was answered; when it left.
     std::function<void(vm &)> onTick = [](vm &) {
     }; ///< After each tick of a VM.
 
@@ -125,18 +129,32 @@
         const vm_id from = self.state.self.id;
         for (const membership_effect &each : effects) {
             onEffect(self, each);
+            reportAnswer(self, event, each);
             const auto *send = std::get_if<send_membership>(&each);
             if (!send) {
                 continue;
             }
             const auto holder = holders.find(send->address);
             const vm_id to = send->to.value != 0 ? send->to : holder == holders.end() ? vm_id{} : holder->second;
-            deliver(from, to, [this, from, message = send->message](vm &target) {
+            membership_message message = send->message;
+            if (auto *ack = std::get_if<membership_ack>(&message)) {
+                onAck(self, *ack);
+            }
+            deliver(from, to, [this, from, message = std::move(message)](vm &target) {
                 react(target, membership_received{from, message});
             });
         }
     }
 
+    void reportAnswer(vm &self, const membership_event &event, const membership_effect &effect)
+    {
+        const auto *answered = std::get_if<probe_answered>(&effect);
+        const auto *received = std::get_if<membership_received>(&event);
+        if (answered && received) {
+            onAnswered(self, std::get<membership_ack>(received->message), answered->sentAt);
+        }
+    }
+
     void tickAll()
     {
         for (auto &[id, each] : vms) {
@@ -182,7 +200,7 @@
     bool agrees() const
     {
         return std::ranges::all_of(vms, [this](const auto &entry) {
-            const membership &state = entry.second.state;
+            const fleet_membership &state = entry.second.state;
             return state.alive == vms.size()
                    && std::ranges::all_of(vms, [&state](const auto &other) { return isLive(state, other.first); });
         });
--- /dev/null
+++ b/tests/spread/spread_fleet.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "membership/memory_fleet.h"
+
+#include <guavafront/coordination/spread/spread.h>
+
+namespace guavafront
+{
+
+/// A fleet in memory whose VMs spread entries to the VMs that the membership probes.
+struct spread_fleet {
+    memory_fleet vms;
+    std::map<vm_id, spread> tables;
+    std::map<vm_id, beacon_state> beacons;
+    spread_options options;
+    std::function<void(vm_id, const spread_effect &)> onEffect = [](vm_id, const spread_effect &) {
+    };
+
+    spread_fleet()
+    {
+        vms.onEffect = [this](memory_fleet::vm &self, const membership_effect &effect) {
+            follow(self, effect);
+        };
+        vms.onTick = [this](memory_fleet::vm &self) {
+            react(self.state.self.id, spread_tick{});
+        };
+        vms.onAck = [this](memory_fleet::vm &self, membership_ack &ack) {
+            ack.freshness = relayedBeacon(beacons[self.state.self.id], vms.now);
+        };
+        vms.onAnswered = [this](memory_fleet::vm &self, const membership_ack &ack, instant askedAt) {
+            if (ack.freshness) {
+                hearBeacon(beacons[self.state.self.id], *ack.freshness, askedAt);
+            }
+        };
+    }
+
+    spread &tableOf(vm_id id)
+    {
+        const auto found = tables.find(id);
+        return found != tables.end() ? found->second : tables.emplace(id, makeSpread(id, options)).first->second;
+    }
+
+    /// The process and its memory are gone.
+    void kill(vm_id id)
+    {
+        vms.kill(id);
+        tables.erase(id);
+        beacons.erase(id);
+    }
+
+    /// Tells the table what the membership found.
+    void follow(memory_fleet::vm &self, const membership_effect &effect)
+    {
+        const vm_id id = self.state.self.id;
+        if (const auto *change = std::get_if<member_changed>(&effect)) {
+            react(id, spread_owner{change->record.id, change->record.status <= member_status::Suspect});
+        } else if (std::holds_alternative<targets_changed>(effect)) {
+            std::vector<vm_id> peers;
+            for (const auto &[peer, target] : self.state.targets) {
+                peers.push_back(peer);
+            }
+            react(id, spread_peers{std::move(peers)});
+        }
+    }
+
+    void react(vm_id id, const spread_event &event)
+    {
+        std::vector<spread_effect> effects;
+        step(tableOf(id), event, vms.now, vms.random, effects);
+        for (const spread_effect &each : effects) {
+            onEffect(id, each);
+            if (const auto *send = std::get_if<send_spread>(&each)) {
+                vms.deliver(id, send->to, [this, id, message = send->message](memory_fleet::vm &target) {
+                    react(target.state.self.id, spread_received{id, message});
+                });
+            }
+        }
+    }
+
+    void publish(vm_id owner, const std::string &name, unsigned value, spread_topic topic = spread_topic::Instances)
+    {
+        react(owner, spread_publish{topic, name, {static_cast<std::byte>(value)}});
+    }
+
+    /// Whether every running VM holds the value.
+    bool allHold(vm_id owner, const std::string &name, unsigned value)
+    {
+        const spread_key key{.topic = spread_topic::Instances, .owner = owner, .name = name};
+        return std::ranges::all_of(vms.vms, [&](const auto &entry) {
+            const stored_entry *stored = findEntry(tableOf(entry.first), key);
+            return stored && stored->payload == std::vector{static_cast<std::byte>(value)};
+        });
+    }
+
+    /// Whether no running VM holds any entry of the owner.
+    bool noneHolds(vm_id owner)
+    {
+        return std::ranges::all_of(vms.vms, [&](const auto &entry) {
+            return std::ranges::none_of(tableOf(entry.first).entries, [owner](const auto &stored) {
+                return stored.first.owner == owner && !stored.second.removed;
+            });
+        });
+    }
+
+    /// Whether all running VMs hold the same entries.
+    bool agrees()
+    {
+        const table_digest &first = tableOf(vms.vms.begin()->first).index.digest;
+        return std::ranges::all_of(vms.vms,
+                                   [&](const auto &entry) { return tableOf(entry.first).index.digest == first; });
+    }
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/spread/spread_test.cpp
@@ -0,0 +1,290 @@
+#include "spread/spread_fleet.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/// 48 VMs in three data centres, each with ten entries; run once for each of some seeds.
+struct spread_fixture {
+    static constexpr std::size_t fleetSize = 48;
+    static constexpr unsigned entriesEach = 10;
+    static constexpr std::uint64_t seeds = 3;
+
+    /// Runs a case on a fleet that agrees, for each seed.
+    static void forEachSeed(const std::function<void(spread_fleet &)> &body)
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            BOOST_TEST_CONTEXT("seed " << seed)
+            {
+                spread_fleet fleet;
+                fleet.vms.random = {seed};
+                fleet.vms.startAll(fleetSize);
+                for (const auto &[id, each] : fleet.vms.vms) {
+                    for (unsigned i = 0; i < entriesEach; ++i) {
+                        fleet.publish(id, std::to_string(i), i);
+                    }
+                }
+                BOOST_REQUIRE(fleet.vms.runUntil([&fleet] { return holdsAll(fleet); }, minutes(2)));
+                body(fleet);
+            }
+        }
+    }
+
+    static bool holdsAll(spread_fleet &fleet)
+    {
+        return std::ranges::all_of(fleet.vms.vms, [&fleet](const auto &entry) {
+            return fleet.tableOf(entry.first).entries.size() == fleetSize * entriesEach;
+        });
+    }
+
+    static vm_id vmAt(const spread_fleet &fleet, std::size_t position)
+    {
+        return std::next(fleet.vms.vms.begin(), static_cast<std::ptrdiff_t>(position))->first;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(spread_test, spread_fixture)
+
+BOOST_AUTO_TEST_CASE(entry_changed_newestVersionEverywhereSoon)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id owner = vmAt(fleet, 7);
+        fleet.publish(owner, "3", 100);
+        fleet.publish(owner, "3", 101);
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.allHold(owner, "3", 101); }, seconds(5)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(entry_publishedUnchanged_nothingSent)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id owner = vmAt(fleet, 7);
+        const std::uint64_t version = fleet.tableOf(owner).lastVersion;
+        fleet.publish(owner, "3", 3);
+        BOOST_TEST(fleet.tableOf(owner).lastVersion == version);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(entry_withdrawn_goneEverywhereAndNotResurrected)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id owner = vmAt(fleet, 7);
+        const vm_id frozen = vmAt(fleet, 20);
+        fleet.vms.freeze(frozen);
+        fleet.vms.run(seconds(1));
+        for (unsigned i = 0; i < entriesEach; ++i) {
+            fleet.react(owner, spread_withdraw{spread_topic::Instances, std::to_string(i)});
+        }
+        fleet.vms.run(minutes(1));
+        fleet.vms.thaw(frozen);
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.noneHolds(owner); }, minutes(2)));
+        fleet.vms.run(minutes(15));
+        BOOST_TEST(fleet.noneHolds(owner));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(owner_dies_entriesEndAfterTheHold)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id owner = vmAt(fleet, 7);
+        fleet.kill(owner);
+        fleet.vms.run(seconds(5));
+        BOOST_TEST(!fleet.noneHolds(owner));
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.noneHolds(owner); }, seconds(40)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(owner_restartsUnderItsOldIdentifier_onlyNewEntriesStay)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id owner = fleet.vms.holders.at(memory_fleet::addressOf(0));
+        fleet.kill(owner);
+        fleet.vms.start(0, owner);
+        fleet.publish(owner, "0", 200);
+        BOOST_TEST(fleet.vms.runUntil(
+            [&] {
+                return fleet.allHold(owner, "0", 200) && fleet.agrees()
+                       && std::ranges::all_of(fleet.tables, [owner](const auto &table) {
+                              return std::ranges::count_if(table.second.entries,
+                                                           [owner](const auto &entry) {
+                                                               return entry.first.owner == owner
+                                                                      && !entry.second.removed;
+                                                           })
+                                     == 1;
+                          });
+            },
+            minutes(2)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(vm_joins_holdsAllEntriesSoon)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id joiner = fleet.vms.start(fleetSize);
+        fleet.publish(joiner, "0", 1);
+        BOOST_TEST(fleet.vms.runUntil(
+            [&] { return fleet.tableOf(joiner).entries.size() == fleetSize * entriesEach + 1; }, seconds(40)));
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.allHold(joiner, "0", 1); }, seconds(20)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(messages_oneInFiveLost_repairMakesTablesEqual)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        fleet.vms.cut = [&fleet](vm_id, vm_id) {
+            return fleet.vms.random.below(5) == 0;
+        };
+        const vm_id owner = vmAt(fleet, 7);
+        for (unsigned i = 0; i < entriesEach; ++i) {
+            fleet.publish(owner, std::to_string(i), 100 + i);
+        }
+        fleet.vms.run(seconds(20));
+        fleet.vms.cut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.agrees(); }, minutes(3)));
+        BOOST_TEST(fleet.allHold(owner, "9", 109));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(dataCentre_cutOneWay_entriesStillArrive)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const auto zoneOf = [&fleet](vm_id id) {
+            return fleet.vms.vms.at(id).state.self.dataCentre;
+        };
+        fleet.vms.cut = [zoneOf](vm_id from, vm_id to) {
+            return zoneOf(from) == "a" && zoneOf(to) == "b";
+        };
+        fleet.vms.run(seconds(10));
+        const vm_id owner = fleet.vms.holders.at(memory_fleet::addressOf(3));
+        fleet.publish(owner, "3", 100);
+        BOOST_TEST(fleet.vms.runUntil([&] { return fleet.allHold(owner, "3", 100); }, seconds(10)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(dataCentre_cutOffThenBack_tablesEqualAgain)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const auto zoneOf = [&fleet](vm_id id) {
+            return fleet.vms.vms.at(id).state.self.dataCentre;
+        };
+        fleet.vms.cut = [zoneOf](vm_id from, vm_id to) {
+            return (zoneOf(from) == "a") != (zoneOf(to) == "a");
+        };
+        fleet.vms.run(minutes(3));
+        fleet.publish(fleet.vms.holders.at(memory_fleet::addressOf(0)), "3", 100);
+        fleet.publish(fleet.vms.holders.at(memory_fleet::addressOf(1)), "3", 101);
+        fleet.vms.cut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(fleet.vms.runUntil([&] { return holdsAll(fleet) && fleet.agrees(); }, minutes(5)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(bytes_burstOfChanges_withinBudgetAndUrgentFirst)
+{
+    spread_fleet fleet;
+    fleet.vms.startAll(2);
+    const vm_id owner = vmAt(fleet, 0);
+    const vm_id other = vmAt(fleet, 1);
+    BOOST_REQUIRE(fleet.vms.runUntil([&] { return fleet.vms.agrees(); }, seconds(10)));
+    fleet.vms.run(seconds(30));
+    std::size_t bytes = 0;
+    fleet.onEffect = [&](vm_id from, const spread_effect &effect) {
+        const auto *send = std::get_if<send_spread>(&effect);
+        const auto *delta = send && from == owner ? std::get_if<spread_delta>(&send->message) : nullptr;
+        bytes += delta ? fleet.options.messageOverheadBytes : 0;
+        for (std::size_t i = 0; delta && i < delta->entries.size(); ++i) {
+            bytes += encodedBytes(delta->entries[i]);
+        }
+    };
+    const std::vector<std::byte> payload(1'000);
+    for (unsigned i = 0; i < 100; ++i) {
+        fleet.react(owner, spread_publish{spread_topic::Diagnostics, std::to_string(i), payload});
+    }
+    fleet.publish(owner, "urgent", 1, spread_topic::Quarantine);
+    fleet.vms.run(seconds(10));
+    const double allowed = fleet.options.burstBytes + 10 * fleet.options.bytesPerSecond + 2'000;
+    BOOST_TEST(static_cast<double>(bytes) < allowed);
+    BOOST_TEST(static_cast<double>(bytes) > allowed / 2);
+    BOOST_TEST(fleet.tableOf(other).entries.begin()->first.name == "urgent");
+}
+
+BOOST_AUTO_TEST_CASE(publish_tooLarge_numberedErrorAndNothingStored)
+{
+    spread_fleet fleet;
+    const vm_id owner = fleet.vms.start(0);
+    const spread_publish event{spread_topic::Health, "x", std::vector<std::byte>(5'000)};
+    BOOST_CHECK_THROW(fleet.react(owner, event), coordination_error);
+    BOOST_TEST(fleet.tableOf(owner).entries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(beacon_leaderIssuesEachSecond_ageBoundedEverywhere)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id leader = vmAt(fleet, 0);
+        std::uint64_t counter = 0;
+        const auto runWithLeader = [&](int time) {
+            for (int second = 0; second < time; ++second) {
+                issueBeacon(fleet.beacons[leader], {1}, ++counter, {9}, fleet.vms.now);
+                fleet.vms.run(seconds(1));
+            }
+        };
+        runWithLeader(20);
+        for (int second = 0; second < 20; ++second) {
+            runWithLeader(1);
+            for (const auto &[id, each] : fleet.vms.vms) {
+                const auto age = beaconAge(fleet.beacons[id], fleet.vms.now);
+                BOOST_TEST((age && *age < seconds(5)));
+                BOOST_TEST((fleet.beacons[id].newest->accepted == revision{9}));
+            }
+        }
+        const instant silentSince = fleet.vms.now;
+        fleet.vms.run(seconds(30));
+        for (const auto &[id, each] : fleet.vms.vms) {
+            BOOST_TEST((*beaconAge(fleet.beacons[id], fleet.vms.now) >= fleet.vms.now - silentSince));
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(beacon_vmFrozen_oldAnswersDoNotLookFresh)
+{
+    forEachSeed([](spread_fleet &fleet) {
+        const vm_id leader = vmAt(fleet, 0);
+        const vm_id frozen = vmAt(fleet, 9);
+        issueBeacon(fleet.beacons[leader], {1}, 1, {9}, fleet.vms.now);
+        fleet.vms.run(seconds(10));
+        fleet.vms.freeze(frozen);
+        fleet.vms.run(minutes(5));
+        fleet.vms.thaw(frozen);
+        BOOST_TEST((*beaconAge(fleet.beacons[frozen], fleet.vms.now) >= minutes(5)));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(hearBeacon_olderTermOrCounter_ignored)
+{
+    beacon_state state;
+    const instant now{seconds(100)};
+    BOOST_TEST(hearBeacon(state, {.leaderTerm = {2}, .counter = 5, .accepted = {7}}, now));
+    BOOST_TEST(!hearBeacon(state, {.leaderTerm = {1}, .counter = 9, .accepted = {3}}, now + seconds(1)));
+    BOOST_TEST(!hearBeacon(state, {.leaderTerm = {2}, .counter = 4, .accepted = {6}}, now + seconds(1)));
+    BOOST_TEST((*beaconAge(state, now + seconds(3)) == seconds(3)));
+    BOOST_TEST(hearBeacon(state, {.leaderTerm = {2}, .counter = 6, .accepted = {7}, .age = seconds(9)}, now));
+    BOOST_TEST((*beaconAge(state, now + seconds(3)) == seconds(3)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
