Run membership and spread over the links in the peers task

Cause: the decisions had no task that carries them between processes. Ruled out: one task for links and one for membership (each probe would cross a mailbox twice); messages for each change of a member (a subscriber that restarts needs the whole view anyway). Change: daemon/peers/peers_task with its mailbox messages, options and subscribers; a farewell on a requested stop.

--- a/include/guavafront/coordination/spread/spread_message.h
+++ b/include/guavafront/coordination/spread/spread_message.h
@@ -31,7 +31,7 @@
     std::string name; ///< Unique for topic and owner.
 
     /// Orders by topic first.
-    auto operator<=>(const spread_key &) const = default; // NOLINT(modernize-use-nullptr): false alarm of clang-tidy 14.
+    auto operator<=>(const spread_key &) const = default; // NOLINT(modernize-use-nullptr): false alarm
 };
 
 /// One entry with its value.
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -26,7 +26,7 @@
     , m_idleCheck(owner, [this] { closeIdle(); })
     , m_listener(owner, m_options.listenAddress, [this](bufferevent *socket) { accept(socket); })
 {
-    if (m_options.link.self.address.empty()) {
+    if (m_options.link.self.address.empty() || m_options.link.self.address.ends_with(":0")) {
         const std::string &listen = m_options.listenAddress;
         m_options.link.self.address = listen.substr(0, listen.rfind(':') + 1) + std::to_string(m_listener.port());
     }
@@ -73,6 +73,11 @@
     }
 }
 
+bool link_table::isConnected(vm_id peer) const
+{
+    return m_ready.contains(peer);
+}
+
 std::vector<vm_id> link_table::connectedPeers() const
 {
     std::vector<vm_id> peers;
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -69,6 +69,9 @@
     /// Ends all links to a VM.
     void disconnect(vm_id peer);
 
+    /// Whether a link to the VM is ready.
+    bool isConnected(vm_id peer) const;
+
     /// VMs with a ready link.
     std::vector<vm_id> connectedPeers() const;
 
--- a/src/daemon/peers/peers_message.h
+++ b/src/daemon/peers/peers_message.h
@@ -2,30 +2,51 @@
 
 #include "wire/envelope.h"
 
-#include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/membership/member.h>
+#include <guavafront/coordination/spread/spread.h>
 
+#include <cstdint>
 #include <variant>
 
 namespace guavafront
 {
 
-/// Send to one VM; dropped, and counted, when there is no way to it.
+/// Sends to one VM; dropped, and counted, when there is no way to it.
 struct send_to_vm {
-    vm_id to; ///< Receiver.
-    envelope message; ///< What to send.
+    vm_id to; ///< Receiver; this VM itself is allowed.
+    envelope message; ///< Any channel but Control, Membership and Spread.
 };
 
-/// Send to every seed of the settings.
+/// Sends to every seed of the settings.
 struct send_to_seeds {
     envelope message; ///< What to send.
 };
 
-/// Send to every VM with a ready link.
+/// Sends to every VM with a ready link.
 struct send_to_linked {
     envelope message; ///< What to send.
 };
 
+/// Sends to every other live VM that has one of the roles.
+struct send_to_roles {
+    std::uint8_t roles = ControlRole; ///< Bits of member_role.
+    envelope message; ///< Any channel but Control, Membership and Spread.
+};
+
+/// The control leader on this VM proved its leadership.
+struct issue_beacon {
+    term leaderTerm; ///< Its term.
+    std::uint64_t counter = 0; ///< Goes up with each beacon of a term.
+    revision accepted; ///< Highest accepted revision.
+    instant asOf; ///< When it asked the quorum that answered.
+};
+
+/// Has the present view, freshness and entries handed to all subscribers again; for a task that has restarted.
+struct resend_state {
+};
+
 /// What other tasks ask of the peers task.
-using peers_message = std::variant<send_to_vm, send_to_seeds, send_to_linked>;
+using peers_message = std::variant<send_to_vm, send_to_seeds, send_to_linked, send_to_roles, spread_publish,
+                                   spread_withdraw, issue_beacon, resend_state>;
 
 } // namespace guavafront
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -1,46 +1,108 @@
 #include "daemon/peers/peers_task.h"
 
+#include "wire/membership_codec.h"
+#include "wire/spread_codec.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
 #include <glog/logging.h>
+#include <sodium.h>
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <string_view>
 #include <utility>
 
 namespace guavafront
 {
 
+namespace
+{
+
+constexpr duration tickPeriod = std::chrono::milliseconds(100);
+constexpr duration statisticsPeriod = std::chrono::seconds(1);
+constexpr duration farewellTime = std::chrono::milliseconds(200);
+constexpr double shareStep = 0.05;
+constexpr std::uint8_t bodyVersion = 1;
+
+random_source systemSeededRandom()
+{
+    random_source random;
+    randombytes_buf(&random.state, sizeof random.state);
+    return random;
+}
+
+member_record recordOf(const peer_identity &identity)
+{
+    return {.id = identity.id, .address = identity.address, .dataCentre = identity.dataCentre, .roles = identity.roles};
+}
+
+std::string_view statusName(member_status status)
+{
+    constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead", "left"};
+    return names[static_cast<std::size_t>(status)];
+}
+
+void checkVersion(const envelope &message)
+{
+    if (message.version != bodyVersion) {
+        throw coordination_error(result_code::MessageUnknown, "unknown version of a peer's message");
+    }
+}
+
+} // namespace
+
 peers_task::peers_task(loop &owner, peers_task_options options, mailbox<peers_message> &inbox)
-    : m_options(std::move(options))
+    : m_loop(owner)
+    , m_options(std::move(options))
+    , m_random(systemSeededRandom())
     , m_links(owner, m_options.links,
-              {.ready =
-                   [this](const peer_identity &peer) {
-                       m_idOfAddress[peer.address] = peer.id;
-                       LOG(INFO) << "link ready: VM " << std::hex << peer.id.value << " at " << peer.address;
-                   },
-               .received = [this](const peer_identity &from, envelope message) { dispatch(from, std::move(message)); },
+              {.ready = [this](const peer_identity &peer) { rememberSeed(peer); },
+               .received = [this](const peer_identity &from, envelope m) { receive(from, std::move(m)); },
                .lost =
-                   [](vm_id peer) {
-                       LOG(INFO) << "link lost: VM " << std::hex << peer.value;
+                   [](vm_id) {
                    }})
-    , m_attachment(inbox, owner, [this](peers_message message) {
-        std::visit([this](auto &each) { handle(std::move(each)); }, message);
-    })
+    , m_membership(makeMembership(recordOf(m_links.self()), m_options.seeds, m_options.membershipTimes))
+    , m_spread(makeSpread(m_links.self().id, m_options.spreadLimits))
+    , m_ticker(owner, [this] { tick(); })
+    , m_stopDelay(owner, [this] { m_loop.stop(); })
+    , m_inbox(inbox, owner, [this](peers_message message) { dispatch(std::move(message)); })
+{
+    owner.onStopRequested([this] { stop(); });
+    m_ticker.arm({});
+    for (const auto &watcher : m_options.watchers.started) {
+        watcher();
+    }
+}
+
+const peer_identity &peers_task::self() const
 {
+    return m_links.self();
 }
 
-void peers_task::handle(send_to_vm message)
+void peers_task::dispatch(peers_message message)
 {
-    m_links.send(message.to, {}, std::move(message.message));
+    try {
+        std::visit([this](const auto &each) { handle(each); }, message);
+    } catch (const coordination_error &error) {
+        ++m_unclaimed;
+        LOG(ERROR) << "message to peers refused: " << error.what();
+    }
+}
+
+void peers_task::handle(const send_to_vm &message)
+{
+    sendTo(message.to, message.message);
 }
 
 void peers_task::handle(const send_to_seeds &message)
 {
     for (const std::string &seed : m_options.seeds) {
         // Without the identity of the VM that answered there last, each message would open a link of its own.
-        const auto known = m_idOfAddress.find(seed);
-        const vm_id id = known == m_idOfAddress.end() ? vm_id{} : known->second;
-        const std::vector<vm_id> connected = m_links.connectedPeers();
-        const bool linked = std::ranges::find(connected, id) != connected.end();
-        m_links.send(linked ? id : vm_id{}, seed, message.message);
+        const auto known = m_seedIds.find(seed);
+        const bool linked = known != m_seedIds.end() && m_links.isConnected(known->second);
+        m_links.send(linked ? known->second : vm_id{}, seed, message.message);
     }
 }
 
@@ -51,12 +113,233 @@
     }
 }
 
-void peers_task::dispatch(const peer_identity &from, envelope message)
+void peers_task::handle(const send_to_roles &message)
 {
+    for (const member_record &each : liveMembers(m_membership)) {
+        if ((each.roles & message.roles) != 0 && each.id != self().id) {
+            m_links.send(each.id, each.address, message.message);
+        }
+    }
+}
+
+void peers_task::handle(const spread_publish &message)
+{
+    stepSpread(message);
+}
+
+void peers_task::handle(const spread_withdraw &message)
+{
+    stepSpread(message);
+}
+
+void peers_task::handle(const issue_beacon &message)
+{
+    issueBeacon(m_beacon, message.leaderTerm, message.counter, message.accepted, message.asOf);
+}
+
+void peers_task::handle(const resend_state & /*message*/)
+{
+    publishView(true);
+    m_publishedBeacon = {};
+    publishFreshness();
+    for (const auto &[key, stored] : m_spread.entries) {
+        if (!stored.removed && key.owner != self().id) {
+            publishEntry({.key = key, .version = stored.version, .removed = false, .payload = stored.payload});
+        }
+    }
+}
+
+void peers_task::rememberSeed(const peer_identity &peer)
+{
+    if (std::ranges::find(m_options.seeds, peer.address) != m_options.seeds.end()) {
+        m_seedIds[peer.address] = peer.id;
+    }
+}
+
+void peers_task::sendTo(vm_id to, const envelope &message)
+{
+    if (to == self().id) {
+        receive(self(), message);
+        return;
+    }
+    const member_record *receiver = findMember(m_membership, to);
+    m_links.send(to, receiver ? receiver->address : "", message);
+}
+
+void peers_task::receive(const peer_identity &from, envelope message)
+{
+    if (message.kind == channel::Membership) {
+        receiveMembership(from.id, message);
+        return;
+    }
+    if (message.kind == channel::Spread) {
+        checkVersion(message);
+        stepSpread(spread_received{from.id, decodeSpread(message.body)});
+        return;
+    }
     const channel_subscriber &subscriber = m_options.subscribers[static_cast<std::size_t>(message.kind)];
-    if (subscriber) {
-        subscriber(from, std::move(message));
+    if (!subscriber) {
+        ++m_unclaimed;
+        return;
+    }
+    subscriber(from, std::move(message));
+}
+
+void peers_task::receiveMembership(vm_id from, const envelope &message)
+{
+    checkVersion(message);
+    membership_message decoded = decodeMembership(message.body);
+    const auto *ack = std::get_if<membership_ack>(&decoded);
+    const std::optional<beacon> freshness = ack ? ack->freshness : std::nullopt;
+    stepMembership(membership_received{from, std::move(decoded)}, freshness);
+}
+
+void peers_task::stepMembership(const membership_event &event, const std::optional<beacon> &freshness)
+{
+    std::vector<membership_effect> effects;
+    step(m_membership, event, loop::now(), m_random, effects);
+    for (const membership_effect &each : effects) {
+        apply(each, freshness);
+    }
+}
+
+void peers_task::apply(const membership_effect &effect, const std::optional<beacon> &freshness)
+{
+    if (const auto *send = std::get_if<send_membership>(&effect)) {
+        transmit(*send);
+    } else if (const auto *answered = std::get_if<probe_answered>(&effect)) {
+        if (freshness) {
+            hearBeacon(m_beacon, *freshness, answered->sentAt);
+        }
+    } else if (const auto *change = std::get_if<member_changed>(&effect)) {
+        followMember(change->record);
+    } else if (std::holds_alternative<targets_changed>(effect)) {
+        followTargets();
+    } else {
+        m_viewChanged = true;
+    }
+}
+
+void peers_task::transmit(const send_membership &effect)
+{
+    membership_message message = effect.message;
+    if (auto *ack = std::get_if<membership_ack>(&message)) {
+        ack->freshness = relayedBeacon(m_beacon, loop::now());
     }
+    m_links.send(effect.to, effect.address,
+                 {.kind = channel::Membership, .version = bodyVersion, .body = encodeMembership(message)});
+}
+
+void peers_task::stepSpread(const spread_event &event)
+{
+    std::vector<spread_effect> effects;
+    step(m_spread, event, loop::now(), m_random, effects);
+    for (const spread_effect &each : effects) {
+        apply(each);
+    }
+}
+
+void peers_task::apply(const spread_effect &effect)
+{
+    if (const auto *change = std::get_if<entry_changed>(&effect)) {
+        publishEntry(change->entry);
+        return;
+    }
+    const auto &send = std::get<send_spread>(effect);
+    sendTo(send.to, {.kind = channel::Spread, .version = bodyVersion, .body = encodeSpread(send.message)});
+}
+
+void peers_task::followMember(const member_record &record)
+{
+    m_viewChanged = true;
+    const bool live = record.status <= member_status::Suspect;
+    if (m_spread.liveOwners.contains(record.id) != live) {
+        LOG(INFO) << "VM " << record.id.value << " at " << record.address << " is " << statusName(record.status);
+    }
+    stepSpread(spread_owner{record.id, live});
+}
+
+void peers_task::followTargets()
+{
+    m_viewChanged = true;
+    std::vector<vm_id> peers;
+    for (const auto &[id, target] : m_membership.targets) {
+        peers.push_back(id);
+    }
+    stepSpread(spread_peers{std::move(peers)});
+}
+
+void peers_task::tick()
+{
+    m_ticker.arm(tickPeriod);
+    stepMembership(membership_tick{});
+    stepSpread(spread_tick{});
+    publishView(false);
+    publishFreshness();
+    if (loop::now() >= m_nextStatistics) {
+        m_nextStatistics = loop::now() + statisticsPeriod;
+        publishStatistics();
+    }
+}
+
+void peers_task::publishView(bool always)
+{
+    const double share = aliveShare(m_membership, loop::now());
+    const bool changed = std::exchange(m_viewChanged, false) || std::abs(share - m_publishedShare) >= shareStep;
+    if (!changed && !always) {
+        return;
+    }
+    m_publishedShare = share;
+    auto view = std::make_shared<fleet_view>();
+    view->live = liveMembers(m_membership);
+    view->missing = m_membership.missing;
+    view->aliveShare = share;
+    view->fingerprint = viewFingerprint(m_membership);
+    for (const auto &watcher : m_options.watchers.views) {
+        watcher(view);
+    }
+}
+
+void peers_task::publishFreshness()
+{
+    if (m_beacon.newest == m_publishedBeacon.newest && m_beacon.issuedAfter == m_publishedBeacon.issuedAfter) {
+        return;
+    }
+    m_publishedBeacon = m_beacon;
+    for (const auto &watcher : m_options.watchers.freshness) {
+        watcher(m_beacon);
+    }
+}
+
+void peers_task::publishStatistics()
+{
+    const instant now = loop::now();
+    const peers_statistics statistics{.links = m_links.counters(),
+                                      .connectedPeers = m_links.connectedPeers().size(),
+                                      .liveVms = m_membership.alive,
+                                      .missingVms = m_membership.missing,
+                                      .aliveShare = aliveShare(m_membership, now),
+                                      .spreadEntries = m_spread.entries.size(),
+                                      .beaconAge = beaconAge(m_beacon, now),
+                                      .unclaimedMessages = m_unclaimed};
+    for (const auto &watcher : m_options.watchers.statistics) {
+        watcher(statistics);
+    }
+}
+
+void peers_task::publishEntry(const spread_entry &entry)
+{
+    const auto [first, last] = m_options.watchers.entries.equal_range(entry.key.topic);
+    for (auto watcher = first; watcher != last; ++watcher) {
+        watcher->second(entry);
+    }
+}
+
+void peers_task::stop()
+{
+    m_ticker.cancel();
+    stepMembership(membership_leave{});
+    m_stopDelay.arm(farewellTime);
 }
 
 } // namespace guavafront
