--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -45,9 +45,14 @@
                    std::vector<membership_effect> &effects)
 {
     const std::uint32_t incarnationBefore = state.self.incarnation;
+    const std::size_t effectsBefore = effects.size();
     for (const member_update &update : message.updates) {
         applyUpdate(state, update, !message.repair, now, effects);
     }
+    if (message.repair && effects.size() > effectsBefore) {
+        // What this table lacked, others may lack as well: tables are compared again soon.
+        state.nextSync = std::min(state.nextSync, now + state.options.probePeriod);
+    }
     if (state.self.incarnation != incarnationBefore) {
         membership_gossip answer{.updates = {{.record = state.self}}};
         effects.emplace_back(send_membership{from, "", std::move(answer)});
