Take requests through the account's rate and a fair queue

Cause: the pipeline passed the stages Limit and Admit without a decision.

Change: Limit takes one token from the VM's limiter, parks the request for at most waitLimit while a grant is on its way, and refuses OverRate, not run, with a time to retry. Admit queues before the service's slots by least attained service and the account manager's order; a service that sheds load gets fewer requests at once (additive increase, multiplicative decrease). Bounds on requests and body bytes under way shed those that wait for a token first, then the newest, as EntryOverloaded, not run. The limiter's events and messages are events and effects of the entry.

Test changed: instance_leaving_noNewWork sent eight requests to an instance of four slots at once and expected all of them there; now each is answered before the next, and each must still go to the other instance. The fixture's VM is the only one of its fleet and lives eight seconds before the tests, since a VM that has just started may not use its share.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -4,11 +4,15 @@
 #include <guavafront/coordination/configuration/key_table.h>
 #include <guavafront/coordination/entry/entry_effect.h>
 #include <guavafront/coordination/entry/entry_event.h>
+#include <guavafront/coordination/entry/entry_queues.h>
+#include <guavafront/coordination/entry/entry_settings.h>
 #include <guavafront/coordination/entry/exchange.h>
+#include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/routing/route_table.h>
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -28,6 +32,7 @@
 /// All state of an entry VM's decisions.
 struct entry {
     entry_identity identity; ///< This VM.
+    entry_settings settings; ///< Of this VM.
     std::shared_ptr<const configuration> current; ///< In force; never null.
     route_table routes; ///< Of the configuration in force.
     key_table keys; ///< Of the configuration in force.
@@ -37,11 +42,15 @@
     std::unordered_map<instance_id, std::uint32_t> inFlight; ///< Running tries of this VM for each instance.
     std::unordered_map<exchange_id, exchange> exchanges; ///< Requests under way.
     std::set<std::pair<instant, exchange_id>> deadlines; ///< Of the requests under way.
+    std::optional<limiter> limits; ///< Holds the accounts to their rates; started with the first step.
+    token_waits waits; ///< Requests that wait for a token.
+    entry_admissions admissions; ///< Queues before the services' slots.
+    std::uint64_t bodyBytes = 0; ///< Of the bodies of all requests under way.
     bool stopping = false; ///< A planned stop has begun.
 };
 
 /// Entry VM with the empty configuration.
-entry makeEntry(entry_identity identity);
+entry makeEntry(entry_identity identity, const entry_settings &settings = {});
 
 /// Reacts to one event. The same state, event, time and random numbers give the same effects. Requests pass the stages
 /// of exchange_stage in order; each request ends with exactly one deliver_answer or refuse_request, unless its caller
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/refusal.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/registry/announcement.h>
 
 #include <cstdint>
@@ -56,6 +57,6 @@
 
 /// All that an entry's decisions want done.
 using entry_effect = std::variant<start_attempt, cancel_attempt, deliver_answer, refuse_request, publish_instance,
-                                  withdraw_instance, wake_at>;
+                                  withdraw_instance, wake_at, limit_send>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/entry/attempt_result.h>
 #include <guavafront/coordination/entry/request_head.h>
+#include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/registry/announcement.h>
 
 #include <memory>
@@ -70,8 +71,8 @@
 };
 
 /// All that an entry's decisions react to.
-using entry_event =
-    std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
-                 instance_announced, instance_learned, instance_forgotten, hearer_changed, stop_requested, time_passed>;
+using entry_event = std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
+                                 instance_announced, instance_learned, instance_forgotten, hearer_changed,
+                                 stop_requested, time_passed, limit_members_changed, limit_message_received>;
 
 } // namespace guavafront
--- /dev/null
+++ b/include/guavafront/coordination/entry/entry_queues.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <guavafront/coordination/admission/admission_queue.h>
+#include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/core/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Requests that wait for a token of their account.
+struct token_waits {
+    std::unordered_map<account_id, std::deque<exchange_id>> byAccount; ///< Oldest first.
+    std::set<std::pair<instant, exchange_id>> ends; ///< When each is granted or refused at the latest.
+    std::vector<account_id> settled; ///< Accounts whose requests are to be tried again in this step.
+};
+
+/// Requests before and in one service's slots.
+struct service_admission {
+    admission_queue queue; ///< Those that wait.
+    std::uint32_t running = 0; ///< Those that hold a slot.
+    double concurrency = 0; ///< Slots used at once since the service shed load; 0 while it never did.
+};
+
+/// Queues before all services.
+struct entry_admissions {
+    std::unordered_map<std::string, service_admission> byService; ///< Services that were asked for.
+    std::set<std::string> due; ///< Services whose free slots are to be given out in this step.
+    instant sweptAt{}; ///< Idle accounts were last forgotten then.
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/include/guavafront/coordination/entry/entry_settings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <guavafront/coordination/admission/admission_queue.h>
+#include <guavafront/coordination/limits/limit_settings.h>
+
+#include <cstdint>
+
+namespace guavafront
+{
+
+/// Bounds of what an entry VM holds at once.
+struct entry_bounds {
+    std::uint32_t requests = 8'192; ///< Most requests under way.
+    std::uint64_t bodyBytes = 64 * 1'024 * 1'024; ///< Most bytes of their bodies together.
+};
+
+/// Settings of an entry VM's decisions.
+struct entry_settings {
+    limit_settings limits; ///< Of the limiter; the same on all VMs.
+    admission_settings admission; ///< Of the queues before each service.
+    entry_bounds bounds; ///< Beyond them, the cheapest work is shed.
+};
+
+} // namespace guavafront
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -34,7 +34,11 @@
     std::string kind; ///< Kind in the account manager's order.
     std::string idempotencyKey; ///< As sent; empty when there is none.
     request_digest digest; ///< Of the whole request.
+    std::uint32_t bodyBytes = 0; ///< Size of its body.
     instant arrived; ///< When it came.
+    instant tokenWaitEnd{}; ///< Waits for a token until then; 0 when it doesn't.
+    instant admittedAt{}; ///< When it got its slot.
+    bool holdsSlot = false; ///< Counts as running at its service.
     instant deadline; ///< It ends at the latest then.
     instance_id running; ///< Instance of the present try.
     std::vector<instance_id> tried; ///< Instances of all tries so far.
--- a/include/guavafront/coordination/limits/limiter.h
+++ b/include/guavafront/coordination/limits/limiter.h
@@ -41,7 +41,7 @@
     limit_message message; ///< Its content.
 };
 
-/// Time passed; due at least four times in a renewal period.
+/// Time passed; due when nextTick() has come.
 struct limit_tick {
 };
 
@@ -92,6 +92,9 @@
 /// Applies an event.
 void step(limiter &state, const limit_event &event, instant now, limit_effects &effects);
 
+/// When the next limit_tick is due.
+instant nextTick(const limiter &state);
+
 /// Asks for one token of an account. A request that is told to wait must be tried again or abandoned.
 take_result tryTake(limiter &state, account_id account, take_attempt attempt, instant now, limit_effects &effects);
 
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -1,4 +1,4 @@
-#include "coordination/entry/entry_step.h"
+#include "coordination/entry/entry_queue_step.h"
 
 #include <algorithm>
 #include <array>
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr duration retryAfterStale = std::chrono::seconds(1);
+constexpr duration retryAfterPassing = std::chrono::seconds(1);
 
 /// Idempotent methods of RFC 9110 section 9.2.2.
 bool isIdempotentMethod(std::string_view method)
@@ -63,7 +63,8 @@
 
 void refuseAtOnce(step_context &context, exchange_id id, result_code code)
 {
-    const duration retryAfter = code == result_code::ConfigurationStale ? retryAfterStale : duration::zero();
+    const bool passes = code == result_code::ConfigurationStale || code == result_code::EntryOverloaded;
+    const duration retryAfter = passes ? retryAfterPassing : duration::zero();
     context.effects.emplace_back(refuse_request{id, {code, execution::NotRun, retryAfter}});
 }
 
@@ -81,6 +82,7 @@
     request.kind = match.kind;
     request.idempotencyKey = head.idempotencyKey;
     request.digest = head.digest;
+    request.bodyBytes = head.bodyBytes;
     request.arrived = context.now;
     request.deadline = context.now + std::chrono::milliseconds(timeoutMs);
     return request;
@@ -106,6 +108,11 @@
             return;
         }
     }
+    if (!makeRoom(context, head.bodyBytes)) {
+        refuseAtOnce(context, head.id, result_code::EntryOverloaded);
+        return;
+    }
+    context.state.bodyBytes += head.bodyBytes;
     exchange request = makeExchange(context, head, *match, owner);
     context.state.deadlines.emplace(request.deadline, request.id);
     advance(context, context.state.exchanges.emplace(head.id, std::move(request)).first->second);
--- /dev/null
+++ b/src/coordination/entry/admit_stage.cpp
@@ -0,0 +1,154 @@
+#include "coordination/entry/entry_queue_step.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration retryAfterShed = std::chrono::seconds(1);
+constexpr duration sweepPeriod = std::chrono::seconds(1);
+/// A service that shed load gets this part of the requests it had at once; Chiu and Jain 1989.
+constexpr double shedFactor = 0.8;
+
+/// Slots that this VM uses at once. Without instances all pass, since choosing one refuses them at once.
+std::uint32_t slotsFor(const entry &state, const std::string &service, const service_admission &admission)
+{
+    std::uint32_t slots = 0;
+    for (const registered_instance &each : instancesOf(state.upstreams, service)) {
+        slots += each.last.state == instance_state::Serving ? each.last.slots : 0;
+    }
+    if (slots == 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const auto bound = static_cast<std::uint32_t>(std::max(1.0, admission.concurrency));
+    return admission.concurrency > 0 ? std::min(slots, bound) : slots;
+}
+
+double weightOf(const entry &state, account_id owner)
+{
+    const rate_limit &limit = limitOf(state.limits->limits, owner);
+    const double weight = limit.ratePerSecond / state.limits->limits.defaults.ratePerSecond;
+    return weight > 0 ? weight : 1;
+}
+
+std::uint32_t rankOf(const entry &state, const exchange &request)
+{
+    const auto owner = state.accounts.find(request.owner);
+    return owner == state.accounts.end() ? 0 : kindRank(owner->second->kindOrder, request.kind);
+}
+
+/// Refuses what the queue dropped. None of it has run, as a slot comes before the first byte.
+void refuseDropped(step_context &context, const admission_effects &effects)
+{
+    for (const exchange_id id : effects.shed) {
+        refuse(context, context.state.exchanges.at(id), result_code::NoCapacity, execution::NotRun, retryAfterShed);
+    }
+    for (const exchange_id id : effects.expired) {
+        refuse(context, context.state.exchanges.at(id), result_code::DeadlinePassed, execution::NotRun, {});
+    }
+}
+
+void giveOutSlots(step_context &context, const std::string &service)
+{
+    service_admission &admission = context.state.admissions.byService.at(service);
+    const std::uint32_t slots = slotsFor(context.state, service, admission);
+    while (admission.running < slots) {
+        admission_effects effects;
+        const auto next = admitNext(admission.queue, context.now, effects);
+        refuseDropped(context, effects);
+        if (!next) {
+            return;
+        }
+        exchange &request = context.state.exchanges.at(next->id);
+        request.admittedAt = context.now;
+        request.holdsSlot = true;
+        ++admission.running;
+        request.stage = exchange_stage::Select;
+        advance(context, request);
+    }
+}
+
+} // namespace
+
+stage_verdict queueForSlot(step_context &context, exchange &request)
+{
+    const auto [place, created] = context.state.admissions.byService.try_emplace(request.service);
+    service_admission &admission = place->second;
+    if (created) {
+        admission.queue.settings = context.state.settings.admission;
+    }
+    const exchange_id id = request.id;
+    context.state.admissions.due.insert(request.service);
+    admission_effects effects;
+    enqueue(admission.queue,
+            {.id = id,
+             .account = request.owner,
+             .kindRank = rankOf(context.state, request),
+             .deadline = request.deadline,
+             .weight = weightOf(context.state, request.owner)},
+            context.now, effects);
+    refuseDropped(context, effects);
+    return context.state.exchanges.contains(id) ? stage_verdict::Park : stage_verdict::Ended;
+}
+
+void leaveAdmission(entry &state, exchange &request, instant now)
+{
+    const auto found = state.admissions.byService.find(request.service);
+    if (found == state.admissions.byService.end()) {
+        return;
+    }
+    service_admission &admission = found->second;
+    if (request.holdsSlot) {
+        request.holdsSlot = false;
+        --admission.running;
+        finishService(admission.queue, request.owner, now - request.admittedAt, now);
+        state.admissions.due.insert(request.service);
+    } else if (request.stage == exchange_stage::Admit) {
+        cancelWaiting(admission.queue, request.owner, request.id);
+    }
+}
+
+void noteCapacity(entry &state, const exchange &request, attempt_outcome outcome)
+{
+    service_admission &admission = state.admissions.byService.at(request.service);
+    if (outcome == attempt_outcome::RefusedNotRun) {
+        admission.concurrency = std::max(1.0, shedFactor * admission.running);
+    } else if (outcome == attempt_outcome::Answered && admission.concurrency > 0) {
+        admission.concurrency += 1 / admission.concurrency;
+    }
+}
+
+void checkAllAdmissions(step_context &context)
+{
+    entry_admissions &admissions = context.state.admissions;
+    const bool sweep = context.now - admissions.sweptAt >= sweepPeriod;
+    for (auto &[service, admission] : admissions.byService) {
+        if (sweep) {
+            admission_effects effects;
+            dropExpired(admission.queue, context.now, effects);
+            refuseDropped(context, effects);
+        }
+        if (admission.queue.waiting > 0) {
+            admissions.due.insert(service);
+        }
+    }
+    admissions.sweptAt = sweep ? context.now : admissions.sweptAt;
+}
+
+void drainQueues(step_context &context)
+{
+    std::set<std::string> &due = context.state.admissions.due;
+    settleAccounts(context);
+    while (!due.empty()) {
+        const std::string service = *due.begin();
+        due.erase(due.begin());
+        giveOutSlots(context, service);
+        settleAccounts(context);
+    }
+}
+
+} // namespace guavafront
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -1,4 +1,4 @@
-#include "coordination/entry/entry_step.h"
+#include "coordination/entry/entry_queue_step.h"
 
 #include <algorithm>
 #include <cassert>
@@ -90,6 +90,7 @@
     if (--running->second == 0) {
         context.state.inFlight.erase(running);
     }
+    noteCapacity(context.state, request, result.outcome);
     if (result.outcome == attempt_outcome::Answered) {
         request.sent = true;
         deliver(context, request);
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -1,6 +1,6 @@
 #include <guavafront/coordination/entry/entry.h>
 
-#include "coordination/entry/entry_step.h"
+#include "coordination/entry/entry_queue_step.h"
 
 #include <algorithm>
 #include <cassert>
@@ -62,6 +62,7 @@
 void handle(step_context &context, const configuration_changed &event)
 {
     takeConfiguration(context.state, event.value);
+    configureLimits(context);
 }
 
 void handle(step_context &context, const freshness_changed &event)
@@ -92,29 +93,39 @@
 void handle(step_context &context, const stop_requested & /*event*/)
 {
     context.state.stopping = true;
+    updateLimits(context, limiter_stopping{});
+}
+
+void handle(step_context &context, const limit_members_changed &event)
+{
+    updateLimits(context, event);
+}
+
+void handle(step_context &context, const limit_message_received &event)
+{
+    updateLimits(context, event);
 }
 
 void handle(step_context &context, const time_passed & /*event*/)
 {
     expireRequests(context);
+    updateLimits(context, limit_tick{});
+    endTokenWaits(context);
     expireInstances(context);
 }
 
-std::optional<instant> nextWake(const entry &state)
+instant nextWake(const entry &state)
 {
-    std::optional<instant> next = nextExpiry(state.upstreams);
-    if (!state.deadlines.empty()) {
-        const instant deadline = state.deadlines.begin()->first;
-        next = next ? std::min(*next, deadline) : deadline;
-    }
-    return next;
+    const instant next = std::min(nextLimitWake(state), nextExpiry(state.upstreams).value_or(instant::max()));
+    return state.deadlines.empty() ? next : std::min(next, state.deadlines.begin()->first);
 }
 
 } // namespace
 
-entry makeEntry(entry_identity identity)
+entry makeEntry(entry_identity identity, const entry_settings &settings)
 {
     entry state;
+    state.settings = settings;
     state.upstreams.self = identity.self;
     state.identity = std::move(identity);
     takeConfiguration(state, std::make_shared<const configuration>());
@@ -125,10 +136,13 @@
           std::vector<entry_effect> &effects)
 {
     step_context context{.state = state, .now = now, .random = random, .effects = effects};
+    startLimits(context);
     std::visit([&context](const auto &each) { handle(context, each); }, event);
-    if (const std::optional<instant> wake = nextWake(state)) {
-        effects.emplace_back(wake_at{*wake});
+    if (!std::holds_alternative<request_arrived>(event) && !std::holds_alternative<attempt_ended>(event)) {
+        checkAllAdmissions(context);
     }
+    drainQueues(context);
+    effects.emplace_back(wake_at{nextWake(state)});
 }
 
 } // namespace guavafront
--- /dev/null
+++ b/src/coordination/entry/limit_stage.cpp
@@ -0,0 +1,164 @@
+#include "coordination/entry/entry_queue_step.h"
+
+#include <guavafront/coordination/configuration/setting.h>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Limits of the accounts in a configuration.
+limit_table limitTableOf(const configuration &current)
+{
+    limit_table table{.defaults = {current.defaults.accountRatePerSecond, current.defaults.accountBurst}};
+    std::set<std::string_view> excepted;
+    for (const setting_exception &each : current.exceptions) {
+        const exception_subject subject = parseSubject(each.subject);
+        if (subject.type == subject_type::Account) {
+            excepted.insert(subject.name);
+        }
+    }
+    if (excepted.empty()) {
+        return table;
+    }
+    for (const account &each : current.accounts) {
+        if (excepted.contains(each.name)) {
+            const fleet_defaults values = valuesForAccount(current, each.name);
+            table.exceptions[each.id] = {values.accountRatePerSecond, values.accountBurst};
+        }
+    }
+    return table;
+}
+
+void emit(step_context &context, const limit_effects &effects)
+{
+    for (const limit_send &each : effects.sends) {
+        context.effects.emplace_back(each);
+    }
+    std::vector<account_id> &settled = context.state.waits.settled;
+    settled.insert(settled.end(), effects.settled.begin(), effects.settled.end());
+}
+
+take_result attempt(step_context &context, account_id account, take_attempt kind)
+{
+    limit_effects effects;
+    const take_result result = tryTake(*context.state.limits, account, kind, context.now, effects);
+    emit(context, effects);
+    return result;
+}
+
+void removeWait(token_waits &waits, exchange &request)
+{
+    const auto queue = waits.byAccount.find(request.owner);
+    std::erase(queue->second, request.id);
+    if (queue->second.empty()) {
+        waits.byAccount.erase(queue);
+    }
+    waits.ends.erase({request.tokenWaitEnd, request.id});
+    request.tokenWaitEnd = {};
+}
+
+/// Goes on with a request that no longer waits.
+void conclude(step_context &context, exchange &request, const take_result &result)
+{
+    removeWait(context.state.waits, request);
+    if (result.verdict == take_verdict::Granted) {
+        request.stage = exchange_stage::Claim;
+        advance(context, request);
+        return;
+    }
+    refuse(context, request, result_code::OverRate, execution::NotRun, result.retryAfter);
+}
+
+void retryAccount(step_context &context, account_id account)
+{
+    token_waits &waits = context.state.waits;
+    for (auto queue = waits.byAccount.find(account); queue != waits.byAccount.end();
+         queue = waits.byAccount.find(account)) {
+        const take_result result = attempt(context, account, take_attempt::Repeated);
+        if (result.verdict == take_verdict::Wait) {
+            return;
+        }
+        conclude(context, context.state.exchanges.at(queue->second.front()), result);
+    }
+}
+
+} // namespace
+
+void startLimits(step_context &context)
+{
+    entry &state = context.state;
+    if (!state.limits) {
+        state.limits =
+            startLimiter(state.identity.self, state.settings.limits, limitTableOf(*state.current), context.now);
+    }
+}
+
+void updateLimits(step_context &context, const limit_event &event)
+{
+    limit_effects effects;
+    step(*context.state.limits, event, context.now, effects);
+    emit(context, effects);
+}
+
+void configureLimits(step_context &context)
+{
+    updateLimits(context, limits_changed{limitTableOf(*context.state.current)});
+}
+
+stage_verdict takeFromRate(step_context &context, exchange &request)
+{
+    if (request.owner == account_id{}) {
+        return stage_verdict::Continue;
+    }
+    const take_result result = attempt(context, request.owner, take_attempt::First);
+    if (result.verdict == take_verdict::Granted) {
+        return stage_verdict::Continue;
+    }
+    if (result.verdict == take_verdict::Refused) {
+        return refuse(context, request, result_code::OverRate, execution::NotRun, result.retryAfter);
+    }
+    request.tokenWaitEnd = context.now + context.state.settings.limits.waitLimit;
+    context.state.waits.byAccount[request.owner].push_back(request.id);
+    context.state.waits.ends.emplace(request.tokenWaitEnd, request.id);
+    return stage_verdict::Park;
+}
+
+void leaveTokenWait(entry &state, exchange &request)
+{
+    if (request.tokenWaitEnd != instant{}) {
+        removeWait(state.waits, request);
+        abandonWait(*state.limits, request.owner);
+    }
+}
+
+void endTokenWaits(step_context &context)
+{
+    auto &ends = context.state.waits.ends;
+    while (!ends.empty() && ends.begin()->first <= context.now) {
+        exchange &request = context.state.exchanges.at(ends.begin()->second);
+        conclude(context, request, attempt(context, request.owner, take_attempt::Last));
+    }
+}
+
+void settleAccounts(step_context &context)
+{
+    std::vector<account_id> &settled = context.state.waits.settled;
+    while (!settled.empty()) {
+        const account_id account = settled.back();
+        settled.pop_back();
+        retryAccount(context, account);
+    }
+}
+
+instant nextLimitWake(const entry &state)
+{
+    const instant tick = nextTick(*state.limits);
+    const auto &ends = state.waits.ends;
+    return ends.empty() ? tick : std::min(tick, ends.begin()->first);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/entry/overload.cpp
@@ -0,0 +1,30 @@
+#include "coordination/entry/entry_queue_step.h"
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration retryAfterOverload = std::chrono::seconds(1);
+
+bool hasRoom(const entry &state, std::uint32_t bodyBytes)
+{
+    const entry_bounds &bounds = state.settings.bounds;
+    return state.exchanges.size() < bounds.requests && state.bodyBytes + bodyBytes <= bounds.bodyBytes;
+}
+
+} // namespace
+
+bool makeRoom(step_context &context, std::uint32_t bodyBytes)
+{
+    entry &state = context.state;
+    while (!hasRoom(state, bodyBytes) && !state.waits.ends.empty()) {
+        // Requests that wait for a token are likely over their rate, and nothing was done for them yet.
+        exchange &cheapest = state.exchanges.at(state.waits.ends.begin()->second);
+        refuse(context, cheapest, result_code::EntryOverloaded, execution::NotRun, retryAfterOverload);
+    }
+    return hasRoom(state, bodyBytes);
+}
+
+} // namespace guavafront
--- a/src/coordination/entry/stages.cpp
+++ b/src/coordination/entry/stages.cpp
@@ -1,4 +1,4 @@
-#include "coordination/entry/entry_step.h"
+#include "coordination/entry/entry_queue_step.h"
 
 #include <cassert>
 
@@ -8,8 +8,12 @@
 namespace
 {
 
-void forget(entry &state, exchange &request)
+void forget(step_context &context, exchange &request)
 {
+    entry &state = context.state;
+    leaveTokenWait(state, request);
+    leaveAdmission(state, request, context.now);
+    state.bodyBytes -= request.bodyBytes;
     state.deadlines.erase({request.deadline, request.id});
     state.exchanges.erase(request.id);
 }
@@ -18,9 +22,11 @@
 {
     switch (request.stage) {
     case exchange_stage::Limit:
+        return takeFromRate(context, request);
     case exchange_stage::Claim:
-    case exchange_stage::Admit:
         return stage_verdict::Continue;
+    case exchange_stage::Admit:
+        return queueForSlot(context, request);
     case exchange_stage::Select:
         return select(context, request);
     case exchange_stage::Running:
@@ -46,7 +52,7 @@
     if (!request.callerLeft) {
         context.effects.emplace_back(refuse_request{request.id, {code, ran, retryAfter}});
     }
-    forget(context.state, request);
+    forget(context, request);
     return stage_verdict::Ended;
 }
 
@@ -55,7 +61,7 @@
     if (!request.callerLeft) {
         context.effects.emplace_back(deliver_answer{request.id});
     }
-    forget(context.state, request);
+    forget(context, request);
 }
 
 void expireRequests(step_context &context)
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -274,6 +274,11 @@
     }
 }
 
+instant nextTick(const limiter &state)
+{
+    return std::min(state.nextRound, state.nextRenewal);
+}
+
 take_result tryTake(limiter &state, account_id id, take_attempt attempt, instant now, limit_effects &effects)
 {
     const auto [place, created] = state.entry.accounts.try_emplace(id);
