Send limiters' messages over the links and number their starts

Cause: an entry task that the supervisor starts again keeps its VM's identity; numbered from 0, it took a late grant to its predecessor for its own.

Change: rounds and requests are numbered from the time of the start; the number of the grant in force travels as a distance. The entry task posts limit messages to the peers task on channel Limits; received ones become events. Setting peers.fleetSize (most entry VMs at once, 48 unless given) bounds the shares; a fleet of one needs no hold after a start.

Not run: a fleet over real links, as no task tells the entries their members yet.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -5,7 +5,7 @@
 #include <guavafront/coordination/entry/entry_effect.h>
 #include <guavafront/coordination/entry/entry_event.h>
 #include <guavafront/coordination/entry/entry_queues.h>
-#include <guavafront/coordination/entry/entry_settings.h>
+#include <guavafront/coordination/entry/entry_policy.h>
 #include <guavafront/coordination/entry/exchange.h>
 #include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/registry/registry.h>
@@ -32,7 +32,7 @@
 /// All state of an entry VM's decisions.
 struct entry {
     entry_identity identity; ///< This VM.
-    entry_settings settings; ///< Of this VM.
+    entry_policy settings; ///< Of this VM.
     std::shared_ptr<const configuration> current; ///< In force; never null.
     route_table routes; ///< Of the configuration in force.
     key_table keys; ///< Of the configuration in force.
@@ -50,7 +50,7 @@
 };
 
 /// Entry VM with the empty configuration.
-entry makeEntry(entry_identity identity, const entry_settings &settings = {});
+entry makeEntry(entry_identity identity, const entry_policy &settings = {});
 
 /// Reacts to one event. The same state, event, time and random numbers give the same effects. Requests pass the stages
 /// of exchange_stage in order; each request ends with exactly one deliver_answer or refuse_request, unless its caller
--- a/include/guavafront/coordination/entry/entry_settings.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -14,9 +14,9 @@
     std::uint64_t bodyBytes = 64 * 1'024 * 1'024; ///< Most bytes of their bodies together.
 };
 
-/// Settings of an entry VM's decisions.
-struct entry_settings {
-    limit_settings limits; ///< Of the limiter; the same on all VMs.
+/// Settings of an entry VM's decisions, the same on all VMs.
+struct entry_policy {
+    limit_settings limits; ///< Of the limiter.
     admission_settings admission; ///< Of the queues before each service.
     entry_bounds bounds; ///< Beyond them, the cheapest work is shed.
 };
--- a/include/guavafront/coordination/limits/lease_owner.h
+++ b/include/guavafront/coordination/limits/lease_owner.h
@@ -43,7 +43,7 @@
 struct lease_owner {
     std::vector<share_pool> pools; ///< By slot.
     std::vector<share_round> rounds; ///< Latest rounds, oldest first.
-    std::uint64_t lastRound = 0; ///< Number of the latest round.
+    std::uint64_t lastRound = 0; ///< Number of the latest round; starts at the time of the start in microseconds.
     std::unordered_map<account_id, owned_account> accounts; ///< Accounts in use.
 };
 
--- a/include/guavafront/coordination/limits/lessee.h
+++ b/include/guavafront/coordination/limits/lessee.h
@@ -37,7 +37,7 @@
 /// Entry's side of the limiter.
 struct lessee {
     std::unordered_map<account_id, leased_account> accounts; ///< Accounts in use.
-    std::uint64_t lastSequence = 0; ///< Of the latest request.
+    std::uint64_t lastSequence = 0; ///< Of the latest request; starts at the time of the start in microseconds.
 };
 
 /// Brings a bucket up to now.
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -122,7 +122,7 @@
 
 } // namespace
 
-entry makeEntry(entry_identity identity, const entry_settings &settings)
+entry makeEntry(entry_identity identity, const entry_policy &settings)
 {
     entry state;
     state.settings = settings;
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -254,6 +254,10 @@
                   .owner = startOwner(settings, now),
                   .nextRound = now,
                   .nextRenewal = now};
+    // A limiter that starts again on the same VM must not take answers to its predecessor's requests for its own.
+    const auto firstNumber = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    state.owner.lastRound = firstNumber;
+    state.entry.lastSequence = firstNumber;
     state.preferredOwners.resize(settings.slotCount);
     changeMembers(state, {});
     return state;
--- a/src/coordination/limits/share_holder.cpp
+++ b/src/coordination/limits/share_holder.cpp
@@ -6,6 +6,10 @@
 share_holder startShareHolder(const limit_settings &settings, instant now)
 {
     share_holder holder;
+    if (settings.fleetSize == 1) {
+        holder.shares.assign(settings.slotCount, {.freeFrom = now}); // No other VM can have a predecessor's share.
+        return holder;
+    }
     holder.shares.assign(settings.slotCount, {.freeFrom = now + stretched(settings, settings.delegationLifetime)});
     return holder;
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include "runtime/signal_watch.h"
 #include "runtime/supervisor.h"
 #include "settings/settings_reader.h"
+#include "wire/limits_codec.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
@@ -70,6 +71,10 @@
                                                                                       envelope message) {
         wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
     };
+    options.subscribers[static_cast<std::size_t>(channel::Limits)] = [&wiring](const peer_identity &from,
+                                                                               const envelope &message) {
+        wiring.entries.post(limit_message_received{from.id, decodeLimitMessage(message.body)});
+    };
     return options;
 }
 
@@ -85,6 +90,7 @@
     options.pool.idlePerInstance = settings.entry.idleConnectionsPerInstance;
     options.balancerGrace = std::chrono::milliseconds(settings.entry.balancerGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.entry.drainLimitMs);
+    options.policy.limits.fleetSize = settings.peers.fleetSize;
     options.seed = self.value;
     return options;
 }
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -2,6 +2,7 @@
 
 #include "http/header_filter.h"
 #include "http/http_message.h"
+#include "wire/limits_codec.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
@@ -86,9 +87,10 @@
                        daemon_counters &counters)
     : m_loop(owner)
     , m_options(std::move(options))
+    , m_peers(outlets.peers)
     , m_metrics(outlets.metrics)
     , m_counters(counters)
-    , m_state(makeEntry(m_options.identity))
+    , m_state(makeEntry(m_options.identity, m_options.policy))
     , m_random(m_options.seed)
     , m_pool(owner, m_options.pool)
     , m_wake(owner, [this] { run(time_passed{}); })
@@ -234,6 +236,11 @@
     m_wake.arm(effect.when - loop::now());
 }
 
+void entry_task::perform(const limit_send &effect)
+{
+    m_peers.post(send_to_vm{effect.to, {.kind = channel::Limits, .body = encodeLimitMessage(effect.message)}});
+}
+
 void entry_task::count(const caller_request &request, result_code code, std::uint16_t status)
 {
     m_counters.countRequest(request.service, request.accountName, code, status);
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -21,6 +21,7 @@
 /// Settings of the entry task.
 struct entry_task_options {
     entry_identity identity; ///< This VM.
+    entry_policy policy; ///< Of its decisions.
     http_server_options server; ///< Where callers come in.
     upstream_pool_options pool; ///< Connections to upstreams.
     duration balancerGrace = std::chrono::seconds(5); ///< From "not ready" to the end of listening.
@@ -62,6 +63,7 @@
     void perform(const publish_instance &effect);
     void perform(const withdraw_instance &effect);
     void perform(const wake_at &effect);
+    void perform(const limit_send &effect);
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
     void count(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
@@ -69,6 +71,7 @@
 
     loop &m_loop; ///< Not owned.
     entry_task_options m_options; ///< As constructed.
+    mailbox<peers_message> &m_peers; ///< Not owned.
     mailbox<metrics_message> &m_metrics; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
     entry m_state; ///< All decisions' state.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -35,6 +35,7 @@
 /// Links to other VMs.
 struct peer_settings {
     std::vector<endpoint> seeds; ///< Peers' addresses to join by, control VMs first.
+    std::uint32_t fleetSize = 48; ///< Most entry VMs that ever run at once; the same on all VMs.
 };
 
 /// Files that hold secrets; refused when others than the owner and group may read them.
--- a/src/wire/limits_codec.cpp
+++ b/src/wire/limits_codec.cpp
@@ -48,26 +48,32 @@
     return static_cast<double>(fields.wholeUpTo(maxThousandths)) / thousandths;
 }
 
-nlohmann::json encodeItem(const lease_request_item &item)
+/// The sequence number of a grant in force as a distance, which is short; 0 stands for none.
+std::uint64_t distanceTo(std::uint64_t applied, std::uint64_t sequence)
 {
-    return {item.account.value,       item.appliedSequence,
+    return applied == 0 || applied >= sequence ? 0 : sequence - applied;
+}
+
+nlohmann::json encodeItem(const lease_request_item &item, std::uint64_t sequence)
+{
+    return {item.account.value,       distanceTo(item.appliedSequence, sequence),
             roundedUp(item.heldRate), roundedUp(item.heldCapacity),
             roundedDown(item.level),  roundedDown(item.returnedTokens),
             roundedUp(item.demand),   item.waiting};
 }
 
-nlohmann::json encodeItem(const lease_grant_item &item)
+nlohmann::json encodeItem(const lease_grant_item &item, std::uint64_t /*sequence*/)
 {
     return {item.account.value, roundedDown(item.rate), roundedDown(item.capacity), roundedDown(item.tokens),
             static_cast<std::uint64_t>(item.retryAfter.count())};
 }
 
 template<class item_type>
-nlohmann::json encodeItems(std::span<const item_type> items)
+nlohmann::json encodeItems(std::span<const item_type> items, std::uint64_t sequence)
 {
     nlohmann::json encoded = nlohmann::json::array();
     for (const item_type &item : items) {
-        encoded.push_back(encodeItem(item));
+        encoded.push_back(encodeItem(item, sequence));
     }
     return encoded;
 }
@@ -85,12 +91,13 @@
 nlohmann::json toJson(const lease_request &message)
 {
     return {message_kind::LeaseRequest, message.sequence,
-            encodeItems(std::span<const lease_request_item>(message.items))};
+            encodeItems(std::span<const lease_request_item>(message.items), message.sequence)};
 }
 
 nlohmann::json toJson(const lease_grant &message)
 {
-    return {message_kind::LeaseGrant, message.sequence, encodeItems(std::span<const lease_grant_item>(message.items))};
+    return {message_kind::LeaseGrant, message.sequence,
+            encodeItems(std::span<const lease_grant_item>(message.items), message.sequence)};
 }
 
 [[noreturn]] void malformed(const char *what)
@@ -111,12 +118,13 @@
     return slots;
 }
 
-lease_request_item readRequestItem(const nlohmann::json &value)
+lease_request_item readRequestItem(const nlohmann::json &value, std::uint64_t sequence)
 {
     cbor_fields fields(value, "lease request", 8);
     lease_request_item item;
     item.account.value = fields.whole<std::uint32_t>();
-    item.appliedSequence = fields.whole<std::uint64_t>();
+    const std::uint64_t distance = fields.wholeUpTo(sequence);
+    item.appliedSequence = distance == 0 ? 0 : sequence - distance;
     item.heldRate = readTokens(fields);
     item.heldCapacity = readTokens(fields);
     item.level = readTokens(fields);
@@ -143,7 +151,7 @@
     lease_request request{.sequence = sequence};
     request.items.reserve(values.size());
     for (const nlohmann::json &value : values) {
-        request.items.push_back(readRequestItem(value));
+        request.items.push_back(readRequestItem(value, sequence));
     }
     return request;
 }
--- a/tests/limits/limiter_test.cpp
+++ b/tests/limits/limiter_test.cpp
@@ -142,6 +142,24 @@
     BOOST_TEST((account.leaseEnd == start + settings.leaseLifetime));
 }
 
+BOOST_AUTO_TEST_CASE(limiter_startedAgainOnTheSameVm_predecessorsGrantIgnored)
+{
+    const instant start(1h);
+    limit_effects effects;
+    limiter first = startLimiter({1}, settings, limits, start);
+    step(first, limit_members_changed{{{1}, {2}, {3}, {4}, {5}, {6}}}, start, effects);
+    const vm_id owner = first.preferredOwners[slotOf(settings, customer)];
+    BOOST_TEST_REQUIRE(owner.value != 1U);
+    tryTake(first, customer, take_attempt::First, start, effects);
+    const auto asked = std::get<lease_request>(effects.sends.back().message);
+    limiter second = startLimiter({1}, settings, limits, start + 1ms);
+    step(second, limit_members_changed{{{1}, {2}, {3}, {4}, {5}, {6}}}, start + 1ms, effects);
+    tryTake(second, customer, take_attempt::First, start + 1ms, effects);
+    const lease_grant late{.sequence = asked.sequence, .items = {{.account = customer, .capacity = 9, .tokens = 9}}};
+    step(second, limit_message_received{owner, late}, start + 2ms, effects);
+    BOOST_TEST(second.entry.accounts.at(customer).lease.level == 0);
+}
+
 BOOST_AUTO_TEST_CASE(owner_lesseeForgotItsLease_tokensNotTakenBack)
 {
     const instant start(1h);
