Show the whole path by a test that starts the processes

Change: tests/fleet starts the real binary and stand-ins with Boost.Process in a folder of its own. Found on the way: the stand-in announced to /announcements, the daemon listens on /v1/announcements; six cases failed with no_upstream until the stand-in was mended.

--- a/src/program/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -1,4 +1,4 @@
-#include "program/http_call.h"
+#include "http/http_call.h"
 
 #include "http/upstream_connection.h"
 #include "runtime/loop.h"
--- a/src/program/announce_command.cpp
+++ b/src/program/announce_command.cpp
@@ -1,6 +1,6 @@
 #include "program/announce_command.h"
 
-#include "program/http_call.h"
+#include "http/http_call.h"
 #include "runtime/signal_watch.h"
 #include "runtime/timer.h"
 #include "settings/settings_reader.h"
--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -1,6 +1,6 @@
 #include "program/operator_client.h"
 
-#include "program/http_call.h"
+#include "http/http_call.h"
 #include "wire/operator_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
--- /dev/null
+++ b/tests/fleet/fleet_processes.cpp
@@ -0,0 +1,280 @@
+#include "fleet/fleet_processes.h"
+
+#include "fleet/child_process.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::string_view operatorToken = "operator-token-of-the-test";
+constexpr std::string_view serviceToken = "service-token-of-the-test";
+constexpr duration waitLimit = std::chrono::seconds(20);
+constexpr int pollPeriodMs = 20;
+
+/// A port that was free a moment ago.
+std::uint16_t freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    const bool bound = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0
+                       && getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    close(descriptor);
+    if (!bound) {
+        throw std::runtime_error("no free port on loopback");
+    }
+    return ntohs(address.sin_port);
+}
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+void writeSecret(const std::filesystem::path &path, std::string_view text)
+{
+    std::ofstream(path) << text << '\n';
+    std::filesystem::permissions(path, std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
+}
+
+std::filesystem::path makeFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "guavafront-test-XXXXXX").string();
+    if (!mkdtemp(pattern.data())) {
+        throw std::runtime_error("no folder for the test");
+    }
+    return pattern;
+}
+
+} // namespace
+
+fleet_processes::fleet_processes(const fleet_layout &layout)
+    : m_folder(makeFolder())
+{
+    writeSecret(m_folder / "fleet.secret", "fleet-secret-of-the-test");
+    writeSecret(m_folder / "service.token", serviceToken);
+    writeSecret(m_folder / "operator.token", operatorToken);
+    const nlohmann::json tokens{{"operators", {{{"name", "ana"}, {"token", operatorToken}, {"role", "operator"}}}}};
+    writeSecret(m_folder / "operators.json", tokens.dump());
+    const auto dataCentreOf = [&layout](std::size_t number) {
+        return "dc-" + std::to_string(number % layout.dataCentres + 1);
+    };
+    for (std::size_t number = 1; number <= layout.controls; ++number) {
+        m_controls.push_back("control-" + std::to_string(number));
+        m_ports[m_controls.back()] = {
+            .peers = freePort(), .operators = freePort(), .announcements = 0, .metrics = freePort()};
+    }
+    for (std::size_t number = 1; number <= layout.entries; ++number) {
+        m_entries.push_back("entry-" + std::to_string(number));
+        m_ports[m_entries.back()] = {.callers = freePort(),
+                                     .peers = freePort(),
+                                     .operators = 0,
+                                     .announcements = freePort(),
+                                     .metrics = freePort()};
+    }
+    for (std::size_t index = 0; index < m_controls.size(); ++index) {
+        writeSettings(m_controls[index], true, dataCentreOf(index));
+    }
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        writeSettings(m_entries[index], false, dataCentreOf(index));
+    }
+}
+
+fleet_processes::~fleet_processes()
+{
+    m_running.clear();
+    std::error_code ignored;
+    if (!std::getenv("GUAVAFRONT_KEEP_TEST_FOLDERS")) {
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+}
+
+void fleet_processes::writeSettings(const std::string &name, bool control, const std::string &dataCentre) const
+{
+    const vm_ports &ports = m_ports.at(name);
+    nlohmann::json seeds = nlohmann::json::array();
+    for (const std::string &other : m_controls) {
+        if (other != name) {
+            seeds.push_back(local(m_ports.at(other).peers));
+        }
+    }
+    nlohmann::json settings{
+        {"vm", {{"name", name}, {"dataCentre", dataCentre}, {"roles", {control ? "control" : "entry"}}}},
+        {"listen", {{"peers", local(ports.peers)}, {"metrics", local(ports.metrics)}}},
+        {"peers", {{"seeds", seeds}}},
+        {"secrets", {{"fleetSecretFile", "fleet.secret"}}}};
+    if (control) {
+        settings["vm"]["dataFolder"] = name + "-data";
+        settings["listen"]["operators"] = local(ports.operators);
+        settings["secrets"]["operatorTokensFile"] = "operators.json";
+    } else {
+        settings["listen"]["callers"] = local(ports.callers);
+        settings["listen"]["announcements"] = local(ports.announcements);
+        settings["secrets"]["serviceTokenFile"] = "service.token";
+        settings["entry"]["balancerGraceMs"] = 100;
+    }
+    std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
+}
+
+void fleet_processes::run(const std::string &name, const std::string &program,
+                          const std::vector<std::string> &arguments)
+{
+    m_running[name] =
+        std::make_unique<child_process>(program, arguments, m_folder.string(), (m_folder / (name + ".log")).string());
+}
+
+void fleet_processes::start(const std::string &vm)
+{
+    run(vm, GUAVAFRONT_BINARY, {"run", "--settings", vm + ".json"});
+}
+
+void fleet_processes::startAll()
+{
+    for (const auto &[vm, ports] : m_ports) {
+        start(vm);
+    }
+    for (const auto &[vm, ports] : m_ports) {
+        waitUntil(vm + " is live", [metrics = ports.metrics] {
+            return httpCall({"127.0.0.1", metrics}, {.method = "GET", .target = "/live"}).status == 200;
+        });
+    }
+}
+
+std::string fleet_processes::startUpstream(const std::string &service, std::vector<std::string> entries,
+                                           std::vector<std::string> moreOptions)
+{
+    std::string name = "upstream-" + std::to_string(++m_upstreams);
+    const std::filesystem::path portFile = m_folder / (name + ".port");
+    std::vector<std::string> arguments{
+        "--name",          name,           "--service",     service,         "--port-file",
+        portFile.string(), "--token-file", "service.token", "--data-centre", "dc-1"};
+    for (const std::string &entry : entries) {
+        arguments.insert(arguments.end(), {"--announce-to", local(portsOf(entry).announcements)});
+    }
+    arguments.insert(arguments.end(), moreOptions.begin(), moreOptions.end());
+    run(name, GUAVAFRONT_STAND_IN, arguments);
+    waitUntil(name + " listens", [&portFile] { return std::filesystem::exists(portFile); });
+    std::ifstream(portFile) >> m_upstreamPorts[name];
+    return name;
+}
+
+void fleet_processes::signal(const std::string &name, int number)
+{
+    m_running.at(name)->signal(number);
+}
+
+bool fleet_processes::waitForEnd(const std::string &name, duration limit)
+{
+    return m_running.at(name)->waitForEnd(limit);
+}
+
+void fleet_processes::kill(const std::string &name)
+{
+    m_running.at(name)->kill();
+}
+
+void fleet_processes::operate(std::vector<std::string> arguments)
+{
+    std::vector<std::string> all{"operator", "--token-file", "operator.token"};
+    for (const std::string &control : m_controls) {
+        all.insert(all.end(), {"--server", local(portsOf(control).operators)});
+    }
+    const std::string command = arguments.front();
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    child_process process(GUAVAFRONT_BINARY, all, m_folder.string(), (m_folder / "operator.log").string());
+    if (!process.waitForEnd(waitLimit) || process.exitStatus() != 0) {
+        throw std::runtime_error("operator " + command + " failed");
+    }
+}
+
+std::string fleet_processes::createAccount(const std::string &name)
+{
+    std::string key = "key-of-" + name + "-0123456789";
+    writeSecret(m_folder / (name + ".key"), key);
+    operate({"account", "create", name});
+    operate({"key", "grant", name + "-1", "--account", name, "--key-file", name + ".key"});
+    return key;
+}
+
+http_answer fleet_processes::request(const std::string &entry, std::string_view method, std::string_view target,
+                                     std::string_view key, std::string_view body) const
+{
+    return httpCall({"127.0.0.1", portsOf(entry).callers},
+                    {.method = method, .target = target, .token = key, .body = body, .timeout = waitLimit});
+}
+
+http_answer fleet_processes::askUpstream(const std::string &upstream, std::string_view method,
+                                         std::string_view target) const
+{
+    return httpCall({"127.0.0.1", m_upstreamPorts.at(upstream)}, {.method = method, .target = target});
+}
+
+void fleet_processes::waitUntil(std::string_view what, const std::function<bool()> &condition)
+{
+    const auto holds = [&condition] {
+        try {
+            return condition();
+        } catch (const coordination_error &) {
+            return false; // Not there yet.
+        }
+    };
+    const auto end = std::chrono::steady_clock::now() + waitLimit;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > end) {
+            throw std::runtime_error("did not come about: " + std::string(what));
+        }
+        poll(nullptr, 0, pollPeriodMs);
+    }
+}
+
+void fleet_processes::waitForStatus(const std::string &entry, std::string_view target, std::string_view key,
+                                    int status) const
+{
+    waitUntil(entry + " answers " + std::string(target) + " with " + std::to_string(status),
+              [&] { return request(entry, "GET", target, key).status == status; });
+}
+
+const vm_ports &fleet_processes::portsOf(const std::string &vm) const
+{
+    return m_ports.at(vm);
+}
+
+const std::vector<std::string> &fleet_processes::entries() const
+{
+    return m_entries;
+}
+
+const std::vector<std::string> &fleet_processes::controls() const
+{
+    return m_controls;
+}
+
+const std::filesystem::path &fleet_processes::folder() const
+{
+    return m_folder;
+}
+
+std::string bodyOf(const http_answer &answer)
+{
+    return std::string(textOf(answer.body));
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/fleet/whole_path_test.cpp
@@ -0,0 +1,85 @@
+#include "fleet/fleet_processes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// A control VM, two entry VMs and a stand-in of "rutas" behind each, with one account and a keyed route.
+struct whole_path_fixture {
+    fleet_processes fleet{fleet_layout{.controls = 1, .entries = 2}};
+    std::string key;
+
+    whole_path_fixture()
+    {
+        fleet.startAll();
+        key = fleet.createAccount("panalera");
+        fleet.operate({"route", "put", "/listas", "--service", "rutas", "--kind", "lista"});
+        for (const std::string &entry : fleet.entries()) {
+            fleet.startUpstream("rutas", {entry});
+            fleet.waitForStatus(entry, "/listas/hoy", key, 200);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(whole_path_test, whole_path_fixture)
+
+BOOST_AUTO_TEST_CASE(request_keyedThroughEachEntry_wholeAnswerBack)
+{
+    for (const std::string &entry : fleet.entries()) {
+        const http_answer answer = fleet.request(entry, "GET", "/listas/hoy?dia=1", key);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(bodyOf(answer).find("/listas/hoy") != std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(request_withoutKeyOrRoute_refusedNotRun)
+{
+    const http_answer keyless = fleet.request("entry-1", "GET", "/listas/hoy");
+    BOOST_TEST(keyless.status == 401);
+    BOOST_TEST(bodyOf(keyless).find("\"not_run\":true") != std::string::npos);
+    BOOST_TEST(fleet.request("entry-1", "GET", "/nada", key).status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(answer_cutByUpstream_errorNotShortSuccess)
+{
+    const http_answer answer = fleet.request("entry-1", "POST", "/listas/hoy?behaviour=cut", key, "{}");
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(bodyOf(answer).find("\"not_run\":false") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(key_withdrawn_refusedOnEveryEntry)
+{
+    fleet.operate({"key", "withdraw", "panalera-1"});
+    for (const std::string &entry : fleet.entries()) {
+        fleet.waitForStatus(entry, "/listas/hoy", key, 401);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entry_terminated_requestUnderWayFinishes)
+{
+    fleet.operate({"route", "put", "/slow", "--service", "rutas", "--kind", "lista"});
+    fleet.waitForStatus("entry-1", "/slow/x", key, 200);
+    fleet.signal("entry-1", SIGTERM);
+    // It comes before the listener closes and runs for longer than that takes.
+    const http_answer during = fleet.request("entry-1", "POST", "/slow/x?ms=300", key, "{}");
+    BOOST_TEST(during.status == 200);
+    BOOST_TEST(fleet.waitForEnd("entry-1", std::chrono::seconds(15)));
+}
+
+BOOST_AUTO_TEST_CASE(control_gone_requestsGoOn)
+{
+    fleet.kill("control-1");
+    BOOST_TEST(fleet.request("entry-2", "GET", "/listas/hoy", key).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- a/tests/stand_in/announcer.cpp
+++ b/tests/stand_in/announcer.cpp
@@ -50,7 +50,7 @@
     m_connection = std::make_unique<upstream_connection>(
         m_loop, upstream_connection_options{.address = target.ip, .port = target.port}, [] {});
     m_connection->send({.method = "POST",
-                        .target = "/announcements",
+                        .target = "/v1/announcements",
                         .headers = headers,
                         .body = bytesOf(body),
                         .timeout = answerTimeout},
