Show links, fleet, spread and beacon on /metrics

Cause: the counters of links and the fleet's view were not visible. Ruled out: gauges set by the metrics task (it would ask the peers task each time it is read).

--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -221,7 +221,6 @@
     if (withPartition) {
         measurePartition(measured);
     }
-    std::fflush(stdout);
 }
 
 /// What 14,000 entries cost each VM, and one that joins.
@@ -314,6 +313,7 @@
 int main(int count, char **arguments)
 {
     FLAGS_minloglevel = google::GLOG_ERROR;
+    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
     const char *mode = count > 1 ? arguments[1] : "48";
     if (std::strcmp(mode, "sockets") == 0) {
         guavafront::measureSockets(48, std::chrono::seconds(30));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -67,6 +67,9 @@
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
     }
+    options.watchers.statistics = {[&wiring](const peers_statistics &latest) {
+        wiring.peerCounters.set(latest);
+    }};
     options.subscribers[static_cast<std::size_t>(channel::Configuration)] = [&wiring](const peer_identity &from,
                                                                                       envelope message) {
         wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -5,6 +5,7 @@
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
 #include "daemon/operators/operators_message.h"
+#include "daemon/peers/peers_counters.h"
 #include "daemon/peers/peers_message.h"
 #include "runtime/mailbox.h"
 
@@ -22,6 +23,7 @@
     static constexpr std::size_t largeCapacity = 65'536; ///< Messages that come with callers' or peers' traffic.
 
     daemon_counters counters; ///< Collected by the metrics task.
+    peers_counters peerCounters{counters.registry()}; ///< Set by the peers task.
     mailbox<metrics_message> metrics{smallCapacity}; ///< To the metrics task.
     mailbox<peers_message> peers{largeCapacity}; ///< To the peers task.
     mailbox<configuration_message> configurations{largeCapacity}; ///< To the configuration task.
--- /dev/null
+++ b/src/daemon/peers/peers_counters.cpp
@@ -0,0 +1,74 @@
+#include "daemon/peers/peers_counters.h"
+
+namespace guavafront
+{
+
+namespace
+{
+
+prometheus::Gauge &addGauge(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Counter &addCounter(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+/// Raises a counter by what was counted since; a lower count comes from a restarted task.
+void raise(prometheus::Counter &counter, std::uint64_t latest, std::uint64_t last)
+{
+    counter.Increment(static_cast<double>(latest >= last ? latest - last : latest));
+}
+
+} // namespace
+
+peers_counters::peers_counters(prometheus::Registry &registry)
+    : m_liveVms(addGauge(registry, "guavafront_fleet_live_vms", "VMs that this VM holds live, itself included."))
+    , m_missingVms(addGauge(registry, "guavafront_fleet_missing_vms", "Dead VMs whose address no live one has."))
+    , m_aliveShare(addGauge(registry, "guavafront_fleet_alive_share", "Share of the fleet that this VM hears, 0 to 1."))
+    , m_linkedPeers(addGauge(registry, "guavafront_linked_vms", "VMs with a ready link."))
+    , m_spreadEntries(addGauge(registry, "guavafront_spread_entries", "Entries of all VMs' small state held."))
+    , m_beaconAge(addGauge(registry, "guavafront_beacon_age_seconds",
+                           "Upper bound of the age of the control leader's newest beacon; -1 when none was heard."))
+    , m_messagesSent(addCounter(registry, "guavafront_peer_messages_sent_total", "Messages to other VMs."))
+    , m_bytesSent(addCounter(registry, "guavafront_peer_sent_bytes_total", "Bodies of messages to other VMs."))
+    , m_messagesReceived(addCounter(registry, "guavafront_peer_messages_received_total", "Messages from other VMs."))
+    , m_bytesReceived(
+          addCounter(registry, "guavafront_peer_received_bytes_total", "Bodies of messages from other VMs."))
+    , m_messagesDropped(
+          addCounter(registry, "guavafront_peer_messages_dropped_total", "Messages with no way to their VM."))
+    , m_unclaimed(addCounter(registry, "guavafront_peer_messages_unclaimed_total",
+                             "Messages that no task of this VM takes, and refused publications."))
+{
+    prometheus::Family<prometheus::Counter> &ended = prometheus::BuildCounter()
+                                                         .Name("guavafront_links_ended_total")
+                                                         .Help("Ended links to other VMs by reason.")
+                                                         .Register(registry);
+    for (std::size_t i = 0; i < m_ended.size(); ++i) {
+        m_ended[i] = &ended.Add({{"reason", std::string(linkEndName(static_cast<link_end>(i)))}});
+    }
+}
+
+void peers_counters::set(const peers_statistics &latest)
+{
+    m_liveVms.Set(static_cast<double>(latest.liveVms));
+    m_missingVms.Set(static_cast<double>(latest.missingVms));
+    m_aliveShare.Set(latest.aliveShare);
+    m_linkedPeers.Set(static_cast<double>(latest.connectedPeers));
+    m_spreadEntries.Set(static_cast<double>(latest.spreadEntries));
+    m_beaconAge.Set(latest.beaconAge ? std::chrono::duration<double>(*latest.beaconAge).count() : -1);
+    raise(m_messagesSent, latest.links.messagesSent, m_last.links.messagesSent);
+    raise(m_bytesSent, latest.links.bytesSent, m_last.links.bytesSent);
+    raise(m_messagesReceived, latest.links.messagesReceived, m_last.links.messagesReceived);
+    raise(m_bytesReceived, latest.links.bytesReceived, m_last.links.bytesReceived);
+    raise(m_messagesDropped, latest.links.messagesDropped, m_last.links.messagesDropped);
+    raise(m_unclaimed, latest.unclaimedMessages, m_last.unclaimedMessages);
+    for (std::size_t i = 0; i < m_ended.size(); ++i) {
+        raise(*m_ended[i], latest.links.ended[i], m_last.links.ended[i]);
+    }
+    m_last = latest;
+}
+
+} // namespace guavafront
--- a/tests/peers/peers_task_test.cpp
+++ b/tests/peers/peers_task_test.cpp
@@ -1,3 +1,4 @@
+#include "daemon/peers/peers_counters.h"
 #include "daemon/peers/peers_task.h"
 
 #include <boost/test/unit_test.hpp>
@@ -230,6 +231,23 @@
     runUntil([this] { return vms[1]->received.size() == 1 && vms[0]->statistics.unclaimedMessages == 1; });
 }
 
+BOOST_AUTO_TEST_CASE(peersCounters_taskRestarted_countsGoOn)
+{
+    prometheus::Registry registry;
+    peers_counters counters(registry);
+    const auto sent = [&registry] {
+        const auto families = registry.Collect();
+        const auto found =
+            std::ranges::find(families, "guavafront_peer_messages_sent_total", &prometheus::MetricFamily::name);
+        return found->metric.at(0).counter.value;
+    };
+    counters.set({.links = {.messagesSent = 5}});
+    counters.set({.links = {.messagesSent = 7}});
+    BOOST_TEST(sent() == 7);
+    counters.set({.links = {.messagesSent = 2}});
+    BOOST_TEST(sent() == 9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
