--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -208,7 +208,7 @@
     }
     m_ready.erase(ready);
     if (reason == link_end::Silent || reason == link_end::TooSlow || reason == link_end::Malformed) {
-        LOG(WARNING) << "link to VM " << peer.value << " ended: " << linkEndName(reason);
+        LOG(WARNING) << "link to VM " << std::hex << peer.value << std::dec << " ended: " << linkEndName(reason);
     }
     m_events.lost(peer);
 }
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -254,7 +254,8 @@
     m_viewChanged = true;
     const bool live = record.status <= member_status::Suspect;
     if (m_spread.liveOwners.contains(record.id) != live) {
-        LOG(INFO) << "VM " << record.id.value << " at " << record.address << " is " << statusName(record.status);
+        LOG(INFO) << "VM " << std::hex << record.id.value << std::dec << " at " << record.address << " is "
+                  << statusName(record.status);
     }
     stepSpread(spread_owner{record.id, live});
 }
