Don't retry a request whose connection was lost while it ran

Cause: each submission of a request that crashes its instance killed two, since the retry went on to the next one. Change: after a lost connection a repeatable request is tried again only when the connection was a kept one that closed sooner than an answer could come.

--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -82,6 +82,16 @@
     expire(state.held, context.now);
 }
 
+/// Whether a kept connection was lost sooner than an answer could be expected.
+bool isStale(const entry &state, const exchange &request, const attempt_result &result)
+{
+    const candidate_set *candidates = findCandidates(state.selection, state.upstreams, request.service);
+    if (result.newConnection || !candidates) {
+        return false;
+    }
+    return static_cast<float>(result.latency.count()) * 2 < candidates->typicalLatencyUs;
+}
+
 } // namespace
 
 request_fingerprint fingerprintOf(const exchange &request)
@@ -115,6 +125,7 @@
     return {.kind = kindOf(result),
             .ran = ran,
             .repeatable = request.mayBeRepeated,
+            .staleConnection = isStale(context.state, request, result),
             .quarantined = isHeldBack(context.state, request),
             .attempts = static_cast<std::uint32_t>(request.tried.size()),
             .timeLeft = request.deadline - context.now};
--- a/src/coordination/retries/retry.cpp
+++ b/src/coordination/retries/retry.cpp
@@ -11,9 +11,10 @@
     if (!allowed || attempt.quarantined || attempt.kind == outcome_kind::Cancelled) {
         return false;
     }
-    const std::uint32_t most =
-        attempt.kind == outcome_kind::ConnectionLost ? limits.maxAttemptsAfterLoss : limits.maxAttempts;
-    if (attempt.attempts >= most || attempt.timeLeft < limits.minTimeLeft) {
+    if (attempt.kind == outcome_kind::ConnectionLost && attempt.ran == execution::Unknown && !attempt.staleConnection) {
+        return false;
+    }
+    if (attempt.attempts >= limits.maxAttempts || attempt.timeLeft < limits.minTimeLeft) {
         return false;
     }
     return attempt.kind == outcome_kind::ConnectFailed || takeRetry(budget);
--- a/tests/retries/retry_test.cpp
+++ b/tests/retries/retry_test.cpp
@@ -49,9 +49,22 @@
     attempt.ran = execution::Unknown;
     BOOST_TEST(!retried());
     attempt.repeatable = true;
+    attempt.kind = outcome_kind::HalfAnswer;
     BOOST_TEST(retried());
 }
 
+BOOST_AUTO_TEST_CASE(shouldRetry_connectionLostWhileRunning_onlyWhenItWasStale)
+{
+    attempt.kind = outcome_kind::ConnectionLost;
+    attempt.ran = execution::Unknown;
+    attempt.repeatable = true;
+    BOOST_TEST(!retried());
+    attempt.staleConnection = true;
+    BOOST_TEST(retried());
+    attempt.repeatable = false;
+    BOOST_TEST(!retried());
+}
+
 BOOST_AUTO_TEST_CASE(shouldRetry_limits_stop)
 {
     attempt.attempts = limits.maxAttempts;
