--- /dev/null
+++ b/bench/model/upstream_run.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "model/consecutive_errors.h"
+#include "model/event_queue.h"
+#include "model/upstream_model.h"
+
+#include <guavafront/coordination/quarantine/quarantine.h>
+#include <guavafront/coordination/retries/retry.h>
+#include <guavafront/coordination/upstreams/upstream_selection.h>
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace guavafront::bench
+{
+
+inline constexpr instant faultBegin{std::chrono::seconds(20)};
+inline constexpr instant runEnd{std::chrono::seconds(60)};
+inline constexpr duration spreadDelay = std::chrono::milliseconds(300);
+inline constexpr duration superviseInterval = std::chrono::milliseconds(250);
+inline constexpr duration requestTimeout = std::chrono::seconds(1);
+inline constexpr duration connectTime = std::chrono::milliseconds(1);
+inline constexpr duration connectTimeout = std::chrono::milliseconds(500);
+inline constexpr duration announcementLease = std::chrono::seconds(3);
+inline constexpr duration restartTime = std::chrono::seconds(5);
+inline constexpr duration meanService = std::chrono::milliseconds(10);
+inline constexpr double serviceSigma = 0.5;
+inline constexpr std::uint32_t deaths = 3;
+inline constexpr std::string_view serviceName = "cobros";
+
+/// One upstream instance.
+struct upstream_instance {
+    announcement self; ///< What it announces.
+    std::size_t dataCentre = 0; ///< 0 to 2.
+    bool alive = true; ///< It has not crashed.
+    instant born{}; ///< When it began to serve.
+    std::uint32_t busy = 0; ///< Slots in use.
+    std::deque<std::size_t> waiting; ///< Tries in its queue.
+    std::vector<std::size_t> running; ///< Tries in its slots.
+};
+
+/// One try of a request.
+struct try_state {
+    std::size_t request = 0; ///< Index of its request.
+    std::size_t vm = 0; ///< Index of its VM.
+    std::size_t instance = 0; ///< Index of its instance.
+    instant sent{}; ///< When the VM sent it.
+    bool reused = false; ///< On a kept connection.
+    bool silent = false; ///< The connection is silent.
+    bool ended = false; ///< Its end was handled.
+};
+
+/// One request of a caller.
+struct request_state {
+    bool repeatable = false; ///< May run more than once.
+    bool poison = false; ///< Kills each instance that runs it.
+    instant arrived{}; ///< When it came.
+    std::vector<instance_id> tried; ///< Instances tried so far.
+};
+
+/// One entry VM.
+struct entry_vm {
+    registry known; ///< Instances that it knows.
+    upstream_selection selection; ///< Its choice and health.
+    quarantine held; ///< Its quarantine.
+    std::vector<std::vector<bool>> idle; ///< Kept connections by instance; true for a silent one.
+    consecutive_errors errors; ///< Baseline's state.
+    std::set<std::uint64_t> out; ///< Instances out of rotation when last looked at.
+};
+
+/// One run of the model: all instances and VMs in virtual time.
+class upstream_run
+{
+public:
+    explicit upstream_run(const model_options &options);
+    model_result run();
+
+private:
+    std::size_t dataCentreOf(std::size_t vm) const;
+    void addInstance(std::size_t dataCentre, instant born);
+    void addVm(std::size_t index);
+    void announceTo(entry_vm &vm, const announcement &news);
+    /// Poisson arrivals at a random VM.
+    void scheduleArrival();
+    /// One caller that sends the same deadly request again and again.
+    void schedulePoison();
+    void arrive(request_state request);
+    request_fingerprint fingerprint(std::size_t request) const;
+    void tryOnce(std::size_t request, std::size_t vmIndex);
+    duration tripTo(std::size_t vm, std::size_t instance) const;
+    void send(std::size_t request, std::size_t vmIndex, std::size_t instance);
+    /// Until when a try on a used connection waits for its answer.
+    instant silenceLimit(std::size_t index) const;
+    void connect(std::size_t index);
+    bool isBlocked(std::size_t vm, std::size_t instance) const;
+    bool faultActive() const;
+    void reach(std::size_t index);
+    /// How many times slower than usual an instance is.
+    double slowness(std::size_t index) const;
+    void serve(std::size_t index);
+    void served(std::size_t index);
+    outcome_kind answerKind(std::size_t instance);
+    void die(std::size_t at);
+    void forgetInstance(std::size_t at);
+    void confirmDeath(std::size_t vmIndex, std::size_t at);
+    void endTry(std::size_t index, outcome_kind kind, bool notRun);
+    void judgeByErrors(entry_vm &vm, const outcome &news);
+    void keepOrDrop(entry_vm &vm, const try_state &attempt, outcome_kind kind);
+    void retryOrConclude(const try_state &attempt, outcome_kind kind, bool notRun);
+    void conclude(std::size_t request, bool good);
+    void beginFault();
+    /// The instance has just begun to serve, as every VM heard.
+    void coldStart(std::size_t at);
+    void scheduleSupervision();
+    void superviseVm(std::size_t index);
+    static std::set<std::uint64_t> outOf(const entry_vm &vm);
+    /// Whether the instance is truly faulty as seen from a VM.
+    bool isFaulty(std::size_t vm, std::uint64_t id) const;
+    void noteEjections(std::size_t index);
+    void noteDetection();
+    double meanCapacity() const;
+    double unionCapacity() const;
+    void finish();
+    const model_options m_options; ///< As constructed.
+    std::mt19937_64 m_random; ///< All random numbers of the run.
+    event_queue m_events; ///< What happens next.
+    std::vector<upstream_instance> m_instances; ///< Instance with id n at n - 1; a restarted one is appended.
+    std::vector<entry_vm> m_vms; ///< By data centre.
+    std::vector<request_state> m_requests; ///< All so far.
+    std::vector<try_state> m_tries; ///< All so far.
+    std::vector<double> m_latencies; ///< In ms, after the fault began.
+    model_result m_result; ///< Counted so far.
+};
+
+} // namespace guavafront::bench
