--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -67,7 +67,7 @@
 
 /// The membership changed.
 struct fleet_changed {
-    fleet_view view; ///< Living VMs.
+    fleet_summary view; ///< Living VMs.
 };
 
 /// Another VM told its view of upstreams' health.
