Add claims: at most once by votes of home VMs, and their CBOR

Cause: a resend may land on any VM, also after the first one died and while the control is away; the key's request must not run twice. Ruled out: claims in the control's log (stop while it is away); sticky forwarding to one VM (its loss loses what it knew); votes that expire by time (a claimant that won and lost its messages would be forgotten); a majority of all VMs (too much traffic). Change: a majority of five home VMs of the key's shard, chosen by rendezvous hashing over an agreed view and spread over data centres; a vote is given back only by an attempt that was not sent; a change of view seals the old one and collects from a majority of the old homes before it votes. Pure step functions, codec with limits.

--- /dev/null
+++ b/src/coordination/claims/claim_store.cpp
@@ -0,0 +1,184 @@
+#include "coordination/claims/claim_store.h"
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t percent = 100;
+
+bool roomFor(const claims_home &state, account_id owner)
+{
+    const auto found = state.accountCounts.find(owner);
+    const std::size_t used = found == state.accountCounts.end() ? 0 : found->second;
+    return state.recordCount < state.options.maxRecords
+           && used * percent < state.options.maxRecords * state.options.maxAccountPercent;
+}
+
+void dropAnswer(claims_home &state, claim_record &record)
+{
+    if (record.outcome && record.outcome->answerKept) {
+        state.answerBytes -= record.outcome->answer.size();
+        record.outcome->answerKept = false;
+        record.outcome->answer = {};
+    }
+}
+
+void dropOldAnswers(claims_home &state)
+{
+    while (state.answerBytes > state.options.maxAnswersBytes && !state.answers.empty()) {
+        const claim_key oldest = state.answers.front();
+        state.answers.pop_front();
+        home_shard &shard = shardFor(state, oldest);
+        const auto found = shard.records.find(oldest);
+        if (found != shard.records.end()) {
+            dropAnswer(state, found->second);
+        }
+    }
+}
+
+/// Forgets entries of records that were erased before their time, once they are the larger part.
+void compactQueues(claims_home &state)
+{
+    constexpr std::size_t slack = 1024;
+    const std::size_t limit = 2 * state.recordCount + slack;
+    if (state.expiry.size() > limit) {
+        std::erase_if(state.expiry, [&state](const auto &entry) {
+            const home_shard &shard = shardFor(state, entry.second);
+            const auto found = shard.records.find(entry.second);
+            return found == shard.records.end() || found->second.expires != entry.first;
+        });
+    }
+    if (state.answers.size() > limit) {
+        std::erase_if(state.answers, [&state](const claim_key &key) {
+            const home_shard &shard = shardFor(state, key);
+            const auto found = shard.records.find(key);
+            return found == shard.records.end() || !found->second.outcome || !found->second.outcome->answerKept;
+        });
+    }
+}
+
+void addHolder(claim_record &record, const holder_report &told, instant now)
+{
+    const auto known = std::ranges::find(record.holders, told.attempt, &claim_holder::attempt);
+    if (known == record.holders.end()) {
+        record.holders.push_back({.attempt = told.attempt, .digest = told.digest, .deadline = now + told.remaining});
+    }
+}
+
+claim_record *insertRecord(claims_home &state, const claim_key &key, instant expires)
+{
+    claim_record &record = shardFor(state, key).records[key];
+    record.expires = expires;
+    state.expiry.emplace_back(expires, key);
+    ++state.recordCount;
+    ++state.accountCounts[key.owner];
+    compactQueues(state);
+    return &record;
+}
+
+} // namespace
+
+home_shard &shardFor(claims_home &state, const claim_key &key)
+{
+    return state.shards[shardOf(key)];
+}
+
+claim_record *findRecord(home_shard &shard, const claim_key &key, instant now)
+{
+    const auto found = shard.records.find(key);
+    return found == shard.records.end() || found->second.expires <= now ? nullptr : &found->second;
+}
+
+claim_record *makeRecord(claims_home &state, const claim_key &key, instant expires, instant now)
+{
+    home_shard &shard = shardFor(state, key);
+    if (claim_record *known = findRecord(shard, key, now)) {
+        return known;
+    }
+    eraseRecord(state, shard, key);
+    return roomFor(state, key.owner) ? insertRecord(state, key, expires) : nullptr;
+}
+
+void eraseRecord(claims_home &state, home_shard &shard, const claim_key &key)
+{
+    const auto found = shard.records.find(key);
+    if (found == shard.records.end()) {
+        return;
+    }
+    dropAnswer(state, found->second);
+    shard.records.erase(found);
+    --state.recordCount;
+    const auto count = state.accountCounts.find(key.owner);
+    if (--count->second == 0) {
+        state.accountCounts.erase(count);
+    }
+}
+
+void storeOutcome(claims_home &state, const claim_key &key, claim_record &record, const claim_outcome &outcome)
+{
+    record.holders.clear();
+    record.holders.shrink_to_fit();
+    if (record.outcome) {
+        return;
+    }
+    record.outcome = outcome;
+    if (!outcome.answerKept) {
+        return;
+    }
+    state.answerBytes += outcome.answer.size();
+    if (outcome.answer.size() > state.options.maxAnswerBytes) {
+        dropAnswer(state, record);
+        return;
+    }
+    state.answers.push_back(key);
+    dropOldAnswers(state);
+}
+
+void expireRecords(claims_home &state, instant now)
+{
+    while (!state.expiry.empty() && state.expiry.front().first <= now) {
+        const claim_key key = state.expiry.front().second;
+        state.expiry.pop_front();
+        home_shard &shard = shardFor(state, key);
+        const auto found = shard.records.find(key);
+        if (found != shard.records.end() && found->second.expires <= now) {
+            eraseRecord(state, shard, key);
+        }
+    }
+}
+
+void mergeRecord(claims_home &state, const shard_record &told, instant now)
+{
+    // What other homes know must be kept whatever the limits say, or a key could run twice.
+    home_shard &shard = shardFor(state, told.key);
+    claim_record *record = findRecord(shard, told.key, now);
+    if (!record) {
+        eraseRecord(state, shard, told.key);
+        record = insertRecord(state, told.key, now + told.retention);
+    }
+    if (told.outcome) {
+        storeOutcome(state, told.key, *record, *told.outcome);
+    }
+    if (!record->outcome) {
+        for (const holder_report &holder : told.holders) {
+            addHolder(*record, holder, now);
+        }
+    }
+}
+
+std::vector<holder_report> reportHolders(std::span<const claim_holder> holders, instant now)
+{
+    std::vector<holder_report> reports;
+    for (const claim_holder &each : holders) {
+        reports.push_back({.attempt = each.attempt,
+                           .digest = each.digest,
+                           .remaining = std::max(each.deadline - now, duration::zero())});
+    }
+    return reports;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/coordination/claims/shard_transfer.cpp
@@ -0,0 +1,159 @@
+#include "coordination/claims/shard_transfer.h"
+
+#include "coordination/claims/claim_store.h"
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t recordsPerPage = 64;
+constexpr std::size_t bytesPerPage = std::size_t{64} * 1024;
+constexpr std::size_t recordBytes = 128; // Without its answer.
+
+/// A majority of the previous homes told all they know, and one of them knew all that came before. Any attempt that
+/// had won under the previous view is then known here: its majority and theirs have a VM in common.
+void concludeWhenKnown(claims_home &state, std::uint32_t number, home_shard &shard)
+{
+    if (shard.heard.size() >= majorityOf(state.placement.previousHomes[number]) && shard.heardReady) {
+        shard.ready = true;
+        shard.lastReady = state.placement.epoch;
+        shard.pulls.clear();
+    }
+}
+
+/// Starts a shard under the view in force; before is the view that this VM knew until now.
+void startShard(claims_home &state, std::uint32_t number, view_epoch before)
+{
+    home_shard &shard = state.shards[number];
+    const bool followsKnown = before.value + 1 == state.placement.epoch.value;
+    const bool wasReady = shard.ready && followsKnown;
+    shard.ready = false;
+    shard.heard.clear();
+    shard.heardReady = false;
+    shard.pulls.clear();
+    if (!isHome(state.placement.homes[number], state.self)) {
+        return;
+    }
+    if (state.placement.previousHomes.empty()) {
+        shard.ready = true;
+        shard.lastReady = state.placement.epoch;
+        return;
+    }
+    const shard_homes &previous = state.placement.previousHomes[number];
+    if (wasReady && previous == state.placement.homes[number]) {
+        shard.ready = true; // The same homes hold the same records: majorities of both views meet.
+        shard.lastReady = state.placement.epoch;
+        return;
+    }
+    for (const vm_id each : previous) {
+        if (each == state.self) {
+            shard.heard.insert(each);
+            shard.heardReady = wasReady;
+        } else {
+            shard.pulls.emplace(each, shard_pull_progress{});
+        }
+    }
+    concludeWhenKnown(state, number, shard);
+}
+
+shard_record reportRecord(const claim_key &key, const claim_record &record, instant now)
+{
+    return {.key = key,
+            .retention = record.expires - now,
+            .holders = reportHolders(record.holders, now),
+            .outcome = record.outcome};
+}
+
+shard_page makePage(const home_shard &shard, const shard_pull &message, instant now)
+{
+    shard_page page{.epoch = message.epoch, .shard = message.shard, .after = message.after};
+    page.ready = shard.lastReady.value + 1 >= message.epoch.value;
+    std::size_t bytes = 0;
+    auto next = shard.records.upper_bound(message.after);
+    while (next != shard.records.end() && page.records.size() < recordsPerPage && bytes < bytesPerPage) {
+        if (next->second.expires > now) {
+            page.records.push_back(reportRecord(next->first, next->second, now));
+            bytes += recordBytes + (next->second.outcome ? next->second.outcome->answer.size() : 0);
+        }
+        ++next;
+    }
+    page.last = next == shard.records.end();
+    return page;
+}
+
+} // namespace
+
+void installView(claims_home &state, const claims_view &view, instant now, std::vector<send_claim_message> &effects)
+{
+    if (view.epoch <= state.placement.epoch) {
+        return;
+    }
+    const view_epoch before = state.placement.epoch;
+    state.placement = placeClaims(view);
+    for (std::uint32_t number = 0; number < claimShardCount; ++number) {
+        startShard(state, number, before);
+    }
+    askForPages(state, now, effects);
+}
+
+void askForPages(claims_home &state, instant now, std::vector<send_claim_message> &effects)
+{
+    state.nextPull.reset();
+    for (const auto &[number, shard] : state.shards) {
+        for (const auto &[home, progress] : shard.pulls) {
+            effects.push_back({.to = home, .message = shard_pull{state.placement.epoch, number, progress.after}});
+            state.nextPull = now + state.options.pullRetry;
+        }
+    }
+}
+
+void receive(claims_home &state, vm_id from, const shard_pull &message, instant now,
+             std::vector<send_claim_message> &effects)
+{
+    home_shard &shard = state.shards[message.shard % claimShardCount];
+    shard.sealedBelow = std::max(shard.sealedBelow, message.epoch);
+    effects.push_back({.to = from, .message = makePage(shard, message, now)});
+}
+
+void receive(claims_home &state, vm_id from, const shard_page &message, instant now,
+             std::vector<send_claim_message> &effects)
+{
+    home_shard &shard = state.shards[message.shard % claimShardCount];
+    const auto pull = shard.pulls.find(from);
+    const bool expected =
+        message.epoch == state.placement.epoch && pull != shard.pulls.end() && pull->second.after == message.after;
+    if (!expected || (message.records.empty() && !message.last)) {
+        return; // Late, doubled or malformed.
+    }
+    for (const shard_record &each : message.records) {
+        mergeRecord(state, each, now);
+    }
+    pull->second.ready = pull->second.ready && message.ready;
+    if (!message.last) {
+        pull->second.after = message.records.back().key;
+        effects.push_back({.to = from, .message = shard_pull{message.epoch, message.shard, pull->second.after}});
+        return;
+    }
+    shard.heard.insert(from);
+    shard.heardReady = shard.heardReady || pull->second.ready;
+    shard.pulls.erase(pull);
+    concludeWhenKnown(state, message.shard, shard);
+}
+
+bool allShardsReady(const claims_home &state)
+{
+    for (std::uint32_t number = 0; number < state.placement.homes.size(); ++number) {
+        const auto found = state.shards.find(number);
+        if (isHome(state.placement.homes[number], state.self)
+            && (found == state.shards.end() || !found->second.ready)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace guavafront
