Claims: tell a VM's second life from its first

Cause: a failed task is started again under the same VM identity; its claims are lost, yet it would vote, answer for the old view and use attempt numbers again. Ruled out: a new identity for each start of the task (links are bound to it). Change: a life, drawn for each state, stands in the view and in pulls, and attempt numbers start from it. Schedules with restarts and with churn of views. Conclusion: the view's author must take each member's life from the member.

--- a/include/guavafront/coordination/claims/claim_message.h
+++ b/include/guavafront/coordination/claims/claim_message.h
@@ -75,6 +75,7 @@
 struct shard_pull {
     view_epoch epoch; ///< New view.
     std::uint32_t shard = 0; ///< Shard that changes homes.
+    std::uint64_t life = 0; ///< Life of the receiver that was a home; another one knows nothing and stays silent.
     claim_key after; ///< The page starts after this key.
 
     /// Memberwise equality.
--- a/include/guavafront/coordination/claims/claims.h
+++ b/include/guavafront/coordination/claims/claims.h
@@ -41,8 +41,10 @@
 using claims_event = std::variant<start_claim, end_claim, abandon_claim, claim_message_received, claims_view_changed,
                                   claims_time_passed>;
 
-/// Claims of a VM that knows no view yet.
-claims makeClaims(vm_id self, const claimant_options &askingOptions, const claims_home_options &homeOptions);
+/// Claims of a VM that knows no view yet. life is drawn at random for each state that is made: the VM's process may
+/// make a second one, which must not pass for the first.
+claims makeClaims(vm_id self, std::uint64_t life, const claimant_options &askingOptions,
+                  const claims_home_options &homeOptions);
 
 /// Reacts to one event. Messages to the VM itself are handled within the step; the effects are messages to others and
 /// claims that were resolved.
--- a/include/guavafront/coordination/claims/claims_home.h
+++ b/include/guavafront/coordination/claims/claims_home.h
@@ -51,8 +51,11 @@
 /// Home side of the claims: votes, stores outcomes, and hands a shard over when the view changes.
 struct claims_home {
     vm_id self; ///< This VM.
+    std::uint64_t life = 0; ///< Drawn when this state was made.
     claims_home_options options; ///< Limits.
     claims_placement placement; ///< Under the view in force.
+    std::unordered_map<vm_id, std::uint64_t> previousLives; ///< Of the members before.
+    bool member = false; ///< This life is a member of the view in force.
     std::unordered_map<std::uint32_t, home_shard> shards; ///< Shards with something to know or to do.
     std::deque<std::pair<instant, claim_key>> expiry; ///< Oldest claims first.
     std::deque<claim_key> answers; ///< Keys whose answer is kept, oldest first.
--- a/include/guavafront/coordination/claims/claims_view.h
+++ b/include/guavafront/coordination/claims/claims_view.h
@@ -24,7 +24,8 @@
 
 /// VM that keeps claims.
 struct claims_member {
-    vm_id id; ///< Incarnation; a restarted VM is another member.
+    vm_id id; ///< The VM.
+    std::uint64_t life = 0; ///< Drawn when its claims began; what it knew is lost when it begins another one.
     std::string dataCentre; ///< Homes of a shard are spread over data centres.
 
     /// Orders by id.
--- a/src/coordination/claims/claims.cpp
+++ b/src/coordination/claims/claims.cpp
@@ -108,12 +108,15 @@
 
 } // namespace
 
-claims makeClaims(vm_id self, const claimant_options &askingOptions, const claims_home_options &homeOptions)
+claims makeClaims(vm_id self, std::uint64_t life, const claimant_options &askingOptions,
+                  const claims_home_options &homeOptions)
 {
     claims state;
     state.asking.self = self;
     state.asking.options = askingOptions;
+    state.asking.lastAttempt = life; // No attempt of an earlier life has the same number.
     state.home.self = self;
+    state.home.life = life;
     state.home.options = homeOptions;
     return state;
 }
--- a/src/coordination/claims/claims_home.cpp
+++ b/src/coordination/claims/claims_home.cpp
@@ -13,7 +13,7 @@
 
 bool mayVote(const claims_home &state, const home_shard &shard, const claim_request &message)
 {
-    return message.epoch == state.placement.epoch && shard.ready && shard.sealedBelow <= message.epoch
+    return state.member && message.epoch == state.placement.epoch && shard.ready && shard.sealedBelow <= message.epoch
            && isHome(state.placement.homes[shardOf(message.key)], state.self);
 }
 
--- a/src/coordination/claims/claims_view.cpp
+++ b/src/coordination/claims/claims_view.cpp
@@ -144,7 +144,7 @@
 {
     claims_view next{.epoch = {present.epoch.value + 1}, .members = {}, .previous = present.members};
     std::ranges::copy_if(present.members, std::back_inserter(next.members),
-                         [live](const claims_member &each) { return holds(live, each.id); });
+                         [live](const claims_member &each) { return std::ranges::binary_search(live, each); });
     while (next.members.size() < claimsMemberLimit && addMember(next.members, live)) {
     }
     return next.members.empty() || next.members == present.members ? present : next;
--- a/src/coordination/claims/shard_transfer.cpp
+++ b/src/coordination/claims/shard_transfer.cpp
@@ -35,7 +35,7 @@
     shard.heard.clear();
     shard.heardReady = false;
     shard.pulls.clear();
-    if (!isHome(state.placement.homes[number], state.self)) {
+    if (!state.member || !isHome(state.placement.homes[number], state.self)) {
         return;
     }
     if (state.placement.previousHomes.empty()) {
@@ -50,16 +50,22 @@
         return;
     }
     for (const vm_id each : previous) {
-        if (each == state.self) {
+        const bool sameLife = state.previousLives.at(each) == state.life;
+        if (each == state.self && sameLife) {
             shard.heard.insert(each);
             shard.heardReady = wasReady;
-        } else {
+        } else if (each != state.self) {
             shard.pulls.emplace(each, shard_pull_progress{});
         }
     }
     concludeWhenKnown(state, number, shard);
 }
 
+shard_pull makePull(const claims_home &state, std::uint32_t number, vm_id home, const claim_key &after)
+{
+    return {.epoch = state.placement.epoch, .shard = number, .life = state.previousLives.at(home), .after = after};
+}
+
 shard_record reportRecord(const claim_key &key, const claim_record &record, instant now)
 {
     return {.key = key,
@@ -94,6 +100,12 @@
     }
     const view_epoch before = state.placement.epoch;
     state.placement = placeClaims(view);
+    state.previousLives.clear();
+    for (const claims_member &each : view.previous) {
+        state.previousLives.emplace(each.id, each.life);
+    }
+    const auto self = std::ranges::find(view.members, state.self, &claims_member::id);
+    state.member = self != view.members.end() && self->life == state.life;
     for (std::uint32_t number = 0; number < claimShardCount; ++number) {
         startShard(state, number, before);
     }
@@ -105,7 +117,7 @@
     state.nextPull.reset();
     for (const auto &[number, shard] : state.shards) {
         for (const auto &[home, progress] : shard.pulls) {
-            effects.push_back({.to = home, .message = shard_pull{state.placement.epoch, number, progress.after}});
+            effects.push_back({.to = home, .message = makePull(state, number, home, progress.after)});
             state.nextPull = now + state.options.pullRetry;
         }
     }
@@ -114,6 +126,9 @@
 void receive(claims_home &state, vm_id from, const shard_pull &message, instant now,
              std::vector<send_claim_message> &effects)
 {
+    if (message.life != state.life) {
+        return; // What the earlier life knew is lost: it must not count as told.
+    }
     home_shard &shard = state.shards[message.shard % claimShardCount];
     shard.sealedBelow = std::max(shard.sealedBelow, message.epoch);
     effects.push_back({.to = from, .message = makePage(shard, message, now)});
@@ -135,7 +150,7 @@
     pull->second.ready = pull->second.ready && message.ready;
     if (!message.last) {
         pull->second.after = message.records.back().key;
-        effects.push_back({.to = from, .message = shard_pull{message.epoch, message.shard, pull->second.after}});
+        effects.push_back({.to = from, .message = makePull(state, message.shard, from, pull->second.after)});
         return;
     }
     shard.heard.insert(from);
@@ -148,7 +163,7 @@
 {
     for (std::uint32_t number = 0; number < state.placement.homes.size(); ++number) {
         const auto found = state.shards.find(number);
-        if (isHome(state.placement.homes[number], state.self)
+        if (state.member && isHome(state.placement.homes[number], state.self)
             && (found == state.shards.end() || !found->second.ready)) {
             return false;
         }
--- a/src/wire/claims_codec.cpp
+++ b/src/wire/claims_codec.cpp
@@ -203,14 +203,15 @@
 
 json fromMessage(const shard_pull &value)
 {
-    return json::array({value.epoch.value, value.shard, fromKey(value.after)});
+    return json::array({value.epoch.value, value.shard, value.life, fromKey(value.after)});
 }
 
 void toMessage(const json &value, shard_pull &message)
 {
-    cbor_fields fields(value, "shard pull", 3);
+    cbor_fields fields(value, "shard pull", 4);
     message.epoch = {fields.whole<std::uint64_t>()};
     message.shard = static_cast<std::uint32_t>(fields.wholeUpTo(claimShardCount - 1));
+    message.life = fields.whole<std::uint64_t>();
     message.after = toKey(fields);
 }
 
@@ -265,7 +266,7 @@
 {
     json list = json::array();
     for (const claims_member &each : members) {
-        list.push_back(json::array({each.id.value, each.dataCentre}));
+        list.push_back(json::array({each.id.value, each.life, each.dataCentre}));
     }
     return list;
 }
@@ -274,9 +275,10 @@
 {
     std::vector<claims_member> members;
     for (const json &each : outer.array(claimsMemberLimit)) {
-        cbor_fields fields(each, "member of a claims view", 2);
+        cbor_fields fields(each, "member of a claims view", 3);
         claims_member &member = members.emplace_back();
         member.id = {fields.whole<std::uint64_t>()};
+        member.life = fields.whole<std::uint64_t>();
         member.dataCentre = fields.text(maxDataCentre);
     }
     const auto disorder = std::ranges::adjacent_find(
--- a/tests/claims/claims_schedule.cpp
+++ b/tests/claims/claims_schedule.cpp
@@ -34,7 +34,7 @@
         addVm();
     }
     for (const auto &[id, each] : m_vms) {
-        m_view.members.push_back({.id = id, .dataCentre = each.dataCentre});
+        m_view.members.push_back({.id = id, .life = each.state.home.life, .dataCentre = each.dataCentre});
     }
     m_view.epoch = {1};
     for (const auto &[id, each] : m_vms) {
@@ -60,7 +60,8 @@
 vm_id claims_schedule::addVm()
 {
     const vm_id id{++m_lastVm};
-    m_vms[id] = {.state = makeClaims(id, {}, {}), .dataCentre = std::string(1, static_cast<char>('a' + id.value % 3))};
+    m_vms[id] = {.state = makeClaims(id, ++m_lastLife << 32U, {}, {}),
+                 .dataCentre = std::string(1, static_cast<char>('a' + id.value % 3))};
     return id;
 }
 
@@ -81,7 +82,7 @@
         const std::vector<vm_id> ids = living();
         const vm_id at = ids[draw(ids.size())];
         const exchange_id id{++m_lastExchange};
-        m_requests[id] = {.key = key, .digest = digest, .at = at};
+        m_requests[id] = {.key = key, .digest = digest, .at = at, .life = m_vms.at(at).state.home.life};
         handle(at, start_claim{.id = id,
                                .key = makeClaimKey({1}, std::to_string(key)),
                                .digest = {.high = 0, .low = digest},
@@ -150,7 +151,7 @@
 void claims_schedule::sendUpstream(exchange_id id)
 {
     request &each = m_requests.at(id);
-    if (!m_vms.at(each.at).alive) {
+    if (!m_vms.at(each.at).alive || m_vms.at(each.at).state.home.life != each.life) {
         return;
     }
     if (chance(20)) { // The connection failed: no byte left.
@@ -167,6 +168,9 @@
 void claims_schedule::endUpstream(exchange_id id)
 {
     const request &each = m_requests.at(id);
+    if (m_vms.at(each.at).state.home.life != each.life) {
+        return;
+    }
     if (chance(20)) { // The answer was lost.
         handle(each.at, end_claim{.id = id, .mayHaveRun = true, .answer = {}});
     } else {
@@ -181,17 +185,26 @@
     addVm();
 }
 
+void claims_schedule::restartOne()
+{
+    const std::vector<vm_id> ids = living();
+    const vm_id at = ids[draw(ids.size())];
+    m_vms.at(at).state = makeClaims(at, ++m_lastLife << 32U, {}, {});
+    handle(at, claims_view_changed{m_view}); // It is told the view in force, whose member was its earlier life.
+}
+
 void claims_schedule::changeView()
 {
     std::vector<claims_member> live;
     for (const auto &[id, each] : m_vms) {
-        if (each.alive && !chance(10)) { // A living VM may look dead to whoever decides.
-            live.push_back({.id = id, .dataCentre = each.dataCentre});
+        if (each.alive && !chance(m_faults.dropPercent)) { // A living VM may look dead to whoever decides.
+            live.push_back({.id = id, .life = each.state.home.life, .dataCentre = each.dataCentre});
         }
     }
     m_view = nextView(m_view, live);
     for (const auto &[id, each] : m_vms) {
-        after(milliseconds(draw(300)), [this, at = id, view = m_view] { handle(at, claims_view_changed{view}); });
+        after(milliseconds(draw(m_faults.viewDelayMs)),
+              [this, at = id, view = m_view] { handle(at, claims_view_changed{view}); });
     }
 }
 
@@ -203,6 +216,9 @@
     for (std::uint32_t each = 0; each < m_faults.deaths; ++each) {
         after(milliseconds(draw(limit)), [this] { killOne(); });
     }
+    for (std::uint32_t each = 0; each < m_faults.restarts; ++each) {
+        after(milliseconds(draw(limit)), [this] { restartOne(); });
+    }
     for (std::uint32_t each = 0; each < m_faults.views; ++each) {
         after(milliseconds(draw(limit)), [this] { changeView(); });
     }
--- a/tests/claims/claims_schedule.h
+++ b/tests/claims/claims_schedule.h
@@ -19,7 +19,10 @@
     std::uint32_t duplicatePercent = 0; ///< Messages that arrive twice.
     std::uint32_t maxDelayMs = 5; ///< Longest way of a message; shorter ones overtake.
     std::uint32_t deaths = 0; ///< VMs that die and come back as new ones, at random times.
+    std::uint32_t restarts = 0; ///< VMs whose claims begin another life under the same identity.
     std::uint32_t views = 0; ///< Changes of view at random times, each known to each VM after its own delay.
+    std::uint32_t viewDelayMs = 300; ///< Longest time until a VM knows a view.
+    std::uint32_t dropPercent = 10; ///< Living VMs that a view leaves out.
     std::uint32_t pausePercent = 0; ///< Claims that stand still for long between winning and sending.
 };
 
@@ -57,6 +60,7 @@
         std::uint64_t key; ///< Its key.
         std::uint64_t digest; ///< What it asks for.
         vm_id at; ///< VM that has it.
+        std::uint64_t life = 0; ///< Life of that VM's claims.
         bool sent = false; ///< It ran.
     };
     std::uint64_t draw(std::uint64_t limit);
@@ -69,6 +73,7 @@
     void endUpstream(exchange_id id);
     void wake(vm_id at);
     void killOne();
+    void restartOne();
     void changeView();
     vm_id addVm();
     std::vector<vm_id> living() const;
@@ -82,6 +87,7 @@
     instant m_now{};
     std::uint64_t m_order = 0;
     std::uint64_t m_lastVm = 0;
+    std::uint64_t m_lastLife = 0;
     std::uint64_t m_lastExchange = 0;
 };
 
--- a/tests/wire/claims_codec_test.cpp
+++ b/tests/wire/claims_codec_test.cpp
@@ -25,7 +25,7 @@
         claim_release{attempt, key},
         claim_record_outcome{attempt, key, outcome},
         claim_acknowledged{attempt},
-        shard_pull{{9}, shardOf(key), key},
+        shard_pull{{9}, shardOf(key), 77, key},
         shard_page{{9}, shardOf(key), {}, true, false, {{key, std::chrono::hours(24), {holder}, outcome}}},
     };
 };
@@ -74,7 +74,7 @@
 
 BOOST_AUTO_TEST_CASE(decode_view_equalAndOrdered)
 {
-    claims_view view{.epoch = {3}, .members = {{{1}, "a"}, {{2}, "b"}}, .previous = {{{1}, "a"}}};
+    claims_view view{.epoch = {3}, .members = {{{1}, 5, "a"}, {{2}, 6, "b"}}, .previous = {{{1}, 4, "a"}}};
     BOOST_TEST((decodeClaimsView(encodeClaimsView(view)) == view));
     std::swap(view.members[0], view.members[1]);
     BOOST_CHECK_THROW(decodeClaimsView(encodeClaimsView(view)), coordination_error);
