Claim idempotency keys in the entry's pipeline

Cause: a resend of a booking or charge must get the first outcome, whichever VM it reaches. Ruled out: recording every answer (only a claimed request's answer is kept); running without a claim while no view is known (a resend could run twice). Change: the stage Claim parks a non-repeatable keyed request until its key is won, replayed or refused; the end of a request ends its claim; messages travel on the channel Claims; kept answers have a codec. Conclusion: nothing yet announces a view (claims_view_changed): until the control does, requests with an idempotency key on non-repeatable routes wait and are refused as undecided, not run.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/claims/claims.h>
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/configuration/key_table.h>
 #include <guavafront/coordination/entry/entry_effect.h>
@@ -29,6 +30,7 @@
 struct entry_identity {
     vm_id self; ///< This incarnation.
     std::string dataCentre; ///< Data centre that it stands in.
+    std::uint64_t life = 0; ///< Drawn at random whenever the state is made; see makeClaims().
 };
 
 /// All state of an entry VM's decisions.
@@ -40,6 +42,7 @@
     key_table keys; ///< Of the configuration in force.
     std::unordered_map<account_id, const account *> accounts; ///< Into the configuration in force.
     freshness_changed freshness; ///< How old the configuration may be.
+    claims idempotency; ///< Claims of idempotency keys.
     registry upstreams; ///< Announced instances.
     upstream_selection selection; ///< Balancing, health and retries of this VM.
     quarantine held; ///< Requests that upstreams died of.
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/claims/claim_message.h>
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/refusal.h>
 #include <guavafront/coordination/core/time.h>
@@ -38,6 +39,12 @@
     exchange_id id; ///< Request.
 };
 
+/// Hand the first answer to an earlier sending of the request to the caller. The request is over.
+struct replay_answer {
+    exchange_id id; ///< Request.
+    std::vector<std::byte> answer; ///< As given to attempt_ended.
+};
+
 /// Refuse the request. It is over.
 struct refuse_request {
     exchange_id id; ///< Request.
@@ -81,8 +88,9 @@
 };
 
 /// All that an entry's decisions want done.
-using entry_effect = std::variant<start_attempt, cancel_attempt, deliver_answer, refuse_request, publish_instance,
-                                  withdraw_instance, wake_at, limit_send, drop_connections, publish_health,
-                                  publish_death, publish_release>;
+using entry_effect =
+    std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
+                 withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
+                 publish_death, publish_release>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/claims/claims.h>
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/entry/attempt_result.h>
 #include <guavafront/coordination/entry/request_head.h>
@@ -24,6 +25,7 @@
 struct attempt_ended {
     exchange_id id; ///< Request.
     attempt_result result; ///< How it ended.
+    std::vector<std::byte> answer; ///< The whole answer for resends, when answered and the request has a claim.
 };
 
 /// The caller went away before its answer.
@@ -110,6 +112,6 @@
                                  instance_announced, instance_learned, instance_forgotten, hearer_changed,
                                  fleet_changed, health_reported, health_report_lost, death_learned, request_released,
                                  release_learned, stop_requested, time_passed, limit_members_changed,
-                                 limit_message_received>;
+                                 limit_message_received, claim_message_received, claims_view_changed>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -4,6 +4,7 @@
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/entry/request_head.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     std::string idempotencyKey; ///< As sent; empty when there is none.
     request_digest digest; ///< Of the whole request.
     std::uint32_t bodyBytes = 0; ///< Size of its body.
+    bool claimed = false; ///< It has won the claim of its idempotency key.
+    std::vector<std::byte> answer; ///< Of the try that was answered, for resends.
     instant arrived; ///< When it came.
     instant tokenWaitEnd{}; ///< Waits for a token until then; 0 when it doesn't.
     instant admittedAt{}; ///< When it got its slot.
--- /dev/null
+++ b/src/coordination/entry/claim_stage.cpp
@@ -0,0 +1,99 @@
+#include "coordination/entry/entry_step.h"
+
+#include <variant>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Whether a request's key is claimed: repeatable requests need it not, and callers without account have none.
+bool needsClaim(const exchange &request)
+{
+    return !request.mayBeRepeated && !request.idempotencyKey.empty() && request.owner != account_id{};
+}
+
+/// Acts on a decided claim, except that a request which may run is left in its stage.
+stage_verdict applyVerdict(step_context &context, exchange &request, const claim_resolved &resolved)
+{
+    switch (resolved.decision) {
+    case claim_resolved::verdict::Run:
+        request.claimed = true;
+        return stage_verdict::Continue;
+    case claim_resolved::verdict::Replay:
+        replay(context, request, resolved.answer);
+        return stage_verdict::Ended;
+    case claim_resolved::verdict::Refuse:
+        break;
+    }
+    return refuse(context, request, resolved.reason.code, resolved.reason.ran, resolved.reason.retryAfter);
+}
+
+/// Lets a parked request go on after its claim was decided.
+void resume(step_context &context, const claim_resolved &resolved)
+{
+    const auto found = context.state.exchanges.find(resolved.id);
+    if (found == context.state.exchanges.end()) {
+        return;
+    }
+    exchange &request = found->second;
+    if (applyVerdict(context, request, resolved) == stage_verdict::Continue) {
+        request.stage = exchange_stage::Admit;
+        advance(context, request);
+    }
+}
+
+/// Runs the claims and passes their messages on; what they decided is returned.
+std::vector<claim_resolved> runClaims(step_context &context, const claims_event &event)
+{
+    std::vector<claimant_effect> effects;
+    step(context.state.idempotency, event, context.now, effects);
+    std::vector<claim_resolved> decided;
+    for (claimant_effect &each : effects) {
+        if (auto *message = std::get_if<send_claim_message>(&each)) {
+            context.effects.emplace_back(std::move(*message));
+        } else {
+            decided.push_back(std::move(std::get<claim_resolved>(each)));
+        }
+    }
+    return decided;
+}
+
+} // namespace
+
+stage_verdict claim(step_context &context, exchange &request)
+{
+    if (!needsClaim(request) || request.claimed) {
+        return stage_verdict::Continue;
+    }
+    const start_claim event{.id = request.id,
+                            .key = makeClaimKey(request.owner, request.idempotencyKey),
+                            .digest = request.digest,
+                            .deadline = request.deadline};
+    const std::vector<claim_resolved> decided = runClaims(context, event);
+    // Only this request's claim was started, so only it can have been decided.
+    return decided.empty() ? stage_verdict::Park : applyVerdict(context, request, decided.front());
+}
+
+void concludeClaim(step_context &context, const exchange &request)
+{
+    if (request.claimed) {
+        end_claim ended{.id = request.id, .mayHaveRun = request.sent, .answer = {}};
+        if (request.sent && !request.answer.empty()) {
+            ended.answer = request.answer;
+        }
+        runClaims(context, ended);
+    } else if (request.stage == exchange_stage::Claim) {
+        runClaims(context, abandon_claim{request.id});
+    }
+}
+
+void updateClaims(step_context &context, const claims_event &event)
+{
+    for (const claim_resolved &each : runClaims(context, event)) {
+        resume(context, each);
+    }
+}
+
+} // namespace guavafront
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -23,6 +23,7 @@
     state.selection.floorPercent = state.current->defaults.healthyFloorPercent;
     state.routes = buildRouteTable(state.current->routes);
     state.keys = buildKeyTable(state.current->keys);
+    state.idempotency.home.options.retention = std::chrono::milliseconds(state.current->defaults.claimRetentionMs);
     state.accounts.clear();
     for (const account &each : state.current->accounts) {
         state.accounts.emplace(each.id, &each);
@@ -38,6 +39,9 @@
 {
     const auto found = context.state.exchanges.find(event.id);
     if (found != context.state.exchanges.end() && found->second.stage == exchange_stage::Running) {
+        if (event.result.outcome == attempt_outcome::Answered) {
+            found->second.answer = event.answer;
+        }
         concludeAttempt(context, found->second, event.result);
     }
 }
@@ -124,6 +128,16 @@
     learnRelease(context.state.held, event.request, event.forgiven, context.now);
 }
 
+void handle(step_context &context, const claim_message_received &event)
+{
+    updateClaims(context, event);
+}
+
+void handle(step_context &context, const claims_view_changed &event)
+{
+    updateClaims(context, event);
+}
+
 void handle(step_context &context, const stop_requested & /*event*/)
 {
     context.state.stopping = true;
@@ -142,6 +156,7 @@
 
 void handle(step_context &context, const time_passed & /*event*/)
 {
+    updateClaims(context, claims_time_passed{}); // Before the deadlines: it knows more of why a claim was not won.
     expireRequests(context);
     updateLimits(context, limit_tick{});
     endTokenWaits(context);
@@ -155,6 +170,9 @@
     if (!state.upstreams.services.empty()) {
         next = std::min(next, state.nextSupervision);
     }
+    if (const std::optional<instant> claimTime = nextWake(state.idempotency)) {
+        next = std::min(next, *claimTime);
+    }
     return state.deadlines.empty() ? next : std::min(next, state.deadlines.begin()->first);
 }
 
@@ -167,6 +185,7 @@
     state.upstreams.self = identity.self;
     state.selection.self = identity.self;
     state.selection.dataCentre = identity.dataCentre;
+    state.idempotency = makeClaims(identity.self, identity.life, {}, {});
     state.identity = std::move(identity);
     takeConfiguration(state, std::make_shared<const configuration>());
     return state;
--- a/src/coordination/entry/entry_step.h
+++ b/src/coordination/entry/entry_step.h
@@ -2,7 +2,9 @@
 
 #include <guavafront/coordination/entry/entry.h>
 
+#include <cstddef>
 #include <random>
+#include <span>
 #include <vector>
 
 namespace guavafront
@@ -32,6 +34,18 @@
 /// Hands the answer on and forgets the request; request is gone afterwards.
 void deliver(step_context &context, exchange &request);
 
+/// Claims the idempotency key of a request that may not be repeated.
+stage_verdict claim(step_context &context, exchange &request);
+
+/// Ends the claim of a request that is about to be forgotten.
+void concludeClaim(step_context &context, const exchange &request);
+
+/// Takes an event to the claims and acts on what they decide.
+void updateClaims(step_context &context, const claims_event &event);
+
+/// Hands an earlier answer on and forgets the request; request is gone afterwards.
+void replay(step_context &context, exchange &request, std::span<const std::byte> answer);
+
 /// Checks route, key and freshness of a new request and puts it into the state; refuses it otherwise.
 void acceptRequest(step_context &context, const request_head &head);
 
--- a/src/coordination/entry/stages.cpp
+++ b/src/coordination/entry/stages.cpp
@@ -11,6 +11,7 @@
 void forget(step_context &context, exchange &request)
 {
     entry &state = context.state;
+    concludeClaim(context, request);
     leaveTokenWait(state, request);
     leaveAdmission(state, request, context.now);
     state.bodyBytes -= request.bodyBytes;
@@ -24,7 +25,7 @@
     case exchange_stage::Limit:
         return takeFromRate(context, request);
     case exchange_stage::Claim:
-        return stage_verdict::Continue;
+        return claim(context, request);
     case exchange_stage::Admit:
         return queueForSlot(context, request);
     case exchange_stage::Select:
@@ -64,6 +65,14 @@
     forget(context, request);
 }
 
+void replay(step_context &context, exchange &request, std::span<const std::byte> answer)
+{
+    if (!request.callerLeft) {
+        context.effects.emplace_back(replay_answer{request.id, {answer.begin(), answer.end()}});
+    }
+    forget(context, request);
+}
+
 void expireRequests(step_context &context)
 {
     auto &deadlines = context.state.deadlines;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include "runtime/signal_watch.h"
 #include "runtime/supervisor.h"
 #include "settings/settings_reader.h"
+#include "wire/claims_codec.h"
 #include "wire/limits_codec.h"
 
 #include <glog/logging.h>
@@ -78,6 +79,10 @@
                                                                                const envelope &message) {
         wiring.entries.post(limit_message_received{from.id, decodeLimitMessage(message.body)});
     };
+    options.subscribers[static_cast<std::size_t>(channel::Claims)] = [&wiring](const peer_identity &from,
+                                                                               const envelope &message) {
+        wiring.entries.post(claim_message_received{from.id, decodeClaimMessage(message.body)});
+    };
     return options;
 }
 
@@ -85,6 +90,7 @@
 {
     entry_task_options options;
     options.identity = {.self = self, .dataCentre = settings.vm.dataCentre};
+    randombytes_buf(&options.identity.life, sizeof options.identity.life); // Another one for each life of the task.
     options.server = serverAt(settings.listen.callers, settings.entry);
     options.server.connectionLimit = settings.entry.maxConnections;
     options.server.idleTimeout = std::chrono::milliseconds(settings.entry.idleTimeoutMs);
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -2,6 +2,10 @@
 
 #include "http/header_filter.h"
 #include "http/http_message.h"
+#include "wire/answer_codec.h"
+#include "wire/claims_codec.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
 #include "wire/limits_codec.h"
 
 #include <glog/logging.h>
@@ -20,6 +24,7 @@
 
 constexpr duration idleGraceWhenStopping = std::chrono::milliseconds(200);
 constexpr std::string_view notRunHeader = "X-Guavafront-Not-Run";
+constexpr std::string_view replayedHeader = "Idempotent-Replayed";
 constexpr std::string_view accountHeader = "X-Guavafront-Account";
 constexpr std::string_view deadlineHeader = "X-Guavafront-Deadline-Ms";
 
@@ -191,7 +196,18 @@
         m_counters.countAttempt(found->second.service, result.outcome);
         found->second.answer = outcome.answer;
     }
-    run(attempt_ended{id, result});
+    run(attempt_ended{id, result, answerForResends(id, outcome)});
+}
+
+std::vector<std::byte> entry_task::answerForResends(exchange_id id, const upstream_outcome &outcome) const
+{
+    const auto found = m_state.exchanges.find(id);
+    if (outcome.result != upstream_result::Answered || found == m_state.exchanges.end() || !found->second.claimed) {
+        return {};
+    }
+    http_answer answer = outcome.answer;
+    answer.headers = callerHeaders(viewsOf(answer.headers));
+    return encodeAnswer(answer);
 }
 
 void entry_task::perform(const cancel_attempt &effect)
@@ -213,6 +229,29 @@
     m_requests.erase(found);
 }
 
+void entry_task::perform(const replay_answer &effect)
+{
+    const auto found = m_requests.find(effect.id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    try {
+        http_answer answer = decodeAnswer(effect.answer);
+        answer.headers.push_back({std::string(replayedHeader), "true"});
+        count(found->second, result_code::Ok, static_cast<std::uint16_t>(answer.status));
+        m_server.answer(effect.id, answer);
+        m_requests.erase(found);
+    } catch (const coordination_error &error) { // Another VM kept it; its bytes are outside input.
+        LOG(ERROR) << "kept answer can't be read: " << error.what();
+        perform(refuse_request{effect.id, {.code = result_code::OutcomeUnknown, .ran = execution::Unknown}});
+    }
+}
+
+void entry_task::perform(const send_claim_message &effect)
+{
+    m_peers.post(send_to_vm{effect.to, {.kind = channel::Claims, .body = encodeClaimMessage(effect.message)}});
+}
+
 void entry_task::perform(const refuse_request &effect)
 {
     const auto found = m_requests.find(effect.id);
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -59,15 +59,18 @@
     void perform(const start_attempt &effect);
     void perform(const cancel_attempt &effect);
     void perform(const deliver_answer &effect);
+    void perform(const replay_answer &effect);
     void perform(const refuse_request &effect);
     void perform(const publish_instance &effect);
     void perform(const withdraw_instance &effect);
+    void perform(const send_claim_message &effect);
     void perform(const wake_at &effect);
     void perform(const limit_send &effect);
     void perform(const drop_connections &effect);
     void perform(const publish_health &effect);
     void perform(const publish_death &effect);
     void perform(const publish_release &effect);
+    std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
     void count(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
