--- a/include/guavafront/coordination/replication/message.h
+++ b/include/guavafront/coordination/replication/message.h
@@ -67,6 +67,7 @@
     vm_id from; ///< Sender.
     vm_id to; ///< Receiver; another identity at the same address drops it.
     term at; ///< The sender's term; in a pre-vote request the term it would start.
+    std::uint64_t round = 0; ///< The leader's latest heartbeat; an answer repeats the one that it answers.
     std::variant<vote_request, vote_answer, append_request, append_answer, snapshot_chunk, snapshot_answer>
         body; ///< What is said.
     bool operator==(const replication_message &) const = default; ///< Memberwise equality.
--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -51,6 +51,7 @@
     log_index next; ///< First record to send next.
     log_index match; ///< Last record known to be on its disk.
     instant heard; ///< When it last answered.
+    std::uint64_t round = 0; ///< Latest heartbeat round that it has answered.
     bool answered = true; ///< It has answered since the last heartbeat.
     log_index snapshotIndex; ///< Snapshot it is being sent; 0 for none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of it that it has confirmed.
@@ -86,6 +87,8 @@
     instant electionDeadline; ///< When to ask for election unless a leader is heard.
     instant heartbeatDue; ///< When the leader speaks next.
     std::vector<vm_id> votes; ///< Votes and pre-votes received, its own included.
+    std::uint64_t round = 0; ///< The leader's latest heartbeat.
+    std::deque<instant> roundTimes; ///< When the latest heartbeats were sent, the last one being round.
     std::vector<peer_progress> peers; ///< The leader's view of the other members.
     log_index termStart; ///< The leader's first record.
     std::uint64_t lastWrite = 0; ///< Number of the latest sync asked for.
@@ -236,6 +239,11 @@
 /// When a timer_fired is due next.
 instant nextDeadline(const replica &self);
 
+/// When a leader sent the latest heartbeat that a quorum has answered: up to then no other leader had accepted
+/// anything, and this one has applied all that was accepted. Nothing when it isn't a leader or a quorum hasn't answered
+/// yet.
+std::optional<instant> confirmedAt(const replica &self);
+
 /// Whether the replica, at this time, can call what it holds current: it leads with a quorum that answered, or heard a
 /// leader, within the election timeout. For readers that need the latest for certain there is the barrier record.
 bool isCurrent(const replica &self, instant now);
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -35,6 +35,7 @@
     setRole(at, replica_role::Leader, self.options.self, self.currentTerm);
     self.votes.clear();
     self.peers.clear();
+    self.roundTimes.clear();
     adoptMembership(at, {self.membersIndex, self.members});
     self.heartbeatDue = at.now + self.options.heartbeatInterval;
     self.termStart = appendAsLeader(at, no_op{});
--- a/src/coordination/replication/leader.cpp
+++ b/src/coordination/replication/leader.cpp
@@ -17,12 +17,22 @@
     return recordOverheadBytes + (stored ? stored->payload.size() : 0);
 }
 
+/// Heartbeats whose times are remembered.
+constexpr std::size_t maxRounds = 64;
+
 peer_progress *findPeer(replica &self, vm_id id)
 {
     const auto found = std::ranges::find(self.peers, id, &peer_progress::id);
     return found == self.peers.end() ? nullptr : &*found;
 }
 
+void noteAnswer(const replica_step &at, peer_progress &peer, const replication_message &message)
+{
+    peer.heard = at.now;
+    peer.answered = true;
+    peer.round = std::max(peer.round, std::min(message.round, at.self.round));
+}
+
 template<class body>
 void sendEarly(replica_step &at, vm_id to, body content)
 {
@@ -100,6 +110,11 @@
 {
     replica &self = at.self;
     self.heartbeatDue = at.now + self.options.heartbeatInterval;
+    ++self.round;
+    self.roundTimes.push_back(at.now);
+    if (self.roundTimes.size() > maxRounds) {
+        self.roundTimes.pop_front();
+    }
     for (peer_progress &peer : self.peers) {
         if (!peer.answered) {
             peer.next = {peer.match.value + 1}; // What was sent since may be lost.
@@ -110,15 +125,14 @@
     advanceMembership(at);
 }
 
-void handleAppendAnswer(replica_step &at, vm_id from, const append_answer &answer)
+void handleAppendAnswer(replica_step &at, const replication_message &message, const append_answer &answer)
 {
     replica &self = at.self;
-    peer_progress *peer = findPeer(self, from);
+    peer_progress *peer = findPeer(self, message.from);
     if (self.role != replica_role::Leader || peer == nullptr || answer.match > lastIndex(self.log)) {
         return;
     }
-    peer->heard = at.now;
-    peer->answered = true;
+    noteAnswer(at, *peer, message);
     if (!answer.accepted) {
         const log_index retry{std::min(answer.match.value + 1, peer->next.value)};
         peer->next = std::max(retry, log_index{peer->match.value + 1});
@@ -129,21 +143,20 @@
     peer->next = std::max(peer->next, log_index{peer->match.value + 1});
     peer->snapshotIndex = {};
     advanceCommit(at);
-    peer = findPeer(self, from); // A commit may end the leadership.
+    peer = findPeer(self, message.from); // A commit may end the leadership.
     if (peer != nullptr && peer->next <= lastIndex(self.log)) {
         sendTo(at, *peer);
     }
 }
 
-void handleSnapshotAnswer(replica_step &at, vm_id from, const snapshot_answer &answer)
+void handleSnapshotAnswer(replica_step &at, const replication_message &message, const snapshot_answer &answer)
 {
     replica &self = at.self;
-    peer_progress *peer = findPeer(self, from);
+    peer_progress *peer = findPeer(self, message.from);
     if (self.role != replica_role::Leader || peer == nullptr) {
         return;
     }
-    peer->heard = at.now;
-    peer->answered = true;
+    noteAnswer(at, *peer, message);
     const std::uint64_t total = self.log.snapshot.state.size();
     if (answer.index != self.log.snapshot.index || answer.index != peer->snapshotIndex
         || answer.receivedBytes >= total) {
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -13,6 +13,7 @@
     replica &self; ///< The replica.
     instant now; ///< The step's time.
     std::uint64_t random; ///< The step's random number.
+    std::uint64_t answeredRound; ///< Round of the message that is being handled.
     std::vector<replica_effect> storage; ///< Writes, in order.
     std::vector<replica_effect> early; ///< Sends that needn't wait for the writes (thesis, section 10.2.1).
     std::vector<replica_effect> late; ///< Everything that waits for the writes' sync.
@@ -44,9 +45,9 @@
 /// The leader's periodic work.
 void heartbeat(replica_step &at);
 /// Takes a follower's answer.
-void handleAppendAnswer(replica_step &at, vm_id from, const append_answer &answer);
+void handleAppendAnswer(replica_step &at, const replication_message &message, const append_answer &answer);
 /// Goes on with a snapshot.
-void handleSnapshotAnswer(replica_step &at, vm_id from, const snapshot_answer &answer);
+void handleSnapshotAnswer(replica_step &at, const replication_message &message, const snapshot_answer &answer);
 /// Commits what a quorum has on its disks.
 void advanceCommit(replica_step &at);
 
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -1,6 +1,7 @@
 #include "coordination/replication/replica_step.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 
 namespace guavafront
@@ -20,11 +21,11 @@
     if (const auto *request = std::get_if<append_request>(&message.body)) {
         handleAppendRequest(at, message, *request);
     } else if (const auto *appended = std::get_if<append_answer>(&message.body)) {
-        handleAppendAnswer(at, message.from, *appended);
+        handleAppendAnswer(at, message, *appended);
     } else if (const auto *chunk = std::get_if<snapshot_chunk>(&message.body)) {
         handleSnapshotChunk(at, message, *chunk);
     } else if (const auto *received = std::get_if<snapshot_answer>(&message.body)) {
-        handleSnapshotAnswer(at, message.from, *received);
+        handleSnapshotAnswer(at, message, *received);
     } else if (const auto *answer = std::get_if<vote_answer>(&message.body)) {
         handleVoteAnswer(at, message, *answer);
     }
@@ -57,6 +58,7 @@
     if (!acceptsCluster(at, message)) {
         return;
     }
+    at.answeredRound = message.round;
     if (const auto *request = std::get_if<vote_request>(&message.body)) {
         handleVoteRequest(at, message, *request);
         return;
@@ -178,7 +180,8 @@
 
 replication_message messageTo(const replica_step &at, vm_id to, term inTerm)
 {
-    return {.cluster = at.self.cluster, .from = at.self.options.self, .to = to, .at = inTerm, .body = vote_answer{}};
+    const std::uint64_t round = at.self.role == replica_role::Leader ? at.self.round : at.answeredRound;
+    return {at.self.cluster, at.self.options.self, to, inTerm, round, vote_answer{}};
 }
 
 replica restore(const replica_options &options, const stored_state &stored, instant now, std::uint64_t random)
@@ -195,7 +198,7 @@
     self.commitIndex = self.log.snapshot.index;
     self.appliedIndex = self.log.snapshot.index;
     self.durableIndex = lastIndex(self.log);
-    replica_step at{self, now, random, {}, {}, {}};
+    replica_step at{self, now, random, 0, {}, {}, {}};
     resetElectionDeadline(at);
     return self;
 }
@@ -211,7 +214,7 @@
 void step(replica &self, const replica_event &event, instant now, std::uint64_t random,
           std::vector<replica_effect> &out)
 {
-    replica_step at{self, now, random, {}, {}, {}};
+    replica_step at{self, now, random, 0, {}, {}, {}};
     checkQuorum(at);
     std::visit([&at](const auto &value) { handle(at, value); }, event);
     emit(at, out);
@@ -222,6 +225,29 @@
     return self.role == replica_role::Leader ? self.heartbeatDue : self.electionDeadline;
 }
 
+std::optional<instant> confirmedAt(const replica &self)
+{
+    if (self.role != replica_role::Leader || self.commitIndex < self.termStart) {
+        return std::nullopt;
+    }
+    std::vector<std::uint64_t> rounds;
+    if (isVoter(self.members, self.options.self)) {
+        rounds.push_back(self.round);
+    }
+    for (const peer_progress &peer : self.peers) {
+        if (isVoter(self.members, peer.id)) {
+            rounds.push_back(peer.round);
+        }
+    }
+    std::ranges::sort(rounds, std::greater{});
+    const std::size_t quorum = quorumOf(self.members);
+    const std::uint64_t behind = rounds.size() < quorum ? self.round : self.round - rounds[quorum - 1];
+    if (behind >= self.roundTimes.size()) {
+        return std::nullopt;
+    }
+    return self.roundTimes[self.roundTimes.size() - 1 - behind];
+}
+
 bool isCurrent(const replica &self, instant now)
 {
     if (self.role == replica_role::Leader) {
--- a/src/wire/replication_codec.cpp
+++ b/src/wire/replication_codec.cpp
@@ -176,19 +176,20 @@
 byte_buffer encodeReplicationMessage(const replication_message &message)
 {
     return encodeCbor(json::array({replicationFormatVersion, message.cluster.value, message.from.value,
-                                   message.to.value, message.at.value, taggedToJson(message.body)}));
+                                   message.to.value, message.at.value, message.round, taggedToJson(message.body)}));
 }
 
 replication_message decodeReplicationMessage(std::span<const std::byte> encoded)
 {
     const json value = parseCbor(encoded, maxReplicationMessageBytes);
-    cbor_fields fields(value, "replication message", 6);
+    cbor_fields fields(value, "replication message", 7);
     fields.version(replicationFormatVersion);
     replication_message message;
     message.cluster.value = fields.whole<std::uint64_t>();
     message.from.value = fields.whole<std::uint64_t>();
     message.to.value = fields.whole<std::uint64_t>();
     message.at.value = fields.whole<std::uint64_t>();
+    message.round = fields.whole<std::uint64_t>();
     message.body = taggedFromJson<decltype(message.body)>(fields.array(2));
     return message;
 }
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -45,7 +45,7 @@
     template<class body>
     void receive(std::uint64_t from, std::uint64_t inTerm, const body &content)
     {
-        run(message_received{{{7}, {from}, {1}, {inTerm}, content}});
+        run(message_received{{{7}, {from}, {1}, {inTerm}, self.round, content}});
     }
 
     /// Performs the writes of the last step on the disk and reports the sync.
@@ -228,6 +228,23 @@
     BOOST_TEST(!isCurrent(self, now));
 }
 
+BOOST_AUTO_TEST_CASE(confirmedAt_quorumAnsweredOlderHeartbeat_itsTime)
+{
+    elect();
+    BOOST_TEST(!confirmedAt(self).has_value());
+    now = self.heartbeatDue;
+    const instant first = now;
+    run(timer_fired{});
+    const std::uint64_t round = self.round;
+    now = self.heartbeatDue;
+    run(timer_fired{});
+    run(message_received{{{7}, {2}, {1}, self.currentTerm, round, append_answer{true, {1}}}});
+    BOOST_REQUIRE(confirmedAt(self).has_value());
+    BOOST_CHECK(*confirmedAt(self) == first);
+    confirmAll();
+    BOOST_CHECK(*confirmedAt(self) == now);
+}
+
 BOOST_AUTO_TEST_CASE(removal_otherVoterSilent_quorumAtRisk)
 {
     elect();
@@ -263,7 +280,7 @@
     now = self.electionDeadline;
     run(timer_fired{});
     BOOST_CHECK(self.role == replica_role::Follower);
-    run(message_received{{{8}, {2}, {1}, {9}, append_request{}}});
+    run(message_received{{{8}, {2}, {1}, {9}, 0, append_request{}}});
     BOOST_TEST(effects.empty());
 }
 
--- a/tests/wire/replication_codec_test.cpp
+++ b/tests/wire/replication_codec_test.cpp
@@ -32,7 +32,7 @@
     template<class body>
     static replication_message message(const body &content)
     {
-        return {{7}, {1}, {2}, {3}, content};
+        return {{7}, {1}, {2}, {3}, 4, content};
     }
 
     /// All messages, each as it is encoded.
