--- a/src/coordination/configuration/configuration_follower.cpp
+++ b/src/coordination/configuration/configuration_follower.cpp
@@ -179,6 +179,9 @@
         remember(self, delta);
     }
     enforce(at, std::make_shared<const configuration>(std::move(next)), fresh.back().digest);
+    if (self.current->current < self.wanted && self.pullingFrom == event.from) {
+        pullFrom(at, event.from);
+    }
 }
 
 void handle(follower_step &at, const part_received &event)
--- a/src/daemon/configuration/configuration_message.h
+++ b/src/daemon/configuration/configuration_message.h
@@ -2,10 +2,11 @@
 
 #include "wire/envelope.h"
 
-#include <guavafront/coordination/configuration/configuration.h>
+#include <guavafront/coordination/configuration/configuration_follower.h>
 
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace guavafront
 {
@@ -16,16 +17,29 @@
     envelope message; ///< What it sent.
 };
 
-/// The control on this VM accepted a revision.
+/// The control on this VM has applied an accepted revision.
 struct configuration_accepted {
     std::shared_ptr<const configuration> value; ///< Never null.
+    history_digest digest{}; ///< Of its history.
+    std::vector<configuration_delta> deltas; ///< What led here; empty at the start and after a snapshot.
 };
 
 /// A task of this VM has started and holds no configuration: all subscribers are told of the one in force again.
 struct configuration_wanted {
 };
 
+/// The leader's beacon names an accepted revision.
+struct revision_heard {
+    revision accepted; ///< Accepted, perhaps not here yet.
+};
+
+/// VMs that are live now, besides this one.
+struct live_vms_changed {
+    std::vector<vm_id> vms; ///< Their identities.
+};
+
 /// What the configuration task reacts to.
-using configuration_message = std::variant<configuration_from_peer, configuration_accepted, configuration_wanted>;
+using configuration_message = std::variant<configuration_from_peer, configuration_accepted, configuration_wanted,
+                                           revision_heard, live_vms_changed>;
 
 } // namespace guavafront
--- a/src/daemon/configuration/configuration_task.cpp
+++ b/src/daemon/configuration/configuration_task.cpp
@@ -1,13 +1,14 @@
 #include "daemon/configuration/configuration_task.h"
 
-#include "wire/cbor_fields.h"
 #include "wire/configuration_codec.h"
+#include "wire/configuration_history.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <glog/logging.h>
+#include <sodium.h>
 
-#include <cstring>
+#include <algorithm>
 #include <utility>
 
 namespace guavafront
@@ -16,83 +17,185 @@
 namespace
 {
 
-constexpr duration askPeriod = std::chrono::milliseconds(500);
+constexpr std::size_t partBytes = std::size_t{128} << 10;
+constexpr std::size_t maxDeltaBytes = std::size_t{256} << 10; ///< Of one message; the rest is pulled by the next.
+constexpr std::size_t maxLearnedSources = 64;
 
-/// Body of a question: the revision that the asking VM holds. Any other body is a whole configuration.
-constexpr std::size_t questionBytes = sizeof(std::uint64_t);
-
-std::vector<std::byte> encodeQuestion(revision held)
-{
-    std::vector<std::byte> body(questionBytes);
-    std::memcpy(body.data(), &held.value, questionBytes);
-    return body;
-}
-
-revision decodeQuestion(std::span<const std::byte> body)
+std::uint64_t drawSeed()
 {
-    revision held;
-    std::memcpy(&held.value, body.data(), questionBytes);
-    return held;
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
 }
 
 } // namespace
 
-configuration_task::configuration_task(loop &owner, mailbox<configuration_message> &inbox,
-                                       mailbox<peers_message> &peers, configuration_subscriber subscriber)
-    : m_peers(peers)
-    , m_subscriber(std::move(subscriber))
-    , m_current(std::make_shared<const configuration>())
-    , m_askTimer(owner, [this] { ask(); })
+configuration_task::configuration_task(loop &owner, configuration_task_options options,
+                                       mailbox<configuration_message> &inbox)
+    : m_options(std::move(options))
+    , m_random(drawSeed())
+    , m_timer(owner, [this] { tick(); })
     , m_attachment(inbox, owner, [this](const configuration_message &message) {
         std::visit([this](const auto &each) { handle(each); }, message);
     })
 {
-    ask();
+    m_follower.options = m_options.follower;
+    tick();
 }
 
 void configuration_task::handle(const configuration_from_peer &message)
 {
-    const std::span<const std::byte> body = message.message.body;
-    if (body.size() == questionBytes) {
-        if (decodeQuestion(body) < m_current->current) {
-            m_peers.post(
-                send_to_vm{message.from, {.kind = channel::Configuration, .body = encodeConfiguration(*m_current)}});
-        }
-        return;
-    }
     try {
-        take(std::make_shared<const configuration>(decodeConfiguration(body)));
-    } catch (const coordination_error &error) {
-        LOG(WARNING) << "configuration from a peer refused: " << describe(error.code()).name;
+        learnSource(message.from);
+        std::visit([this, &message](const auto &content) { receive(message.from, content); },
+                   decodeFollowerMessage(message.message.body));
+    } catch (const coordination_error &fault) {
+        LOG(WARNING) << "configuration message refused: " << describe(fault.code()).name;
     }
 }
 
 void configuration_task::handle(const configuration_accepted &message)
 {
-    take(message.value);
+    run(revision_applied{message.value, message.digest, message.deltas});
 }
 
 void configuration_task::handle(const configuration_wanted & /*message*/) const
 {
-    if (m_current->current.value > 0) {
-        m_subscriber(m_current);
+    if (m_follower.current->current.value > 0) {
+        m_options.subscriber(m_follower.current);
     }
 }
 
-void configuration_task::ask()
+void configuration_task::handle(const revision_heard &message)
+{
+    run(revision_announced{message.accepted});
+}
+
+void configuration_task::handle(const live_vms_changed &message)
+{
+    m_viewKnown = true;
+    run(sources_changed{message.vms});
+}
+
+void configuration_task::receive(vm_id from, const offer_message &message)
+{
+    run(offer_received{from, message.held});
+}
+
+void configuration_task::receive(vm_id from, const pull_message &message)
 {
-    m_peers.post(send_to_seeds{{.kind = channel::Configuration, .body = encodeQuestion(m_current->current)}});
-    m_askTimer.arm(askPeriod);
+    run(pull_received{from, message.held, message.snapshot});
 }
 
-void configuration_task::take(std::shared_ptr<const configuration> value)
+void configuration_task::receive(vm_id from, const deltas_message &message)
 {
-    if (value->current <= m_current->current) {
+    if (!std::ranges::all_of(message.deltas, [this](const auto &delta) { return isGenuine(delta); })) {
+        throw coordination_error(result_code::MessageMalformed, "a delta's digest is wrong");
+    }
+    run(deltas_received{from, message.deltas});
+}
+
+void configuration_task::receive(vm_id from, const snapshot_part &part)
+{
+    run(part_received{from, part});
+}
+
+void configuration_task::run(const follower_event &event)
+{
+    std::vector<follower_effect> effects;
+    step(m_follower, event, loop::now(), m_random(), effects);
+    m_timer.arm(std::max(duration(0), nextDeadline(m_follower) - loop::now()));
+    for (const follower_effect &effect : effects) {
+        std::visit([this](const auto &value) { perform(value); }, effect);
+    }
+}
+
+void configuration_task::perform(const send_offer &effect)
+{
+    send(effect.to, offer_message{effect.held});
+}
+
+void configuration_task::perform(const send_pull &effect)
+{
+    send(effect.to, pull_message{effect.held, effect.snapshot});
+}
+
+void configuration_task::perform(const send_deltas &effect)
+{
+    deltas_message message;
+    std::size_t bytes = 0;
+    for (const configuration_delta &delta : effect.deltas) {
+        bytes += encodeChanges(delta.changes).size();
+        if (bytes > maxDeltaBytes && !message.deltas.empty()) {
+            break;
+        }
+        message.deltas.push_back(delta);
+    }
+    send(effect.to, message);
+}
+
+void configuration_task::perform(const send_snapshot_part &effect)
+{
+    const held_revision held{m_follower.current->current, m_follower.digest};
+    if (m_encoded.held != held) {
+        m_encoded.held = held;
+        m_encoded.bytes = encodeConfiguration(*m_follower.current);
+        m_encoded.totalBytes = m_encoded.bytes.size();
+        m_encoded.seal = sealOf(m_options.secret, held, m_encoded.bytes);
+    }
+    const std::size_t offset = std::min<std::size_t>(effect.offset, m_encoded.bytes.size());
+    const std::span rest = std::span<const std::byte>(m_encoded.bytes).subspan(offset);
+    const std::span bytes = rest.first(std::min(rest.size(), partBytes));
+    send(effect.to, snapshot_part{held, m_encoded.seal, m_encoded.totalBytes, offset, {bytes.begin(), bytes.end()}});
+}
+
+void configuration_task::perform(const open_snapshot &effect)
+{
+    const snapshot_part &whole = effect.whole;
+    if (sealOf(m_options.secret, whole.held, whole.bytes) != whole.seal) {
+        throw coordination_error(result_code::MessageMalformed, "a snapshot's seal is wrong");
+    }
+    auto value = std::make_shared<const configuration>(decodeConfiguration(whole.bytes));
+    if (value->current == whole.held.at) {
+        run(snapshot_opened{std::move(value), whole.held.digest});
+    }
+}
+
+void configuration_task::perform(const revision_in_force &effect)
+{
+    LOG(INFO) << "configuration revision " << effect.value->current.value << " in force";
+    m_options.subscriber(effect.value);
+}
+
+void configuration_task::tick()
+{
+    if (m_follower.sources.empty() && m_options.sendToSeeds && loop::now() >= m_follower.offerDue) {
+        const offer_message offer{{m_follower.current->current, m_follower.digest}};
+        m_options.sendToSeeds({.kind = channel::Configuration, .body = encodeFollowerMessage(offer)});
+    }
+    run(follower_tick{});
+}
+
+void configuration_task::learnSource(vm_id source)
+{
+    if (m_viewKnown || std::ranges::find(m_learned, source) != m_learned.end()) {
         return;
     }
-    m_current = std::move(value);
-    LOG(INFO) << "configuration revision " << m_current->current.value << " in force";
-    m_subscriber(m_current);
+    if (m_learned.size() >= maxLearnedSources) {
+        m_learned.erase(m_learned.begin());
+    }
+    m_learned.push_back(source);
+    run(sources_changed{m_learned});
+}
+
+bool configuration_task::isGenuine(const configuration_delta &delta) const
+{
+    return nextDigest(m_options.secret, delta.previous, delta.at, delta.changes) == delta.digest;
+}
+
+void configuration_task::send(vm_id to, const follower_message &message) const
+{
+    m_options.send(to, {.kind = channel::Configuration, .body = encodeFollowerMessage(message)});
 }
 
 } // namespace guavafront
--- a/src/daemon/configuration/configuration_task.h
+++ b/src/daemon/configuration/configuration_task.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "daemon/configuration/configuration_message.h"
-#include "daemon/peers/peers_message.h"
 #include "runtime/mailbox.h"
 #include "runtime/timer.h"
+#include "wire/follower_codec.h"
+#include "wire/handshake.h"
 
 #include <functional>
 #include <memory>
+#include <random>
+#include <vector>
 
 namespace guavafront
 {
@@ -14,25 +17,54 @@
 /// Called with each revision that comes into force on this VM; posts it into other tasks' mailboxes.
 using configuration_subscriber = std::function<void(const std::shared_ptr<const configuration> &)>;
 
-/// Keeps the configuration in force on this VM: asks the seeds for newer revisions and passes on what it holds.
+/// Settings and receivers of the configuration task.
+struct configuration_task_options {
+    fleet_secret secret{}; ///< Keys the digests of the history.
+    follower_options follower; ///< Times and sizes.
+    std::function<void(vm_id, envelope)> send; ///< Sends to another VM; may lose.
+    std::function<void(envelope)> sendToSeeds; ///< Sends to the seeds of the settings while no VM is known.
+    configuration_subscriber subscriber; ///< Told of each revision in force.
+};
+
+/// Keeps the configuration in force on this VM: hosts the follower, checks digests and turns bytes into its events.
 class configuration_task
 {
 public:
     /// Starts to ask at once.
-    configuration_task(loop &owner, mailbox<configuration_message> &inbox, mailbox<peers_message> &peers,
-                       configuration_subscriber subscriber);
+    configuration_task(loop &owner, configuration_task_options options, mailbox<configuration_message> &inbox);
 
 private:
     void handle(const configuration_from_peer &message);
     void handle(const configuration_accepted &message);
     void handle(const configuration_wanted &message) const;
-    void ask();
-    void take(std::shared_ptr<const configuration> value);
+    void handle(const revision_heard &message);
+    void handle(const live_vms_changed &message);
+
+    void receive(vm_id from, const offer_message &message);
+    void receive(vm_id from, const pull_message &message);
+    void receive(vm_id from, const deltas_message &message);
+    void receive(vm_id from, const snapshot_part &part);
+
+    void run(const follower_event &event);
+    void perform(const send_offer &effect);
+    void perform(const send_pull &effect);
+    void perform(const send_deltas &effect);
+    void perform(const send_snapshot_part &effect);
+    void perform(const open_snapshot &effect);
+    void perform(const revision_in_force &effect);
+
+    void tick();
+    void learnSource(vm_id source);
+    bool isGenuine(const configuration_delta &delta) const;
+    void send(vm_id to, const follower_message &message) const;
 
-    mailbox<peers_message> &m_peers; ///< Not owned.
-    configuration_subscriber m_subscriber; ///< Told of each revision in force.
-    std::shared_ptr<const configuration> m_current; ///< In force; never null.
-    timer m_askTimer; ///< Asks the seeds again.
+    configuration_task_options m_options; ///< As constructed.
+    configuration_follower m_follower; ///< The decision's state.
+    std::mt19937_64 m_random; ///< Seeded from the system.
+    std::vector<vm_id> m_learned; ///< VMs that wrote to this one, while nothing better is known.
+    bool m_viewKnown = false; ///< live_vms_changed has come.
+    snapshot_part m_encoded; ///< The present configuration, encoded when first asked for.
+    timer m_timer; ///< The follower's next deadline.
     mailbox_attachment<configuration_message> m_attachment; ///< To the inbox.
 };
 
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "wire/envelope.h"
+
 #include <guavafront/coordination/configuration/change_log.h>
+#include <guavafront/coordination/replication/membership.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace guavafront
 {
@@ -19,7 +23,11 @@
 
 /// What operators see of the control.
 struct control_status {
-    bool leader = false; ///< This VM may accept changes.
+    bool leader = false; ///< This VM leads with a quorum that answers, so that it may accept changes.
+    vm_id self; ///< This VM's identity.
+    vm_id leaderVm; ///< Leader as far as known; 0 for none.
+    membership members; ///< Control VMs, with their roles.
+    std::vector<vm_id> waiting; ///< Control VMs that are there but not members.
     std::shared_ptr<const configuration> accepted; ///< Highest accepted revision that this VM knows.
 };
 
@@ -28,7 +36,30 @@
     std::function<void(const control_status &)> answer; ///< Called exactly once.
 };
 
+/// An operator wants a control VM replaced by one that waits, or just removed.
+struct replacement_submitted {
+    vm_id old; ///< Member that goes.
+    vm_id fresh; ///< VM that takes its place; 0 removes only.
+    std::function<void(const change_answer &)> answer; ///< Called exactly once, when the first step is committed.
+};
+
+/// A control VM sent a message on the Replication channel.
+struct replication_from_peer {
+    vm_id from; ///< Sender.
+    envelope message; ///< What it sent.
+};
+
+/// Control VMs that are live now, besides this one; the leader takes in those that aren't members.
+struct control_vms_seen {
+    std::vector<vm_id> vms; ///< Their identities.
+};
+
+/// The configuration task has started and wants the accepted configuration again.
+struct accepted_wanted {
+};
+
 /// What the control task reacts to.
-using control_message = std::variant<change_submitted, status_requested>;
+using control_message = std::variant<change_submitted, status_requested, replacement_submitted, replication_from_peer,
+                                     control_vms_seen, accepted_wanted>;
 
 } // namespace guavafront
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -2,12 +2,42 @@
 
 #include "wire/configuration_codec.h"
 
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
 namespace guavafront
 {
 
-control_task::control_task(loop &owner, mailbox<control_message> &inbox, mailbox<configuration_message> &configurations)
-    : m_configurations(configurations)
+namespace
+{
+
+const char *nameOf(replica_role role)
+{
+    switch (role) {
+    case replica_role::Follower:
+        return "follower";
+    case replica_role::PreCandidate:
+        return "pre-candidate";
+    case replica_role::Candidate:
+        return "candidate";
+    case replica_role::Leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+control_task::control_task(loop &owner, control_task_options options, mailbox<control_message> &inbox,
+                           mailbox<configuration_message> &configurations)
+    : m_options(std::move(options))
+    , m_configurations(configurations)
     , m_accepted(std::make_shared<const configuration>())
+    , m_host(owner, m_options.dataFolder, m_options.freshIdentity, m_options.replica, hostEvents())
     , m_attachment(inbox, owner, [this](const control_message &message) {
         std::visit([this](const auto &each) { handle(each); }, message);
     })
@@ -16,17 +46,208 @@
 
 void control_task::handle(const change_submitted &message)
 {
-    const change_answer answer = decide(m_log, makeProposal(message.author, message.request));
-    if (m_accepted->current < m_log.value.current) {
-        m_accepted = std::make_shared<const configuration>(m_log.value);
-        m_configurations.post(configuration_accepted{m_accepted});
+    const change_proposal proposal = makeProposal(message.author, message.request);
+    if (!isAuthorized(proposal.author, proposal.request)) {
+        message.answer({result_code::NotAuthorized, m_accepted->current, "the role does not allow this change"});
+        return;
     }
-    message.answer(answer);
+    std::vector<std::byte> payload = encodeProposal(proposal);
+    if (payload.size() > maxChangesBytes) {
+        message.answer({result_code::ChangeInvalid, m_accepted->current, "the request is too large"});
+        return;
+    }
+    m_host.post(command_proposed{addPending(message.answer), std::move(payload)});
 }
 
 void control_task::handle(const status_requested &message) const
 {
-    message.answer({.leader = true, .accepted = m_accepted});
+    const replica &replica = m_host.state();
+    const bool leads = replica.role == replica_role::Leader && isCurrent(replica, loop::now());
+    message.answer({.leader = leads,
+                    .self = replica.options.self,
+                    .leaderVm = replica.leader,
+                    .members = replica.members,
+                    .waiting = waitingVms(),
+                    .accepted = m_accepted});
+}
+
+void control_task::handle(const replacement_submitted &message)
+{
+    const std::uint64_t ticket = addPending(message.answer);
+    if (message.fresh.value == 0) {
+        m_host.post(removal_proposed{ticket, message.old});
+    } else {
+        m_host.post(learner_proposed{ticket, message.fresh, message.old});
+    }
+}
+
+void control_task::handle(const replication_from_peer &message)
+{
+    try {
+        replication_message decoded = decodeReplicationMessage(message.message.body);
+        if (decoded.from == message.from) {
+            m_host.post(message_received{std::move(decoded)});
+        }
+    } catch (const coordination_error &fault) {
+        LOG(WARNING) << "replication message refused: " << describe(fault.code()).name;
+    }
+}
+
+void control_task::handle(const control_vms_seen &message)
+{
+    m_seen = message.vms;
+    admitWaiting();
+}
+
+void control_task::handle(const accepted_wanted & /*message*/)
+{
+    publish({});
+}
+
+replica_host_events control_task::hostEvents()
+{
+    return {.send =
+                [this](const replication_message &message) {
+                    m_options.send(message.to,
+                                   {.kind = channel::Replication, .body = encodeReplicationMessage(message)});
+                },
+            .apply = [this](const log_record &record) { apply(record); },
+            .load = [this](const log_snapshot &snapshot) { load(snapshot); },
+            .encodeState = [this] { return encodeControlState(m_state); },
+            .appended = [this](const proposal_appended &appended) { noteAppended(appended); },
+            .refused =
+                [this](const proposal_refused &refused) {
+                    settle(refused.ticket, {refused.code, m_accepted->current, "not decided here"});
+                },
+            .roleChanged = [this](const role_changed &role) { noteRole(role); },
+            .flushed = [this] { prove(); },
+            .failed =
+                [this] {
+                    failAll();
+                }};
+}
+
+void control_task::apply(const log_record &record)
+{
+    change_answer answer{result_code::Ok, m_accepted->current, {}};
+    if (const auto *stored = std::get_if<command>(&record.content)) {
+        applied_command applied = applyCommand(m_state, m_options.secret, stored->payload);
+        answer = applied.answer;
+        if (applied.delta) {
+            m_accepted = std::make_shared<const configuration>(m_state.log.value);
+            publish({std::move(*applied.delta)});
+        }
+    }
+    settleAt(record, answer);
+}
+
+void control_task::load(const log_snapshot &snapshot)
+{
+    m_state = decodeControlState(snapshot.state);
+    m_accepted = std::make_shared<const configuration>(m_state.log.value);
+    publish({});
+}
+
+void control_task::settle(std::uint64_t ticket, const change_answer &answer)
+{
+    const auto found = m_pending.find(ticket);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const answer_handler handler = std::move(found->second.answer);
+    m_pending.erase(found);
+    if (handler) {
+        handler(answer);
+    }
+}
+
+void control_task::settleAt(const log_record &record, const change_answer &answer)
+{
+    const auto found = m_ticketAt.find(record.index.value);
+    if (found == m_ticketAt.end()) {
+        return;
+    }
+    const std::uint64_t ticket = found->second;
+    m_ticketAt.erase(found);
+    const auto pending = m_pending.find(ticket);
+    if (pending != m_pending.end() && pending->second.at == record.at) {
+        settle(ticket, answer);
+    }
+}
+
+void control_task::noteAppended(const proposal_appended &appended)
+{
+    const auto found = m_pending.find(appended.ticket);
+    if (found != m_pending.end()) {
+        found->second.at = appended.at;
+        m_ticketAt[appended.index.value] = appended.ticket;
+    }
+}
+
+void control_task::noteRole(const role_changed &role)
+{
+    LOG(INFO) << "control: " << nameOf(role.role) << " in term " << role.at.value << ", leader VM " << std::hex
+              << role.leader.value;
+    if (role.role != replica_role::Leader) {
+        failAll();
+    }
+}
+
+void control_task::failAll()
+{
+    m_ticketAt.clear();
+    std::vector<std::uint64_t> appended;
+    for (const auto &[ticket, pending] : m_pending) {
+        if (pending.at) {
+            appended.push_back(ticket);
+        }
+    }
+    for (const std::uint64_t ticket : appended) {
+        settle(ticket, {result_code::ChangeOutcomeUnknown, m_accepted->current, "resend with the same request ID"});
+    }
+}
+
+void control_task::publish(std::vector<configuration_delta> deltas)
+{
+    m_configurations.post(configuration_accepted{m_accepted, m_state.digest, std::move(deltas)});
+}
+
+void control_task::prove()
+{
+    const std::optional<instant> asOf = confirmedAt(m_host.state());
+    if (asOf && *asOf > m_lastProof && m_options.proved) {
+        m_lastProof = *asOf;
+        m_options.proved({m_host.state().currentTerm, m_host.state().round, m_accepted->current, *asOf});
+    }
+}
+
+void control_task::admitWaiting()
+{
+    const replica &replica = m_host.state();
+    const bool settled = replica.membersIndex <= replica.commitIndex && replica.termStart <= replica.commitIndex;
+    const bool grows = replica.members.members.size() < replica.options.targetVoters;
+    if (replica.role != replica_role::Leader || !settled || !grows) {
+        return; // A full cluster takes a VM in only by an operator's replacement.
+    }
+    const std::vector<vm_id> waiting = waitingVms();
+    if (!waiting.empty() && isCurrent(replica, loop::now())) {
+        m_host.post(learner_proposed{addPending({}), waiting.front(), {}});
+    }
+}
+
+std::vector<vm_id> control_task::waitingVms() const
+{
+    std::vector<vm_id> waiting;
+    std::ranges::copy_if(m_seen, std::back_inserter(waiting), [this](vm_id vm) {
+        return findMember(m_host.state().members, vm) == nullptr && vm != m_host.state().options.self;
+    });
+    return waiting;
+}
+
+std::uint64_t control_task::addPending(answer_handler answer)
+{
+    m_pending[++m_lastTicket] = {std::move(answer), std::nullopt};
+    return m_lastTicket;
 }
 
 } // namespace guavafront
--- /dev/null
+++ b/src/daemon/control/replica_host.cpp
@@ -0,0 +1,165 @@
+#include "daemon/control/replica_host.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <sodium.h>
+#include <type_traits>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Between a failure of the store and the task's next try.
+constexpr duration failurePause = std::chrono::seconds(5);
+
+std::uint64_t drawSeed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof seed);
+    return seed;
+}
+
+/// The effect as a write; none when it isn't one.
+std::optional<storage_write> asWrite(const replica_effect &effect)
+{
+    return std::visit(
+        [](const auto &value) -> std::optional<storage_write> {
+            if constexpr (std::is_constructible_v<storage_write, decltype(value)>) {
+                return storage_write(value);
+            } else {
+                return std::nullopt;
+            }
+        },
+        effect);
+}
+
+} // namespace
+
+replica_host::replica_host(loop &owner, const std::string &folder, vm_id freshIdentity, replica_options options,
+                           replica_host_events events)
+    : m_store(folder, freshIdentity)
+    , m_events(std::move(events))
+    , m_random(drawSeed())
+    , m_flush(owner, [this] { flush(); })
+    , m_deadline(owner, [this] { handleDeadline(); })
+{
+    options.self = m_store.self();
+    m_replica = restore(options, m_store.state(), loop::now(), m_random());
+    m_events.load(m_replica.log.snapshot);
+    armTimer();
+}
+
+void replica_host::post(const replica_event &event)
+{
+    if (m_failure) {
+        refuse(event);
+        return;
+    }
+    if (m_effects.empty()) {
+        m_flush.arm(duration(0));
+    }
+    step(m_replica, event, loop::now(), m_random(), m_effects);
+    armTimer();
+}
+
+const replica &replica_host::state() const
+{
+    return m_replica;
+}
+
+void replica_host::flush()
+{
+    try {
+        while (!m_effects.empty()) {
+            performBatch(std::exchange(m_effects, {}));
+        }
+        m_events.flushed();
+    } catch (const coordination_error &fault) {
+        fail(fault);
+    }
+}
+
+void replica_host::performBatch(std::vector<replica_effect> effects)
+{
+    std::uint64_t sequence = 0;
+    for (const replica_effect &effect : effects) {
+        if (std::optional<storage_write> write = asWrite(effect)) {
+            m_store.write(std::move(*write));
+        } else if (const auto *sync = std::get_if<sync_writes>(&effect)) {
+            sequence = sync->sequence;
+        } else if (sequence == 0) {
+            perform(effect);
+        }
+    }
+    if (sequence == 0) {
+        return;
+    }
+    m_store.sync();
+    const auto firstSync = std::ranges::find_if(
+        effects, [](const replica_effect &effect) { return std::holds_alternative<sync_writes>(effect); });
+    std::for_each(firstSync, effects.end(), [this](const replica_effect &effect) { perform(effect); });
+    step(m_replica, writes_synced{sequence}, loop::now(), m_random(), m_effects);
+}
+
+void replica_host::perform(const replica_effect &effect)
+{
+    if (const auto *send = std::get_if<send_message>(&effect)) {
+        m_events.send(send->message);
+    } else if (const auto *applied = std::get_if<apply_record>(&effect)) {
+        m_events.apply(applied->record);
+    } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
+        m_events.load(load->snapshot);
+    } else if (const auto *take = std::get_if<take_snapshot>(&effect)) {
+        post(snapshot_taken{take->index, m_events.encodeState()});
+    } else if (const auto *appended = std::get_if<proposal_appended>(&effect)) {
+        m_events.appended(*appended);
+    } else if (const auto *refused = std::get_if<proposal_refused>(&effect)) {
+        m_events.refused(*refused);
+    } else if (const auto *role = std::get_if<role_changed>(&effect)) {
+        m_events.roleChanged(*role);
+    }
+}
+
+void replica_host::armTimer()
+{
+    m_deadline.arm(std::max(duration(0), nextDeadline(m_replica) - loop::now()));
+}
+
+void replica_host::fail(const coordination_error &fault)
+{
+    LOG(ERROR) << "control: the store failed, " << describe(fault.code()).name << ": " << fault.what();
+    m_failure = fault;
+    m_effects.clear();
+    m_events.failed();
+    m_deadline.arm(failurePause);
+}
+
+void replica_host::handleDeadline()
+{
+    if (m_failure) {
+        throw coordination_error(*m_failure);
+    }
+    post(timer_fired{});
+}
+
+void replica_host::refuse(const replica_event &event) const
+{
+    const auto refused = [this](std::uint64_t ticket) {
+        m_events.refused({ticket, m_failure->code(), {}});
+    };
+    if (const auto *proposed = std::get_if<command_proposed>(&event)) {
+        refused(proposed->ticket);
+    } else if (const auto *learner = std::get_if<learner_proposed>(&event)) {
+        refused(learner->ticket);
+    } else if (const auto *removal = std::get_if<removal_proposed>(&event)) {
+        refused(removal->ticket);
+    }
+}
+
+} // namespace guavafront
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,12 +10,14 @@
 #include "runtime/signal_watch.h"
 #include "runtime/supervisor.h"
 #include "settings/settings_reader.h"
+#include "storage/replica_store.h"
 #include "wire/claims_codec.h"
 #include "wire/limits_codec.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -46,11 +48,16 @@
     return options;
 }
 
+std::uint8_t roleBit(vm_role role)
+{
+    return static_cast<std::uint8_t>(1U << static_cast<unsigned>(role));
+}
+
 std::uint8_t roleBits(const daemon_settings &settings)
 {
     std::uint8_t bits = 0;
     for (const vm_role role : settings.vm.roles) {
-        bits = static_cast<std::uint8_t>(bits | (1U << static_cast<unsigned>(role)));
+        bits = static_cast<std::uint8_t>(bits | roleBit(role));
     }
     return bits;
 }
@@ -71,9 +78,21 @@
     options.watchers.statistics = {[&wiring](const peers_statistics &latest) {
         wiring.peerCounters.set(latest);
     }};
-    options.subscribers[static_cast<std::size_t>(channel::Configuration)] = [&wiring](const peer_identity &from,
-                                                                                      envelope message) {
-        wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
+    const auto controls = std::make_shared<std::vector<vm_id>>();
+    options.subscribers[static_cast<std::size_t>(channel::Configuration)] =
+        [&wiring, controls](const peer_identity &from, envelope message) {
+            const bool isControl = (from.roles & roleBit(vm_role::Control)) != 0;
+            if (isControl && std::ranges::find(*controls, from.id) == controls->end()) {
+                controls->push_back(from.id);
+            }
+            if (isControl) {
+                wiring.control.post(control_vms_seen{*controls});
+            }
+            wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
+        };
+    options.subscribers[static_cast<std::size_t>(channel::Replication)] = [&wiring](const peer_identity &from,
+                                                                                    envelope message) {
+        wiring.control.post(replication_from_peer{from.id, std::move(message)});
     };
     options.subscribers[static_cast<std::size_t>(channel::Limits)] = [&wiring](const peer_identity &from,
                                                                                const envelope &message) {
@@ -128,27 +147,46 @@
             .shutdownLimit = shortShutdown};
 }
 
-child_spec configurationChild(daemon_wiring &wiring)
+/// Sends to one VM through the peers task.
+std::function<void(vm_id, envelope)> sender(daemon_wiring &wiring)
+{
+    return [&wiring](vm_id to, envelope message) {
+        wiring.peers.post(send_to_vm{to, std::move(message)});
+    };
+}
+
+child_spec configurationChild(const daemon_secrets &secrets, daemon_wiring &wiring)
 {
     return {.name = "configuration",
             .body =
-                [&wiring](loop &owner) {
-                    const configuration_task task(owner, wiring.configurations, wiring.peers,
-                                                  [&wiring](const std::shared_ptr<const configuration> &current) {
-                                                      wiring.entries.post(configuration_changed{current});
-                                                      wiring.announcements.post(current);
-                                                  });
+                [&secrets, &wiring](loop &owner) {
+                    configuration_task_options options{.secret = secrets.fleet, .send = sender(wiring)};
+                    options.sendToSeeds = [&wiring](envelope message) {
+                        wiring.peers.post(send_to_seeds{std::move(message)});
+                    };
+                    options.subscriber = [&wiring](const std::shared_ptr<const configuration> &current) {
+                        wiring.entries.post(configuration_changed{current});
+                        wiring.announcements.post(current);
+                    };
+                    const configuration_task task(owner, std::move(options), wiring.configurations);
+                    wiring.control.post(accepted_wanted{});
                     owner.run();
                 },
             .shutdownLimit = shortShutdown};
 }
 
-child_spec controlChild(const daemon_settings &settings, const daemon_secrets &secrets, daemon_wiring &wiring)
+child_spec controlChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
+                        daemon_wiring &wiring)
 {
     child_spec control{.name = "control",
                        .body =
-                           [&wiring](loop &owner) {
-                               const control_task task(owner, wiring.control, wiring.configurations);
+                           [&settings, &secrets, self, &wiring](loop &owner) {
+                               const control_task task(owner,
+                                                       {.dataFolder = settings.vm.dataFolder,
+                                                        .freshIdentity = self,
+                                                        .secret = secrets.fleet,
+                                                        .send = sender(wiring)},
+                                                       wiring.control, wiring.configurations);
                                owner.run();
                            },
                        .shutdownLimit = shortShutdown};
@@ -214,9 +252,9 @@
                                  daemon_wiring &wiring)
 {
     std::vector<child_spec> children{metricsChild(settings, wiring), peersChild(settings, secrets, self, wiring),
-                                     configurationChild(wiring)};
+                                     configurationChild(secrets, wiring)};
     if (hasRole(settings, vm_role::Control)) {
-        children.push_back(controlChild(settings, secrets, wiring));
+        children.push_back(controlChild(settings, secrets, self, wiring));
     }
     if (hasRole(settings, vm_role::Entry)) {
         children.push_back(entryChild(settings, secrets, self, wiring));
@@ -224,13 +262,26 @@
     return children;
 }
 
+void bootstrapControl(const daemon_settings &settings)
+{
+    if (!hasRole(settings, vm_role::Control)) {
+        throw coordination_error(result_code::SettingInvalid, "vm.roles: only a control VM can begin a cluster");
+    }
+    if (sodium_init() < 0) {
+        throw std::runtime_error("libsodium can't be initialized");
+    }
+    replica_store::bootstrap(settings.vm.dataFolder, drawIdentity(), {drawIdentity().value});
+}
+
 void runDaemon(const daemon_settings &settings)
 {
     if (sodium_init() < 0) {
         throw std::runtime_error("libsodium can't be initialized");
     }
     const daemon_secrets secrets = readSecrets(settings);
-    const vm_id self = drawIdentity();
+    // A control VM's identity lives as long as its data folder.
+    const bool isControl = hasRole(settings, vm_role::Control);
+    const vm_id self = isControl ? replica_store(settings.vm.dataFolder, drawIdentity()).self() : drawIdentity();
     daemon_wiring wiring;
     loop root;
     int signals = 0;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -28,6 +28,10 @@
 std::vector<child_spec> makeTree(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                                  daemon_wiring &wiring);
 
+/// Begins a new cluster with this control VM as its only voter. Done once in a fleet's life. Throws coordination_error
+/// (SubjectExists) when the data folder is in use.
+void bootstrapControl(const daemon_settings &settings);
+
 /// Runs a daemon until SIGTERM or SIGINT, then stops it gracefully; a second signal ends it at once. Throws
 /// coordination_error and supervisor_gave_up.
 void runDaemon(const daemon_settings &settings);
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -8,6 +8,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <utility>
 
 namespace guavafront
@@ -18,9 +21,29 @@
 
 constexpr int statusOk = 200;
 
+/// 16 hexadecimal digits.
+std::string toHex(vm_id id)
+{
+    constexpr int digits = 16;
+    std::array<char, digits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, id.value);
+    return text.data();
+}
+
 std::string statusJson(const control_status &status)
 {
-    return nlohmann::ordered_json{{"leader", status.leader}, {"revision", status.accepted->current.value}}.dump();
+    nlohmann::ordered_json members = nlohmann::ordered_json::array();
+    for (const member &each : status.members.members) {
+        members.push_back({{"vm", toHex(each.id)}, {"votes", each.role == member_role::Voter}});
+    }
+    nlohmann::ordered_json waiting = nlohmann::ordered_json::array();
+    for (const vm_id vm : status.waiting) {
+        waiting.push_back(toHex(vm));
+    }
+    return nlohmann::ordered_json{{"leader", status.leader},       {"revision", status.accepted->current.value},
+                                  {"vm", toHex(status.self)},      {"leader_vm", toHex(status.leaderVm)},
+                                  {"members", std::move(members)}, {"waiting", std::move(waiting)}}
+        .dump();
 }
 
 } // namespace
@@ -109,6 +132,11 @@
     }
     const bool whole = found->second == question::Configuration;
     m_questions.erase(found);
+    if (whole && !message.status.leader) {
+        reply(message.id, result_code::NotLeader,
+              problemAnswer(result_code::NotLeader, "only the leader's configuration is current"));
+        return;
+    }
     reply(message.id, result_code::Ok,
           jsonAnswer(statusOk, whole ? toOperatorJson(*message.status.accepted) : statusJson(message.status)));
 }
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -50,6 +50,21 @@
     });
 }
 
+void addBootstrapCommand(CLI::App &app, command_action &action)
+{
+    const auto path = std::make_shared<std::string>();
+    CLI::App *command = app.add_subcommand(
+        "bootstrap",
+        "Begins a new fleet's configuration on one control VM; once in a fleet's life, before its first run");
+    command->add_option("--settings", *path, "Settings file, JSON with comments")->required();
+    command->callback([&action, path] {
+        action = [path] {
+            bootstrapControl(checkedSettings(*path));
+            return exit_status::Done;
+        };
+    });
+}
+
 void addCheckCommand(CLI::App &app, command_action &action)
 {
     const auto path = std::make_shared<std::string>();
@@ -97,6 +112,7 @@
     app.require_subcommand(1);
     command_action action;
     addRunCommand(app, action);
+    addBootstrapCommand(app, action);
     addCheckCommand(app, action);
     addOperatorCommand(app, action);
     addAnnounceCommand(app, action);
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -4,6 +4,8 @@
 
 #include <guavafront/coordination/core/coordination_error.h>
 
+#include <filesystem>
+#include <system_error>
 #include <utility>
 
 namespace guavafront
@@ -16,10 +18,18 @@
 constexpr const char *journalName = "journal";
 constexpr const char *freshJournalName = "journal.new";
 
+/// The folder, created when it is missing.
+std::string madeFolder(std::string folder)
+{
+    std::error_code ignored; // Opening the files reports what is wrong.
+    std::filesystem::create_directory(folder, ignored);
+    return folder;
+}
+
 } // namespace
 
 replica_store::replica_store(std::string folder, vm_id freshIdentity)
-    : m_folder(std::move(folder))
+    : m_folder(madeFolder(std::move(folder)))
     , m_lock(path(lockName))
     , m_journal(path(journalName))
     , m_self(freshIdentity)
