--- /dev/null
+++ b/bench/replication_bench.cpp
@@ -0,0 +1,118 @@
+#include "control/control_cluster.h"
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <future>
+#include <vector>
+
+namespace
+{
+
+using namespace guavafront;
+
+constexpr std::uint64_t changesInTurn = 800;
+constexpr std::uint64_t burst = 64;
+
+double secondsSince(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+}
+
+double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+void waitForVoters(control_cluster &cluster, std::size_t count)
+{
+    cluster.waitUntil([&] {
+        cluster.announceAll();
+        return voterCount(cluster.statusOf(cluster.waitForLeader()).members) == count;
+    });
+}
+
+/// One change after the other, each synced by a quorum before the next is sent.
+void measureInTurn(control_cluster &cluster)
+{
+    const auto start = std::chrono::steady_clock::now();
+    const double cpu = cpuSeconds();
+    for (std::uint64_t id = 1; id <= changesInTurn; ++id) {
+        cluster.submit(cluster.waitForLeader(), control_cluster::creation(id, {id - 1}));
+    }
+    std::printf("in turn: %.0f changes/s, %.0f us of CPU a change over the three VMs together\n",
+                static_cast<double>(changesInTurn) / secondsSince(start),
+                (cpuSeconds() - cpu) / static_cast<double>(changesInTurn) * 1e6);
+}
+
+/// Proposals of many operators at once: one of each burst wins, all share syncs.
+void measureBursts(control_cluster &cluster)
+{
+    const auto start = std::chrono::steady_clock::now();
+    const std::size_t leading = cluster.waitForLeader();
+    std::uint64_t decided = 0;
+    std::uint64_t id = 100'000;
+    while (secondsSince(start) < 3) {
+        std::vector<std::future<void>> answers;
+        for (std::uint64_t i = 0; i < burst; ++i) {
+            auto promise = std::make_shared<std::promise<void>>();
+            answers.push_back(promise->get_future());
+            cluster.inboxOf(leading).post(change_submitted{
+                {operator_role::Operator, {}}, control_cluster::creation(++id, {0}), [promise](const change_answer &) {
+                    promise->set_value();
+                }});
+        }
+        for (std::future<void> &answer : answers) {
+            answer.wait();
+        }
+        decided += burst;
+    }
+    std::printf("bursts of %d: %.0f proposals decided/s\n", static_cast<int>(burst),
+                static_cast<double>(decided) / secondsSince(start));
+}
+
+/// A VM that lost its disk, until it votes again.
+void measureRejoin(control_cluster &cluster)
+{
+    const std::size_t lost = cluster.waitForLeader() == 2 ? 1 : 2;
+    std::vector<vm_id> voters;
+    for (const std::size_t vm : {0U, 1U, 2U}) {
+        voters.push_back(cluster.identityOf(vm));
+    }
+    cluster.stop(lost);
+    cluster.loseDisk(lost);
+    const auto start = std::chrono::steady_clock::now();
+    cluster.start(lost);
+    const vm_id old = voters[lost];
+    voters[lost] = cluster.identityOf(lost);
+    cluster.waitUntil([&] {
+        const result_code code = cluster.replace(old, voters[lost]).code;
+        return code == result_code::Ok || code == result_code::SubjectExists;
+    });
+    cluster.waitForVoters(voters);
+    std::printf("disk lost after %d changes: a voter again after %.2f s\n", static_cast<int>(changesInTurn),
+                secondsSince(start));
+}
+
+} // namespace
+
+/// Three control tasks in one process, their data folders under TMPDIR, messages without a network.
+int main(int /*argc*/, char **argv)
+{
+    FLAGS_minloglevel = google::GLOG_ERROR;
+    google::InitGoogleLogging(argv[0]);
+    control_cluster cluster(3);
+    waitForVoters(cluster, 3);
+    measureInTurn(cluster);
+    const std::uint64_t messages = cluster.messageCount();
+    const std::uint64_t bytes = cluster.messageBytes();
+    std::printf("replication: %.0f bytes and %.1f messages a change\n",
+                static_cast<double>(bytes) / static_cast<double>(changesInTurn),
+                static_cast<double>(messages) / static_cast<double>(changesInTurn));
+    measureRejoin(cluster);
+    measureBursts(cluster);
+    return EXIT_SUCCESS;
+}
--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -25,7 +25,7 @@
     std::size_t maxUncommittedRecords = 4'096; ///< More are refused.
     std::size_t snapshotAfterRecords = 4'096; ///< Applied records between two snapshots.
     std::size_t keptRecords = 1'024; ///< Records kept before the snapshot for slow followers.
-    std::size_t targetVoters = 3; ///< Caught-up learners become voters while there are fewer.
+    std::size_t targetVoters = 3; ///< Caught-up learners become voters while there are fewer; none is only removed.
 };
 
 /// What a replica finds on its disk at the start.
@@ -120,7 +120,7 @@
     vm_id replaces; ///< Member that it replaces; 0 for none.
 };
 
-/// An operator wants a member removed.
+/// An operator wants a member removed. A voter is removed only when targetVoters remain; otherwise it is replaced.
 struct removal_proposed {
     std::uint64_t ticket = 0; ///< The host's number for it.
     vm_id id; ///< The member.
--- a/src/coordination/replication/members.cpp
+++ b/src/coordination/replication/members.cpp
@@ -118,7 +118,10 @@
         refuse(at, proposed.ticket, result_code::SubjectUnknown);
     } else {
         const membership changed = withoutMember(self.members, proposed.id);
-        if (voterCount(changed) > 0 && isSafe(at, changed)) {
+        // A voter may die unnoticed just before; with fewer voters than wanted that could stop the log for good.
+        const bool keepsVoters =
+            !isVoter(self.members, proposed.id) || voterCount(changed) >= self.options.targetVoters;
+        if (keepsVoters && isSafe(at, changed)) {
             appendMembership(at, proposed.ticket, changed);
         } else {
             refuse(at, proposed.ticket, result_code::QuorumAtRisk);
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -3,14 +3,12 @@
 #include "daemon/token_check.h"
 #include "http/header_filter.h"
 #include "wire/operator_json.h"
+#include "wire/replacement_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <nlohmann/json.hpp>
 
-#include <array>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace guavafront
@@ -21,15 +19,6 @@
 
 constexpr int statusOk = 200;
 
-/// 16 hexadecimal digits.
-std::string toHex(vm_id id)
-{
-    constexpr int digits = 16;
-    std::array<char, digits + 1> text{};
-    std::snprintf(text.data(), text.size(), "%016" PRIx64, id.value);
-    return text.data();
-}
-
 std::string statusJson(const control_status &status)
 {
     nlohmann::ordered_json members = nlohmann::ordered_json::array();
@@ -83,6 +72,8 @@
     }
     if (request.method == "POST" && request.path == "/v1/changes") {
         submit(id, author->author, request);
+    } else if (request.method == "POST" && request.path == "/v1/replacements") {
+        submitReplacement(id, author->author, request);
     } else if (request.method == "GET" && request.path == "/v1/configuration") {
         if (author->author.role != operator_role::Operator) {
             throw coordination_error(result_code::NotAuthorized, "only operators read the configuration");
@@ -107,6 +98,21 @@
     }
 }
 
+void operators_task::submitReplacement(exchange_id id, const change_author &author, const http_request &request)
+{
+    if (author.role != operator_role::Operator) {
+        throw coordination_error(result_code::NotAuthorized, "only operators replace control VMs");
+    }
+    const replacement_request parsed = parseReplacementJson(textOf(request.body));
+    replacement_submitted message{
+        .old = parsed.old, .fresh = parsed.fresh, .answer = [&inbox = m_inbox, id](const change_answer &answer) {
+            inbox.post(change_answered{id, answer});
+        }};
+    if (!m_control.post(std::move(message))) {
+        throw coordination_error(result_code::EntryOverloaded, "the control is behind; nothing was taken");
+    }
+}
+
 void operators_task::ask(exchange_id id, question asked)
 {
     status_requested message{.answer = [&inbox = m_inbox, id](const control_status &status) {
--- a/src/daemon/operators/operators_task.h
+++ b/src/daemon/operators/operators_task.h
@@ -20,7 +20,8 @@
     std::vector<operator_token> tokens; ///< Who may ask.
 };
 
-/// Operators' HTTP: POST /v1/changes, GET /v1/configuration, GET /v1/status. Every request carries a bearer token.
+/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status. Every request
+/// carries a bearer token.
 class operators_task
 {
 public:
@@ -34,6 +35,7 @@
     void receive(exchange_id id, const http_request &request);
     void dispatch(exchange_id id, const http_request &request);
     void submit(exchange_id id, const change_author &author, const http_request &request);
+    void submitReplacement(exchange_id id, const change_author &author, const http_request &request);
     void ask(exchange_id id, question asked);
     void handle(const change_answered &message);
     void handle(const status_answered &message);
--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -8,6 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
+#include <optional>
+
 namespace guavafront
 {
 
@@ -23,6 +26,15 @@
     return {problem.code, problem.text};
 }
 
+revision revisionOf(const std::string &text)
+{
+    const auto status = nlohmann::json::parse(text, nullptr, false);
+    if (!status.is_object() || !status.contains("revision") || !status["revision"].is_number_unsigned()) {
+        throw coordination_error(result_code::MessageMalformed, "the control's status names no revision");
+    }
+    return {status["revision"].get<std::uint64_t>()};
+}
+
 } // namespace
 
 std::string readFromControl(const operator_client &client, std::string_view target)
@@ -44,11 +56,39 @@
 
 revision currentRevision(const operator_client &client)
 {
-    const auto status = nlohmann::json::parse(readFromControl(client, "/v1/status"), nullptr, false);
-    if (!status.is_object() || !status.contains("revision") || !status["revision"].is_number_unsigned()) {
-        throw coordination_error(result_code::MessageMalformed, "the control's status names no revision");
+    std::optional<revision> highest;
+    coordination_error last(result_code::ConnectFailed, "no control VM was named");
+    for (const endpoint &server : client.servers) {
+        try {
+            const revision named = revisionOf(readFromControl({{server}, client.token}, "/v1/status"));
+            highest = std::max(highest.value_or(named), named);
+        } catch (const coordination_error &error) {
+            last = error;
+        }
     }
-    return {status["revision"].get<std::uint64_t>()};
+    if (!highest) {
+        throw last;
+    }
+    return *highest;
+}
+
+change_answer submitReplacement(const operator_client &client, const replacement_request &request)
+{
+    const std::string body = toJson(request);
+    change_answer last{.code = result_code::ConnectFailed, .text = "no control VM was named"};
+    for (const endpoint &server : client.servers) {
+        try {
+            const http_answer answer =
+                httpCall(server, {.method = "POST", .target = "/v1/replacements", .token = client.token, .body = body});
+            last = parseChangeAnswerJson(textOf(answer.body));
+            if (last.code != result_code::NotLeader) {
+                return last;
+            }
+        } catch (const coordination_error &error) {
+            last = {.code = error.code(), .text = error.what()};
+        }
+    }
+    return last;
 }
 
 change_answer submitChange(const operator_client &client, const change_request &request)
--- a/src/program/operator_client.h
+++ b/src/program/operator_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "settings/endpoint.h"
+#include "wire/replacement_json.h"
 
 #include <guavafront/coordination/configuration/change_log.h>
 
@@ -20,13 +21,16 @@
 /// Body of GET target from the first control VM that answers well. Throws coordination_error.
 std::string readFromControl(const operator_client &client, std::string_view target);
 
-/// Revision in force according to the control. Throws coordination_error.
+/// Highest revision that a control VM names. Throws coordination_error.
 revision currentRevision(const operator_client &client);
 
 /// Sends a change to one control VM after the other until one decides it; every try carries the same request ID, so
 /// that it is accepted at most once. Throws coordination_error (ChangeOutcomeUnknown when it may have been accepted).
 change_answer submitChange(const operator_client &client, const change_request &request);
 
+/// Asks the control VMs in turn for the leader, which replaces or removes a member. Throws coordination_error.
+change_answer submitReplacement(const operator_client &client, const replacement_request &request);
+
 /// Fresh random request ID.
 change_id drawChangeId();
 
--- a/src/program/operator_command.cpp
+++ b/src/program/operator_command.cpp
@@ -120,6 +120,23 @@
     });
 }
 
+void addReplaceCommand(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    const auto oldVm = std::make_shared<std::string>();
+    const auto newVm = std::make_shared<std::string>();
+    CLI::App *replace = parent.add_subcommand("replace", "Replaces a control VM by one that waits, or removes it");
+    replace->add_option("--old", *oldVm, "Member that goes, as status names it")->required();
+    replace->add_option("--new", *newVm, "Waiting VM that takes its place; without it the member is only removed");
+    replace->callback([&action, commands, oldVm, newVm] {
+        action = [commands, oldVm, newVm] {
+            const replacement_request request{parseVmId(*oldVm), newVm->empty() ? vm_id{} : parseVmId(*newVm)};
+            const change_answer answer = submitReplacement(clientOf(commands->options), request);
+            std::printf("%s\n", toJson(answer).c_str());
+            return exitStatusOf(answer.code);
+        };
+    });
+}
+
 void addAccountCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
 {
     CLI::App *accounts = parent.add_subcommand("account", "Client accounts")->require_subcommand(1);
@@ -224,6 +241,7 @@
     addKeyCommands(*parent, action, commands);
     addSettingCommands(*parent, action, commands);
     addRouteCommands(*parent, action, commands);
+    addReplaceCommand(*parent, action, commands);
     addReadCommand(*parent, action, commands, "status", "Shows the control VM's status", "/v1/status");
     addReadCommand(*parent, action, commands, "show", "Shows the configuration", "/v1/configuration");
 }
--- /dev/null
+++ b/tests/control/control_cluster.h
@@ -0,0 +1,285 @@
+#pragma once
+
+#include "daemon/control/control_task.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Control tasks of several VMs in one process, each with its own thread, mailbox and data folder; messages are posted
+/// from one mailbox to the other.
+class control_cluster
+{
+public:
+    /// VM 0 begins the cluster, the others join it.
+    explicit control_cluster(std::size_t vms)
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "control_cluster_XXXXXX").string();
+        m_folder = mkdtemp(pattern.data());
+        replica_store::bootstrap(folderOf(0), {1}, {7});
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            m_vms.push_back(std::make_unique<control_vm>());
+        }
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            start(vm);
+        }
+    }
+
+    ~control_cluster()
+    {
+        for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+            stop(vm);
+        }
+        std::filesystem::remove_all(m_folder);
+    }
+
+    control_cluster(const control_cluster &) = delete;
+    control_cluster &operator=(const control_cluster &) = delete;
+
+    /// Starts a VM's task from its data folder.
+    void start(std::size_t vm)
+    {
+        control_vm &target = *m_vms[vm];
+        const vm_id self = replica_store(folderOf(vm), {++m_lastIdentity}).self();
+        target.events = std::make_unique<loop>();
+        {
+            const std::lock_guard lock(m_mutex);
+            target.self = self;
+        }
+        target.thread = std::thread([this, vm, &target] {
+            control_task_options options{.dataFolder = folderOf(vm), .freshIdentity = {99}};
+            options.send = [this](vm_id to, envelope message) {
+                deliver(to, std::move(message));
+            };
+            options.proved = [this](const leadership_proof &) {
+                notify();
+            };
+            const control_task task(*target.events, std::move(options), target.inbox, target.configurations);
+            target.events->run();
+        });
+        announceAll();
+    }
+
+    /// Stops a VM's task; what it has synced stays.
+    void stop(std::size_t vm)
+    {
+        control_vm &target = *m_vms[vm];
+        if (target.thread.joinable()) {
+            target.events->requestStop();
+            target.thread.join();
+            const std::lock_guard lock(m_mutex);
+            target.self = {};
+        }
+    }
+
+    /// Removes a stopped VM's data folder.
+    void loseDisk(std::size_t vm)
+    {
+        std::filesystem::remove_all(folderOf(vm));
+    }
+
+    /// The VM's identity.
+    vm_id identityOf(std::size_t vm) const
+    {
+        return m_vms[vm]->self;
+    }
+
+    /// A VM's mailbox.
+    mailbox<control_message> &inboxOf(std::size_t vm)
+    {
+        return m_vms[vm]->inbox;
+    }
+
+    /// Answer of a VM to a change; waits for it.
+    change_answer submit(std::size_t vm, const change_request &request)
+    {
+        auto promise = std::make_shared<std::promise<change_answer>>();
+        std::future<change_answer> answer = promise->get_future();
+        m_vms[vm]->inbox.post(
+            change_submitted{{operator_role::Operator, {}}, request, [promise](const change_answer &given) {
+                                 promise->set_value(given);
+                             }});
+        return get(answer);
+    }
+
+    /// Answer of the leader to a change, whichever VM that is at the time.
+    change_answer submitToLeader(const change_request &request)
+    {
+        change_answer answer{result_code::NotLeader, {}, {}};
+        while (answer.code == result_code::NotLeader || answer.code == result_code::ChangeOutcomeUnknown) {
+            answer = submit(waitForLeader(), request);
+        }
+        return answer;
+    }
+
+    /// Answer of the leader to a replacement.
+    change_answer replace(vm_id old, vm_id fresh)
+    {
+        auto promise = std::make_shared<std::promise<change_answer>>();
+        std::future<change_answer> answer = promise->get_future();
+        m_vms[waitForLeader()]->inbox.post(replacement_submitted{old, fresh, [promise](const change_answer &given) {
+                                                                     promise->set_value(given);
+                                                                 }});
+        return get(answer);
+    }
+
+    /// Status of a VM that runs.
+    control_status statusOf(std::size_t vm)
+    {
+        auto promise = std::make_shared<std::promise<control_status>>();
+        std::future<control_status> answer = promise->get_future();
+        m_vms[vm]->inbox.post(status_requested{[promise](const control_status &given) {
+            promise->set_value(given);
+        }});
+        return get(answer);
+    }
+
+    /// The VM that leads, once there is one.
+    std::size_t waitForLeader()
+    {
+        std::size_t leading = 0;
+        waitUntil([this, &leading] {
+            for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+                if (m_vms[vm]->thread.joinable() && statusOf(vm).leader) {
+                    leading = vm;
+                    return true;
+                }
+            }
+            return false;
+        });
+        return leading;
+    }
+
+    /// Waits until the members are the given VMs, all of them voters.
+    void waitForVoters(const std::vector<vm_id> &expected)
+    {
+        waitUntil([this, &expected] {
+            const membership members = statusOf(waitForLeader()).members;
+            return members.members.size() == expected.size()
+                   && std::ranges::all_of(expected, [&members](vm_id vm) { return isVoter(members, vm); });
+        });
+    }
+
+    /// Waits until the condition holds; it is looked at after each message between VMs and each proof of
+    /// leadership.
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + longLimit;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > end) {
+                throw std::runtime_error("a condition did not come about");
+            }
+            std::unique_lock lock(m_mutex);
+            const std::uint64_t seen = m_messages;
+            if (!m_arrived.wait_for(lock, limit, [this, seen] { return m_messages != seen; })) {
+                throw std::runtime_error("no message between control VMs for too long");
+            }
+        }
+    }
+
+    /// Tells every VM which ones are live, as the peers task does.
+    void announceAll()
+    {
+        std::vector<vm_id> live;
+        for (const std::unique_ptr<control_vm> &vm : m_vms) {
+            if (vm->self.value != 0) {
+                live.push_back(vm->self);
+            }
+        }
+        for (const std::unique_ptr<control_vm> &vm : m_vms) {
+            vm->inbox.post(control_vms_seen{live});
+        }
+    }
+
+    /// Messages sent between VMs so far.
+    std::uint64_t messageCount()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sent;
+    }
+
+    /// Their bodies' bytes.
+    std::uint64_t messageBytes()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sentBytes;
+    }
+
+    /// Request that creates an account.
+    static change_request creation(std::uint64_t id, revision expected)
+    {
+        return {{1, id}, expected, {create_account{"a" + std::to_string(id)}}};
+    }
+
+private:
+    static constexpr std::chrono::seconds limit{20}; ///< For one answer or message.
+    static constexpr std::chrono::seconds longLimit{60}; ///< For a condition.
+
+    struct control_vm {
+        mailbox<control_message> inbox{65'536}; ///< To the task.
+        mailbox<configuration_message> configurations{1}; ///< Nobody reads it.
+        std::unique_ptr<loop> events; ///< The task's.
+        std::thread thread; ///< The task's.
+        vm_id self; ///< 0 while it is stopped.
+    };
+
+    template<class value>
+    static value get(std::future<value> &answer)
+    {
+        if (answer.wait_for(limit) != std::future_status::ready) {
+            throw std::runtime_error("a control VM did not answer");
+        }
+        return answer.get();
+    }
+
+    std::string folderOf(std::size_t vm) const
+    {
+        return m_folder / std::to_string(vm);
+    }
+
+    void deliver(vm_id to, envelope message)
+    {
+        const vm_id from = decodeReplicationMessage(message.body).from;
+        const std::lock_guard lock(m_mutex);
+        ++m_sent;
+        m_sentBytes += message.body.size();
+        for (const std::unique_ptr<control_vm> &vm : m_vms) {
+            if (vm->self == to) {
+                vm->inbox.post(replication_from_peer{from, message});
+            }
+        }
+        ++m_messages;
+        m_arrived.notify_all();
+    }
+
+    void notify()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_messages;
+        m_arrived.notify_all();
+    }
+
+    std::filesystem::path m_folder; ///< Parent of the data folders.
+    std::vector<std::unique_ptr<control_vm>> m_vms; ///< All VMs.
+    std::uint64_t m_lastIdentity = 100; ///< For empty data folders.
+    std::mutex m_mutex; ///< Guards m_messages and the VMs' identities.
+    std::condition_variable m_arrived; ///< A message was sent.
+    std::uint64_t m_sent = 0; ///< Messages between VMs.
+    std::uint64_t m_sentBytes = 0; ///< Their bodies.
+    std::uint64_t m_messages = 0; ///< Messages and proofs so far.
+};
+
+} // namespace guavafront
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -245,8 +245,19 @@
     BOOST_CHECK(*confirmedAt(self) == now);
 }
 
+BOOST_AUTO_TEST_CASE(removal_fewerVotersThanTarget_quorumAtRisk)
+{
+    elect();
+    confirmAll();
+    run(removal_proposed{1, {3}});
+    BOOST_REQUIRE(find<proposal_refused>() != nullptr);
+    BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk);
+}
+
 BOOST_AUTO_TEST_CASE(removal_otherVoterSilent_quorumAtRisk)
 {
+    options.targetVoters = 2;
+    restart();
     elect();
     const log_index last = lastIndex(self.log);
     receive(2, self.currentTerm.value, append_answer{true, last});
