Wire membership, spread, beacon and the replicated control into the tasks

Change: fleet_watch turns the peers task's news into messages (live VMs, entries of the spread map, freshness); shared_state maps the entry's publications to entries of the map and back; the leader's proofs become beacons; messages that can't be decoded are counted and dropped. Control members' role is voting_role, so that it differs from the fleet's. The fleet test bootstraps the first control VM and waits for a leader; six cases failed without that, since a change was sent before the election. Shown: tests/fleet passes, now with an announcement heard by one entry VM and served by the other.

--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -99,6 +99,10 @@
     std::vector<instance_id> forgiven; ///< Deaths that no longer count.
 };
 
+/// The other VMs have lost what this one told them; it is to be told again.
+struct publications_lost {
+};
+
 /// A planned stop has begun.
 struct stop_requested {
 };
@@ -108,10 +112,11 @@
 };
 
 /// All that an entry's decisions react to.
-using entry_event = std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
-                                 instance_announced, instance_learned, instance_forgotten, hearer_changed,
-                                 fleet_changed, health_reported, health_report_lost, death_learned, request_released,
-                                 release_learned, stop_requested, time_passed, limit_members_changed,
-                                 limit_message_received, claim_message_received, claims_view_changed>;
+using entry_event =
+    std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
+                 instance_announced, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
+                 health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
+                 time_passed, limit_members_changed, limit_message_received, claim_message_received,
+                 claims_view_changed, publications_lost>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/replication/membership.h
+++ b/include/guavafront/coordination/replication/membership.h
@@ -12,7 +12,7 @@
 {
 
 /// Part that a control VM takes in the replicated log.
-enum class member_role : std::uint8_t {
+enum class voting_role : std::uint8_t {
     Learner, ///< Receives the log; doesn't vote and doesn't count for the quorum.
     Voter, ///< Votes and counts for the quorum.
 };
@@ -20,7 +20,7 @@
 /// One control VM of the replicated log.
 struct member {
     vm_id id; ///< Identity from its data folder.
-    member_role role = member_role::Learner; ///< Its part.
+    voting_role role = voting_role::Learner; ///< Its part.
     vm_id replaces; ///< Member to be removed once this one votes; 0 for none.
     bool operator==(const member &) const = default; ///< Memberwise equality.
 };
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -138,6 +138,11 @@
     updateClaims(context, event);
 }
 
+void handle(step_context &context, const publications_lost & /*event*/)
+{
+    publishAgain(context);
+}
+
 void handle(step_context &context, const stop_requested & /*event*/)
 {
     context.state.stopping = true;
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -43,6 +43,22 @@
     }
 }
 
+void publishAgain(step_context &context)
+{
+    const entry &state = context.state;
+    for (const service_instances &service : state.upstreams.services) {
+        for (const registered_instance &each : service.instances) {
+            if (each.hearer == state.identity.self) {
+                context.effects.emplace_back(publish_instance{each.last});
+            }
+        }
+    }
+    const auto own = state.selection.evidence.reports.find(state.identity.self);
+    if (own != state.selection.evidence.reports.end()) {
+        context.effects.emplace_back(publish_health{own->second});
+    }
+}
+
 void expireInstances(step_context &context)
 {
     for (const instance_id instance : expire(context.state.upstreams, context.now)) {
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -23,7 +23,7 @@
 {
     const replica &self = at.self;
     for (const member &voter : self.members.members) {
-        if (voter.role == member_role::Voter && voter.id != self.options.self) {
+        if (voter.role == voting_role::Voter && voter.id != self.options.self) {
             sendLate(at, voter.id, inTerm, vote_request{preVote, lastIndex(self.log), lastTerm(self.log)});
         }
     }
--- a/src/coordination/replication/members.cpp
+++ b/src/coordination/replication/members.cpp
@@ -53,13 +53,13 @@
     const std::vector<vm_id> healthy = healthyMembers(at);
     for (const member &each : self.members.members) {
         const bool replacing = findMember(self.members, each.replaces) != nullptr;
-        if (each.role == member_role::Voter && replacing) {
+        if (each.role == voting_role::Voter && replacing) {
             return withoutMember(self.members, each.replaces);
         }
         const bool wanted = replacing || voterCount(self.members) < self.options.targetVoters;
         const bool caughtUp = std::ranges::find(healthy, each.id) != healthy.end();
-        if (each.role == member_role::Learner && wanted && caughtUp) {
-            return withMember(self.members, {each.id, member_role::Voter, each.replaces});
+        if (each.role == voting_role::Learner && wanted && caughtUp) {
+            return withMember(self.members, {each.id, voting_role::Voter, each.replaces});
         }
     }
     return std::nullopt;
@@ -90,7 +90,7 @@
     const replica &self = at.self;
     const member *present = findMember(self.members, proposed.id);
     const bool redirected =
-        present != nullptr && present->role == member_role::Learner && present->replaces != proposed.replaces;
+        present != nullptr && present->role == voting_role::Learner && present->replaces != proposed.replaces;
     if (self.role != replica_role::Leader) {
         refuse(at, proposed.ticket, result_code::NotLeader);
     } else if (present != nullptr && !redirected) {
@@ -100,7 +100,7 @@
     } else if (proposed.id.value == 0 || (present == nullptr && self.members.members.size() >= maxMembers)) {
         refuse(at, proposed.ticket, result_code::ChangeInvalid);
     } else {
-        const membership changed = withMember(self.members, {proposed.id, member_role::Learner, proposed.replaces});
+        const membership changed = withMember(self.members, {proposed.id, voting_role::Learner, proposed.replaces});
         if (isSafe(at, changed)) {
             appendMembership(at, proposed.ticket, changed);
         } else {
--- a/src/coordination/replication/membership.cpp
+++ b/src/coordination/replication/membership.cpp
@@ -14,12 +14,12 @@
 bool isVoter(const membership &members, vm_id id)
 {
     const member *found = findMember(members, id);
-    return found != nullptr && found->role == member_role::Voter;
+    return found != nullptr && found->role == voting_role::Voter;
 }
 
 std::size_t voterCount(const membership &members)
 {
-    return static_cast<std::size_t>(std::ranges::count(members.members, member_role::Voter, &member::role));
+    return static_cast<std::size_t>(std::ranges::count(members.members, voting_role::Voter, &member::role));
 }
 
 std::size_t quorumOf(const membership &members)
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -207,7 +207,7 @@
 {
     stored_state state;
     state.cluster = cluster;
-    state.log.snapshot.members.members = {{.id = self, .role = member_role::Voter, .replaces = {}}};
+    state.log.snapshot.members.members = {{.id = self, .role = voting_role::Voter, .replaces = {}}};
     return state;
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/configuration/configuration_task.h"
 #include "daemon/control/control_task.h"
 #include "daemon/entry/entry_task.h"
+#include "daemon/fleet/fleet_watch.h"
 #include "daemon/metrics/metrics_task.h"
 #include "daemon/operators/operators_task.h"
 #include "daemon/peers/peers_task.h"
@@ -62,6 +63,19 @@
     return bits;
 }
 
+/// Has a channel's messages decoded and posted; what can't be decoded is counted and dropped.
+template<class taker>
+void subscribe(peers_task_options &options, channel kind, daemon_wiring &wiring, taker take)
+{
+    options.subscribers[static_cast<std::size_t>(kind)] = [&wiring, take](const peer_identity &from, envelope message) {
+        try {
+            take(from.id, std::move(message));
+        } catch (const coordination_error &error) {
+            wiring.counters.countPeerMessage(error.code());
+        }
+    };
+}
+
 peers_task_options peersOptions(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                                 daemon_wiring &wiring)
 {
@@ -75,33 +89,19 @@
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
     }
-    options.watchers.statistics = {[&wiring](const peers_statistics &latest) {
-        wiring.peerCounters.set(latest);
-    }};
-    const auto controls = std::make_shared<std::vector<vm_id>>();
-    options.subscribers[static_cast<std::size_t>(channel::Configuration)] =
-        [&wiring, controls](const peer_identity &from, envelope message) {
-            const bool isControl = (from.roles & roleBit(vm_role::Control)) != 0;
-            if (isControl && std::ranges::find(*controls, from.id) == controls->end()) {
-                controls->push_back(from.id);
-            }
-            if (isControl) {
-                wiring.control.post(control_vms_seen{*controls});
-            }
-            wiring.configurations.post(configuration_from_peer{from.id, std::move(message)});
-        };
-    options.subscribers[static_cast<std::size_t>(channel::Replication)] = [&wiring](const peer_identity &from,
-                                                                                    envelope message) {
-        wiring.control.post(replication_from_peer{from.id, std::move(message)});
-    };
-    options.subscribers[static_cast<std::size_t>(channel::Limits)] = [&wiring](const peer_identity &from,
-                                                                               const envelope &message) {
-        wiring.entries.post(limit_message_received{from.id, decodeLimitMessage(message.body)});
-    };
-    options.subscribers[static_cast<std::size_t>(channel::Claims)] = [&wiring](const peer_identity &from,
-                                                                               const envelope &message) {
-        wiring.entries.post(claim_message_received{from.id, decodeClaimMessage(message.body)});
-    };
+    options.watchers = watchersOf(std::make_shared<fleet_watch>(self, settings.vm.dataCentre, wiring), wiring);
+    subscribe(options, channel::Configuration, wiring, [&wiring](vm_id from, envelope message) {
+        wiring.configurations.post(configuration_from_peer{from, std::move(message)});
+    });
+    subscribe(options, channel::Replication, wiring, [&wiring](vm_id from, envelope message) {
+        wiring.control.post(replication_from_peer{from, std::move(message)});
+    });
+    subscribe(options, channel::Limits, wiring, [&wiring](vm_id from, const envelope &message) {
+        wiring.entries.post(limit_message_received{from, decodeLimitMessage(message.body)});
+    });
+    subscribe(options, channel::Claims, wiring, [&wiring](vm_id from, const envelope &message) {
+        wiring.entries.post(claim_message_received{from, decodeClaimMessage(message.body)});
+    });
     return options;
 }
 
@@ -155,6 +155,14 @@
     };
 }
 
+/// Has the leader's proofs spread as beacons.
+std::function<void(const leadership_proof &)> beaconIssuer(daemon_wiring &wiring)
+{
+    return [&wiring](const leadership_proof &proof) {
+        wiring.peers.post(issue_beacon{proof.leaderTerm, proof.round, proof.accepted, proof.asOf});
+    };
+}
+
 child_spec configurationChild(const daemon_secrets &secrets, daemon_wiring &wiring)
 {
     return {.name = "configuration",
@@ -185,7 +193,9 @@
                                                        {.dataFolder = settings.vm.dataFolder,
                                                         .freshIdentity = self,
                                                         .secret = secrets.fleet,
-                                                        .send = sender(wiring)},
+                                                        .replica = {},
+                                                        .send = sender(wiring),
+                                                        .proved = beaconIssuer(wiring)},
                                                        wiring.control, wiring.configurations);
                                owner.run();
                            },
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -1,12 +1,13 @@
 #include "daemon/entry/entry_task.h"
 
+#include "daemon/fleet/shared_state.h"
 #include "http/header_filter.h"
 #include "http/http_message.h"
 #include "wire/answer_codec.h"
 #include "wire/claims_codec.h"
 
-#include <guavafront/coordination/core/coordination_error.h>
 #include "wire/limits_codec.h"
+#include <guavafront/coordination/core/coordination_error.h>
 
 #include <glog/logging.h>
 #include <sodium.h>
@@ -115,6 +116,7 @@
 {
     owner.onStopRequested([this] { beginStop(); });
     outlets.configurations.post(configuration_wanted{});
+    m_peers.post(resend_state{});
 }
 
 void entry_task::receive(exchange_id id, const http_request &request)
@@ -263,12 +265,14 @@
     m_requests.erase(found);
 }
 
-void entry_task::perform(const publish_instance & /*effect*/)
+void entry_task::perform(const publish_instance &effect)
 {
+    m_peers.post(publicationOf(effect));
 }
 
 void entry_task::perform(const withdraw_instance &effect)
 {
+    m_peers.post(publicationOf(effect));
     m_pool.forget(effect.instance);
 }
 
@@ -287,16 +291,19 @@
     m_pool.forget(effect.instance);
 }
 
-void entry_task::perform(const publish_health & /*effect*/)
+void entry_task::perform(const publish_health &effect)
 {
+    m_peers.post(publicationOf(effect));
 }
 
-void entry_task::perform(const publish_death & /*effect*/)
+void entry_task::perform(const publish_death &effect)
 {
+    m_peers.post(publicationOf(effect));
 }
 
-void entry_task::perform(const publish_release & /*effect*/)
+void entry_task::perform(const publish_release &effect)
 {
+    m_peers.post(publicationOf(effect));
 }
 
 void entry_task::count(const caller_request &request, result_code code, std::uint16_t status)
--- /dev/null
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -0,0 +1,130 @@
+#include "daemon/fleet/fleet_watch.h"
+
+#include "daemon/fleet/shared_state.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr double majorityShare = 0.5;
+
+/// Identities of the live VMs with any of the roles, without self, ordered.
+std::vector<vm_id> othersWith(const fleet_view &view, std::uint8_t roles, vm_id self)
+{
+    std::vector<vm_id> found;
+    for (const member_record &each : view.live) {
+        if ((each.roles & roles) != 0 && each.id != self) {
+            found.push_back(each.id);
+        }
+    }
+    return found;
+}
+
+/// What the choice of upstreams needs to know; only entry VMs choose.
+fleet_summary summaryOf(const fleet_view &view, const std::string &dataCentre)
+{
+    fleet_summary summary{.vmsInDataCentre = 0, .vms = 0, .hearsMajority = view.aliveShare >= majorityShare};
+    for (const member_record &each : view.live) {
+        if ((each.roles & EntryRole) != 0) {
+            ++summary.vms;
+            summary.vmsInDataCentre += each.dataCentre == dataCentre ? 1 : 0;
+        }
+    }
+    return summary;
+}
+
+} // namespace
+
+fleet_watch::fleet_watch(vm_id self, std::string dataCentre, daemon_wiring &wiring)
+    : m_self(self)
+    , m_dataCentre(std::move(dataCentre))
+    , m_wiring(wiring)
+{
+}
+
+void fleet_watch::handle(const fleet_view &view)
+{
+    m_wiring.control.post(control_vms_seen{othersWith(view, ControlRole, m_self)});
+    m_wiring.configurations.post(live_vms_changed{othersWith(view, EntryRole | ControlRole, m_self)});
+    std::vector<vm_id> entries = othersWith(view, EntryRole, m_self);
+    tellOfHearers(entries);
+    m_entries = entries;
+    entries.insert(std::ranges::upper_bound(entries, m_self), m_self);
+    m_wiring.entries.post(limit_members_changed{std::move(entries)});
+    m_wiring.entries.post(fleet_changed{summaryOf(view, m_dataCentre)});
+    m_freshness.isolated = view.aliveShare < majorityShare;
+    tellOfFreshness();
+}
+
+void fleet_watch::handle(const spread_entry &entry)
+{
+    try {
+        if (auto event = eventOf(entry)) {
+            m_wiring.entries.post(std::move(*event));
+        }
+    } catch (const coordination_error &error) {
+        m_wiring.counters.countPeerMessage(error.code());
+    }
+}
+
+void fleet_watch::handle(const beacon_state &beacon)
+{
+    if (beacon.newest) {
+        m_wiring.configurations.post(revision_heard{beacon.newest->accepted});
+        m_freshness.confirmedAt = beacon.issuedAfter;
+        tellOfFreshness();
+    }
+}
+
+void fleet_watch::tellOfHearers(const std::vector<vm_id> &entries)
+{
+    std::vector<vm_id> lost;
+    std::ranges::set_difference(m_entries, entries, std::back_inserter(lost));
+    std::vector<vm_id> found;
+    std::ranges::set_difference(entries, m_entries, std::back_inserter(found));
+    for (const vm_id vm : lost) {
+        m_wiring.entries.post(hearer_changed{vm, false});
+        m_wiring.entries.post(health_report_lost{vm});
+    }
+    for (const vm_id vm : found) {
+        m_wiring.entries.post(hearer_changed{vm, true});
+    }
+}
+
+void fleet_watch::tellOfFreshness()
+{
+    m_wiring.entries.post(m_freshness);
+}
+
+peers_watchers watchersOf(const std::shared_ptr<fleet_watch> &watch, daemon_wiring &wiring)
+{
+    peers_watchers watchers;
+    watchers.views = {[watch](const std::shared_ptr<const fleet_view> &view) {
+        watch->handle(*view);
+    }};
+    for (const spread_topic topic : {spread_topic::Instances, spread_topic::Health, spread_topic::Quarantine}) {
+        watchers.entries.emplace(topic, [watch](const spread_entry &entry) { watch->handle(entry); });
+    }
+    watchers.freshness = {[watch](const beacon_state &beacon) {
+        watch->handle(beacon);
+    }};
+    watchers.started = {[&wiring] {
+        wiring.entries.post(publications_lost{});
+    }};
+    watchers.statistics = {[&wiring](const peers_statistics &latest) {
+        wiring.peerCounters.set(latest);
+    }};
+    return watchers;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/fleet/fleet_watch.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "daemon/daemon_wiring.h"
+#include "daemon/peers/peers_options.h"
+
+#include <guavafront/coordination/core/identifiers.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Passes on what the peers task learns of the fleet: each piece of news becomes messages to the tasks that react to
+/// it. Lives on the peers task's thread.
+class fleet_watch
+{
+public:
+    /// News goes to the mailboxes of wiring, which outlives the watch.
+    fleet_watch(vm_id self, std::string dataCentre, daemon_wiring &wiring);
+
+    /// Live VMs changed.
+    void handle(const fleet_view &view);
+
+    /// Another VM's entry of the spread map changed.
+    void handle(const spread_entry &entry);
+
+    /// The leader's beacon was heard, or its age is better known.
+    void handle(const beacon_state &beacon);
+
+private:
+    void tellOfHearers(const std::vector<vm_id> &entries);
+    void tellOfFreshness();
+
+    vm_id m_self; ///< This VM.
+    std::string m_dataCentre; ///< Of this VM.
+    daemon_wiring &m_wiring; ///< Not owned.
+    std::vector<vm_id> m_entries; ///< Other entry VMs that live, ordered by id.
+    freshness_changed m_freshness; ///< As last told.
+};
+
+/// Watchers of the peers task that share one fleet_watch.
+peers_watchers watchersOf(const std::shared_ptr<fleet_watch> &watch, daemon_wiring &wiring);
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/fleet/shared_state.cpp
@@ -0,0 +1,113 @@
+#include "daemon/fleet/shared_state.h"
+
+#include "wire/health_codec.h"
+#include "wire/registry_codec.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <array>
+#include <charconv>
+#include <string>
+#include <string_view>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::string_view deathPrefix = "death:";
+constexpr std::string_view releasePrefix = "release:";
+constexpr int hexBase = 16;
+
+std::string hexOf(std::uint64_t number)
+{
+    std::array<char, 2 * sizeof number> digits{};
+    char *end = std::to_chars(digits.data(), digits.data() + digits.size(), number, hexBase).ptr;
+    return std::string(digits.data(), end);
+}
+
+instance_id instanceNamed(std::string_view name)
+{
+    instance_id instance;
+    const char *end = name.data() + name.size();
+    const auto parsed = std::from_chars(name.data(), end, instance.value, hexBase);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        throw coordination_error(result_code::MessageMalformed, "an entry's name is no instance");
+    }
+    return instance;
+}
+
+entry_event instanceEvent(const spread_entry &entry)
+{
+    if (entry.removed) {
+        return instance_forgotten{entry.key.owner, instanceNamed(entry.key.name)};
+    }
+    return instance_learned{entry.key.owner, decodeAnnouncement(entry.payload)};
+}
+
+entry_event healthEvent(const spread_entry &entry)
+{
+    if (entry.removed) {
+        return health_report_lost{entry.key.owner};
+    }
+    return health_reported{entry.key.owner, decodeHealthReport(entry.payload)};
+}
+
+std::optional<entry_event> quarantineEvent(const spread_entry &entry)
+{
+    if (entry.removed) {
+        return std::nullopt; // What was learned stays until its own time is over.
+    }
+    if (entry.key.name.starts_with(releasePrefix)) {
+        quarantine_release news = decodeRelease(entry.payload);
+        return release_learned{news.request, std::move(news.forgiven)};
+    }
+    return death_learned{decodeDeath(entry.payload)};
+}
+
+} // namespace
+
+spread_publish publicationOf(const publish_instance &effect)
+{
+    return {spread_topic::Instances, hexOf(effect.news.instance.value), encodeAnnouncement(effect.news)};
+}
+
+spread_withdraw publicationOf(const withdraw_instance &effect)
+{
+    return {spread_topic::Instances, hexOf(effect.instance.value)};
+}
+
+spread_publish publicationOf(const publish_health &effect)
+{
+    return {spread_topic::Health, "report", encodeHealthReport(effect.report)};
+}
+
+spread_publish publicationOf(const publish_death &effect)
+{
+    const std::string name = std::string(deathPrefix) + hexOf(effect.death.what.request.value) + "@"
+                             + hexOf(effect.death.what.instance.value);
+    return {spread_topic::Quarantine, name, encodeDeath(effect.death)};
+}
+
+spread_publish publicationOf(const publish_release &effect)
+{
+    return {spread_topic::Quarantine, std::string(releasePrefix) + hexOf(effect.request.value),
+            encodeRelease({effect.request, effect.forgiven})};
+}
+
+std::optional<entry_event> eventOf(const spread_entry &entry)
+{
+    switch (entry.key.topic) {
+    case spread_topic::Instances:
+        return instanceEvent(entry);
+    case spread_topic::Health:
+        return healthEvent(entry);
+    case spread_topic::Quarantine:
+        return quarantineEvent(entry);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace guavafront
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -61,6 +61,8 @@
     , m_announcements(counterFamily(m_registry, "guavafront_announcements_total", "Announcements by result."))
     , m_operatorRequests(
           counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
+    , m_peerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
+                                   "Other VMs' messages that could not be decoded, by reason."))
     , m_revision(prometheus::BuildGauge()
                      .Name("guavafront_configuration_revision")
                      .Help("Revision of the configuration in force on this VM.")
@@ -100,6 +102,11 @@
     m_announcements.Add({{"result", std::string(describe(code).name)}}).Increment();
 }
 
+void daemon_counters::countPeerMessage(result_code code)
+{
+    m_peerMessages.Add({{"result", std::string(describe(code).name)}}).Increment();
+}
+
 void daemon_counters::countOperatorRequest(result_code code)
 {
     m_operatorRequests.Add({{"result", std::string(describe(code).name)}}).Increment();
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -39,6 +39,9 @@
     /// An announcement taken or refused.
     void countAnnouncement(result_code code);
 
+    /// A message of another VM that was dropped, by reason.
+    void countPeerMessage(result_code code);
+
     /// An operator's request by result.
     void countOperatorRequest(result_code code);
 
@@ -53,6 +56,7 @@
     prometheus::Family<prometheus::Counter> &m_attempts; ///< By service and outcome.
     prometheus::Family<prometheus::Counter> &m_announcements; ///< By result.
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< By result.
+    prometheus::Family<prometheus::Counter> &m_peerMessages; ///< Dropped, by reason.
     prometheus::Gauge &m_revision; ///< In force.
 };
 
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -23,7 +23,7 @@
 {
     nlohmann::ordered_json members = nlohmann::ordered_json::array();
     for (const member &each : status.members.members) {
-        members.push_back({{"vm", toHex(each.id)}, {"votes", each.role == member_role::Voter}});
+        members.push_back({{"vm", toHex(each.id)}, {"votes", each.role == voting_role::Voter}});
     }
     nlohmann::ordered_json waiting = nlohmann::ordered_json::array();
     for (const vm_id vm : status.waiting) {
--- a/src/wire/log_json.cpp
+++ b/src/wire/log_json.cpp
@@ -57,7 +57,7 @@
     for (const json &each : value) {
         cbor_fields fields(each, "member", 3);
         const vm_id id{fields.whole<std::uint64_t>()};
-        const auto role = fields.oneOf(member_role::Voter);
+        const auto role = fields.oneOf(voting_role::Voter);
         members = withMember(members, {id, role, {fields.whole<std::uint64_t>()}});
     }
     return members;
--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -119,7 +119,7 @@
     nlohmann::json settings{
         {"vm", {{"name", name}, {"dataCentre", dataCentre}, {"roles", {control ? "control" : "entry"}}}},
         {"listen", {{"peers", local(ports.peers)}, {"metrics", local(ports.metrics)}}},
-        {"peers", {{"seeds", seeds}}},
+        {"peers", {{"seeds", seeds}, {"fleetSize", m_entries.size()}}},
         {"secrets", {{"fleetSecretFile", "fleet.secret"}}}};
     if (control) {
         settings["vm"]["dataFolder"] = name + "-data";
@@ -148,6 +148,11 @@
 
 void fleet_processes::startAll()
 {
+    child_process bootstrap(GUAVAFRONT_BINARY, {"bootstrap", "--settings", m_controls.front() + ".json"},
+                            m_folder.string(), (m_folder / "bootstrap.log").string());
+    if (!bootstrap.waitForEnd(waitLimit) || bootstrap.exitStatus() != 0) {
+        throw std::runtime_error("the first control VM could not be bootstrapped");
+    }
     for (const auto &[vm, ports] : m_ports) {
         start(vm);
     }
@@ -156,6 +161,25 @@
             return httpCall({"127.0.0.1", metrics}, {.method = "GET", .target = "/live"}).status == 200;
         });
     }
+    waitForLeader();
+}
+
+void fleet_processes::waitForLeader() const
+{
+    waitUntil("a control VM leads", [this] {
+        for (const std::string &control : m_controls) {
+            try {
+                const http_answer answer = httpCall({"127.0.0.1", portsOf(control).operators},
+                                                    {.method = "GET", .target = "/v1/status", .token = operatorToken});
+                if (bodyOf(answer).find("\"leader\":true") != std::string::npos) {
+                    return true;
+                }
+            } catch (const coordination_error &) {
+                continue; // This one is away.
+            }
+        }
+        return false;
+    });
 }
 
 std::string fleet_processes::startUpstream(const std::string &service, std::vector<std::string> entries,
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -47,9 +47,12 @@
     /// Starts a VM by name.
     void start(const std::string &vm);
 
-    /// Starts all VMs and waits until they listen.
+    /// Starts all VMs and waits until they listen and a control VM leads.
     void startAll();
 
+    /// Waits until a control VM leads with a quorum.
+    void waitForLeader() const;
+
     /// Starts a stand-in of a service that announces itself to the given entry VMs in turn; gives its name.
     std::string startUpstream(const std::string &service, std::vector<std::string> entries,
                               std::vector<std::string> moreOptions = {});
--- a/tests/fleet/whole_path_test.cpp
+++ b/tests/fleet/whole_path_test.cpp
@@ -74,6 +74,16 @@
     BOOST_TEST(fleet.waitForEnd("entry-1", std::chrono::seconds(15)));
 }
 
+BOOST_AUTO_TEST_CASE(announcement_heardByOneEntry_servedByAll)
+{
+    fleet.operate({"route", "put", "/cobros", "--service", "cobros", "--kind", "cobro"});
+    const std::string upstream = fleet.startUpstream("cobros", {"entry-1"});
+    fleet.waitForStatus("entry-2", "/cobros/x", key, 200);
+    // Once it leaves, no entry VM sends it new work.
+    fleet.signal(upstream, SIGTERM);
+    fleet.waitForStatus("entry-2", "/cobros/x", key, 503);
+}
+
 BOOST_AUTO_TEST_CASE(control_gone_requestsGoOn)
 {
     fleet.kill("control-1");
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -26,7 +26,7 @@
     {
         disk.cluster = {7};
         for (std::uint64_t id = 1; id <= 3; ++id) {
-            disk.log.snapshot.members.members.push_back({{id}, member_role::Voter, {}});
+            disk.log.snapshot.members.members.push_back({{id}, voting_role::Voter, {}});
         }
         restart();
     }
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -38,7 +38,7 @@
         store.write(append_records{{record(3)}});
         syncAndNote(store);
         store.write(remove_records{{3}});
-        store.write(append_records{{{{3}, {3}, membership{{{{11}, member_role::Voter, {}}, {{12}, {}, {11}}}}}}});
+        store.write(append_records{{{{3}, {3}, membership{{{{11}, voting_role::Voter, {}}, {{12}, {}, {11}}}}}}});
         syncAndNote(store);
     }
 
--- a/tests/wire/replication_codec_test.cpp
+++ b/tests/wire/replication_codec_test.cpp
@@ -16,7 +16,7 @@
 {
 
 struct replication_codec_fixture {
-    membership members{{{{1}, member_role::Voter, {}}, {{2}, member_role::Learner, {1}}}};
+    membership members{{{{1}, voting_role::Voter, {}}, {{2}, voting_role::Learner, {1}}}};
     log_record commandRecord{{5}, {2}, command{{std::byte{9}}}};
     log_record membersRecord{{6}, {2}, members};
     /// One message of each kind.
