--- /dev/null
+++ b/tests/claims/claims_home_test.cpp
@@ -0,0 +1,118 @@
+#include <guavafront/coordination/claims/claims_home.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// VM 6, which becomes a home of all shards in view 2, after VMs 1 to 5 were the homes in view 1.
+struct claims_home_fixture {
+    claim_key key = makeClaimKey({1}, "k");
+    std::vector<claims_member> before = members(1, 5);
+    claims_home state;
+    instant now{};
+    std::vector<send_claim_message> effects;
+
+    claims_home_fixture()
+    {
+        state.self = {6};
+        installView(state, {.epoch = {2}, .members = members(2, 6), .previous = before}, now, effects);
+    }
+
+    static std::vector<claims_member> members(std::uint64_t first, std::uint64_t last)
+    {
+        std::vector<claims_member> list;
+        for (std::uint64_t id = first; id <= last; ++id) {
+            list.push_back({.id = {id}, .life = 0, .dataCentre = "a"});
+        }
+        return list;
+    }
+
+    /// The vote on a new attempt under a view.
+    claim_vote voteUnder(std::uint64_t epoch)
+    {
+        effects.clear();
+        receive(state, {9}, claim_request{{epoch}, {{9}, 1}, key, {}, std::chrono::seconds(1)}, now, effects);
+        return std::get<claim_reply>(effects.at(0).message).vote;
+    }
+
+    /// A home of the view before tells all it knows.
+    void tell(std::uint64_t home, bool ready, std::vector<shard_record> records = {})
+    {
+        receive(state, {home}, shard_page{{2}, shardOf(key), {}, ready, true, std::move(records)}, now, effects);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(claims_home_test, claims_home_fixture)
+
+BOOST_AUTO_TEST_CASE(vote_minorityHasTold_notReady)
+{
+    tell(1, true);
+    tell(2, true);
+    BOOST_TEST((voteUnder(2) == claim_vote::NotReady));
+    tell(3, true);
+    BOOST_TEST((voteUnder(2) == claim_vote::Granted));
+}
+
+BOOST_AUTO_TEST_CASE(vote_majorityToldButNoneWasReady_notReady)
+{
+    tell(1, false);
+    tell(2, false);
+    tell(3, false);
+    BOOST_TEST((voteUnder(2) == claim_vote::NotReady));
+    tell(4, true);
+    BOOST_TEST((voteUnder(2) == claim_vote::Granted));
+}
+
+BOOST_AUTO_TEST_CASE(vote_otherView_notReady)
+{
+    tell(1, true);
+    tell(2, true);
+    tell(3, true);
+    BOOST_TEST((voteUnder(1) == claim_vote::NotReady));
+    BOOST_TEST((voteUnder(3) == claim_vote::NotReady));
+    BOOST_TEST((voteUnder(2) == claim_vote::Granted));
+}
+
+BOOST_AUTO_TEST_CASE(vote_askedForANewerView_sealed)
+{
+    tell(1, true);
+    tell(2, true);
+    tell(3, true);
+    receive(state, {7}, shard_pull{{3}, shardOf(key), 0, {}}, now, effects);
+    BOOST_TEST((voteUnder(2) == claim_vote::NotReady));
+}
+
+BOOST_AUTO_TEST_CASE(vote_oneHomeToldOfAHolder_taken)
+{
+    tell(1, true, {{key, std::chrono::hours(1), {{{{8}, 4}, {}, std::chrono::seconds(1)}}, {}}});
+    tell(2, true);
+    tell(3, true);
+    BOOST_TEST((voteUnder(2) == claim_vote::Taken));
+}
+
+BOOST_AUTO_TEST_CASE(pull_meantForAnotherLife_noAnswer)
+{
+    effects.clear();
+    receive(state, {7}, shard_pull{{3}, shardOf(key), 77, {}}, now, effects);
+    BOOST_TEST(effects.empty());
+}
+
+BOOST_AUTO_TEST_CASE(installView_memberIsAnotherLife_neverVotes)
+{
+    claims_home second;
+    second.self = {6};
+    second.life = 5;
+    std::swap(state, second);
+    installView(state, {.epoch = {2}, .members = members(2, 6), .previous = {}}, now, effects);
+    BOOST_TEST((voteUnder(2) == claim_vote::NotReady));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
