--- /dev/null
+++ b/bench/limits_bench.cpp
@@ -0,0 +1,337 @@
+// Compares ways to hold accounts to a rate over a fleet, and measures the kept one at three sizes; virtual time.
+// Usage: limits_bench ways|sizes [SEED]
+#include "limits/limiter_fleet.h"
+#include "wire/envelope.h"
+#include "wire/limits_codec.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <string_view>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr instant warmEnd(8s);
+constexpr std::size_t vmCount = 48;
+constexpr std::uint32_t accountCount = 8;
+
+/// One request of a trace.
+struct arrival {
+    instant at; ///< When.
+    account_id account; ///< Whose.
+    std::size_t seat; ///< VM that it comes to.
+};
+
+/// What one way did with a trace.
+struct outcome {
+    std::map<account_id, std::vector<instant>> admitted; ///< Times of admissions.
+    std::uint64_t messages = 0; ///< Between VMs.
+};
+
+/// How the requests of a trace come.
+struct pattern {
+    const char *name; ///< Shown in the table.
+    double load; ///< Requests as a part of the rate.
+    double flood; ///< Factor for account 1.
+    duration stay; ///< An account's requests stay at one VM for so long; 0 spreads them over all.
+    double bursts; ///< Bursts every 5 s at one VM as a part of the burst.
+    double loss; ///< Of messages.
+};
+
+rate_limit limitFor(account_id account)
+{
+    return account.value <= 2 ? rate_limit{1'000, 2'000} : rate_limit{100, 200};
+}
+
+limit_table table()
+{
+    limit_table limits{.defaults = limitFor({3})};
+    limits.exceptions = {{account_id{1}, limitFor({1})}, {account_id{2}, limitFor({2})}};
+    return limits;
+}
+
+std::vector<arrival> makeTrace(const pattern &how, std::mt19937_64 &random)
+{
+    std::vector<arrival> trace;
+    const instant end = warmEnd + 30s;
+    for (std::uint32_t number = 1; number <= accountCount; ++number) {
+        const account_id account{number};
+        const rate_limit limit = limitFor(account);
+        std::exponential_distribution<double> gap(limit.ratePerSecond * how.load * (number == 1 ? how.flood : 1));
+        for (instant when = warmEnd; when < end; when += duration(1 + static_cast<duration::rep>(gap(random) * 1e6))) {
+            const auto stays =
+                how.stay.count() == 0 ? random() : static_cast<std::uint64_t>((when - warmEnd) / how.stay);
+            trace.push_back({when, account, (stays * 7 + number * 5) % vmCount});
+        }
+        for (instant when = warmEnd + 2s; when < end && how.bursts > 0; when += 5s) {
+            const std::size_t seat = random() % vmCount;
+            trace.insert(trace.end(), static_cast<std::size_t>(how.bursts * limit.burst), {when, account, seat});
+        }
+    }
+    std::ranges::stable_sort(trace, {}, &arrival::at);
+    return trace;
+}
+
+bool takeFrom(token_bucket &bucket, instant now, double part)
+{
+    if (bucket.limit.burst == 0) {
+        return false;
+    }
+    const double seconds = std::chrono::duration<double>(now - bucket.refilledAt).count();
+    bucket.level = std::min(bucket.limit.burst * part, bucket.level + seconds * bucket.limit.ratePerSecond * part);
+    bucket.refilledAt = now;
+    if (bucket.level < 1) {
+        return false;
+    }
+    bucket.level -= 1;
+    return true;
+}
+
+token_bucket fullBucket(account_id account)
+{
+    const rate_limit limit = limitFor(account);
+    return {.limit = limit, .level = limit.burst, .refilledAt = warmEnd};
+}
+
+/// One bucket that all VMs see at once: what the limit allows.
+outcome ideal(std::span<const arrival> trace)
+{
+    outcome result;
+    std::map<account_id, token_bucket> buckets;
+    for (const arrival &each : trace) {
+        token_bucket &bucket = buckets.try_emplace(each.account, fullBucket(each.account)).first->second;
+        if (takeFrom(bucket, each.at, 1)) {
+            result.admitted[each.account].push_back(each.at);
+        }
+    }
+    return result;
+}
+
+/// Each VM has 1/48 of rate and burst.
+outcome staticShare(std::span<const arrival> trace)
+{
+    outcome result;
+    std::map<std::pair<account_id, std::size_t>, token_bucket> buckets;
+    for (const arrival &each : trace) {
+        token_bucket &bucket = buckets.try_emplace({each.account, each.seat}, fullBucket(each.account)).first->second;
+        if (takeFrom(bucket, each.at, 1.0 / vmCount)) {
+            result.admitted[each.account].push_back(each.at);
+        }
+    }
+    return result;
+}
+
+/// One VM holds all buckets and is asked for each request.
+outcome centralBucket(std::span<const arrival> trace, const pattern &how, std::mt19937_64 &random)
+{
+    outcome result;
+    std::vector<arrival> asked;
+    std::uniform_real_distribution<double> part(0, 1);
+    for (const arrival &each : trace) {
+        result.messages += 2;
+        if (part(random) >= how.loss) {
+            const duration delay(1'000 + static_cast<duration::rep>(part(random) * 3'000));
+            asked.push_back({each.at + delay, each.account, each.seat});
+        }
+    }
+    std::ranges::stable_sort(asked, {}, &arrival::at);
+    std::map<account_id, token_bucket> buckets;
+    for (const arrival &each : asked) {
+        token_bucket &bucket = buckets.try_emplace(each.account, fullBucket(each.account)).first->second;
+        if (takeFrom(bucket, each.at, 1) && part(random) >= how.loss) {
+            result.admitted[each.account].push_back(each.at + 2ms);
+        }
+    }
+    for (auto &[account, times] : result.admitted) {
+        std::ranges::sort(times);
+    }
+    return result;
+}
+
+/// Each VM keeps a copy of every bucket and tells all others every 200 ms what it has taken.
+outcome gossipedCounts(std::span<const arrival> trace, const pattern &how, std::mt19937_64 &random)
+{
+    outcome result;
+    std::map<std::pair<account_id, std::size_t>, token_bucket> buckets;
+    std::map<std::pair<account_id, std::size_t>, std::vector<double>> told;
+    std::map<std::pair<account_id, std::size_t>, double> taken;
+    instant nextRound = warmEnd;
+    std::uniform_real_distribution<double> part(0, 1);
+    for (const arrival &each : trace) {
+        for (; nextRound <= each.at; nextRound += 200ms) {
+            for (const auto &[key, count] : taken) {
+                std::vector<double> &known = told.try_emplace(key, vmCount, 0.0).first->second;
+                for (std::size_t seat = 0; seat < vmCount; ++seat) {
+                    ++result.messages;
+                    if (seat == key.second || part(random) < how.loss) {
+                        continue;
+                    }
+                    auto &bucket = buckets.try_emplace({key.first, seat}, fullBucket(key.first)).first->second;
+                    bucket.level -= count - known[seat];
+                    known[seat] = count;
+                }
+            }
+        }
+        token_bucket &bucket = buckets.try_emplace({each.account, each.seat}, fullBucket(each.account)).first->second;
+        if (takeFrom(bucket, each.at, 1)) {
+            result.admitted[each.account].push_back(each.at);
+            taken[{each.account, each.seat}] += 1;
+        }
+    }
+    return result;
+}
+
+/// The library's limiter.
+outcome leases(std::span<const arrival> trace, const pattern &how, std::uint64_t seed)
+{
+    limiter_fleet fleet(vmCount, {}, table(), seed);
+    fleet.faults.loss = how.loss;
+    fleet.faults.duplication = how.loss;
+    fleet.runUntil(warmEnd);
+    const std::uint64_t before = fleet.sent;
+    for (const arrival &each : trace) {
+        fleet.at(each.at, [&fleet, each] { fleet.request(each.seat, each.account); });
+    }
+    fleet.runUntil(warmEnd + 31s);
+    return {.admitted = fleet.admitted, .messages = fleet.sent - before};
+}
+
+double worstExcess(std::span<const instant> times, const rate_limit &limit)
+{
+    double level = limit.burst;
+    double worst = 0;
+    instant last = warmEnd;
+    for (const instant each : times) {
+        const double seconds = std::chrono::duration<double>(each - last).count();
+        level = std::min(limit.burst, level + limit.ratePerSecond * seconds) - 1;
+        last = each;
+        worst = std::max(worst, -level);
+    }
+    return worst;
+}
+
+void report(const pattern &how, const char *name, const outcome &allowed, const outcome &result)
+{
+    double missing = 0;
+    double total = 0;
+    double worstMissing = 0;
+    double excess = 0;
+    for (const auto &[account, times] : allowed.admitted) {
+        const auto found = result.admitted.find(account);
+        const std::vector<instant> none;
+        const std::vector<instant> &got = found == result.admitted.end() ? none : found->second;
+        const double lost = std::max(0.0, static_cast<double>(times.size()) - static_cast<double>(got.size()));
+        missing += lost;
+        total += static_cast<double>(times.size());
+        worstMissing = std::max(worstMissing, lost / static_cast<double>(times.size()));
+        excess = std::max(excess, worstExcess(got, limitFor(account)) / limitFor(account).burst);
+    }
+    std::printf("| %-26s | %-16s | %6.2f | %6.2f | %7.1f | %7.0f |\n", how.name, name, 100 * missing / total,
+                100 * worstMissing, 100 * excess, static_cast<double>(result.messages) / 30);
+}
+
+void compareWays(std::uint64_t seed)
+{
+    std::printf("seed %llu, %zu VMs, %u accounts\n", static_cast<unsigned long long>(seed), vmCount, accountCount);
+    std::printf("| traffic | way | refused within rate %% | at the worst account %% | over-admission, %% of burst | "
+                "messages/s |\n|---|---|---|---|---|---|\n");
+    const pattern patterns[] = {{"spread over all VMs", 0.9, 1, 0s, 0, 0}, {"at one VM", 0.9, 1, 1h, 0, 0},
+                                {"moves every 2 s", 0.9, 1, 2s, 0, 0},     {"moves, 2 % loss", 0.9, 1, 2s, 0, 0.02},
+                                {"bursts of 0.8", 0.3, 1, 0s, 0.8, 0},     {"one account floods x5", 0.9, 5, 0s, 0, 0}};
+    for (const pattern &how : patterns) {
+        std::mt19937_64 random(seed);
+        const std::vector<arrival> trace = makeTrace(how, random);
+        const outcome allowed = ideal(trace);
+        report(how, "static share", allowed, staticShare(trace));
+        report(how, "central bucket", allowed, centralBucket(trace, how, random));
+        report(how, "gossiped counts", allowed, gossipedCounts(trace, how, random));
+        report(how, "leases", allowed, leases(trace, how, seed));
+    }
+}
+
+void measureSize(std::uint32_t vms, std::uint32_t accounts, std::uint32_t requestsPerSecond, std::uint64_t seed)
+{
+    const double mean = static_cast<double>(requestsPerSecond) / accounts;
+    const limit_settings settings{.fleetSize = vms};
+    limiter_fleet fleet(vms, settings, {.defaults = {2 * mean, 4 * mean}}, seed);
+    fleet.runUntil(warmEnd);
+    std::uint64_t bytes = 0;
+    std::vector<std::uint64_t> bytesOf(vms);
+    fleet.onSend = [&](std::size_t from, const limit_send &send) {
+        const std::size_t size =
+            encodeEnvelope({.kind = channel::Limits, .body = encodeLimitMessage(send.message)}).size();
+        bytes += size;
+        bytesOf[from] += size;
+    };
+    const duration length = 4s;
+    const auto distance = duration(1'000'000 / requestsPerSecond);
+    const std::clock_t started = std::clock();
+    const std::uint64_t sentBefore = fleet.sent;
+    for (instant when = warmEnd; when < warmEnd + length; when += 1ms) {
+        for (std::uint32_t number = 0; number < requestsPerSecond / 1'000; ++number) {
+            const std::size_t seat = fleet.pick(vms);
+            const account_id account{static_cast<std::uint32_t>(1 + fleet.pick(accounts))};
+            fleet.at(when + number * distance, [&fleet, seat, account] { fleet.request(seat, account); });
+        }
+        fleet.runUntil(when + 1ms);
+    }
+    const double cpu = static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+    std::size_t entryAccounts = 0;
+    std::size_t owned = 0;
+    std::size_t lessees = 0;
+    for (const fleet_vm &vm : fleet.vms) {
+        entryAccounts = std::max(entryAccounts, vm.state.entry.accounts.size());
+        owned = std::max(owned, vm.state.owner.accounts.size());
+        std::size_t records = 0;
+        for (const auto &[id, account] : vm.state.owner.accounts) {
+            records += account.lessees.size();
+        }
+        lessees = std::max(lessees, records);
+    }
+    const double requests = requestsPerSecond * std::chrono::duration<double>(length).count();
+    const double vmSeconds = vms * std::chrono::duration<double>(length).count();
+    const double memory =
+        static_cast<double>(entryAccounts * (sizeof(leased_account) + 32) + owned * (sizeof(owned_account) + 32)
+                            + lessees * (sizeof(lessee_record) + 32));
+    std::printf("| %u | %u | %u | %.3f | %.0f | %.0f | %.2f | %zu | %zu | %zu | %.0f | %.2f |\n", vms, accounts,
+                requestsPerSecond, 100 * static_cast<double>(fleet.refused) / requests,
+                static_cast<double>(bytes) / vmSeconds,
+                static_cast<double>(std::ranges::max(bytesOf)) / std::chrono::duration<double>(length).count(),
+                static_cast<double>(fleet.sent - sentBefore) / requests, entryAccounts, owned, lessees, memory / 1024,
+                100 * cpu / vmSeconds);
+}
+
+void measureSizes(std::uint64_t seed)
+{
+    std::printf("seed %llu; load at half the rates, spread over all VMs\n", static_cast<unsigned long long>(seed));
+    std::printf(
+        "| VMs | accounts | requests/s | refused %% | bytes/s per VM | bytes/s at the busiest VM | messages per "
+        "request | accounts in use, most | owned, most | leases owned, most | KiB, most | %% of a core per VM "
+        "|\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    measureSize(48, 8, 12'000, seed);
+    measureSize(300, 8'750, 80'000, seed);
+    measureSize(600, 17'500, 160'000, seed);
+    measureSize(1'200, 35'000, 320'000, seed);
+}
+
+} // namespace
+
+} // namespace guavafront
+
+int main(int argc, char **argv)
+{
+    const std::string_view what = argc > 1 ? argv[1] : "ways";
+    const std::uint64_t seed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    if (what == "sizes") {
+        guavafront::measureSizes(seed);
+    } else {
+        guavafront::compareWays(seed);
+    }
+    return 0;
+}
--- a/src/coordination/limits/lease_owner.cpp
+++ b/src/coordination/limits/lease_owner.cpp
@@ -10,12 +10,14 @@
 namespace
 {
 
-/// Leases beyond the measured demand, so that a growing account need not ask at once.
-constexpr double rateHeadroom = 1.25;
+/// Part of its demand that a VM mints itself. The rest comes from the reserve, so that little overflows at the VM.
+constexpr double mintedPart = 0.75;
 /// Part of a pool's rate that is leased by demand; the rest refills the reserve for newcomers.
 constexpr double leasablePart = 0.9;
-/// Part of the free capacity that a VM with waiting requests gets beyond its demand.
+/// Part of that spare capacity that one VM with waiting requests gets.
 constexpr double firstChunkPart = 0.125;
+/// Part of the burst that may be leased beyond demand; the rest stays for requests that wait.
+constexpr double spareLeasedPart = 0.25;
 /// Capacity that a VM with little demand gets when there isn't enough for all.
 constexpr double smallestCapacity = 2;
 constexpr duration shortestRetry = std::chrono::milliseconds(1);
@@ -101,14 +103,14 @@
 /// The part of what is leasable that falls to a VM; 1 while there is enough for all.
 double fairPart(const owned_account &account, const grant_bounds &bounds)
 {
-    const double wanted = rateHeadroom * account.demand;
+    const double wanted = mintedPart * account.demand;
     const double leasable = leasablePart * bounds.total.ratePerSecond;
     return wanted > leasable ? leasable / wanted : 1;
 }
 
 double rateFor(const owned_account &account, double demand, const grant_bounds &bounds)
 {
-    return std::min(rateHeadroom * demand * fairPart(account, bounds), bounds.free.ratePerSecond);
+    return std::min(mintedPart * demand * fairPart(account, bounds), bounds.free.ratePerSecond);
 }
 
 double capacityFor(const owned_account &account, const limit_settings &settings, const lease_request_item &item,
@@ -120,7 +122,8 @@
     const double renewSeconds = std::chrono::duration<double>(settings.renewPeriod).count();
     double capacity = 1 + item.waiting + 2 * renewSeconds * item.demand;
     if (item.waiting > 0) {
-        capacity += firstChunkPart * bounds.free.burst;
+        const double leased = bounds.total.burst - bounds.free.burst;
+        capacity += firstChunkPart * std::max(0.0, spareLeasedPart * bounds.total.burst - leased);
     }
     if (fairPart(account, bounds) < 1) {
         const double fair = leasablePart * bounds.total.burst * item.demand / account.demand;
@@ -153,7 +156,9 @@
     account.demand += item.demand;
     lease_grant_item grant{.account = item.account};
     grant.capacity = capacityFor(account, settings, item, bounds);
-    grant.rate = grant.capacity > 0 ? rateFor(account, item.demand, bounds) : 0;
+    // Tokens minted at a VM with few requests would overflow there; in the reserve they serve all VMs.
+    const bool busy = item.demand >= settings.leasableDemand;
+    grant.rate = busy && grant.capacity > 0 ? rateFor(account, item.demand, bounds) : 0;
     account.demand -= item.demand;
     const double room = std::min(grant.capacity - item.level, bounds.free.burst - record.held.leased.burst);
     grant.tokens = std::clamp(room, 0.0, account.reserve.level);
--- a/src/coordination/limits/lessee.cpp
+++ b/src/coordination/limits/lessee.cpp
@@ -50,7 +50,8 @@
     account.measuredAt = now;
 }
 
-/// Capacity that the demand of two renewals fills, and the requests that wait.
+} // namespace
+
 double neededCapacity(const leased_account &account, const limit_settings &settings)
 {
     if (account.demand <= 0 && account.waiting == 0) {
@@ -59,8 +60,6 @@
     return 1 + account.waiting + 2 * secondsOf(settings.renewPeriod) * account.demand;
 }
 
-} // namespace
-
 void refillBucket(token_bucket &bucket, const limit_settings &settings, instant now)
 {
     if (now > bucket.refilledAt) {
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -13,6 +13,8 @@
 
 /// A lease this far used up is renewed early.
 constexpr double lowLevelPart = 0.25;
+/// Tokens beyond its need that a VM keeps until the next renewal.
+constexpr double spareTokens = 2;
 
 void deliver(limiter &state, vm_id from, const limit_message &message, instant now, limit_effects &effects);
 
@@ -81,18 +83,31 @@
     send(state, owner, std::move(request), now, effects);
 }
 
-bool needsRenewal(const leased_account &account)
+bool inUse(const leased_account &account)
 {
     return account.lease.limit.burst > 0 || account.arrivals > 0 || account.demand > 0;
 }
 
+/// Busy accounts renew in every period; others when little is left, too much is held, or the lease is half over.
+bool needsRenewal(const limit_settings &settings, const leased_account &account, instant now)
+{
+    if (!inUse(account)) {
+        return false;
+    }
+    const double arrivalRate = account.arrivals / std::chrono::duration<double>(settings.renewPeriod).count();
+    const bool busy = std::max(account.demand, arrivalRate) >= settings.leasableDemand;
+    const bool halfOver = now - account.askedAt >= settings.leaseLifetime / 2;
+    const bool tooMuch = account.lease.limit.burst > neededCapacity(account, settings) + spareTokens;
+    return busy || halfOver || tooMuch || account.lease.level < 1;
+}
+
 /// One request for each owner, with accounts in order.
 void renewLeases(limiter &state, instant now, limit_effects &effects)
 {
     std::vector<account_id> due;
     for (auto &[id, account] : state.entry.accounts) {
         refill(state, account, id, now);
-        if (needsRenewal(account) && !requestPending(state, account, now)) {
+        if (needsRenewal(state.settings, account, now) && !requestPending(state, account, now)) {
             due.push_back(id);
         }
     }
@@ -120,7 +135,7 @@
         const leased_account &account = entry.second;
         const bool shareAway = now < state.holder.shares[slotOf(state.settings, entry.first)].freeFrom;
         const bool ownFull = account.own.level >= account.own.limit.burst;
-        const bool idle = !needsRenewal(account) && account.waiting == 0 && !requestPending(state, account, now);
+        const bool idle = !inUse(account) && account.waiting == 0 && !requestPending(state, account, now);
         return idle && (shareAway || ownFull);
     });
 }
--- a/tests/limits/limiter_fleet.h
+++ b/tests/limits/limiter_fleet.h
@@ -46,6 +46,7 @@
     std::map<account_id, std::vector<instant>> admitted; ///< True times of admissions.
     std::uint64_t refused = 0; ///< Requests refused.
     std::uint64_t sent = 0; ///< Messages sent.
+    std::function<void(std::size_t, const limit_send &)> onSend; ///< Sees each message and its sender's seat.
     std::uint64_t lastIncarnation = 0; ///< Number of the VM started last.
 
     /// Event at a time; earlier numbers first.
@@ -187,6 +188,9 @@
     void transmit(std::size_t from, const limit_send &message)
     {
         ++sent;
+        if (onSend) {
+            onSend(from, message);
+        }
         const auto target = std::ranges::find(vms, message.to, [](const fleet_vm &vm) { return vm.state.self; });
         if (target == vms.end() || uniform() < faults.loss) {
             return;
