Lease single tokens to VMs with few requests

Change: a VM with few requests holds a stock only within a fifth of the burst; beyond that it gets tokens for the requests that wait, for 100 ms. A grant carries its lifetime. Top-ups leave room for what the VM mints itself.

--- a/include/guavafront/coordination/limits/lessee.h
+++ b/include/guavafront/coordination/limits/lessee.h
@@ -47,6 +47,9 @@
 void refillAccount(leased_account &account, const limit_settings &settings, const rate_limit &limit,
                    instant shareFreeFrom, instant now);
 
+/// Measures the demand where a renewal period has passed, or at once where it surges.
+void measureDemand(leased_account &account, const limit_settings &settings, instant now);
+
 /// Capacity that the demand of two renewals fills, and the requests that wait.
 double neededCapacity(const leased_account &account, const limit_settings &settings);
 
--- a/include/guavafront/coordination/limits/limit_messages.h
+++ b/include/guavafront/coordination/limits/limit_messages.h
@@ -53,6 +53,7 @@
     double rate = 0; ///< Tokens a second the VM may mint.
     double capacity = 0; ///< Most tokens the VM may hold.
     double tokens = 0; ///< Tokens handed over now.
+    duration lifetime{}; ///< From the sending of the request; at most the leases' lifetime.
     duration retryAfter{}; ///< When a token is likely, where none could be given.
     bool operator==(const lease_grant_item &) const = default; ///< Memberwise equality.
 };
--- a/include/guavafront/coordination/limits/limit_settings.h
+++ b/include/guavafront/coordination/limits/limit_settings.h
@@ -32,6 +32,7 @@
     duration delegationLifetime = std::chrono::seconds(3); ///< A share comes back to its VM after it.
     duration renewPeriod = std::chrono::milliseconds(200); ///< Between renewals of a lease.
     duration leaseLifetime = std::chrono::seconds(1); ///< A lease that isn't renewed ends.
+    duration singleLifetime = std::chrono::milliseconds(100); ///< Of a lease for requests that wait, and no more.
     duration waitLimit = std::chrono::milliseconds(25); ///< Longest wait of a request for a token.
     duration requestTimeout = std::chrono::milliseconds(50); ///< An unanswered lease request may be sent again.
     double leasableDemand = 20; ///< Requests a second from which a VM gets a rate; below, it gets single tokens.
--- a/src/coordination/limits/lease_owner.cpp
+++ b/src/coordination/limits/lease_owner.cpp
@@ -14,10 +14,12 @@
 constexpr double mintedPart = 0.75;
 /// Part of a pool's rate that is leased by demand; the rest refills the reserve for newcomers.
 constexpr double leasablePart = 0.9;
-/// Part of that spare capacity that one VM with waiting requests gets.
+/// Part of the burst that VMs with few requests may hold in stock; the rest stays for requests that wait.
+constexpr double spareLeasedPart = 0.2;
+/// Part of the reserve that a VM gets whose demand isn't known yet.
 constexpr double firstChunkPart = 0.125;
-/// Part of the burst that may be leased beyond demand; the rest stays for requests that wait.
-constexpr double spareLeasedPart = 0.25;
+/// Covers what encoding and sums of fractions round away.
+constexpr double roundingTokens = 0.01;
 /// Capacity that a VM with little demand gets when there isn't enough for all.
 constexpr double smallestCapacity = 2;
 constexpr duration shortestRetry = std::chrono::milliseconds(1);
@@ -113,6 +115,22 @@
     return std::min(mintedPart * demand * fairPart(account, bounds), bounds.free.ratePerSecond);
 }
 
+/// What a VM with few requests gets: a small stock while the spare part lasts, else tokens for those that wait. A VM
+/// whose demand isn't known yet may soon be busy, if the account's rate is high enough for that.
+double smallCapacity(const owned_account &account, const limit_settings &settings, const lease_request_item &item,
+                     const grant_bounds &bounds)
+{
+    if (item.demand <= 0 && bounds.total.ratePerSecond >= settings.leasableDemand) {
+        return 1 + item.waiting + firstChunkPart * account.reserve.level;
+    }
+    const double spare = spareLeasedPart * bounds.total.burst - (bounds.total.burst - bounds.free.burst);
+    const double stock = 1 + std::chrono::duration<double>(settings.renewPeriod).count() * item.demand;
+    if (item.demand > 0 && stock + item.waiting <= spare) {
+        return stock + item.waiting;
+    }
+    return std::max(item.level, item.waiting + roundingTokens);
+}
+
 double capacityFor(const owned_account &account, const limit_settings &settings, const lease_request_item &item,
                    const grant_bounds &bounds)
 {
@@ -120,12 +138,10 @@
         return 0;
     }
     const double renewSeconds = std::chrono::duration<double>(settings.renewPeriod).count();
-    double capacity = 1 + item.waiting + 2 * renewSeconds * item.demand;
-    if (item.waiting > 0) {
-        const double leased = bounds.total.burst - bounds.free.burst;
-        capacity += firstChunkPart * std::max(0.0, spareLeasedPart * bounds.total.burst - leased);
-    }
-    if (fairPart(account, bounds) < 1) {
+    double capacity = 1 + item.waiting + 1.5 * renewSeconds * item.demand;
+    if (item.demand < settings.leasableDemand) {
+        capacity = smallCapacity(account, settings, item, bounds);
+    } else if (fairPart(account, bounds) < 1) {
         const double fair = leasablePart * bounds.total.burst * item.demand / account.demand;
         capacity = std::min(capacity, std::max(smallestCapacity, fair));
     }
@@ -160,17 +176,21 @@
     const bool busy = item.demand >= settings.leasableDemand;
     grant.rate = busy && grant.capacity > 0 ? rateFor(account, item.demand, bounds) : 0;
     account.demand -= item.demand;
-    const double room = std::min(grant.capacity - item.level, bounds.free.burst - record.held.leased.burst);
+    const double minted = grant.rate * std::chrono::duration<double>(settings.renewPeriod).count();
+    const double level = std::max(grant.capacity - minted, std::min(1.0 + item.waiting, grant.capacity));
+    const double room = std::min(level - item.level, bounds.free.burst - record.held.leased.burst);
     grant.tokens = std::clamp(room, 0.0, account.reserve.level);
     account.reserve.level -= grant.tokens;
     const bool wanted = item.waiting > 0;
     if (wanted && item.level + grant.tokens < 1) {
         grant.retryAfter = retryAfter(account, bounds, 1 - item.level - grant.tokens);
     }
+    const bool single = item.waiting > 0 && grant.capacity <= item.waiting + roundingTokens;
+    grant.lifetime = single ? settings.singleLifetime : settings.leaseLifetime;
     record.offered = {.sequence = record.lastSequence,
                       .leased = {.ratePerSecond = grant.rate, .burst = grant.capacity},
                       .tokens = grant.tokens,
-                      .until = now + stretched(settings, settings.leaseLifetime)};
+                      .until = now + stretched(settings, grant.lifetime)};
     return grant;
 }
 
--- a/src/coordination/limits/lessee.cpp
+++ b/src/coordination/limits/lessee.cpp
@@ -26,6 +26,8 @@
     return std::chrono::duration<double>(span).count();
 }
 
+} // namespace
+
 void measureDemand(leased_account &account, const limit_settings &settings, instant now)
 {
     const duration elapsed = now - account.measuredAt;
@@ -50,8 +52,6 @@
     account.measuredAt = now;
 }
 
-} // namespace
-
 double neededCapacity(const leased_account &account, const limit_settings &settings)
 {
     if (account.demand <= 0 && account.waiting == 0) {
@@ -98,9 +98,7 @@
                                   std::uint64_t sequence, instant now)
 {
     measureDemand(account, settings, now);
-    const double waitingDemand = account.waiting / secondsOf(settings.renewPeriod);
-    lease_request_item item{
-        .account = id, .demand = std::max(account.demand, waitingDemand), .waiting = account.waiting};
+    lease_request_item item{.account = id, .demand = account.demand, .waiting = account.waiting};
     if (account.leaseOwner == owner) {
         token_bucket &lease = account.lease;
         lease.limit.burst = std::min(lease.limit.burst, neededCapacity(account, settings));
@@ -123,7 +121,8 @@
                  const lease_grant_item &grant, instant now)
 {
     const bool expected = account.asking && account.askedSequence == sequence && account.askedOwner == owner;
-    if (!expected || now >= account.askedAt + settings.leaseLifetime) {
+    const instant end = account.askedAt + std::min(grant.lifetime, settings.leaseLifetime);
+    if (!expected || now >= end) {
         return false;
     }
     const double kept = account.leaseOwner == owner ? account.lease.level : 0;
@@ -132,7 +131,7 @@
     account.lease.refilledAt = now;
     account.leaseSequence = sequence;
     account.leaseOwner = owner;
-    account.leaseEnd = account.askedAt + settings.leaseLifetime;
+    account.leaseEnd = end;
     account.asking = false;
     account.retryAfter = grant.retryAfter;
     account.emptyUntil = now + std::min(grant.retryAfter, settings.renewPeriod);
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -88,7 +88,8 @@
     return account.lease.limit.burst > 0 || account.arrivals > 0 || account.demand > 0;
 }
 
-/// Busy accounts renew in every period; others when little is left, too much is held, or the lease is half over.
+/// Busy accounts renew in every period; others that hold tokens when little is left, too much is held, or the lease is
+/// half over.
 bool needsRenewal(const limit_settings &settings, const leased_account &account, instant now)
 {
     if (!inUse(account)) {
@@ -96,9 +97,10 @@
     }
     const double arrivalRate = account.arrivals / std::chrono::duration<double>(settings.renewPeriod).count();
     const bool busy = std::max(account.demand, arrivalRate) >= settings.leasableDemand;
+    const bool holds = account.lease.limit.burst > 0;
     const bool halfOver = now - account.askedAt >= settings.leaseLifetime / 2;
     const bool tooMuch = account.lease.limit.burst > neededCapacity(account, settings) + spareTokens;
-    return busy || halfOver || tooMuch || account.lease.level < 1;
+    return busy || (holds && (halfOver || tooMuch || account.lease.level < 1));
 }
 
 /// One request for each owner, with accounts in order.
@@ -109,6 +111,8 @@
         refill(state, account, id, now);
         if (needsRenewal(state.settings, account, now) && !requestPending(state, account, now)) {
             due.push_back(id);
+        } else if (now - account.measuredAt >= state.settings.leaseLifetime) {
+            measureDemand(account, state.settings, now);
         }
     }
     std::ranges::sort(due);
--- a/src/wire/limits_codec.cpp
+++ b/src/wire/limits_codec.cpp
@@ -18,7 +18,7 @@
 constexpr double thousandths = 1'000;
 /// Largest amount of tokens that a message carries.
 constexpr std::uint64_t maxThousandths = 1'000'000'000'000;
-constexpr std::uint64_t maxRetryMicroseconds = 3'600'000'000;
+constexpr std::uint64_t maxMicroseconds = 3'600'000'000;
 
 /// First field of a message; numbers are stable between versions.
 enum class message_kind : std::uint8_t {
@@ -64,7 +64,11 @@
 
 nlohmann::json encodeItem(const lease_grant_item &item, std::uint64_t /*sequence*/)
 {
-    return {item.account.value, roundedDown(item.rate), roundedDown(item.capacity), roundedDown(item.tokens),
+    return {item.account.value,
+            roundedDown(item.rate),
+            roundedDown(item.capacity),
+            roundedDown(item.tokens),
+            static_cast<std::uint64_t>(item.lifetime.count()),
             static_cast<std::uint64_t>(item.retryAfter.count())};
 }
 
@@ -136,13 +140,14 @@
 
 lease_grant_item readGrantItem(const nlohmann::json &value)
 {
-    cbor_fields fields(value, "lease grant", 5);
+    cbor_fields fields(value, "lease grant", 6);
     lease_grant_item item;
     item.account.value = fields.whole<std::uint32_t>();
     item.rate = readTokens(fields);
     item.capacity = readTokens(fields);
     item.tokens = readTokens(fields);
-    item.retryAfter = duration(static_cast<duration::rep>(fields.wholeUpTo(maxRetryMicroseconds)));
+    item.lifetime = duration(static_cast<duration::rep>(fields.wholeUpTo(maxMicroseconds)));
+    item.retryAfter = duration(static_cast<duration::rep>(fields.wholeUpTo(maxMicroseconds)));
     return item;
 }
 
