--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -67,7 +67,7 @@
         for (instant when = warmEnd; when < end; when += duration(1 + static_cast<duration::rep>(gap(random) * 1e6))) {
             const auto stays =
                 how.stay.count() == 0 ? random() : static_cast<std::uint64_t>((when - warmEnd) / how.stay);
-            trace.push_back({when, account, (stays * 7 + number * 5) % vmCount});
+            trace.push_back({when, account, (stays * 7 + std::uint64_t{number} * 5) % vmCount});
         }
         for (instant when = warmEnd + 2s; when < end && how.bursts > 0; when += 5s) {
             const std::size_t seat = random() % vmCount;
--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -11,7 +11,7 @@
 /// Bounds of what an entry VM holds at once.
 struct entry_bounds {
     std::uint32_t requests = 8'192; ///< Most requests under way.
-    std::uint64_t bodyBytes = 64 * 1'024 * 1'024; ///< Most bytes of their bodies together.
+    std::uint64_t bodyBytes = 67'108'864; ///< Most bytes of their bodies together.
 };
 
 /// Settings of an entry VM's decisions, the same on all VMs.
--- a/src/wire/limits_codec.h
+++ b/src/wire/limits_codec.h
@@ -11,7 +11,7 @@
 {
 
 /// Most bytes of an encoded message between limiters.
-constexpr std::size_t maxLimitMessageBytes = 256 * 1'024;
+constexpr std::size_t maxLimitMessageBytes = 262'144;
 
 /// CBOR of a message, for channel Limits. Tokens travel in thousandths, rounded to the side that leaves the sum of all
 /// VMs at or below the limit.
