--- a/include/guavafront/coordination/health/service_health.h
+++ b/include/guavafront/coordination/health/service_health.h
@@ -20,7 +20,7 @@
     float minBackgroundShare = 0.02F; ///< Bad outcomes that a healthy instance is granted in any case.
     float slowFactor = 3; ///< An answer this many times slower than the peers' is bad.
     duration slowMargin = std::chrono::milliseconds(20); ///< It must be slower by this as well; more than a trip.
-    duration scoreHalfLife = std::chrono::seconds(60); ///< Old evidence loses half its weight in it.
+    duration scoreHalfLife = std::chrono::seconds(15); ///< Old evidence loses half its weight in it.
     duration outcomeHalfLife = std::chrono::milliseconds(400); ///< Of the outcomes that show what is usual.
     duration firstHold = std::chrono::seconds(5); ///< First time out of rotation; doubles with each strike.
     duration longestHold = std::chrono::minutes(5); ///< Bound of the doubling.
