--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -69,7 +69,7 @@
 
 /// The membership changed.
 struct fleet_changed {
-    fleet_summary view; ///< Living VMs.
+    living_fleet view; ///< Living VMs.
 };
 
 /// Another VM told its view of upstreams' health.
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -27,7 +27,7 @@
 };
 
 /// What a VM knows of the fleet's other VMs.
-struct fleet_summary {
+struct living_fleet {
     std::uint32_t vmsInDataCentre = 1; ///< Living VMs of this one's data centre, itself included.
     std::uint32_t vms = 1; ///< All living VMs.
     bool hearsMajority = true; ///< It hears most of the fleet; otherwise it begins no ejection on others' word.
@@ -39,7 +39,7 @@
     std::string dataCentre; ///< Of this VM.
     balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
     std::uint32_t floorPercent = 70; ///< Ejection leaves this share of a service's capacity.
-    fleet_summary fleet; ///< Other VMs.
+    living_fleet fleet; ///< Other VMs.
     std::vector<selected_service> services; ///< Same indexes as in the registry.
     shared_evidence evidence; ///< Reports of all VMs, the own one included.
     std::unordered_map<instance_id, instant> corroboratedSince; ///< When enough VMs agreed, as heard here.
--- a/src/wire/health_codec.h
+++ b/src/wire/health_codec.h
@@ -5,11 +5,15 @@
 
 #include <cstddef>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace guavafront
 {
 
+/// Names of the quarantine's spread entries that are releases begin so; the others are deaths.
+constexpr std::string_view releasePrefix = "release/";
+
 /// Deaths of a request that an operator forgave, as it goes to the other VMs.
 struct quarantine_release {
     request_fingerprint request; ///< The request.
--- a/tests/entry/upstream_health_test.cpp
+++ b/tests/entry/upstream_health_test.cpp
@@ -21,7 +21,10 @@
         for (std::uint64_t id = 5; id <= 8; ++id) {
             announceInstance(id, "reservas");
         }
-        pass(1min);
+        for (int second = 0; second < 60; ++second) {
+            now += 1s;
+            run(time_passed{});
+        }
     }
 
     /// Runs a request to its end; the instance that its last try went to gives the result.
@@ -29,6 +32,7 @@
     instance_id complete(std::string_view method, const result_of &resultOf)
     {
         const exchange_id id = request(method, "/bookings");
+        BOOST_TEST_REQUIRE((find<start_attempt>() || find<refuse_request>()));
         instance_id last;
         while (const auto *started = find<start_attempt>()) {
             last = started->instance;
@@ -110,6 +114,7 @@
 {
     const attempt_result silent{.outcome = attempt_outcome::TimedOut, .bytesMayHaveLeft = true, .latency = 100ms};
     const exchange_id id = request("GET", "/bookings");
+    BOOST_REQUIRE(find<start_attempt>());
     const instance_id first = find<start_attempt>()->instance;
     BOOST_TEST(find<start_attempt>()->silenceLimit.count() > 0);
     run(attempt_ended{id, silent});
