--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -215,10 +215,14 @@
 void control_task::prove()
 {
     const std::optional<instant> asOf = confirmedAt(m_host.state());
-    if (asOf && *asOf > m_lastProof && m_options.proved) {
-        m_lastProof = *asOf;
+    if (!asOf || *asOf <= m_lastProof) {
+        return;
+    }
+    m_lastProof = *asOf;
+    if (m_options.proved) {
         m_options.proved({m_host.state().currentTerm, m_host.state().round, m_accepted->current, *asOf});
     }
+    admitWaiting();
 }
 
 void control_task::admitWaiting()
