--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -5,8 +5,8 @@
 #include <guavafront/coordination/core/refusal.h>
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/health/shared_evidence.h>
-#include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/limits/limiter.h>
+#include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 
 #include <cstdint>
@@ -88,9 +88,8 @@
 };
 
 /// All that an entry's decisions want done.
-using entry_effect =
-    std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
-                 withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
-                 publish_death, publish_release>;
+using entry_effect = std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request,
+                                  publish_instance, withdraw_instance, wake_at, limit_send, send_claim_message,
+                                  drop_connections, publish_health, publish_death, publish_release>;
 
 } // namespace guavafront
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -89,7 +89,7 @@
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
     }
-    options.watchers = watchersOf(std::make_shared<fleet_watch>(self, settings.vm.dataCentre, wiring), wiring);
+    options.watchers = watchersOf(std::make_shared<fleet_watch>(options.links.link.self, wiring), wiring);
     subscribe(options, channel::Configuration, wiring, [&wiring](vm_id from, envelope message) {
         wiring.configurations.post(configuration_from_peer{from, std::move(message)});
     });
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -45,23 +45,24 @@
 
 } // namespace
 
-fleet_watch::fleet_watch(vm_id self, std::string dataCentre, daemon_wiring &wiring)
+fleet_watch::fleet_watch(const peer_identity &self, daemon_wiring &wiring)
     : m_self(self)
-    , m_dataCentre(std::move(dataCentre))
     , m_wiring(wiring)
 {
 }
 
 void fleet_watch::handle(const fleet_view &view)
 {
-    m_wiring.control.post(control_vms_seen{othersWith(view, ControlRole, m_self)});
-    m_wiring.configurations.post(live_vms_changed{othersWith(view, EntryRole | ControlRole, m_self)});
-    std::vector<vm_id> entries = othersWith(view, EntryRole, m_self);
+    if ((m_self.roles & ControlRole) != 0) {
+        m_wiring.control.post(control_vms_seen{othersWith(view, ControlRole, m_self.id)});
+    }
+    m_wiring.configurations.post(live_vms_changed{othersWith(view, EntryRole | ControlRole, m_self.id)});
+    std::vector<vm_id> entries = othersWith(view, EntryRole, m_self.id);
     tellOfHearers(entries);
     m_entries = entries;
-    entries.insert(std::ranges::upper_bound(entries, m_self), m_self);
-    m_wiring.entries.post(limit_members_changed{std::move(entries)});
-    m_wiring.entries.post(fleet_changed{summaryOf(view, m_dataCentre)});
+    entries.insert(std::ranges::upper_bound(entries, m_self.id), m_self.id);
+    tellEntry(limit_members_changed{std::move(entries)});
+    tellEntry(fleet_changed{summaryOf(view, m_self.dataCentre)});
     m_freshness.isolated = view.aliveShare < majorityShare;
     tellOfFreshness();
 }
@@ -70,7 +71,7 @@
 {
     try {
         if (auto event = eventOf(entry)) {
-            m_wiring.entries.post(std::move(*event));
+            tellEntry(std::move(*event));
         }
     } catch (const coordination_error &error) {
         m_wiring.counters.countPeerMessage(error.code());
@@ -93,17 +94,24 @@
     std::vector<vm_id> found;
     std::ranges::set_difference(entries, m_entries, std::back_inserter(found));
     for (const vm_id vm : lost) {
-        m_wiring.entries.post(hearer_changed{vm, false});
-        m_wiring.entries.post(health_report_lost{vm});
+        tellEntry(hearer_changed{vm, false});
+        tellEntry(health_report_lost{vm});
     }
     for (const vm_id vm : found) {
-        m_wiring.entries.post(hearer_changed{vm, true});
+        tellEntry(hearer_changed{vm, true});
     }
 }
 
 void fleet_watch::tellOfFreshness()
 {
-    m_wiring.entries.post(m_freshness);
+    tellEntry(m_freshness);
+}
+
+void fleet_watch::tellEntry(entry_event event)
+{
+    if ((m_self.roles & EntryRole) != 0) {
+        m_wiring.entries.post(std::move(event));
+    }
 }
 
 peers_watchers watchersOf(const std::shared_ptr<fleet_watch> &watch, daemon_wiring &wiring)
--- a/src/daemon/fleet/fleet_watch.h
+++ b/src/daemon/fleet/fleet_watch.h
@@ -2,11 +2,12 @@
 
 #include "daemon/daemon_wiring.h"
 #include "daemon/peers/peers_options.h"
+#include "wire/handshake.h"
 
 #include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/entry/entry_event.h>
 
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace guavafront
@@ -18,7 +19,7 @@
 {
 public:
     /// News goes to the mailboxes of wiring, which outlives the watch.
-    fleet_watch(vm_id self, std::string dataCentre, daemon_wiring &wiring);
+    fleet_watch(const peer_identity &self, daemon_wiring &wiring);
 
     /// Live VMs changed.
     void handle(const fleet_view &view);
@@ -33,8 +34,9 @@
     void tellOfHearers(const std::vector<vm_id> &entries);
     void tellOfFreshness();
 
-    vm_id m_self; ///< This VM.
-    std::string m_dataCentre; ///< Of this VM.
+    void tellEntry(entry_event event);
+
+    peer_identity m_self; ///< This VM.
     daemon_wiring &m_wiring; ///< Not owned.
     std::vector<vm_id> m_entries; ///< Other entry VMs that live, ordered by id.
     freshness_changed m_freshness; ///< As last told.
--- a/src/daemon/fleet/shared_state.cpp
+++ b/src/daemon/fleet/shared_state.cpp
@@ -17,7 +17,6 @@
 {
 
 constexpr std::string_view deathPrefix = "death:";
-constexpr std::string_view releasePrefix = "release:";
 constexpr int hexBase = 16;
 
 std::string hexOf(std::uint64_t number)
--- a/tests/docs/result_codes_test.cpp
+++ b/tests/docs/result_codes_test.cpp
@@ -27,7 +27,7 @@
     static std::string rowOf(const result_code_row &row)
     {
         return "| " + std::to_string(static_cast<unsigned>(row.code)) + " | `" + std::string(row.name) + "` | "
-            + std::to_string(row.httpStatus) + " | " + std::string(row.meaning) + " |\n";
+               + std::to_string(row.httpStatus) + " | " + std::string(row.meaning) + " |\n";
     }
 };
 
--- a/tests/entry/spread_events_test.cpp
+++ b/tests/entry/shared_state_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/entry/spread_events.h"
+#include "daemon/fleet/shared_state.h"
 #include "wire/health_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
@@ -12,7 +12,7 @@
 {
 
 /// Entries of VM 7.
-struct spread_events_fixture {
+struct shared_state_fixture {
     static spread_entry entryOf(spread_topic topic, std::string name, std::vector<std::byte> payload)
     {
         return {.key = {.topic = topic, .owner = {7}, .name = std::move(name)}, .payload = std::move(payload)};
@@ -21,7 +21,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(spread_events_test, spread_events_fixture)
+BOOST_FIXTURE_TEST_SUITE(shared_state_test, shared_state_fixture)
 
 BOOST_AUTO_TEST_CASE(eventOf_healthEntry_reportedThenLost)
 {
@@ -39,7 +39,8 @@
     const lost_request death{.what = {.request = {3}, .instance = {4}}};
     const auto died = eventOf(entryOf(spread_topic::Quarantine, "3/4", encodeDeath(death)));
     BOOST_TEST((std::get<death_learned>(*died).death.what == death.what));
-    const auto released = eventOf(entryOf(spread_topic::Quarantine, "release/3", encodeRelease({{3}, {{4}}})));
+    const auto released =
+        eventOf(entryOf(spread_topic::Quarantine, std::string(releasePrefix) + "3", encodeRelease({{3}, {{4}}})));
     BOOST_TEST((std::get<release_learned>(*released).forgiven == std::vector<instance_id>{{4}}));
 }
 
