Agree on the VMs that keep claims in the control's log

Cause: nothing made the agreed view of the VMs that keep claims, so every request with an Idempotency-Key on a route that may not be repeated waited for its deadline and was refused as claim_undecided. Ruled out: a change of the configuration for each view (each VM that dies would cost an operator a conflict). Change: entry VMs offer themselves with their life in the spread map, the leader proposes the next view as a command of its own at most every 2 s, views follow each other without a gap, control VMs pass the agreed one on.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -82,14 +82,20 @@
     std::vector<instance_id> forgiven; ///< Deaths that no longer count.
 };
 
+/// Tell the control VMs that this VM can keep claims, in its present life.
+struct publish_claims_member {
+    claims_member member; ///< This VM.
+};
+
 /// Send time_passed at that time, or earlier; the last one of a step counts.
 struct wake_at {
     instant when; ///< Time to wake.
 };
 
 /// All that an entry's decisions want done.
-using entry_effect = std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request,
-                                  publish_instance, withdraw_instance, wake_at, limit_send, send_claim_message,
-                                  drop_connections, publish_health, publish_death, publish_release>;
+using entry_effect =
+    std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
+                 withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
+                 publish_death, publish_release, publish_claims_member>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/spread/spread_message.h
+++ b/include/guavafront/coordination/spread/spread_message.h
@@ -21,7 +21,8 @@
     Limits = 3, ///< Demand on client accounts' rates.
     Revisions = 4, ///< Revision in force on a VM.
     Diagnostics = 5, ///< What operators like to know.
-    Last = Diagnostics, ///< Highest known number.
+    Claims = 6, ///< VMs that can keep claims, and the agreed view of them.
+    Last = Claims, ///< Highest known number.
 };
 
 /// Name of an entry. Only its owner writes it.
--- a/src/coordination/entry/entry_step.h
+++ b/src/coordination/entry/entry_step.h
@@ -66,7 +66,7 @@
 void updateUpstreams(step_context &context, const instance_forgotten &event);
 /// A VM that answered for instances was lost or found.
 void updateUpstreams(step_context &context, const hearer_changed &event);
-/// Tells the other VMs again of this VM's own instances and of its view of upstreams' health.
+/// Tells the other VMs again of this VM, its own instances and its view of upstreams' health.
 void publishAgain(step_context &context);
 /// Leases that have run out.
 void expireInstances(step_context &context);
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -53,6 +53,8 @@
             }
         }
     }
+    context.effects.emplace_back(publish_claims_member{
+        {.id = state.identity.self, .life = state.identity.life, .dataCentre = state.identity.dataCentre}});
     const auto own = state.selection.evidence.reports.find(state.identity.self);
     if (own != state.selection.evidence.reports.end()) {
         context.effects.emplace_back(publish_health{own->second});
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -2,6 +2,7 @@
 
 #include "wire/envelope.h"
 
+#include <guavafront/coordination/claims/claims_view.h>
 #include <guavafront/coordination/configuration/change_log.h>
 #include <guavafront/coordination/replication/membership.h>
 
@@ -54,12 +55,17 @@
     std::vector<vm_id> vms; ///< Their identities.
 };
 
+/// Live VMs that can keep claims; the leader agrees on a view of them.
+struct claims_members_seen {
+    std::vector<claims_member> live; ///< Ordered by id.
+};
+
 /// The configuration task has started and wants the accepted configuration again.
 struct accepted_wanted {
 };
 
 /// What the control task reacts to.
 using control_message = std::variant<change_submitted, status_requested, replacement_submitted, replication_from_peer,
-                                     control_vms_seen, accepted_wanted>;
+                                     control_vms_seen, claims_members_seen, accepted_wanted>;
 
 } // namespace guavafront
--- a/src/daemon/control/control_state.h
+++ b/src/daemon/control/control_state.h
@@ -2,6 +2,7 @@
 
 #include "wire/handshake.h"
 
+#include <guavafront/coordination/claims/claims_view.h>
 #include <guavafront/coordination/configuration/change_log.h>
 #include <guavafront/coordination/configuration/configuration_follower.h>
 
@@ -17,6 +18,7 @@
 struct control_state {
     change_log log; ///< Configuration and answers.
     history_digest digest{}; ///< Of the configuration's history.
+    claims_view claims; ///< VMs that keep claims.
     bool operator==(const control_state &) const = default; ///< Memberwise equality.
 };
 
@@ -26,7 +28,10 @@
     std::optional<configuration_delta> delta; ///< The revision it made, when it was accepted and is new.
 };
 
-/// Applies a command, an encoded proposal. Throws coordination_error when it can't be decoded.
+/// Command that makes a view of the VMs that keep claims the agreed one, unless another one came first.
+std::vector<std::byte> encodeClaimsCommand(const claims_view &next);
+
+/// Applies a command, an encoded proposal or claims command. Throws coordination_error when it can't be decoded.
 applied_command applyCommand(control_state &state, const fleet_secret &secret, std::span<const std::byte> payload);
 
 /// CBOR of the state, for a snapshot.
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// Least time between two views, so that the homes of one have taken over before the next one.
+constexpr duration claimsViewPause = std::chrono::seconds(2);
+
 const char *nameOf(replica_role role)
 {
     switch (role) {
@@ -99,6 +102,11 @@
     admitWaiting();
 }
 
+void control_task::handle(const claims_members_seen &message)
+{
+    m_claimsMembers = message.live;
+}
+
 void control_task::handle(const accepted_wanted & /*message*/)
 {
     publish({});
@@ -137,6 +145,7 @@
             m_accepted = std::make_shared<const configuration>(m_state.log.value);
             publish({std::move(*applied.delta)});
         }
+        passOnClaimsView();
     }
     settleAt(record, answer);
 }
@@ -146,6 +155,7 @@
     m_state = decodeControlState(snapshot.state);
     m_accepted = std::make_shared<const configuration>(m_state.log.value);
     publish({});
+    passOnClaimsView();
 }
 
 void control_task::settle(std::uint64_t ticket, const change_answer &answer)
@@ -223,6 +233,29 @@
         m_options.proved({m_host.state().currentTerm, m_host.state().round, m_accepted->current, *asOf});
     }
     admitWaiting();
+    proposeClaimsView();
+}
+
+void control_task::proposeClaimsView()
+{
+    const instant now = loop::now();
+    const claims_view next = nextView(m_state.claims, m_claimsMembers);
+    const bool tooSoon = now < m_claimsProposed + claimsViewPause;
+    if (m_host.state().role != replica_role::Leader || tooSoon || next == m_state.claims) {
+        return;
+    }
+    m_claimsProposed = now;
+    m_host.post(command_proposed{addPending({}), encodeClaimsCommand(next)});
+}
+
+void control_task::passOnClaimsView()
+{
+    if (m_options.claimsAgreed && m_state.claims.epoch > m_claimsPassedOn) {
+        m_claimsPassedOn = m_state.claims.epoch;
+        LOG(INFO) << "control: view " << m_claimsPassedOn.value << " of " << m_state.claims.members.size()
+                  << " VMs that keep claims";
+        m_options.claimsAgreed(m_state.claims);
+    }
 }
 
 void control_task::admitWaiting()
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -32,6 +32,7 @@
     replica_options replica; ///< Times and sizes.
     std::function<void(vm_id, envelope)> send; ///< Sends to another VM; may lose.
     std::function<void(const leadership_proof &)> proved; ///< Called for each new proof; may be empty.
+    std::function<void(const claims_view &)> claimsAgreed; ///< Called for each agreed view; may be empty.
 };
 
 /// Hosts this VM's replica of the control's log: operators' changes go in, accepted configurations come out.
@@ -56,6 +57,7 @@
     void handle(const replacement_submitted &message);
     void handle(const replication_from_peer &message);
     void handle(const control_vms_seen &message);
+    void handle(const claims_members_seen &message);
     void handle(const accepted_wanted &message);
 
     replica_host_events hostEvents();
@@ -69,6 +71,8 @@
     void publish(std::vector<configuration_delta> deltas);
     void prove();
     void admitWaiting();
+    void proposeClaimsView();
+    void passOnClaimsView();
     std::vector<vm_id> waitingVms() const;
     std::uint64_t addPending(answer_handler answer);
 
@@ -80,6 +84,9 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_ticketAt; ///< Ticket by log index.
     std::uint64_t m_lastTicket = 0; ///< Last ticket given.
     std::vector<vm_id> m_seen; ///< Control VMs that are live.
+    std::vector<claims_member> m_claimsMembers; ///< Live VMs that can keep claims, ordered by id.
+    instant m_claimsProposed; ///< When this VM last proposed a view of them.
+    view_epoch m_claimsPassedOn; ///< Highest view that was passed on.
     instant m_lastProof; ///< Time of the last proof.
     replica_host m_host; ///< The replica.
     mailbox_attachment<control_message> m_attachment; ///< To the inbox.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "daemon/control/control_task.h"
 #include "daemon/entry/entry_task.h"
 #include "daemon/fleet/fleet_watch.h"
+#include "daemon/fleet/shared_state.h"
 #include "daemon/metrics/metrics_task.h"
 #include "daemon/operators/operators_task.h"
 #include "daemon/peers/peers_task.h"
@@ -163,6 +164,17 @@
     };
 }
 
+/// Has agreed views of the VMs that keep claims spread; a VM doesn't hear its own entries, so its entry task is told.
+std::function<void(const claims_view &)> claimsPublisher(const daemon_settings &settings, daemon_wiring &wiring)
+{
+    return [&wiring, isEntry = hasRole(settings, vm_role::Entry)](const claims_view &agreed) {
+        wiring.peers.post(publicationOf(agreed));
+        if (isEntry) {
+            wiring.entries.post(claims_view_changed{agreed});
+        }
+    };
+}
+
 child_spec configurationChild(const daemon_secrets &secrets, daemon_wiring &wiring)
 {
     return {.name = "configuration",
@@ -195,7 +207,8 @@
                                                         .secret = secrets.fleet,
                                                         .replica = {},
                                                         .send = sender(wiring),
-                                                        .proved = beaconIssuer(wiring)},
+                                                        .proved = beaconIssuer(wiring),
+                                                        .claimsAgreed = claimsPublisher(settings, wiring)},
                                                        wiring.control, wiring.configurations);
                                owner.run();
                            },
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -117,6 +117,7 @@
     owner.onStopRequested([this] { beginStop(); });
     outlets.configurations.post(configuration_wanted{});
     m_peers.post(resend_state{});
+    run(publications_lost{});
 }
 
 void entry_task::receive(exchange_id id, const http_request &request)
@@ -276,6 +277,11 @@
     m_pool.forget(effect.instance);
 }
 
+void entry_task::perform(const publish_claims_member &effect)
+{
+    m_peers.post(publicationOf(effect));
+}
+
 void entry_task::perform(const wake_at &effect)
 {
     m_wake.arm(effect.when - loop::now());
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -64,6 +64,7 @@
     void perform(const publish_instance &effect);
     void perform(const withdraw_instance &effect);
     void perform(const send_claim_message &effect);
+    void perform(const publish_claims_member &effect);
     void perform(const wake_at &effect);
     void perform(const limit_send &effect);
     void perform(const drop_connections &effect);
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -65,11 +65,13 @@
     tellEntry(fleet_changed{summaryOf(view, m_self.dataCentre)});
     m_freshness.isolated = view.aliveShare < majorityShare;
     tellOfFreshness();
+    tellOfClaimsMembers();
 }
 
 void fleet_watch::handle(const spread_entry &entry)
 {
     try {
+        noteClaimsMember(entry);
         if (auto event = eventOf(entry)) {
             tellEntry(std::move(*event));
         }
@@ -114,13 +116,36 @@
     }
 }
 
+void fleet_watch::noteClaimsMember(const spread_entry &entry)
+{
+    if (const std::optional<claims_member> member = claimsMemberOf(entry)) {
+        m_claimsMembers[member->id] = *member;
+        tellOfClaimsMembers();
+    }
+}
+
+void fleet_watch::tellOfClaimsMembers()
+{
+    std::erase_if(m_claimsMembers,
+                  [this](const auto &each) { return !std::ranges::binary_search(m_entries, each.first); });
+    if ((m_self.roles & ControlRole) == 0) {
+        return;
+    }
+    claims_members_seen seen;
+    for (const auto &[id, member] : m_claimsMembers) {
+        seen.live.push_back(member);
+    }
+    m_wiring.control.post(std::move(seen));
+}
+
 peers_watchers watchersOf(const std::shared_ptr<fleet_watch> &watch, daemon_wiring &wiring)
 {
     peers_watchers watchers;
     watchers.views = {[watch](const std::shared_ptr<const fleet_view> &view) {
         watch->handle(*view);
     }};
-    for (const spread_topic topic : {spread_topic::Instances, spread_topic::Health, spread_topic::Quarantine}) {
+    for (const spread_topic topic :
+         {spread_topic::Instances, spread_topic::Health, spread_topic::Quarantine, spread_topic::Claims}) {
         watchers.entries.emplace(topic, [watch](const spread_entry &entry) { watch->handle(entry); });
     }
     watchers.freshness = {[watch](const beacon_state &beacon) {
--- a/src/daemon/fleet/fleet_watch.h
+++ b/src/daemon/fleet/fleet_watch.h
@@ -7,6 +7,7 @@
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/entry/entry_event.h>
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -33,12 +34,15 @@
 private:
     void tellOfHearers(const std::vector<vm_id> &entries);
     void tellOfFreshness();
+    void noteClaimsMember(const spread_entry &entry);
+    void tellOfClaimsMembers();
 
     void tellEntry(entry_event event);
 
     peer_identity m_self; ///< This VM.
     daemon_wiring &m_wiring; ///< Not owned.
     std::vector<vm_id> m_entries; ///< Other entry VMs that live, ordered by id.
+    std::map<vm_id, claims_member> m_claimsMembers; ///< VMs that can keep claims, live or not.
     freshness_changed m_freshness; ///< As last told.
 };
 
--- a/src/daemon/fleet/shared_state.cpp
+++ b/src/daemon/fleet/shared_state.cpp
@@ -1,5 +1,6 @@
 #include "daemon/fleet/shared_state.h"
 
+#include "wire/claims_codec.h"
 #include "wire/health_codec.h"
 #include "wire/registry_codec.h"
 
@@ -16,6 +17,8 @@
 namespace
 {
 
+constexpr std::string_view claimsMemberName = "member";
+constexpr std::string_view claimsViewName = "view";
 constexpr std::string_view deathPrefix = "death:";
 constexpr int hexBase = 16;
 
@@ -95,6 +98,26 @@
             encodeRelease({effect.request, effect.forgiven})};
 }
 
+spread_publish publicationOf(const publish_claims_member &effect)
+{
+    return {spread_topic::Claims, std::string(claimsMemberName), encodeClaimsMember(effect.member)};
+}
+
+spread_publish publicationOf(const claims_view &agreed)
+{
+    return {spread_topic::Claims, std::string(claimsViewName), encodeClaimsView(agreed)};
+}
+
+std::optional<claims_member> claimsMemberOf(const spread_entry &entry)
+{
+    if (entry.key.topic != spread_topic::Claims || entry.key.name != claimsMemberName || entry.removed) {
+        return std::nullopt;
+    }
+    claims_member member = decodeClaimsMember(entry.payload);
+    member.id = entry.key.owner; // Nobody offers another VM.
+    return member;
+}
+
 std::optional<entry_event> eventOf(const spread_entry &entry)
 {
     switch (entry.key.topic) {
@@ -104,6 +127,11 @@
         return healthEvent(entry);
     case spread_topic::Quarantine:
         return quarantineEvent(entry);
+    case spread_topic::Claims:
+        if (entry.key.name == claimsViewName && !entry.removed) {
+            return claims_view_changed{decodeClaimsView(entry.payload)};
+        }
+        return std::nullopt;
     default:
         return std::nullopt;
     }
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -20,6 +20,7 @@
     if (!request.body.empty()) {
         headers.push_back({"Content-Type", "application/json"});
     }
+    headers.insert(headers.end(), request.headers.begin(), request.headers.end());
     const std::vector<header_view> views = viewsOf(headers);
     loop events;
     upstream_outcome outcome;
--- a/src/http/http_call.h
+++ b/src/http/http_call.h
@@ -17,6 +17,7 @@
     std::string_view target; ///< Path with query.
     std::string_view token; ///< Bearer token; empty sends none.
     std::string_view body; ///< JSON; may be empty.
+    std::span<const http_header> headers; ///< Further header fields.
     duration timeout = std::chrono::seconds(10); ///< To the whole answer.
 };
 
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -53,8 +53,8 @@
 bool holdsFrame(std::span<const std::byte> bytes)
 {
     while (!bytes.empty()) {
-        const auto found = std::ranges::search(bytes, frameMarker);
-        bytes = bytes.subspan(static_cast<std::size_t>(found.begin() - bytes.begin()));
+        const auto found = std::search(bytes.begin(), bytes.end(), frameMarker.begin(), frameMarker.end());
+        bytes = bytes.subspan(static_cast<std::size_t>(found - bytes.begin()));
         if (frameAt(bytes)) {
             return true;
         }
--- a/src/wire/claims_codec.cpp
+++ b/src/wire/claims_codec.cpp
@@ -307,6 +307,23 @@
     return toAlternative(number, fields.array(longest));
 }
 
+std::vector<std::byte> encodeClaimsMember(const claims_member &member)
+{
+    return encodeCbor(json::array({claimsFormatVersion, member.id.value, member.life, member.dataCentre}));
+}
+
+claims_member decodeClaimsMember(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxClaimsViewBytes);
+    cbor_fields fields(value, "claims member", 4);
+    fields.version(claimsFormatVersion);
+    claims_member member;
+    member.id = {fields.whole<std::uint64_t>()};
+    member.life = fields.whole<std::uint64_t>();
+    member.dataCentre = fields.text(maxDataCentre);
+    return member;
+}
+
 std::vector<std::byte> encodeClaimsView(const claims_view &view)
 {
     return encodeCbor(
--- a/src/wire/claims_codec.h
+++ b/src/wire/claims_codec.h
@@ -24,6 +24,12 @@
 /// The message. Throws coordination_error (MessageTooLarge, MessageMalformed, MessageUnknown), as does the one below.
 claim_message decodeClaimMessage(std::span<const std::byte> encoded);
 
+/// CBOR of a VM that can keep claims.
+std::vector<std::byte> encodeClaimsMember(const claims_member &member);
+
+/// The member.
+claims_member decodeClaimsMember(std::span<const std::byte> encoded);
+
 /// CBOR of a view.
 std::vector<std::byte> encodeClaimsView(const claims_view &view);
 
--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -182,8 +182,8 @@
     });
 }
 
-std::string fleet_processes::startUpstream(const std::string &service, std::vector<std::string> entries,
-                                           std::vector<std::string> moreOptions)
+std::string fleet_processes::startUpstream(const std::string &service, const std::vector<std::string> &entries,
+                                           const std::vector<std::string> &moreOptions)
 {
     std::string name = "upstream-" + std::to_string(++m_upstreams);
     const std::filesystem::path portFile = m_folder / (name + ".port");
@@ -215,7 +215,7 @@
     m_running.at(name)->kill();
 }
 
-void fleet_processes::operate(std::vector<std::string> arguments)
+void fleet_processes::operate(const std::vector<std::string> &arguments)
 {
     std::vector<std::string> all{"operator", "--token-file", "operator.token"};
     for (const std::string &control : m_controls) {
@@ -245,6 +245,15 @@
                     {.method = method, .target = target, .token = key, .body = body, .timeout = waitLimit});
 }
 
+http_answer fleet_processes::post(const std::string &entry, std::string_view target, std::string_view key,
+                                  std::string_view body, const std::string &idempotencyKey) const
+{
+    const std::vector<http_header> headers{{"Idempotency-Key", idempotencyKey}};
+    return httpCall(
+        {"127.0.0.1", portsOf(entry).callers},
+        {.method = "POST", .target = target, .token = key, .body = body, .headers = headers, .timeout = waitLimit});
+}
+
 http_answer fleet_processes::askUpstream(const std::string &upstream, std::string_view method,
                                          std::string_view target) const
 {
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -54,8 +54,8 @@
     void waitForLeader() const;
 
     /// Starts a stand-in of a service that announces itself to the given entry VMs in turn; gives its name.
-    std::string startUpstream(const std::string &service, std::vector<std::string> entries,
-                              std::vector<std::string> moreOptions = {});
+    std::string startUpstream(const std::string &service, const std::vector<std::string> &entries,
+                              const std::vector<std::string> &moreOptions = {});
 
     /// Sends a signal to a process.
     void signal(const std::string &name, int number);
@@ -67,7 +67,7 @@
     void kill(const std::string &name);
 
     /// Runs an operator command against all control VMs; throws when it fails.
-    void operate(std::vector<std::string> arguments);
+    void operate(const std::vector<std::string> &arguments);
 
     /// Creates an account with a key "key-of-NAME-0123456789" and gives the key.
     std::string createAccount(const std::string &name);
@@ -76,6 +76,10 @@
     http_answer request(const std::string &entry, std::string_view method, std::string_view target,
                         std::string_view key = {}, std::string_view body = {}) const;
 
+    /// POST with an idempotency key.
+    http_answer post(const std::string &entry, std::string_view target, std::string_view key, std::string_view body,
+                     const std::string &idempotencyKey) const;
+
     /// Request to a stand-in's own pages.
     http_answer askUpstream(const std::string &upstream, std::string_view method, std::string_view target) const;
 
