Benchmark of the time that one entry VM adds to a request

Change: bench/entry_latency_bench sends requests in turn straight and through the entry VM. Its figures follow once it has run on an idle machine.

--- /dev/null
+++ b/bench/entry_latency_bench.cpp
@@ -0,0 +1,118 @@
+#include "http/upstream_connection.h"
+#include "runtime/loop.h"
+#include "settings/endpoint.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t warmUpRequests = 200;
+constexpr std::size_t pairsMeasured = 3'000;
+constexpr duration requestTimeout = std::chrono::seconds(5);
+constexpr int statusOk = 200;
+
+/// One kept connection that sends GET requests one after the other.
+class probe
+{
+public:
+    probe(loop &owner, const endpoint &server, std::string target, const std::string &key)
+        : m_loop(owner)
+        , m_target(std::move(target))
+        , m_headers({{"Host", toText(server)}, {"X-Api-Key", key}})
+        , m_connection(owner, {.address = server.ip, .port = server.port}, [] {})
+    {
+    }
+
+    /// Time of one request in microseconds; nothing when it had no answer with status 200.
+    std::optional<std::int64_t> measure()
+    {
+        const std::vector<header_view> views = viewsOf(m_headers);
+        const instant started = loop::now();
+        std::optional<std::int64_t> taken;
+        m_connection.send(
+            {.method = "GET", .target = m_target, .headers = views, .body = {}, .timeout = requestTimeout},
+            [this, started, &taken](const upstream_outcome &outcome) {
+                if (outcome.result == upstream_result::Answered && outcome.answer.status == statusOk) {
+                    taken = (loop::now() - started).count();
+                }
+                m_loop.stop();
+            });
+        m_loop.run();
+        return taken;
+    }
+
+private:
+    loop &m_loop; ///< Not owned.
+    std::string m_target; ///< Path.
+    std::vector<http_header> m_headers; ///< With the key.
+    upstream_connection m_connection; ///< Kept open.
+};
+
+/// Prints percentiles of times in microseconds.
+void report(const char *name, std::vector<std::int64_t> times)
+{
+    std::ranges::sort(times);
+    const auto at = [&times](std::size_t percent) {
+        return times[(times.size() - 1) * percent / 100];
+    };
+    std::printf("%-8s p50 %lld us, p99 %lld us, %zu requests\n", name, static_cast<long long>(at(50)),
+                static_cast<long long>(at(99)), times.size());
+}
+
+/// Requests in turn straight to the upstream and through the entry VM.
+int runBench(const endpoint &upstream, const endpoint &entryVm, const std::string &target, const std::string &key)
+{
+    loop events;
+    probe direct(events, upstream, target, key);
+    probe through(events, entryVm, target, key);
+    std::vector<std::int64_t> directTimes;
+    std::vector<std::int64_t> throughTimes;
+    std::size_t refused = 0;
+    for (std::size_t pair = 0; pair < warmUpRequests + pairsMeasured; ++pair) {
+        const auto straight = direct.measure();
+        const auto proxied = through.measure();
+        if (!straight || !proxied) {
+            ++refused;
+        } else if (pair >= warmUpRequests) {
+            directTimes.push_back(*straight);
+            throughTimes.push_back(*proxied);
+        }
+    }
+    if (directTimes.empty()) {
+        std::fputs("no request was answered\n", stderr);
+        return 1;
+    }
+    report("direct", std::move(directTimes));
+    report("through", std::move(throughTimes));
+    std::printf("pairs without both answers: %zu\n", refused);
+    return 0;
+}
+
+} // namespace
+
+} // namespace guavafront
+
+/// Usage: entry_latency_bench UPSTREAM_IP:PORT ENTRY_IP:PORT PATH KEY, against a fleet that runs.
+int main(int argc, char **argv)
+{
+    constexpr int expectedArguments = 5;
+    if (argc != expectedArguments) {
+        std::fputs("usage: entry_latency_bench UPSTREAM_IP:PORT ENTRY_IP:PORT PATH KEY\n", stderr);
+        return 2;
+    }
+    const auto upstream = guavafront::parseEndpoint(argv[1]);
+    const auto entryVm = guavafront::parseEndpoint(argv[2]);
+    if (!upstream || !entryVm) {
+        std::fputs("addresses are IP:PORT\n", stderr);
+        return 2;
+    }
+    return guavafront::runBench(*upstream, *entryVm, argv[3], argv[4]);
+}
