Give leases back at the end of a planned stop

Cause: the entry task never sent stop_requested to its decisions, so a stopping VM kept its leases until they ran out (up to 1 s) and, as owner, went on asking for shares.

Change: when the last request is over, or at the drain limit, the task runs stop_requested and then ends its loop. Not at the closing of the listener: requests on kept connections are still served until then.

--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -104,7 +104,7 @@
     , m_drainLimit(owner,
                    [this] {
                        LOG(WARNING) << "drain limit reached with " << m_requests.size() << " requests under way";
-                       m_loop.stop();
+                       finishStop();
                    })
     , m_server(owner, m_options.server,
                {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
@@ -329,7 +329,13 @@
 void entry_task::closeListener()
 {
     m_drainLimit.arm(m_options.drainLimit);
-    m_server.stop(idleGraceWhenStopping, [this] { m_loop.stop(); });
+    m_server.stop(idleGraceWhenStopping, [this] { finishStop(); });
+}
+
+void entry_task::finishStop()
+{
+    run(stop_requested{}); // The last request is over: what is left of the leases goes back to their owners.
+    m_loop.stop();
 }
 
 } // namespace guavafront
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -76,6 +76,7 @@
     void count(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
     void closeListener();
+    void finishStop();
 
     loop &m_loop; ///< Not owned.
     entry_task_options m_options; ///< As constructed.
