Refuse requests with the caller's key in host, path or body

Ruled out: cutting the key out of path or body, which would change the request under its caller's feet.

Change: the front end looks for the presented key, plain or percent-encoded, in host, path and body; the decision refuses such a request with the new code 1023 key_misplaced (400, not run). Fields named like the key are dropped. The scan decodes only texts that hold a '%'. Keys have 16 bytes or more already (readSecretFile), so chance matches don't matter.

Cost of the scan: not measured.

--- a/include/guavafront/coordination/core/result_code.h
+++ b/include/guavafront/coordination/core/result_code.h
@@ -33,6 +33,7 @@
     ConnectFailed = 1020,
     OrderSuperseded = 1021,
     RateUndecided = 1022,
+    KeyMisplaced = 1023,
     RevisionConflict = 2001,
     ChangeInvalid = 2002,
     NotLeader = 2003,
--- a/include/guavafront/coordination/entry/request_head.h
+++ b/include/guavafront/coordination/entry/request_head.h
@@ -30,6 +30,7 @@
     std::string_view idempotencyKey; ///< Idempotency-Key as sent; empty when there is none.
     request_digest digest; ///< Of the whole request.
     std::uint32_t bodyBytes = 0; ///< Size of the body in bytes.
+    bool keyInContent = false; ///< The caller's key stands where it can't be removed; the request must not be sent.
 };
 
 } // namespace guavafront
--- a/src/coordination/core/result_code.cpp
+++ b/src/coordination/core/result_code.cpp
@@ -47,6 +47,8 @@
                     "A newer change of the same ordered resource was already sent."},
     result_code_row{result_code::RateUndecided, "rate_undecided", 503,
                     "No VM could tell in time whether the client account is within its rate."},
+    result_code_row{result_code::KeyMisplaced, "key_misplaced", 400,
+                    "The caller's key stands in the path or the body, which upstreams see."},
     result_code_row{result_code::RevisionConflict, "revision_conflict", 409,
                     "The change was based on another revision."},
     result_code_row{result_code::ChangeInvalid, "change_invalid", 422,
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -96,6 +96,10 @@
         refuseAtOnce(context, head.id, result_code::EntryStopping);
         return;
     }
+    if (head.keyInContent) {
+        refuseAtOnce(context, head.id, result_code::KeyMisplaced);
+        return;
+    }
     const route *match = findRoute(context.state.routes, head.host, head.path);
     if (!match) {
         refuseAtOnce(context, head.id, result_code::NoRoute);
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -130,7 +130,8 @@
                          .key = hashOfKey(callerKey(request.headers)),
                          .idempotencyKey = headerValue(request.headers, "Idempotency-Key"),
                          .digest = digestOf(request),
-                         .bodyBytes = static_cast<std::uint32_t>(request.body.size())}});
+                         .bodyBytes = static_cast<std::uint32_t>(request.body.size()),
+                         .keyInContent = contentHoldsKey(request, callerKey(request.headers))}});
 }
 
 void entry_task::callerGone(exchange_id id)
--- a/src/http/header_filter.cpp
+++ b/src/http/header_filter.cpp
@@ -93,7 +93,12 @@
 /// Whether the text holds the key that the caller presented, plain or percent-encoded.
 bool holdsKey(std::string_view text, std::string_view key)
 {
-    return !key.empty() && percentDecodedText(text).find(key) != std::string::npos;
+    if (key.empty()) {
+        return false;
+    }
+    const bool encoded = text.find('%') != std::string_view::npos;
+    return text.find(key) != std::string_view::npos
+           || (encoded && percentDecodedText(text).find(key) != std::string::npos);
 }
 
 /// Cookie value without the pairs that hold a caller's key.
@@ -175,7 +180,7 @@
     std::erase_if(kept, [key](const http_header &field) {
         const std::string_view prefix = std::string_view(field.name).substr(0, identityPrefix.size());
         return namesCallerKey(field.name) || sameFieldName(prefix, identityPrefix) || holdsKey(field.value, key)
-               || (field.value.empty() && sameFieldName(field.name, "Cookie"));
+               || holdsKey(field.name, key) || (field.value.empty() && sameFieldName(field.name, "Cookie"));
     });
     return kept;
 }
@@ -193,6 +198,11 @@
     return kept;
 }
 
+bool contentHoldsKey(const http_request &request, std::string_view key)
+{
+    return holdsKey(request.host, key) || holdsKey(request.path, key) || holdsKey(textOf(request.body), key);
+}
+
 std::vector<http_header> callerHeaders(std::span<const header_view> headers)
 {
     return endToEndHeaders(headers);
--- a/src/http/header_filter.h
+++ b/src/http/header_filter.h
@@ -26,6 +26,10 @@
 /// Query that goes upstream: without parameters that hold a caller's key, by name or by value.
 std::string upstreamQuery(std::string_view query, std::string_view key);
 
+/// Whether the key that the caller presented, plain or percent-encoded, stands in the host, path or body, where it
+/// can't be removed without changing the request; key may be empty.
+bool contentHoldsKey(const http_request &request, std::string_view key);
+
 /// Header fields of an answer that go back to the caller: without hop-by-hop fields and framing.
 std::vector<http_header> callerHeaders(std::span<const header_view> headers);
 
--- a/tests/fleet/whole_path_test.cpp
+++ b/tests/fleet/whole_path_test.cpp
@@ -48,6 +48,15 @@
     BOOST_TEST(fleet.request("entry-1", "GET", "/nada", key).status == 404);
 }
 
+BOOST_AUTO_TEST_CASE(request_keyInPathOrBody_refusedNotRun)
+{
+    for (const http_answer &answer : {fleet.request("entry-1", "GET", "/listas/" + key, key),
+                                      fleet.request("entry-1", "POST", "/listas", key, key)}) {
+        BOOST_TEST(answer.status == 400);
+        BOOST_TEST(bodyOf(answer).find("\"name\":\"key_misplaced\",\"not_run\":true") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answer_cutByUpstream_errorNotShortSuccess)
 {
     const http_answer answer = fleet.request("entry-1", "POST", "/listas/hoy?behaviour=cut", key, "{}");
--- a/tests/http/header_filter_test.cpp
+++ b/tests/http/header_filter_test.cpp
@@ -70,6 +70,23 @@
     BOOST_TEST(upstreamQuery("", secret).empty());
 }
 
+BOOST_AUTO_TEST_CASE(upstreamHeaders_keyAsAName_dropped)
+{
+    fields.push_back({secret, "value"});
+    BOOST_TEST(upstreamValue(secret) == "absent");
+}
+
+BOOST_AUTO_TEST_CASE(contentHoldsKey_pathHostOrBody_found)
+{
+    const std::string body = std::string("{\"key\":\"") + secret + "\"}";
+    BOOST_TEST(contentHoldsKey({.host = "rutas.example", .path = "/listas/llave-de-prueba-123/hoy"}, secret));
+    BOOST_TEST(contentHoldsKey({.host = "rutas.example", .path = "/llave%2Dde%2dprueba-123"}, secret));
+    BOOST_TEST(contentHoldsKey({.host = "llave-de-prueba-123.example", .path = "/"}, secret));
+    BOOST_TEST(contentHoldsKey({.host = "rutas.example", .path = "/", .body = bytesOf(body)}, secret));
+    BOOST_TEST(!contentHoldsKey({.host = "rutas.example", .path = "/listas", .body = bytesOf("{}")}, secret));
+    BOOST_TEST(!contentHoldsKey({.host = "rutas.example", .path = "/listas"}, ""));
+}
+
 BOOST_AUTO_TEST_CASE(callerKey_eachPlace_found)
 {
     BOOST_TEST(callerKey(viewsOf(std::vector<http_header>{{"x-api-key", "k1"}})) == "k1");
