Add "guavafront load": open-loop load with counts per client account

Cause: nothing measured the fleet as its callers see it. The latency bench sends one request after the other, so it can't see queueing, refusals or how the worst-served account fares.

Ruled out: a closed loop with N callers, since a slow fleet slows the load and hides its own delay; keeping all latencies, since memory grows with the run; judging "within the rate" by the fleet's own counters.

The load runs on one loop with kept connections (upstream_connection), counts latencies from the scheduled arrival in a Boost.Histogram, and prints text and JSON. The loop takes a precision for its timers: milliseconds, as before, or exact ones for the load, since rounding up to a millisecond would stand in each latency. bench/entry_load runs it against one entry VM and straight to the stand-ins in the same run.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 #include "program/announce_command.h"
 #include "program/command_action.h"
+#include "program/load_command.h"
 #include "program/operator_command.h"
 #include "settings/settings_reader.h"
 
@@ -116,6 +117,7 @@
     addCheckCommand(app, action);
     addOperatorCommand(app, action);
     addAnnounceCommand(app, action);
+    addLoadCommand(app, action);
     addVersionCommand(app, action);
     try {
         app.parse(argc, argv);
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -10,13 +10,30 @@
 namespace guavafront
 {
 
+namespace
+{
+
+event_base *makeBase(timer_precision precision)
+{
+    const std::unique_ptr<event_config, decltype(&event_config_free)> options(event_config_new(), event_config_free);
+    if (!options) {
+        return nullptr;
+    }
+    if (precision == timer_precision::Microseconds) {
+        event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    }
+    return event_base_new_with_config(options.get());
+}
+
+} // namespace
+
 void loop::event_deleter::operator()(event *owned) const
 {
     event_free(owned);
 }
 
-loop::loop()
-    : m_base(event_base_new())
+loop::loop(timer_precision precision)
+    : m_base(makeBase(precision))
     , m_wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     , m_stopHandler([this] { stop(); })
 {
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/core/time.h>
 
 #include <atomic>
+#include <cstdint>
 #include <exception>
 #include <functional>
 #include <memory>
@@ -13,12 +14,18 @@
 namespace guavafront
 {
 
+/// How exactly a loop's timers fire.
+enum class timer_precision : std::uint8_t {
+    Milliseconds, ///< Up to a millisecond late: one system call less in each round.
+    Microseconds, ///< As exact as the kernel's timers.
+};
+
 /// One libevent loop, run by one thread. Only requestStop() may be called from another thread.
 class loop
 {
 public:
     /// Loop with no events. Throws std::runtime_error when the kernel has no descriptors left.
-    loop();
+    explicit loop(timer_precision precision = timer_precision::Milliseconds);
     ~loop();
     loop(const loop &) = delete;
     loop &operator=(const loop &) = delete;
