Count refusals before the first try under their service and account

Cause: the entry task learnt a request's service and client account only with start_attempt. A refusal before any try (no_upstream, no_capacity, over_rate, deadline_passed, claim refusals) and a replayed answer were counted with an empty service and not at all by account, so that a service without instances burnt no budget.

Ruled out: asking the decision's state before each step, which would look up every request twice.

Change: refuse_request and replay_answer name the service and the account, empty where the route or the key isn't known.

Conclusion: counters by service and account now hold all requests whose route was found.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -43,12 +43,16 @@
 struct replay_answer {
     exchange_id id; ///< Request.
     std::vector<std::byte> answer; ///< As given to attempt_ended.
+    std::string service; ///< Service that the route names, for the counters.
+    std::string accountName; ///< Client account, for the counters; empty on a route open to all.
 };
 
 /// Refuse the request. It is over.
 struct refuse_request {
     exchange_id id; ///< Request.
     refusal reason; ///< Why.
+    std::string service; ///< Service that the route names, for the counters; empty when no route was found.
+    std::string accountName; ///< Client account, for the counters; empty when it isn't known.
 };
 
 /// Tell the other VMs about an own instance.
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -61,11 +61,15 @@
     return result_code::Ok;
 }
 
-void refuseAtOnce(step_context &context, exchange_id id, result_code code)
+/// Refuses a request that never became an exchange; match and owner are null when they aren't known.
+void refuseAtOnce(step_context &context, exchange_id id, result_code code, const route *match, const account *owner)
 {
     const bool passes = code == result_code::ConfigurationStale || code == result_code::EntryOverloaded;
     const duration retryAfter = passes ? retryAfterPassing : duration::zero();
-    context.effects.emplace_back(refuse_request{id, {code, execution::NotRun, retryAfter}});
+    context.effects.emplace_back(refuse_request{id,
+                                                {code, execution::NotRun, retryAfter},
+                                                match ? match->service : std::string(),
+                                                owner ? owner->name : std::string()});
 }
 
 exchange makeExchange(const step_context &context, const request_head &head, const route &match, const account *owner)
@@ -93,23 +97,23 @@
 void acceptRequest(step_context &context, const request_head &head)
 {
     if (context.state.stopping) {
-        refuseAtOnce(context, head.id, result_code::EntryStopping);
+        refuseAtOnce(context, head.id, result_code::EntryStopping, nullptr, nullptr);
         return;
     }
     const route *match = findRoute(context.state.routes, head.host, head.path);
     if (!match) {
-        refuseAtOnce(context, head.id, result_code::NoRoute);
+        refuseAtOnce(context, head.id, result_code::NoRoute, nullptr, nullptr);
         return;
     }
     const account *owner = nullptr;
     if (!match->openToAll) {
         if (const result_code code = checkKey(context, head, owner); code != result_code::Ok) {
-            refuseAtOnce(context, head.id, code);
+            refuseAtOnce(context, head.id, code, match, owner);
             return;
         }
     }
     if (!makeRoom(context, head.bodyBytes)) {
-        refuseAtOnce(context, head.id, result_code::EntryOverloaded);
+        refuseAtOnce(context, head.id, result_code::EntryOverloaded, match, owner);
         return;
     }
     context.state.bodyBytes += head.bodyBytes;
--- a/src/coordination/entry/stages.cpp
+++ b/src/coordination/entry/stages.cpp
@@ -51,7 +51,8 @@
 {
     assert(ran == execution::Unknown || !request.sent);
     if (!request.callerLeft) {
-        context.effects.emplace_back(refuse_request{request.id, {code, ran, retryAfter}});
+        context.effects.emplace_back(
+            refuse_request{request.id, {code, ran, retryAfter}, request.service, request.accountName});
     }
     forget(context, request);
     return stage_verdict::Ended;
@@ -68,7 +69,8 @@
 void replay(step_context &context, exchange &request, std::span<const std::byte> answer)
 {
     if (!request.callerLeft) {
-        context.effects.emplace_back(replay_answer{request.id, {answer.begin(), answer.end()}});
+        context.effects.emplace_back(
+            replay_answer{request.id, {answer.begin(), answer.end()}, request.service, request.accountName});
     }
     forget(context, request);
 }
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -238,6 +238,8 @@
     if (found == m_requests.end()) {
         return;
     }
+    found->second.service = effect.service;
+    found->second.accountName = effect.accountName;
     try {
         http_answer answer = decodeAnswer(effect.answer);
         answer.headers.push_back({std::string(replayedHeader), "true"});
@@ -246,7 +248,10 @@
         m_requests.erase(found);
     } catch (const coordination_error &error) { // Another VM kept it; its bytes are outside input.
         LOG(ERROR) << "kept answer can't be read: " << error.what();
-        perform(refuse_request{effect.id, {.code = result_code::OutcomeUnknown, .ran = execution::Unknown}});
+        perform(refuse_request{effect.id,
+                               {.code = result_code::OutcomeUnknown, .ran = execution::Unknown},
+                               effect.service,
+                               effect.accountName});
     }
 }
 
@@ -261,6 +266,8 @@
     if (found == m_requests.end()) {
         return;
     }
+    found->second.service = effect.service;
+    found->second.accountName = effect.accountName;
     count(found->second, effect.reason.code, describe(effect.reason.code).httpStatus);
     m_server.answer(effect.id, refusalAnswer(effect.reason));
     m_requests.erase(found);
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -47,8 +47,8 @@
 private:
     struct caller_request {
         http_request request; ///< Views that live until it is answered or its caller has gone.
-        std::string accountName; ///< Known once a try was started.
-        std::string service; ///< Known once a try was started.
+        std::string accountName; ///< Known once a try was started or the request ended.
+        std::string service; ///< Known once a try was started or the request ended.
         http_answer answer; ///< Of the last try that was answered.
         instant arrived; ///< When it came.
     };
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -50,6 +50,16 @@
     BOOST_TEST(refused(result_code::KeyUnknown, execution::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(request_refusedBeforeAnyTry_namesServiceAndAccount)
+{
+    now += 1h; // The instances' leases have run out.
+    run(time_passed{});
+    request("GET", "/bookings");
+    BOOST_REQUIRE(find<refuse_request>());
+    BOOST_TEST(find<refuse_request>()->service == "reservas");
+    BOOST_TEST(!find<refuse_request>()->accountName.empty());
+}
+
 BOOST_AUTO_TEST_CASE(request_openRouteWithoutKey_sent)
 {
     request("GET", "/flags/tjornin", std::nullopt);
