Add "guavafront report": burn of error budgets by service and account

Ruled out: a threshold on the error rate, which pages for blips or sleeps through slow burns; saving readings under an objective instead of the counters' lines, since objectives change; a general parser of the exposition format.

Change: coordination/burn has the arithmetic (increments with counter resets, windows, multi-window multi-burn-rate alerts, budget left) as free functions over plain structs. src/report reads daemons' metrics in rounds, saves and reads samples, checks the settings with every fault's path, and writes text, JSON and one page of HTML with SVG plots. over_rate, key_missing, key_unknown and no_route are no events; all other refusals spend budget. Exit status 4 says that an alert fires. The printing of settings' faults moved from main.cpp to a file of its own, as both commands use it.

Conclusion: text, JSON and page come from one run. Not measured: many daemons and many accounts.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -3,6 +3,8 @@
 #include "program/command_action.h"
 #include "program/load_command.h"
 #include "program/operator_command.h"
+#include "program/print_faults.h"
+#include "program/report_command.h"
 #include "settings/settings_reader.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
@@ -27,14 +29,7 @@
 daemon_settings checkedSettings(const std::string &path)
 {
     settings_result result = readSettingsFile(path);
-    for (const setting_fault &fault : result.faults) {
-        std::fprintf(stderr, "%u %s: %s %s\n", static_cast<unsigned>(fault.code),
-                     std::string(describe(fault.code).name).c_str(), fault.path.c_str(), fault.text.c_str());
-    }
-    if (!result.faults.empty()) {
-        throw coordination_error(result_code::SettingInvalid,
-                                 path + ": " + std::to_string(result.faults.size()) + " faults");
-    }
+    requireNoFaults(path, result.faults);
     return std::move(result.values);
 }
 
@@ -118,6 +113,7 @@
     addOperatorCommand(app, action);
     addAnnounceCommand(app, action);
     addLoadCommand(app, action);
+    addReportCommand(app, action);
     addVersionCommand(app, action);
     try {
         app.parse(argc, argv);
--- /dev/null
+++ b/src/program/print_faults.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "settings/settings_reader.h"
+
+#include <span>
+#include <string>
+
+namespace guavafront
+{
+
+/// Prints each fault of a settings file. Throws coordination_error (SettingInvalid) when there is one.
+void requireNoFaults(const std::string &file, std::span<const setting_fault> faults);
+
+} // namespace guavafront
--- /dev/null
+++ b/src/report/burn_plot.cpp
@@ -0,0 +1,136 @@
+#include "report/burn_plot.h"
+
+#include "report/burn_report.h"
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr double plotLeft = 44; // All lengths are in units of the view box.
+constexpr double plotRight = 410;
+constexpr double plotTop = 12;
+constexpr double plotBottom = 128;
+constexpr double lowestTop = 2; // The scale ends there at least, so that a calm subject looks calm.
+constexpr double headroom = 1.1;
+constexpr double textHeight = 11;
+
+/// Maps burn rates and times to the view box.
+struct plot_scale {
+    burn_span covered; ///< From the left to the right edge.
+    double top; ///< Burn rate at the upper edge.
+
+    double x(duration at) const
+    {
+        const auto whole = static_cast<double>((covered.to - covered.from).count());
+        return plotLeft + (plotRight - plotLeft) * static_cast<double>((at - covered.from).count()) / whole;
+    }
+
+    double y(double burnRate) const
+    {
+        return plotBottom - (plotBottom - plotTop) * std::min(burnRate / top, 1.0);
+    }
+};
+
+std::string coordinates(double x, double y)
+{
+    return numberText(x, 1) + "," + numberText(y, 1);
+}
+
+std::string horizontalLine(double y, std::string_view kind)
+{
+    const std::string height = numberText(y, 1);
+    return "<line class=\"" + std::string(kind) + "\" x1=\"" + numberText(plotLeft, 0) + "\" x2=\""
+           + numberText(plotRight, 0) + "\" y1=\"" + height + "\" y2=\"" + height + "\"/>";
+}
+
+std::string textAt(double x, double y, std::string_view anchor, const std::string &text)
+{
+    return "<text x=\"" + numberText(x, 1) + "\" y=\"" + numberText(y, 1) + "\" text-anchor=\"" + std::string(anchor)
+           + "\">" + escapedHtml(text) + "</text>";
+}
+
+/// Marks the burn rate at the left edge and draws its line.
+std::string mark(const plot_scale &scale, double burnRate, std::string_view kind)
+{
+    constexpr double labelGap = 6;
+    constexpr double halfTextHeight = 4;
+    const double y = scale.y(burnRate);
+    return horizontalLine(y, kind)
+           + textAt(plotLeft - labelGap, y + halfTextHeight, "end", numberText(burnRate, burnRate < lowestTop ? 0 : 1));
+}
+
+/// "HH:MM:SS" of a time.
+std::string clockText(duration at)
+{
+    constexpr std::size_t dateSize = 11;
+    constexpr std::size_t clockSize = 8;
+    return timeText(at).substr(dateSize, clockSize);
+}
+
+} // namespace
+
+std::string escapedHtml(std::string_view text)
+{
+    std::string escaped;
+    for (const char each : text) {
+        switch (each) {
+        case '&':
+            escaped += "&amp;";
+            break;
+        case '<':
+            escaped += "&lt;";
+            break;
+        case '>':
+            escaped += "&gt;";
+            break;
+        case '"':
+            escaped += "&quot;";
+            break;
+        default:
+            escaped += each;
+        }
+    }
+    return escaped;
+}
+
+std::string burnPlot(const burn_state &state, const burn_span &covered)
+{
+    constexpr double timeLabelY = 146;
+    double highest = 0;
+    for (const burn_point &point : state.points) {
+        highest = std::max(highest, point.burnRate);
+    }
+    const plot_scale scale{.covered = covered, .top = std::max(lowestTop, highest * headroom)};
+    std::string line;
+    for (const burn_point &point : state.points) {
+        line += coordinates(scale.x(point.at), scale.y(point.burnRate)) + " ";
+    }
+    std::string svg = R"(<svg viewBox="0 0 420 152" role="img" aria-label="burn rate over time">)";
+    svg += horizontalLine(plotBottom, "axis") + textAt(plotLeft - 6, plotBottom + 4, "end", "0");
+    if (!state.points.empty()) {
+        svg += R"(<polygon class="area" points=")" + coordinates(scale.x(state.points.front().at), plotBottom) + " "
+               + line + coordinates(plotRight, plotBottom) + R"("/>)";
+    }
+    const bool roomForLabel = scale.y(0) - scale.y(1) > textHeight;
+    svg += roomForLabel ? mark(scale, 1, "even") : horizontalLine(scale.y(1), "even");
+    double lowestLimit = scale.top;
+    for (const burn_alert &alert : state.alerts) {
+        if (alert.rule.threshold > 1) {
+            lowestLimit = std::min(lowestLimit, alert.rule.threshold);
+        }
+    }
+    if (lowestLimit < scale.top) {
+        svg += mark(scale, lowestLimit, "limit");
+    }
+    svg += R"(<polyline class="rate" points=")" + line + R"("/>)";
+    svg += textAt(plotLeft, timeLabelY, "start", clockText(covered.from));
+    svg += textAt(plotRight, timeLabelY, "end", clockText(covered.to) + " UTC");
+    svg += textAt(plotLeft, plotTop - 2, "start", "peak " + numberText(highest, 1));
+    return svg + "</svg>";
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/report/collect_test.cpp
@@ -0,0 +1,68 @@
+#include "fleet/fleet_processes.h"
+#include "report/burn_report.h"
+#include "report/collect.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// An entry VM with a route to a service without an instance.
+struct collect_fixture {
+    fleet_processes fleet{fleet_layout{.controls = 1, .entries = 1}};
+    std::vector<metrics_sample> samples;
+    std::size_t failures = 0;
+    std::string key;
+
+    collect_fixture()
+    {
+        fleet.startAll();
+        key = fleet.createAccount("panalera");
+        fleet.operate({"route", "put", "/cobros", "--service", "cobros", "--kind", "cobro"});
+        fleet.waitForStatus("entry-1", "/cobros/x", key, 503);
+    }
+
+    void collect(const std::vector<endpoint> &sources)
+    {
+        collectSamples(
+            {.sources = sources, .period = std::chrono::seconds(5), .rounds = 1},
+            [this](const metrics_sample &sample) { samples.push_back(sample); },
+            [this](const endpoint &) { ++failures; });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(collect_test, collect_fixture)
+
+BOOST_AUTO_TEST_CASE(collect_refusalsBetweenRounds_alertForServiceAndAccount)
+{
+    const endpoint source{"127.0.0.1", fleet.portsOf("entry-1").metrics};
+    collect({source});
+    for (int each = 0; each < 3; ++each) {
+        BOOST_TEST(fleet.request("entry-1", "GET", "/cobros/x", key).status == 503);
+    }
+    collect({source});
+    const burn_report report = makeBurnReport(samples, {});
+    for (const burn_subject_kind kind : {burn_subject_kind::Service, burn_subject_kind::Account}) {
+        BOOST_TEST(std::ranges::any_of(report.states, [kind](const burn_state &state) {
+            return state.subject.kind == kind && state.period.bad == 3 && isFiring(state);
+        }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(collect_daemonAway_reportedAndOthersRead)
+{
+    collect({{"127.0.0.1", 1}, {"127.0.0.1", fleet.portsOf("entry-1").metrics}});
+    BOOST_TEST(failures == 1U);
+    BOOST_TEST(samples.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
