--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -101,7 +101,7 @@
         return;
     }
     if (head.keyInContent) {
-        refuseAtOnce(context, head.id, result_code::KeyMisplaced);
+        refuseAtOnce(context, head.id, result_code::KeyMisplaced, nullptr, nullptr);
         return;
     }
     const route *match = findRoute(context.state.routes, head.host, head.path);
