Say of a change whether it is in force on all live entry VMs

Cause: an operator was told only that a change was accepted. Whether a withdrawn key was refused everywhere could not be asked.

Change: the entry task says which revision it serves requests by, the VM's configuration task reports it to the control VMs, and the leader answers GET /v1/confirmations with "in_force" or "accepted" and the VMs that haven't confirmed (name, identity, data centre). The decision is coordination/configuration/confirmations.h. VMs declared dead without a successor at their address count for the staleness limit more, since they may still serve. A leader that hears less than most of the fleet never says "in force".

Weighed: reports to control VMs on change (taken); the revision in the state that all VMs spread to all (every VM would pay for what one reads); in the answers to probes (would need a second hop).

Ruled out: keeping the reports in the control task, whose mailbox holds 256 messages and would lose replication under 1,200 reports at once.

Tests: 9 cases of the decision, one with 500 seeded schedules; 4 with processes, one of which stops an entry VM with SIGSTOP. The case peers_task/..missing now compares a list with empty where it compared a count with 0, since the view carries the records.

--- a/include/guavafront/coordination/core/result_code.h
+++ b/include/guavafront/coordination/core/result_code.h
@@ -41,6 +41,8 @@
     ReasonMissing = 2007,
     QuorumAtRisk = 2008,
     ChangeOutcomeUnknown = 2009,
+    NotConfirmed = 2010,
+    RevisionUnknown = 2011,
     SettingInvalid = 3001,
     SettingUnknown = 3002,
     FileUnreadable = 3003,
--- a/include/guavafront/coordination/membership/membership.h
+++ b/include/guavafront/coordination/membership/membership.h
@@ -150,6 +150,9 @@
 /// Records of VMs that are alive or suspect, this one included, ordered by id.
 std::vector<member_record> liveMembers(const fleet_membership &state);
 
+/// Records of dead VMs whose address no live one has, ordered by id: they may be cut off and still run.
+std::vector<member_record> missingMembers(const fleet_membership &state);
+
 /// Share of the fleet that this VM hears, 0 to 1: of the VMs it probes, those that answered lately, times the live
 /// VMs over the live and the missing ones. Near 0: this VM is cut off alone. 1 for a VM that knows no other.
 double aliveShare(const fleet_membership &state, instant now);
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -148,6 +148,24 @@
     return live;
 }
 
+std::vector<member_record> missingMembers(const fleet_membership &state)
+{
+    std::unordered_set<std::string_view> liveAddresses{state.self.address};
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status <= member_status::Suspect) {
+            liveAddresses.insert(member.record.address);
+        }
+    }
+    std::vector<member_record> missing;
+    for (const auto &[id, member] : state.members) {
+        if (member.record.status == member_status::Dead && !liveAddresses.contains(member.record.address)) {
+            missing.push_back(member.record);
+        }
+    }
+    std::ranges::sort(missing, {}, [](const member_record &record) { return record.id.value; });
+    return missing;
+}
+
 double aliveShare(const fleet_membership &state, instant now)
 {
     const auto alive = static_cast<double>(state.alive);
--- a/src/coordination/membership/probing.cpp
+++ b/src/coordination/membership/probing.cpp
@@ -64,18 +64,10 @@
 
 void countMembers(fleet_membership &state)
 {
-    state.alive = 1;
-    std::unordered_set<std::string_view> liveAddresses{state.self.address};
-    for (const auto &[id, member] : state.members) {
-        if (member.record.status <= member_status::Suspect) {
-            ++state.alive;
-            liveAddresses.insert(member.record.address);
-        }
-    }
-    state.missing = static_cast<std::size_t>(std::ranges::count_if(state.members, [&liveAddresses](const auto &entry) {
-        const member_record &record = entry.second.record;
-        return record.status == member_status::Dead && !liveAddresses.contains(record.address);
-    }));
+    state.alive = 1 + static_cast<std::size_t>(std::ranges::count_if(state.members, [](const auto &entry) {
+                      return entry.second.record.status <= member_status::Suspect;
+                  }));
+    state.missing = missingMembers(state).size();
 }
 
 void sendPing(fleet_membership &state, vm_id id, probe_target &target, instant now,
--- a/src/daemon/configuration/configuration_message.h
+++ b/src/daemon/configuration/configuration_message.h
@@ -3,7 +3,9 @@
 #include "wire/envelope.h"
 
 #include <guavafront/coordination/configuration/configuration_follower.h>
+#include <guavafront/coordination/configuration/confirmations.h>
 
+#include <functional>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -36,10 +38,23 @@
 /// VMs that are live now, besides this one.
 struct live_vms_changed {
     std::vector<vm_id> vms; ///< Their identities.
+    entry_vms_seen entries; ///< Entry VMs, this one included; empty on VMs that aren't control VMs.
+};
+
+/// The entry task has put a revision in force for all requests that follow.
+struct configuration_applied {
+    revision inForce; ///< Which one.
+};
+
+/// Question how far an accepted revision has come; answer is called on the configuration task's thread.
+struct confirmation_requested {
+    revision wanted; ///< Accepted.
+    std::function<void(const confirmation_status &)> answer; ///< Called exactly once.
 };
 
 /// What the configuration task reacts to.
-using configuration_message = std::variant<configuration_from_peer, configuration_accepted, configuration_wanted,
-                                           revision_heard, live_vms_changed>;
+using configuration_message =
+    std::variant<configuration_from_peer, configuration_accepted, configuration_wanted, revision_heard,
+                 live_vms_changed, configuration_applied, confirmation_requested>;
 
 } // namespace guavafront
--- a/src/daemon/configuration/configuration_task.cpp
+++ b/src/daemon/configuration/configuration_task.cpp
@@ -34,6 +34,7 @@
                                        mailbox<configuration_message> &inbox)
     : m_options(std::move(options))
     , m_random(drawSeed())
+    , m_confirmations(owner, confirmationOptions())
     , m_timer(owner, [this] { tick(); })
     , m_attachment(inbox, owner, [this](const configuration_message &message) {
         std::visit([this](const auto &each) { handle(each); }, message);
@@ -75,6 +76,19 @@
 {
     m_viewKnown = true;
     run(sources_changed{message.vms});
+    m_confirmations.take(message.entries);
+}
+
+void configuration_task::handle(const configuration_applied &message)
+{
+    m_confirmations.noteApplied(message.inForce);
+}
+
+void configuration_task::handle(const confirmation_requested &message)
+{
+    // An entry VM cut off alone refuses keyed requests after this time.
+    const std::chrono::milliseconds grace(m_follower.current->defaults.stalenessLimitMs);
+    message.answer(m_confirmations.check(message.wanted, grace));
 }
 
 void configuration_task::receive(vm_id from, const offer_message &message)
@@ -100,6 +114,16 @@
     run(part_received{from, part});
 }
 
+void configuration_task::receive(vm_id from, const revision_report &report)
+{
+    m_confirmations.take(from, report);
+}
+
+void configuration_task::receive(vm_id from, const report_request & /*message*/) const
+{
+    m_confirmations.reportTo(from);
+}
+
 void configuration_task::run(const follower_event &event)
 {
     std::vector<follower_effect> effects;
@@ -167,6 +191,18 @@
     m_options.subscriber(effect.value);
 }
 
+confirmation_host_options configuration_task::confirmationOptions()
+{
+    return {.vmName = m_options.vmName,
+            .self = m_options.self,
+            .isControl = m_options.isControl,
+            .send = [this](vm_id to, const follower_message &message) { send(to, message); },
+            .sendToControls =
+                [this](const follower_message &message) {
+                    m_options.sendToControls({.kind = channel::Configuration, .body = encodeFollowerMessage(message)});
+                }};
+}
+
 void configuration_task::tick()
 {
     if (m_follower.sources.empty() && m_options.sendToSeeds && loop::now() >= m_follower.offerDue) {
--- a/src/daemon/configuration/configuration_task.h
+++ b/src/daemon/configuration/configuration_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/configuration/configuration_message.h"
+#include "daemon/configuration/confirmation_host.h"
 #include "runtime/mailbox.h"
 #include "runtime/timer.h"
 #include "wire/follower_codec.h"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace guavafront
@@ -24,6 +26,10 @@
     std::function<void(vm_id, envelope)> send; ///< Sends to another VM; may lose.
     std::function<void(envelope)> sendToSeeds; ///< Sends to the seeds of the settings while no VM is known.
     configuration_subscriber subscriber; ///< Told of each revision in force.
+    std::function<void(envelope)> sendToControls; ///< Sends to the other live control VMs; may lose.
+    std::string vmName; ///< Of this VM, for operators.
+    vm_id self; ///< This VM.
+    bool isControl = false; ///< This VM collects reports of revisions in force.
 };
 
 /// Keeps the configuration in force on this VM: hosts the follower, checks digests and turns bytes into its events.
@@ -39,11 +45,15 @@
     void handle(const configuration_wanted &message) const;
     void handle(const revision_heard &message);
     void handle(const live_vms_changed &message);
+    void handle(const configuration_applied &message);
+    void handle(const confirmation_requested &message);
 
     void receive(vm_id from, const offer_message &message);
     void receive(vm_id from, const pull_message &message);
     void receive(vm_id from, const deltas_message &message);
     void receive(vm_id from, const snapshot_part &part);
+    void receive(vm_id from, const revision_report &report);
+    void receive(vm_id from, const report_request &message) const;
 
     void run(const follower_event &event);
     void perform(const send_offer &effect);
@@ -53,6 +63,7 @@
     void perform(const open_snapshot &effect);
     void perform(const revision_in_force &effect);
 
+    confirmation_host_options confirmationOptions();
     void tick();
     void learnSource(vm_id source);
     bool isGenuine(const configuration_delta &delta) const;
@@ -64,6 +75,7 @@
     std::vector<vm_id> m_learned; ///< VMs that wrote to this one, while nothing better is known.
     bool m_viewKnown = false; ///< live_vms_changed has come.
     snapshot_part m_encoded; ///< The present configuration, encoded when first asked for.
+    confirmation_host m_confirmations; ///< Reports to control VMs, and theirs of others.
     timer m_timer; ///< The follower's next deadline.
     mailbox_attachment<configuration_message> m_attachment; ///< To the inbox.
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -175,12 +175,19 @@
     };
 }
 
-child_spec configurationChild(const daemon_secrets &secrets, daemon_wiring &wiring)
+child_spec configurationChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
+                              daemon_wiring &wiring)
 {
     return {.name = "configuration",
             .body =
-                [&secrets, &wiring](loop &owner) {
+                [&settings, &secrets, self, &wiring](loop &owner) {
                     configuration_task_options options{.secret = secrets.fleet, .send = sender(wiring)};
+                    options.vmName = settings.vm.name;
+                    options.self = self;
+                    options.isControl = hasRole(settings, vm_role::Control);
+                    options.sendToControls = [&wiring](envelope message) {
+                        wiring.peers.post(send_to_roles{ControlRole, std::move(message)});
+                    };
                     options.sendToSeeds = [&wiring](envelope message) {
                         wiring.peers.post(send_to_seeds{std::move(message)});
                     };
@@ -219,7 +226,8 @@
             [&settings, &secrets, &wiring](loop &owner) {
                 const operators_task task(
                     owner, {.server = serverAt(settings.listen.operators, settings.entry), .tokens = secrets.operators},
-                    wiring.operators, wiring.control, wiring.counters);
+                    wiring.operators, {.control = wiring.control, .configurations = wiring.configurations},
+                    wiring.counters);
                 owner.run();
             },
         .shutdownLimit = shortShutdown};
@@ -275,7 +283,7 @@
                                  daemon_wiring &wiring)
 {
     std::vector<child_spec> children{metricsChild(settings, wiring), peersChild(settings, secrets, self, wiring),
-                                     configurationChild(secrets, wiring)};
+                                     configurationChild(settings, secrets, self, wiring)};
     if (hasRole(settings, vm_role::Control)) {
         children.push_back(controlChild(settings, secrets, self, wiring));
     }
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -95,6 +95,7 @@
     , m_options(std::move(options))
     , m_peers(outlets.peers)
     , m_metrics(outlets.metrics)
+    , m_configurations(outlets.configurations)
     , m_counters(counters)
     , m_state(makeEntry(m_options.identity, m_options.policy))
     , m_random(m_options.seed)
@@ -115,7 +116,7 @@
     , m_attachment(inbox, owner, [this](const entry_event &event) { run(event); })
 {
     owner.onStopRequested([this] { beginStop(); });
-    outlets.configurations.post(configuration_wanted{});
+    m_configurations.post(configuration_wanted{});
     m_peers.post(resend_state{});
     run(publications_lost{});
 }
@@ -147,6 +148,9 @@
         std::visit([this](const auto &each) { perform(each); }, effect);
     }
     const std::uint64_t held = m_state.current->current.value;
+    if (std::holds_alternative<configuration_changed>(event)) {
+        m_configurations.post(configuration_applied{{held}}); // Every request from now on is served by it.
+    }
     m_counters.setRevision(held);
     if (!m_ready && held > 0) {
         m_ready = true;
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -33,7 +33,7 @@
 struct entry_task_outlets {
     mailbox<peers_message> &peers; ///< Links to other VMs.
     mailbox<metrics_message> &metrics; ///< Readiness for the balancer.
-    mailbox<configuration_message> &configurations; ///< Asked for the configuration at the start.
+    mailbox<configuration_message> &configurations; ///< Asked for the configuration, told what is in force.
 };
 
 /// Serves callers: turns HTTP into events of the entry's decisions and their effects into HTTP.
@@ -81,6 +81,7 @@
     entry_task_options m_options; ///< As constructed.
     mailbox<peers_message> &m_peers; ///< Not owned.
     mailbox<metrics_message> &m_metrics; ///< Not owned.
+    mailbox<configuration_message> &m_configurations; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
     entry m_state; ///< All decisions' state.
     bool m_ready = false; ///< The balancer was told that callers can be served.
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -43,6 +43,25 @@
     return summary;
 }
 
+std::vector<entry_vm> entryVmsOf(std::span<const member_record> members)
+{
+    std::vector<entry_vm> entries;
+    for (const member_record &each : members) {
+        if ((each.roles & EntryRole) != 0) {
+            entries.push_back({each.id, each.dataCentre});
+        }
+    }
+    return entries;
+}
+
+/// Entry VMs whose confirmation a control VM waits for.
+entry_vms_seen entriesSeen(const fleet_view &view)
+{
+    return {.live = entryVmsOf(view.live),
+            .unheard = entryVmsOf(view.missing),
+            .hearsMajority = view.aliveShare >= majorityShare};
+}
+
 } // namespace
 
 fleet_watch::fleet_watch(const peer_identity &self, daemon_wiring &wiring)
@@ -53,10 +72,12 @@
 
 void fleet_watch::handle(const fleet_view &view)
 {
+    live_vms_changed others{.vms = othersWith(view, EntryRole | ControlRole, m_self.id), .entries = {}};
     if ((m_self.roles & ControlRole) != 0) {
         m_wiring.control.post(control_vms_seen{othersWith(view, ControlRole, m_self.id)});
+        others.entries = entriesSeen(view);
     }
-    m_wiring.configurations.post(live_vms_changed{othersWith(view, EntryRole | ControlRole, m_self.id)});
+    m_wiring.configurations.post(std::move(others));
     std::vector<vm_id> entries = othersWith(view, EntryRole, m_self.id);
     tellOfHearers(entries);
     m_entries = entries;
--- a/src/daemon/operators/operators_message.h
+++ b/src/daemon/operators/operators_message.h
@@ -2,6 +2,8 @@
 
 #include "daemon/control/control_message.h"
 
+#include <guavafront/coordination/configuration/confirmations.h>
+
 #include <variant>
 
 namespace guavafront
@@ -19,7 +21,14 @@
     control_status status; ///< Answer.
 };
 
+/// The configuration task's answer to how far a revision has come.
+struct confirmation_answered {
+    exchange_id id; ///< Operator's request.
+    revision wanted; ///< What was asked about.
+    confirmation_status status; ///< Answer.
+};
+
 /// What the operators task reacts to.
-using operators_message = std::variant<change_answered, status_answered>;
+using operators_message = std::variant<change_answered, status_answered, confirmation_answered>;
 
 } // namespace guavafront
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/token_check.h"
 #include "http/header_filter.h"
+#include "wire/confirmation_json.h"
 #include "wire/operator_json.h"
 #include "wire/replacement_json.h"
 
@@ -38,10 +39,11 @@
 } // namespace
 
 operators_task::operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
-                               mailbox<control_message> &control, daemon_counters &counters)
+                               const operators_task_outlets &outlets, daemon_counters &counters)
     : m_tokens(std::move(options.tokens))
     , m_inbox(inbox)
-    , m_control(control)
+    , m_control(outlets.control)
+    , m_configurations(outlets.configurations)
     , m_counters(counters)
     , m_server(owner, std::move(options.server),
                {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
@@ -78,9 +80,14 @@
         if (author->author.role != operator_role::Operator) {
             throw coordination_error(result_code::NotAuthorized, "only operators read the configuration");
         }
-        ask(id, question::Configuration);
+        ask(id, {question_kind::Configuration, {}});
     } else if (request.method == "GET" && request.path == "/v1/status") {
-        ask(id, question::Status);
+        ask(id, {question_kind::Status, {}});
+    } else if (request.method == "GET" && request.path == "/v1/confirmations") {
+        if (author->author.role != operator_role::Operator) {
+            throw coordination_error(result_code::NotAuthorized, "only operators see the fleet's VMs");
+        }
+        ask(id, {question_kind::Confirmations, parseConfirmationQuery(request.query)});
     } else {
         throw coordination_error(result_code::NoRoute, "no such operation");
     }
@@ -113,7 +120,7 @@
     }
 }
 
-void operators_task::ask(exchange_id id, question asked)
+void operators_task::ask(exchange_id id, const question &asked)
 {
     status_requested message{.answer = [&inbox = m_inbox, id](const control_status &status) {
         inbox.post(status_answered{id, status});
@@ -136,15 +143,50 @@
     if (found == m_questions.end()) {
         return; // The operator went away.
     }
-    const bool whole = found->second == question::Configuration;
+    const question asked = found->second;
     m_questions.erase(found);
-    if (whole && !message.status.leader) {
-        reply(message.id, result_code::NotLeader,
-              problemAnswer(result_code::NotLeader, "only the leader's configuration is current"));
+    try {
+        answerFrom(message.id, asked, message.status);
+    } catch (const coordination_error &error) {
+        reply(message.id, error.code(), problemAnswer(error.code(), error.what()));
+    }
+}
+
+void operators_task::answerFrom(exchange_id id, const question &asked, const control_status &status)
+{
+    if (asked.kind == question_kind::Status) {
+        reply(id, result_code::Ok, jsonAnswer(statusOk, statusJson(status)));
         return;
     }
-    reply(message.id, result_code::Ok,
-          jsonAnswer(statusOk, whole ? toOperatorJson(*message.status.accepted) : statusJson(message.status)));
+    if (!status.leader) {
+        throw coordination_error(result_code::NotLeader, "only the leader's answer is current");
+    }
+    if (asked.kind == question_kind::Configuration) {
+        reply(id, result_code::Ok, jsonAnswer(statusOk, toOperatorJson(*status.accepted)));
+        return;
+    }
+    if (asked.wanted > status.accepted->current) {
+        throw coordination_error(result_code::RevisionUnknown, "the highest accepted revision is lower");
+    }
+    askConfirmations(id, asked.wanted);
+}
+
+void operators_task::askConfirmations(exchange_id id, revision wanted)
+{
+    confirmation_requested message{.wanted = wanted,
+                                   .answer = [&inbox = m_inbox, id, wanted](const confirmation_status &status) {
+                                       inbox.post(confirmation_answered{id, wanted, status});
+                                   }};
+    if (!m_configurations.post(std::move(message))) {
+        throw coordination_error(result_code::EntryOverloaded, "the configuration task is behind");
+    }
+}
+
+void operators_task::handle(const confirmation_answered &message)
+{
+    const confirmation_answer answer{message.wanted, message.status};
+    const result_code code = codeOf(answer);
+    reply(message.id, code, jsonAnswer(describe(code).httpStatus, toJson(answer)));
 }
 
 void operators_task::reply(exchange_id id, result_code code, const http_answer &answer)
--- a/src/daemon/operators/operators_task.h
+++ b/src/daemon/operators/operators_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/configuration/configuration_message.h"
 #include "daemon/control/control_message.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/operators/operator_tokens.h"
@@ -20,30 +21,45 @@
     std::vector<operator_token> tokens; ///< Who may ask.
 };
 
-/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status. Every request
-/// carries a bearer token.
+/// Mailboxes that the operators task posts into; not owned.
+struct operators_task_outlets {
+    mailbox<control_message> &control; ///< Changes and questions.
+    mailbox<configuration_message> &configurations; ///< Questions how far a revision has come.
+};
+
+/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status, GET
+/// /v1/confirmations?revision=N. Every request carries a bearer token.
 class operators_task
 {
 public:
     /// Listens; inbox brings the control's answers. Throws coordination_error (SettingInvalid).
     operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
-                   mailbox<control_message> &control, daemon_counters &counters);
+                   const operators_task_outlets &outlets, daemon_counters &counters);
 
 private:
-    enum class question : std::uint8_t { Configuration, Status };
+    enum class question_kind : std::uint8_t { Configuration, Status, Confirmations };
+
+    struct question {
+        question_kind kind; ///< What is asked.
+        revision wanted; ///< For Confirmations.
+    };
 
     void receive(exchange_id id, const http_request &request);
     void dispatch(exchange_id id, const http_request &request);
     void submit(exchange_id id, const change_author &author, const http_request &request);
     void submitReplacement(exchange_id id, const change_author &author, const http_request &request);
-    void ask(exchange_id id, question asked);
+    void ask(exchange_id id, const question &asked);
     void handle(const change_answered &message);
     void handle(const status_answered &message);
+    void handle(const confirmation_answered &message);
+    void answerFrom(exchange_id id, const question &asked, const control_status &status);
+    void askConfirmations(exchange_id id, revision wanted);
     void reply(exchange_id id, result_code code, const http_answer &answer);
 
     std::vector<operator_token> m_tokens; ///< Who may ask.
     mailbox<operators_message> &m_inbox; ///< Not owned; answers come back here.
     mailbox<control_message> &m_control; ///< Not owned.
+    mailbox<configuration_message> &m_configurations; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
     std::unordered_map<exchange_id, question> m_questions; ///< Questions under way.
     http_server m_server; ///< Operators' connections.
--- a/src/daemon/peers/peers_options.h
+++ b/src/daemon/peers/peers_options.h
@@ -21,7 +21,7 @@
 /// The fleet as this VM sees it.
 struct fleet_view {
     std::vector<member_record> live; ///< Alive and suspect VMs, this one included, ordered by id.
-    std::size_t missing = 0; ///< Dead VMs whose address no live one has.
+    std::vector<member_record> missing; ///< Dead VMs whose address no live one has, ordered by id.
     double aliveShare = 1; ///< Share of the fleet that this VM hears; near 0 when it is cut off alone.
     std::uint64_t fingerprint = 0; ///< Equal on two VMs exactly when live is.
 };
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -293,7 +293,7 @@
     m_publishedShare = share;
     auto view = std::make_shared<fleet_view>();
     view->live = liveMembers(m_membership);
-    view->missing = m_membership.missing;
+    view->missing = missingMembers(m_membership);
     view->aliveShare = share;
     view->fingerprint = viewFingerprint(m_membership);
     for (const auto &watcher : m_options.watchers.views) {
--- a/src/program/exit_status.cpp
+++ b/src/program/exit_status.cpp
@@ -16,6 +16,8 @@
     case result_code::OutcomeUnknown:
     case result_code::ChangeOutcomeUnknown:
         return exit_status::Unknown;
+    case result_code::NotConfirmed:
+        return exit_status::Unconfirmed;
     default:
         return exit_status::Refused;
     }
--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -9,7 +9,9 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
+#include <thread>
 
 namespace guavafront
 {
@@ -17,9 +19,11 @@
 namespace
 {
 
-constexpr int statusOk = 200;
+constexpr int firstOtherStatus = 300;
+/// Between two questions whether a revision is in force.
+constexpr duration questionPause = std::chrono::milliseconds(200);
 
-/// Error that an answer with another status than 200 stands for.
+/// Error that an answer with a status from 300 on stands for.
 coordination_error errorOf(const http_answer &answer)
 {
     const change_answer problem = parseChangeAnswerJson(textOf(answer.body));
@@ -35,6 +39,25 @@
     return {status["revision"].get<std::uint64_t>()};
 }
 
+/// Whether asking again may bring another answer to a question about an accepted revision.
+bool mayPass(result_code code)
+{
+    return code != result_code::NotAuthorized && code != result_code::RevisionUnknown;
+}
+
+/// One question; the answer known so far stays when the leader can't be asked.
+void askWhetherInForce(const operator_client &client, revision accepted, in_force_answer &known)
+{
+    try {
+        known.json = readFromControl(client, "/v1/confirmations?revision=" + std::to_string(accepted.value));
+        known.code = parseChangeAnswerJson(known.json).code;
+    } catch (const coordination_error &error) {
+        if (!mayPass(error.code())) {
+            throw;
+        }
+    }
+}
+
 } // namespace
 
 std::string readFromControl(const operator_client &client, std::string_view target)
@@ -43,7 +66,7 @@
     for (const endpoint &server : client.servers) {
         try {
             const http_answer answer = httpCall(server, {.method = "GET", .target = target, .token = client.token});
-            if (answer.status == statusOk) {
+            if (answer.status < firstOtherStatus) {
                 return std::string(textOf(answer.body));
             }
             last = errorOf(answer);
@@ -116,6 +139,24 @@
     return last;
 }
 
+in_force_answer awaitInForce(const operator_client &client, revision accepted, duration limit)
+{
+    in_force_answer known;
+    known.json = nlohmann::ordered_json{{"code", static_cast<int>(known.code)},
+                                        {"name", describe(known.code).name},
+                                        {"revision", accepted.value},
+                                        {"state", "accepted"},
+                                        {"text", "no leader could say which VMs have confirmed; ask again"}}
+                     .dump();
+    const auto end = std::chrono::steady_clock::now() + limit;
+    askWhetherInForce(client, accepted, known);
+    while (known.code != result_code::Ok && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(questionPause);
+        askWhetherInForce(client, accepted, known);
+    }
+    return known;
+}
+
 change_id drawChangeId()
 {
     change_id id;
--- a/src/program/operator_client.h
+++ b/src/program/operator_client.h
@@ -4,6 +4,7 @@
 #include "wire/replacement_json.h"
 
 #include <guavafront/coordination/configuration/change_log.h>
+#include <guavafront/coordination/core/time.h>
 
 #include <string>
 #include <string_view>
@@ -31,6 +32,16 @@
 /// Asks the control VMs in turn for the leader, which replaces or removes a member. Throws coordination_error.
 change_answer submitReplacement(const operator_client &client, const replacement_request &request);
 
+/// Answer of "how far has an accepted revision come?".
+struct in_force_answer {
+    result_code code = result_code::NotConfirmed; ///< Ok: in force on all live entry VMs.
+    std::string json; ///< For the operator.
+};
+
+/// Asks the leader how far the revision has come, again and again until it is in force everywhere or the limit has
+/// passed. A leader that can't be asked leaves the answer at "accepted".
+in_force_answer awaitInForce(const operator_client &client, revision accepted, duration limit);
+
 /// Fresh random request ID.
 change_id drawChangeId();
 
--- a/src/program/operator_command.cpp
+++ b/src/program/operator_command.cpp
@@ -20,12 +20,16 @@
 namespace
 {
 
+constexpr double maxWaitSeconds = 3'600;
+
 /// Options that all operator commands share.
 struct operator_options {
     std::vector<std::string> servers; ///< "IP:port" of control VMs.
     std::string tokenFile; ///< File with the operator's token.
     std::string requestId; ///< 32 hex digits; empty draws one.
     std::optional<std::uint64_t> expectedRevision; ///< Empty asks the control first.
+    bool wait = false; ///< Wait until the change is in force.
+    double waitSeconds = 30; ///< Longest wait.
 };
 
 /// Texts that the subcommands fill.
@@ -54,6 +58,14 @@
     return client;
 }
 
+exit_status printWhetherInForce(const operator_options &options, revision accepted)
+{
+    const auto limit = std::chrono::duration_cast<duration>(std::chrono::duration<double>(options.waitSeconds));
+    const in_force_answer answer = awaitInForce(clientOf(options), accepted, options.wait ? limit : duration(0));
+    std::printf("%s\n", answer.json.c_str());
+    return exitStatusOf(answer.code);
+}
+
 exit_status submit(const operator_options &options, change edit)
 {
     const operator_client client = clientOf(options);
@@ -64,6 +76,9 @@
     std::fprintf(stderr, "request ID %s, expected revision %llu\n", toHex(request.id).c_str(),
                  static_cast<unsigned long long>(request.expected.value));
     const change_answer answer = submitChange(client, request);
+    if (options.wait && answer.code == result_code::Ok) {
+        return printWhetherInForce(options, answer.at);
+    }
     std::printf("%s\n", toJson(answer).c_str());
     return exitStatusOf(answer.code);
 }
@@ -212,6 +227,18 @@
     });
 }
 
+void addConfirmationsCommand(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    const auto accepted = std::make_shared<std::uint64_t>(0);
+    CLI::App *command = parent.add_subcommand("confirmations", "Names the entry VMs that haven't confirmed a revision");
+    command->add_option("revision", *accepted, "Accepted revision")->required();
+    command->callback([&action, commands, accepted] {
+        action = [commands, accepted] {
+            return printWhetherInForce(commands->options, {*accepted});
+        };
+    });
+}
+
 void addReadCommand(CLI::App &parent, command_action &action, const commands_pointer &commands, const char *name,
                     const char *help, const char *target)
 {
@@ -237,11 +264,15 @@
     parent->add_option("--request-id", commands->options.requestId, "32 hex digits; a resend carries the same one");
     parent->add_option("--expected-revision", commands->options.expectedRevision,
                        "Revision that the change is based on; asked for when absent");
+    parent->add_flag("--wait", commands->options.wait, "Waits until the change is in force on all live entry VMs");
+    parent->add_option("--wait-seconds", commands->options.waitSeconds, "Longest wait; then names who hasn't confirmed")
+        ->check(CLI::Range(0.0, maxWaitSeconds));
     addAccountCommands(*parent, action, commands);
     addKeyCommands(*parent, action, commands);
     addSettingCommands(*parent, action, commands);
     addRouteCommands(*parent, action, commands);
     addReplaceCommand(*parent, action, commands);
+    addConfirmationsCommand(*parent, action, commands);
     addReadCommand(*parent, action, commands, "status", "Shows the control VM's status", "/v1/status");
     addReadCommand(*parent, action, commands, "show", "Shows the configuration", "/v1/configuration");
 }
--- a/src/wire/follower_codec.cpp
+++ b/src/wire/follower_codec.cpp
@@ -73,6 +73,16 @@
     return json::array({toJson(part.held), cborBytes(part.seal), part.totalBytes, part.offset, cborBytes(part.bytes)});
 }
 
+json fieldsOf(const revision_report &report)
+{
+    return json::array({report.inForce.value, report.vmName});
+}
+
+json fieldsOf(const report_request & /*message*/)
+{
+    return json::array();
+}
+
 follower_message offerFromJson(const json &value)
 {
     cbor_fields fields(value, "offer", 1);
@@ -112,6 +122,21 @@
     return part;
 }
 
+follower_message reportFromJson(const json &value)
+{
+    cbor_fields fields(value, "revision report", 2);
+    revision_report report;
+    report.inForce.value = fields.whole<std::uint64_t>();
+    report.vmName = fields.text(maxVmNameBytes);
+    return report;
+}
+
+follower_message requestFromJson(const json &value)
+{
+    const cbor_fields fields(value, "report request", 0);
+    return report_request{};
+}
+
 } // namespace
 
 byte_buffer encodeFollowerMessage(const follower_message &message)
@@ -134,8 +159,12 @@
         return pullFromJson(body);
     case 2:
         return deltasFromJson(body);
-    default:
+    case 3:
         return partFromJson(body);
+    case 4:
+        return reportFromJson(body);
+    default:
+        return requestFromJson(body);
     }
 }
 
--- a/src/wire/follower_codec.h
+++ b/src/wire/follower_codec.h
@@ -3,6 +3,7 @@
 #include "wire/byte_buffer.h"
 
 #include <guavafront/coordination/configuration/configuration_follower.h>
+#include <guavafront/coordination/configuration/confirmations.h>
 
 #include <cstddef>
 #include <span>
@@ -14,6 +15,8 @@
 
 /// Version of the messages between followers; the first field of each.
 constexpr std::uint64_t followerFormatVersion = 1;
+/// Longest name of a VM in a report.
+constexpr std::size_t maxVmNameBytes = 256;
 /// Largest message between followers.
 constexpr std::size_t maxFollowerMessageBytes = std::size_t{1} << 20;
 
@@ -36,8 +39,14 @@
     bool operator==(const deltas_message &) const = default; ///< Memberwise equality.
 };
 
+/// "Send me a revision_report."
+struct report_request {
+    bool operator==(const report_request &) const = default; ///< Memberwise equality.
+};
+
 /// Message between two followers.
-using follower_message = std::variant<offer_message, pull_message, deltas_message, snapshot_part>;
+using follower_message =
+    std::variant<offer_message, pull_message, deltas_message, snapshot_part, revision_report, report_request>;
 
 /// CBOR of a message.
 byte_buffer encodeFollowerMessage(const follower_message &message);
--- a/src/wire/operator_json.cpp
+++ b/src/wire/operator_json.cpp
@@ -381,11 +381,14 @@
 
 std::string toJson(const change_answer &answer)
 {
-    return json{{"code", static_cast<int>(answer.code)},
-                {"name", describe(answer.code).name},
-                {"revision", answer.at.value},
-                {"text", answer.text}}
-        .dump();
+    json document{{"code", static_cast<int>(answer.code)},
+                  {"name", describe(answer.code).name},
+                  {"revision", answer.at.value},
+                  {"text", answer.text}};
+    if (answer.code == result_code::Ok) {
+        document["state"] = "accepted"; // Where it is in force, /v1/confirmations says.
+    }
+    return document.dump();
 }
 
 change_answer parseChangeAnswerJson(std::string_view text)
--- a/src/wire/operator_json.h
+++ b/src/wire/operator_json.h
@@ -16,7 +16,7 @@
 /// JSON that parseChangeRequestJson() reads back.
 std::string toJson(const change_request &request);
 
-/// JSON of an answer: code, name, revision and text.
+/// JSON of an answer: code, name, revision and text; state "accepted" when it was.
 std::string toJson(const change_answer &answer);
 
 /// Reads what toJson() wrote. Throws coordination_error (MessageMalformed).
--- /dev/null
+++ b/tests/configuration/confirmations_test.cpp
@@ -0,0 +1,216 @@
+#include <guavafront/coordination/configuration/confirmations.h>
+#include <guavafront/coordination/core/random.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr duration grace = seconds(5);
+constexpr revision wanted{7};
+
+/// Three entry VMs in two data centres, all live.
+struct confirmations_fixture {
+    confirmations state;
+    instant now{seconds(100)};
+    entry_vms_seen seen{.live = {{{1}, "dc-1"}, {{2}, "dc-2"}, {{3}, "dc-2"}}, .unheard = {}, .hearsMajority = true};
+
+    confirmations_fixture()
+    {
+        noteEntryVms(state, seen, now);
+    }
+
+    void confirmAll(std::uint64_t at)
+    {
+        for (const entry_vm &vm : seen.live) {
+            noteReport(state, vm.id, {{at}, "entry-" + std::to_string(vm.id.value)});
+        }
+    }
+
+    /// VM 2 is declared dead.
+    void loseVm2()
+    {
+        std::erase(seen.live, entry_vm{{2}, "dc-2"});
+        seen.unheard.push_back({{2}, "dc-2"});
+        noteEntryVms(state, seen, now);
+    }
+
+    confirmation_status status() const
+    {
+        return statusOf(state, wanted, grace, now);
+    }
+};
+
+/// An entry VM as it truly is.
+struct true_vm {
+    revision applied; ///< In force there.
+    bool stopped = false; ///< Frozen or cut off.
+};
+
+/// A fleet whose VMs apply revisions, report with loss, freeze and are replaced; the membership is told late.
+struct true_fleet {
+    explicit true_fleet(std::uint64_t seed)
+        : random{seed}
+    {
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            vms[{lastId = id}] = {};
+        }
+    }
+
+    void tell()
+    {
+        entry_vms_seen seen;
+        for (const auto &[id, vm] : vms) {
+            (vm.stopped && random.below(2) == 0 ? seen.unheard : seen.live).push_back({id, "dc"});
+        }
+        noteEntryVms(state, seen, now);
+    }
+
+    void act()
+    {
+        now += std::chrono::milliseconds(100);
+        auto chosen = std::next(vms.begin(), static_cast<std::ptrdiff_t>(random.below(vms.size())));
+        true_vm &vm = chosen->second;
+        const std::uint64_t action = random.below(64);
+        if (action == 0) {
+            ++accepted.value;
+        } else if (action == 1) {
+            vm.stopped = !vm.stopped;
+        } else if (action == 2) { // Its process is replaced by one that holds nothing yet.
+            vms.erase(chosen);
+            vms[{++lastId}] = {};
+            tell();
+        } else if (action == 3) {
+            tell();
+        } else if (!vm.stopped) {
+            vm.applied = accepted;
+            if (random.below(2) == 0) {
+                noteReport(state, chosen->first, {vm.applied, "vm"});
+            }
+        }
+    }
+
+    /// No VM that the membership doesn't hold dead for longer than the grace is behind.
+    bool trulyInForce() const
+    {
+        return std::ranges::all_of(vms, [this](const auto &each) {
+            const auto known = state.entries.find(each.first);
+            const bool over = known != state.entries.end() && known->second.unheardSince
+                              && now >= *known->second.unheardSince + grace;
+            return over || each.second.applied >= accepted;
+        });
+    }
+
+    random_source random;
+    confirmations state;
+    instant now{seconds(1)};
+    revision accepted{1};
+    std::map<vm_id, true_vm> vms;
+    std::uint64_t lastId = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(confirmations_test, confirmations_fixture)
+
+BOOST_AUTO_TEST_CASE(revision_reportedByAll_inForce)
+{
+    confirmAll(7);
+    BOOST_CHECK((status() == confirmation_status{.inForce = true, .hearsMajority = true, .counted = 3, .missing = {}}));
+}
+
+BOOST_AUTO_TEST_CASE(revision_oneVmBehind_acceptedAndNamed)
+{
+    confirmAll(6);
+    noteReport(state, {1}, {{7}, "entry-1"});
+    noteReport(state, {3}, {{8}, "entry-3"});
+    BOOST_CHECK(!status().inForce);
+    BOOST_CHECK((status().missing == std::vector<unconfirmed_vm>{{{2}, "entry-2", "dc-2", false}}));
+}
+
+BOOST_AUTO_TEST_CASE(report_olderAfterNewer_revisionStays)
+{
+    confirmAll(7);
+    noteReport(state, {2}, {{6}, "entry-2"});
+    BOOST_CHECK(status().inForce);
+}
+
+BOOST_AUTO_TEST_CASE(vm_declaredDeadUnconfirmed_namedForTheGraceThenNotCounted)
+{
+    confirmAll(6);
+    loseVm2();
+    noteReport(state, {1}, {{7}, "entry-1"});
+    noteReport(state, {3}, {{7}, "entry-3"});
+    now += grace - duration(1);
+    BOOST_CHECK((status().missing == std::vector<unconfirmed_vm>{{{2}, "entry-2", "dc-2", true}}));
+    now += duration(1);
+    BOOST_CHECK(status().inForce);
+    BOOST_TEST(status().counted == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(vm_backAfterDeath_countsAgain)
+{
+    loseVm2();
+    now += 2 * grace;
+    seen.unheard.clear();
+    seen.live.push_back({{2}, "dc-2"});
+    noteEntryVms(state, seen, now);
+    noteReport(state, {1}, {{7}, "entry-1"});
+    noteReport(state, {3}, {{7}, "entry-3"});
+    BOOST_TEST(status().missing.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(vm_replacedAtItsAddress_onlySuccessorCounts)
+{
+    confirmAll(7);
+    seen.live.back() = {{9}, "dc-2"};
+    noteEntryVms(state, seen, now);
+    BOOST_CHECK((status().missing == std::vector<unconfirmed_vm>{{{9}, "", "dc-2", false}}));
+}
+
+BOOST_AUTO_TEST_CASE(controlVm_hearsMinority_neverSaysInForce)
+{
+    confirmAll(7);
+    seen.hearsMajority = false;
+    noteEntryVms(state, seen, now);
+    BOOST_CHECK(!status().inForce);
+    BOOST_CHECK(status().missing.empty());
+}
+
+BOOST_AUTO_TEST_CASE(question_vmsBehind_askedOnceAnInterval)
+{
+    confirmAll(7);
+    BOOST_CHECK(takeVmsToAsk(state, wanted, now).empty());
+    noteEntryVms(state, {.live = {{{1}, "dc-1"}, {{4}, "dc-1"}}, .unheard = {}, .hearsMajority = true}, now);
+    BOOST_CHECK((takeVmsToAsk(state, wanted, now) == std::vector<vm_id>{{4}}));
+    BOOST_CHECK(takeVmsToAsk(state, wanted, now).empty());
+    BOOST_CHECK((takeVmsToAsk(state, wanted, now + state.askInterval) == std::vector<vm_id>{{4}}));
+}
+
+BOOST_AUTO_TEST_CASE(schedules_freezesLossAndReplacements_inForceIsNeverSaidFalsely)
+{
+    std::size_t said = 0;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        true_fleet fleet(seed);
+        fleet.tell();
+        for (int step = 0; step < 400; ++step) {
+            fleet.act();
+            if (statusOf(fleet.state, fleet.accepted, grace, fleet.now).inForce) {
+                ++said;
+                BOOST_REQUIRE_MESSAGE(fleet.trulyInForce(), "seed " << seed << ", step " << step);
+            }
+        }
+    }
+    BOOST_TEST(said > 1'000U); // The schedules reach both answers.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/fleet/confirmation_test.cpp
@@ -0,0 +1,87 @@
+#include "fleet/fleet_processes.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int doneStatus = 0;
+constexpr int unconfirmedStatus = 4;
+
+/// A control VM and three entry VMs with a keyed account; a VM cut off counts for the longest time that can be set.
+struct confirmation_fixture {
+    fleet_processes fleet{fleet_layout{.controls = 1, .entries = 3}};
+
+    confirmation_fixture()
+    {
+        fleet.startAll();
+        fleet.createAccount("panalera");
+        fleet.operate({"default", "stalenessLimitMs", "60000"});
+    }
+
+    ~confirmation_fixture()
+    {
+        fleet.signal("entry-2", SIGCONT);
+    }
+
+    nlohmann::json ask(const std::vector<std::string> &command, int expectedExit)
+    {
+        const operator_outcome outcome = fleet.tryOperate(command);
+        BOOST_TEST(outcome.exitStatus == expectedExit, outcome.answer);
+        return nlohmann::json::parse(outcome.answer);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(confirmation_test, confirmation_fixture)
+
+BOOST_AUTO_TEST_CASE(withdrawal_allVmsLive_inForce)
+{
+    const nlohmann::json answer = ask({"key", "withdraw", "panalera-1", "--wait"}, doneStatus);
+    BOOST_TEST(answer.at("state") == "in_force");
+    BOOST_TEST(answer.at("entry_vms") == 3);
+    BOOST_TEST(answer.at("not_confirmed").empty());
+}
+
+BOOST_AUTO_TEST_CASE(withdrawal_vmStopped_acceptedAndNamedThenInForce)
+{
+    BOOST_TEST(ask({"account", "create", "tjarna", "--wait"}, doneStatus).at("state") == "in_force");
+    fleet.signal("entry-2", SIGSTOP);
+    const nlohmann::json answer =
+        ask({"key", "withdraw", "panalera-1", "--wait", "--wait-seconds", "2"}, unconfirmedStatus);
+    BOOST_TEST(answer.at("state") == "accepted");
+    BOOST_TEST(answer.at("name") == "not_confirmed");
+    BOOST_REQUIRE(answer.at("not_confirmed").size() == 1U);
+    const nlohmann::json &vm = answer.at("not_confirmed").front();
+    BOOST_TEST(vm.at("name") == "entry-2");
+    BOOST_TEST(vm.at("data_centre") == "dc-2");
+    BOOST_TEST(vm.at("vm").get<std::string>().size() == 16U);
+
+    fleet.signal("entry-2", SIGCONT);
+    const std::string revision = answer.at("revision").dump();
+    BOOST_TEST(ask({"confirmations", revision, "--wait"}, doneStatus).at("state") == "in_force");
+}
+
+BOOST_AUTO_TEST_CASE(change_withoutWaiting_saysOnlyAccepted)
+{
+    const nlohmann::json answer = ask({"key", "withdraw", "panalera-1"}, doneStatus);
+    BOOST_TEST(answer.at("state") == "accepted");
+}
+
+BOOST_AUTO_TEST_CASE(confirmations_ofRevisionNotAccepted_refused)
+{
+    const operator_outcome outcome = fleet.tryOperate({"confirmations", "999"});
+    BOOST_TEST(outcome.exitStatus == 1);
+    BOOST_TEST(outcome.answer.find("revision_unknown") != std::string::npos, outcome.answer);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -215,17 +215,31 @@
     m_running.at(name)->kill();
 }
 
-void fleet_processes::operate(const std::vector<std::string> &arguments)
+operator_outcome fleet_processes::tryOperate(const std::vector<std::string> &arguments)
 {
     std::vector<std::string> all{"operator", "--token-file", "operator.token"};
     for (const std::string &control : m_controls) {
         all.insert(all.end(), {"--server", local(portsOf(control).operators)});
     }
-    const std::string &command = arguments.front();
     all.insert(all.end(), arguments.begin(), arguments.end());
-    child_process process(GUAVAFRONT_BINARY, all, m_folder.string(), (m_folder / "operator.log").string());
-    if (!process.waitForEnd(waitLimit) || process.exitStatus() != 0) {
-        throw std::runtime_error("operator " + command + " failed");
+    const std::string log = (m_folder / ("operator-" + std::to_string(++m_commands) + ".log")).string();
+    child_process process(GUAVAFRONT_BINARY, all, m_folder.string(), log);
+    if (!process.waitForEnd(waitLimit)) {
+        throw std::runtime_error("operator " + arguments.front() + " did not end");
+    }
+    operator_outcome outcome{.exitStatus = process.exitStatus(), .answer = {}};
+    std::ifstream output(log);
+    for (std::string line; std::getline(output, line);) {
+        outcome.answer = line;
+    }
+    return outcome;
+}
+
+void fleet_processes::operate(const std::vector<std::string> &arguments)
+{
+    const operator_outcome outcome = tryOperate(arguments);
+    if (outcome.exitStatus != 0) {
+        throw std::runtime_error("operator " + arguments.front() + " failed: " + outcome.answer);
     }
 }
 
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -33,6 +33,12 @@
     std::size_t dataCentres = 3; ///< VMs are dealt to them in turn.
 };
 
+/// How an operator command ended.
+struct operator_outcome {
+    int exitStatus = 0; ///< Of the process.
+    std::string answer; ///< Last line of its output.
+};
+
 /// The real daemons and stand-in upstreams as processes on loopback, in a folder of their own that is removed at the
 /// end. Names are "control-1", "entry-1", "upstream-1" and so on.
 class fleet_processes
@@ -66,6 +72,9 @@
     /// Kills a process at once and waits for its end.
     void kill(const std::string &name);
 
+    /// Runs an operator command against all control VMs; whatever its exit status is.
+    operator_outcome tryOperate(const std::vector<std::string> &arguments);
+
     /// Runs an operator command against all control VMs; throws when it fails.
     void operate(const std::vector<std::string> &arguments);
 
@@ -112,6 +121,7 @@
     std::map<std::string, std::uint16_t> m_upstreamPorts; ///< By stand-in.
     std::map<std::string, std::unique_ptr<child_process>> m_running; ///< By name.
     std::size_t m_upstreams = 0; ///< Stand-ins ever started.
+    std::size_t m_commands = 0; ///< Operator commands ever run.
 };
 
 /// Body of an answer as text.
--- a/tests/peers/peers_task_test.cpp
+++ b/tests/peers/peers_task_test.cpp
@@ -220,7 +220,7 @@
     runUntil([] { return false; });
     vms[3]->task.reset();
     runUntil(stopped);
-    BOOST_TEST(vms[0]->view->missing == 0U);
+    BOOST_TEST(vms[0]->view->missing.empty());
 }
 
 BOOST_AUTO_TEST_CASE(publish_tooLarge_countedAndTaskGoesOn)
