Give the fleets of tests ports below the system's outgoing ones

Cause suspected, not proved: a fixture's control VM did not come up in 1 of 6 runs of test_fleet. The harness took ports from the range that the system also gives to outgoing connections (32768 to 60999 here) and let them go until the VM listened; in between any connection of any process may take them, the more likely the more processes run.

Change: ports are drawn at random from 10000 to 31999, are tried by a bind and are given once.

Ruled out: ports fixed by number, since several fleets run at once on one machine.

--- a/tests/fleet/child_process.cpp
+++ b/tests/fleet/child_process.cpp
@@ -38,6 +38,11 @@
     return !m_handle->child.valid() || m_handle->child.wait_for(limit);
 }
 
+int child_process::id() const
+{
+    return m_handle->child.id();
+}
+
 void child_process::kill()
 {
     if (running()) {
--- a/tests/fleet/child_process.h
+++ b/tests/fleet/child_process.h
@@ -29,6 +29,9 @@
     /// Kills it and waits.
     void kill();
 
+    /// Its process id.
+    int id() const;
+
     /// Whether it runs.
     bool running();
 
--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -14,6 +14,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <random>
+#include <set>
+#include <sstream>
 #include <stdexcept>
 
 namespace guavafront
@@ -27,21 +30,35 @@
 constexpr duration waitLimit = std::chrono::seconds(20);
 constexpr int pollPeriodMs = 20;
 
-/// A port that was free a moment ago.
-std::uint16_t freePort()
+/// Ports below those that the system gives to outgoing connections, which would take them before a VM listens.
+constexpr std::uint16_t lowestPort = 10'000;
+constexpr std::uint16_t portCount = 22'000;
+
+bool isFree(std::uint16_t port)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    const bool bound = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0
-                       && getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    const bool bound = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
     close(descriptor);
-    if (!bound) {
-        throw std::runtime_error("no free port on loopback");
+    return bound;
+}
+
+/// A port that was free a moment ago and was not given before.
+std::uint16_t freePort()
+{
+    static std::random_device random; // Other fleets on this machine must choose others.
+    static std::set<std::uint16_t> given;
+    for (int tries = 0; tries < portCount; ++tries) {
+        const auto port = static_cast<std::uint16_t>(lowestPort + random() % portCount);
+        if (!given.contains(port) && isFree(port)) {
+            given.insert(port);
+            return port;
+        }
     }
-    return ntohs(address.sin_port);
+    throw std::runtime_error("no free port on loopback");
 }
 
 std::string local(std::uint16_t port)
@@ -169,9 +186,7 @@
     waitUntil("a control VM leads", [this] {
         for (const std::string &control : m_controls) {
             try {
-                const http_answer answer = httpCall({"127.0.0.1", portsOf(control).operators},
-                                                    {.method = "GET", .target = "/v1/status", .token = operatorToken});
-                if (bodyOf(answer).find("\"leader\":true") != std::string::npos) {
+                if (bodyOf(askControl(control, "GET", "/v1/status")).find("\"leader\":true") != std::string::npos) {
                     return true;
                 }
             } catch (const coordination_error &) {
@@ -268,6 +283,30 @@
         {.method = "POST", .target = target, .token = key, .body = body, .headers = headers, .timeout = waitLimit});
 }
 
+http_answer fleet_processes::askControl(const std::string &control, std::string_view method, std::string_view target,
+                                        std::string_view body) const
+{
+    return httpCall({"127.0.0.1", portsOf(control).operators},
+                    {.method = method, .target = target, .token = operatorToken, .body = body, .timeout = waitLimit});
+}
+
+double fleet_processes::metricOf(const std::string &vm, std::string_view name) const
+{
+    std::istringstream page(
+        bodyOf(httpCall({"127.0.0.1", portsOf(vm).metrics}, {.method = "GET", .target = "/metrics"})));
+    double sum = 0;
+    for (std::string line; std::getline(page, line);) {
+        const bool named = line.starts_with(name) && line.find_first_of(" {") == name.size();
+        sum += named ? std::stod(line.substr(line.rfind(' ') + 1)) : 0;
+    }
+    return sum;
+}
+
+int fleet_processes::processId(const std::string &vm) const
+{
+    return m_running.at(vm)->id();
+}
+
 http_answer fleet_processes::askUpstream(const std::string &upstream, std::string_view method,
                                          std::string_view target) const
 {
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -89,6 +89,16 @@
     http_answer post(const std::string &entry, std::string_view target, std::string_view key, std::string_view body,
                      const std::string &idempotencyKey) const;
 
+    /// Request to a control VM as an operator.
+    http_answer askControl(const std::string &control, std::string_view method, std::string_view target,
+                           std::string_view body = {}) const;
+
+    /// Sum of a counter's or gauge's rows on a VM's metrics page; 0 when it isn't there.
+    double metricOf(const std::string &vm, std::string_view name) const;
+
+    /// Process id of a VM.
+    int processId(const std::string &vm) const;
+
     /// Request to a stand-in's own pages.
     http_answer askUpstream(const std::string &upstream, std::string_view method, std::string_view target) const;
 
