--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -212,7 +212,7 @@
                                                        {.dataFolder = settings.vm.dataFolder,
                                                         .freshIdentity = self,
                                                         .secret = secrets.fleet,
-                                                        .replica = {},
+                                                        .replica = {.targetVoters = settings.control.voters},
                                                         .send = sender(wiring),
                                                         .proved = beaconIssuer(wiring),
                                                         .claimsAgreed = claimsPublisher(settings, wiring)},
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -45,6 +45,11 @@
     std::string operatorTokensFile; ///< JSON list of operators' tokens and roles (control).
 };
 
+/// The control's replicated log.
+struct control_settings {
+    std::uint32_t voters = 3; ///< Control VMs that vote, 3 or 5; the same on all control VMs.
+};
+
 /// Limits of an entry VM against overload of its own.
 struct entry_settings {
     std::uint32_t maxConnections = 10'000; ///< Callers' connections at once.
@@ -69,6 +74,7 @@
     listen_settings listen; ///< Where it listens.
     peer_settings peers; ///< Links to other VMs.
     secret_settings secrets; ///< Files with secrets.
+    control_settings control; ///< The control's replicated log.
     entry_settings entry; ///< Limits of an entry VM.
     objective_settings objectives; ///< For the burn report.
 };
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -37,6 +37,7 @@
     each.field("secrets.fleetSecretFile", values.secrets.fleetSecretFile, presence::Required);
     each.field("secrets.serviceTokenFile", values.secrets.serviceTokenFile, presence::Optional);
     each.field("secrets.operatorTokensFile", values.secrets.operatorTokensFile, presence::Optional);
+    each.field("control.voters", values.control.voters, number_range{3, 5});
     each.field("entry.maxConnections", values.entry.maxConnections, number_range{1, 1'000'000});
     each.field("entry.maxHeaderBytes", values.entry.maxHeaderBytes, bytes);
     each.field("entry.maxBodyBytes", values.entry.maxBodyBytes, bytes);
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -21,6 +21,9 @@
 
 using nlohmann::json;
 
+/// Longest name of a VM; reports to operators carry it.
+constexpr std::size_t maxNameBytes = 256;
+
 std::string_view roleName(vm_role role)
 {
     return role == vm_role::Entry ? "entry" : "control";
@@ -244,6 +247,18 @@
     }
 }
 
+/// Reports values that are of the right type and yet no choice.
+void checkValues(const daemon_settings &values, std::vector<setting_fault> &faults)
+{
+    if (values.control.voters % 2 == 0) {
+        faults.push_back({result_code::SettingInvalid, "control.voters", "must be 3 or 5"});
+    }
+    if (values.vm.name.size() > maxNameBytes) {
+        faults.push_back(
+            {result_code::SettingInvalid, "vm.name", "must have at most " + std::to_string(maxNameBytes) + " bytes"});
+    }
+}
+
 } // namespace
 
 bool hasRole(const daemon_settings &settings, vm_role role)
@@ -263,6 +278,7 @@
     visitSettings(visitor, result.values);
     visitor.reportUnknown();
     checkRoles(result.values, result.faults);
+    checkValues(result.values, result.faults);
     return result;
 }
 
--- a/tests/membership/membership_codec_test.cpp
+++ b/tests/membership/membership_codec_test.cpp
@@ -1,9 +1,13 @@
+#include "golden_file.h"
+
 #include "wire/membership_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace guavafront
 {
 
@@ -33,6 +37,17 @@
 
 BOOST_FIXTURE_TEST_SUITE(membership_codec_test, membership_codec_fixture)
 
+BOOST_AUTO_TEST_CASE(encodeMembership_eachKind_equalsGoldenFile)
+{
+    std::vector<std::byte> written;
+    for (const membership_message &each : messages) {
+        std::ranges::copy(encodeMembership(each), std::back_inserter(written));
+    }
+    BOOST_CHECK_MESSAGE(written == readGolden("membership/golden/membership_messages.hex"),
+                        "membership/golden/membership_messages.hex differs from:\n"
+                            << toHex(written));
+}
+
 BOOST_AUTO_TEST_CASE(decodeMembership_eachKind_sameMessage)
 {
     for (const membership_message &each : messages) {
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -69,6 +69,24 @@
     BOOST_TEST(hasFault(readWith("4096", "\"4 KB\""), result_code::SettingInvalid, "entry.maxBodyBytes"));
 }
 
+BOOST_AUTO_TEST_CASE(readSettings_voters_threeOrFive)
+{
+    const auto readVoters = [this](const std::string &voters) {
+        return readWith("\"entry\": {", "\"control\": {\"voters\": " + voters + "}, \"entry\": {");
+    };
+    BOOST_TEST(readSettings(text).values.control.voters == 3U);
+    BOOST_TEST(readVoters("5").values.control.voters == 5U);
+    for (const char *wrong : {"1", "2", "4", "6", "7", "3.5", "\"3\""}) {
+        BOOST_TEST(hasFault(readVoters(wrong), result_code::SettingInvalid, "control.voters"), wrong);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(readSettings_nameTooLong_refusedWithPath)
+{
+    BOOST_TEST(readWith("entry-1", std::string(256, 'x')).faults.empty());
+    BOOST_TEST(hasFault(readWith("entry-1", std::string(257, 'x')), result_code::SettingInvalid, "vm.name"));
+}
+
 BOOST_AUTO_TEST_CASE(readSettings_hostName_refusedWithPath)
 {
     const settings_result result = readWith("127.0.0.1:7002", "control.example:7002");
