Back off from an address where another VM answers

Cause: after an entry VM was restarted, the others still had messages for its former identity.

Ruled out: the membership's reconnects (they skip addresses that a live VM has); the configuration's spread (quiet in the logs); the entry's own state (its peers thread alone was busy).

Change: when the VM that answers is not one that a message waited for, the address backs off as after a failed connection (100 ms to 5 s). Messages to the VM that answered go over its link as before.

Test: send_againToReplacedVm_noSecondConnection, which failed first (a second connection was opened, nothing dropped).

The benchmark now names the busiest VM.

--- a/bench/spread_bench.cpp
+++ b/bench/spread_bench.cpp
@@ -219,21 +219,24 @@
     {
         process_cost sum;
         process_cost most;
+        std::string busiest;
         for (const std::string &vm : vms) {
             const double cpu = after[vm].cpuSeconds - before[vm].cpuSeconds;
             const double bytes = after[vm].bytes - before[vm].bytes;
             sum.cpuSeconds += cpu;
             sum.bytes += bytes;
             sum.messages += after[vm].messages - before[vm].messages;
+            busiest = cpu > most.cpuSeconds ? vm : busiest;
             most.cpuSeconds = std::max(most.cpuSeconds, cpu);
             most.bytes = std::max(most.bytes, bytes);
             most.residentMegabytes = std::max(most.residentMegabytes, after[vm].residentMegabytes);
         }
         const double whole = seconds * static_cast<double>(vms.size());
-        std::printf("idle %s, %s: %.0f B/s in %.1f messages/s (most %.0f B/s), %.2f%% of a core (most %.2f%%), "
+        std::printf("idle %s, %s: %.0f B/s in %.1f messages/s (most %.0f B/s), %.2f%% of a core (most %.2f%%, %s), "
                     "at most %.1f MB\n",
                     role, when, sum.bytes / whole, sum.messages / whole, most.bytes / seconds,
-                    100 * sum.cpuSeconds / whole, 100 * most.cpuSeconds / seconds, most.residentMegabytes);
+                    100 * sum.cpuSeconds / whole, 100 * most.cpuSeconds / seconds, busiest.c_str(),
+                    most.residentMegabytes);
     }
 
     fleet_processes m_fleet{fleet_layout{.controls = controlVms, .entries = entryVms}};
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -173,8 +173,14 @@
     m_ready[peer.id].push_back(&link);
     std::deque<pending_message> pending;
     if (const auto connection = m_outgoing.find(address); connection != m_outgoing.end()) {
-        pending = std::move(connection->second.pending);
-        m_outgoing.erase(connection);
+        pending = std::exchange(connection->second.pending, {});
+        const bool wanted = std::ranges::any_of(
+            pending, [&peer](const pending_message &each) { return each.to.value == 0 || each.to == peer.id; });
+        if (wanted) {
+            m_outgoing.erase(connection);
+        } else {
+            backOff(address); // Else each further message to the VM that was there would open a link.
+        }
     }
     for (const pending_message &each : pending) {
         if (each.to.value == 0 || each.to == peer.id) {
--- a/tests/wire/link_table_test.cpp
+++ b/tests/wire/link_table_test.cpp
@@ -26,6 +26,7 @@
     loop owner;
     fleet_secret secret = deriveFleetSecret("the secret of the test's fleet");
     link_limits limits;
+    duration backoffFirst = link_table_options{}.backoffFirst;
     vm first;
     vm second;
     timer poll{owner, [this] {
@@ -52,6 +53,7 @@
                 }};
         link_table_options options;
         options.link = {.self = {.id = {id}, .dataCentre = "a"}, .secret = known, .limits = limits};
+        options.backoffFirst = backoffFirst;
         target.links = std::make_unique<link_table>(owner, options, std::move(events));
     }
 
@@ -153,6 +155,21 @@
     BOOST_TEST(first.links->counters().messagesSent == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(send_againToReplacedVm_noSecondConnection)
+{
+    backoffFirst = link_table_options{}.backoffLongest;
+    startBoth();
+    const std::string address = second.links->self().address;
+    first.links->send({9}, address, numbered(1));
+    runUntil([this] { return first.links->counters().messagesDropped == 1; });
+    first.links->send({9}, address, numbered(2));
+    BOOST_TEST(first.links->counters().messagesDropped == 2U);
+    BOOST_TEST(first.links->counters().opened == 1U);
+    first.links->send({2}, address, numbered(3)); // The VM that answered there is reached.
+    runUntil([this] { return !second.received.empty(); });
+    BOOST_TEST((second.received == std::vector{numbered(3)}));
+}
+
 BOOST_AUTO_TEST_CASE(link_messageBeforeProof_endsUnauthenticated)
 {
     start(first, 1);
