--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -33,6 +33,12 @@
     std::size_t dataCentres = 3; ///< VMs are dealt to them in turn.
 };
 
+/// How an operator command ended.
+struct operator_outcome {
+    int exitStatus = 0; ///< Of the process.
+    std::string answer; ///< Last line of its output.
+};
+
 /// The real daemons and stand-in upstreams as processes on loopback, in a folder of their own that is removed at the
 /// end. Names are "control-1", "entry-1", "upstream-1" and so on.
 class fleet_processes
@@ -66,6 +72,9 @@
     /// Kills a process at once and waits for its end.
     void kill(const std::string &name);
 
+    /// Runs an operator command against all control VMs; whatever its exit status is.
+    operator_outcome tryOperate(const std::vector<std::string> &arguments);
+
     /// Runs an operator command against all control VMs; throws when it fails.
     void operate(const std::vector<std::string> &arguments);
 
@@ -80,6 +89,16 @@
     http_answer post(const std::string &entry, std::string_view target, std::string_view key, std::string_view body,
                      const std::string &idempotencyKey) const;
 
+    /// Request to a control VM as an operator.
+    http_answer askControl(const std::string &control, std::string_view method, std::string_view target,
+                           std::string_view body = {}) const;
+
+    /// Sum of a counter's or gauge's rows on a VM's metrics page; 0 when it isn't there.
+    double metricOf(const std::string &vm, std::string_view name) const;
+
+    /// Process id of a VM.
+    int processId(const std::string &vm) const;
+
     /// Request to a stand-in's own pages.
     http_answer askUpstream(const std::string &upstream, std::string_view method, std::string_view target) const;
 
@@ -112,6 +131,7 @@
     std::map<std::string, std::uint16_t> m_upstreamPorts; ///< By stand-in.
     std::map<std::string, std::unique_ptr<child_process>> m_running; ///< By name.
     std::size_t m_upstreams = 0; ///< Stand-ins ever started.
+    std::size_t m_commands = 0; ///< Operator commands ever run.
 };
 
 /// Body of an answer as text.
