Remove the daemon's settings of objectives, which nothing read

Cause: objectives.availabilityPercent and objectives.latencyMs stood in every daemon's settings and were checked, but no code used them. The report has objectives of its own by service and account, and a daemon needs none.

Ruled out: letting the report read a daemon's settings, since objectives are the fleet's and not one VM's.

Change: the two settings are gone; a file that still names them is refused as unknown, with the path. No example did.

Conclusion: objectives are stated once, in the report's settings.

--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -57,12 +57,6 @@
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
 };
 
-/// Objectives for the report on service-level burn.
-struct objective_settings {
-    double availabilityPercent = 99.9; ///< Share of requests that must end well.
-    std::uint32_t latencyMs = 300; ///< A slower answer spends budget as well.
-};
-
 /// All settings of one daemon.
 struct daemon_settings {
     vm_settings vm; ///< Who this VM is.
@@ -70,7 +64,6 @@
     peer_settings peers; ///< Links to other VMs.
     secret_settings secrets; ///< Files with secrets.
     entry_settings entry; ///< Limits of an entry VM.
-    objective_settings objectives; ///< For the burn report.
 };
 
 /// Whether the VM has a role.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -45,8 +45,6 @@
     each.field("entry.drainLimitMs", values.entry.drainLimitMs, milliseconds);
     each.field("entry.connectTimeoutMs", values.entry.connectTimeoutMs, milliseconds);
     each.field("entry.idleConnectionsPerInstance", values.entry.idleConnectionsPerInstance, number_range{1, 10'000});
-    each.field("objectives.availabilityPercent", values.objectives.availabilityPercent, number_range{1, 99.999});
-    each.field("objectives.latencyMs", values.objectives.latencyMs, milliseconds);
 }
 
 } // namespace guavafront
