Refuse times and values out of range in samples

Cause: a saved sample with a time near the limits of 64 bits overflowed when turned into microseconds, and a counter of infinity would have made figures that are no numbers.

Ruled out: clamping, which would report on a time that nobody meant.

Change: a time is an unsigned number before the year 10000, a value is finite; else 4003. Each byte of a saved line is also mutated with a fixed seed (2000 times): it is read or refused with 4003, nothing else.

Conclusion: outside input of the report is checked.

--- a/src/report/exposition.cpp
+++ b/src/report/exposition.cpp
@@ -101,7 +101,7 @@
         double value = 0;
         const char *end = m_rest.data() + m_rest.size();
         const auto [stopped, error] = std::from_chars(m_rest.data(), end, value);
-        if (error != std::errc() || stopped != end || std::isnan(value)) {
+        if (error != std::errc() || stopped != end || !std::isfinite(value)) {
             refuse();
         }
         return value;
--- a/src/report/exposition.h
+++ b/src/report/exposition.h
@@ -12,7 +12,7 @@
 struct metric_value {
     std::string name; ///< Of the metric, "_bucket" and the like included.
     std::map<std::string, std::string, std::less<>> labels; ///< By name.
-    double value = 0; ///< Never NaN.
+    double value = 0; ///< Finite.
 
     /// Value of a label; empty when there is none.
     std::string_view label(std::string_view labelName) const;
--- a/src/report/metrics_sample.cpp
+++ b/src/report/metrics_sample.cpp
@@ -52,12 +52,18 @@
     }
 }
 
+/// Whether the number can be milliseconds since the Unix epoch.
+bool isTime(const json &found)
+{
+    constexpr std::uint64_t latestMs = 253'402'300'800'000; // End of the year 9999.
+    return found.is_number_unsigned() && found.get<std::uint64_t>() < latestMs;
+}
+
 metrics_sample parseSample(std::string_view line, std::size_t number)
 {
     const json found = json::parse(line, nullptr, false);
-    const bool whole = found.is_object() && found.contains("at_ms") && found["at_ms"].is_number_integer()
-                       && found.contains("source") && found["source"].is_string() && found.contains("lines")
-                       && found["lines"].is_string();
+    const bool whole = found.is_object() && isTime(found.value("at_ms", json())) && found.contains("source")
+                       && found["source"].is_string() && found.contains("lines") && found["lines"].is_string();
     if (!whole) {
         throw coordination_error(result_code::MessageMalformed, "samples, line " + std::to_string(number));
     }
--- a/tests/report/report_test.cpp
+++ b/tests/report/report_test.cpp
@@ -4,6 +4,7 @@
 #include "daemon/metrics/daemon_counters.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
+#include <guavafront/coordination/core/random.h>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -103,6 +104,34 @@
     BOOST_CHECK_THROW(parseSamples("{\"at_ms\": 1}\n"), coordination_error);
 }
 
+BOOST_AUTO_TEST_CASE(sampleFile_timeOutOfRange_refused)
+{
+    for (const std::string at : {"-1", "9223372036854775807", "18446744073709551615", "1e300"}) {
+        BOOST_CHECK_THROW(parseSamples("{\"at_ms\": " + at + ", \"source\": \"a\", \"lines\": \"\"}\n"),
+                          coordination_error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sampleFile_mutatedBytes_readOrRefused)
+{
+    constexpr int mutations = 2'000;
+    serve(3, result_code::Ok);
+    sampleAt(std::chrono::milliseconds(1'500));
+    const std::string whole = toLine(samples[0]);
+    random_source random{42};
+    for (int each = 0; each < mutations; ++each) {
+        std::string text = whole;
+        text[random.below(text.size() - 1)] = static_cast<char>(random.below(256));
+        try {
+            for (const metrics_sample &sample : parseSamples(text)) {
+                burnSampleOf(sample, settings);
+            }
+        } catch (const coordination_error &error) {
+            BOOST_TEST((error.code() == result_code::MessageMalformed));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(exposition_escapedLabel_readBack)
 {
     serve(1, result_code::Ok, "a \"quoted\" \\ name");
@@ -114,8 +143,8 @@
 
 BOOST_AUTO_TEST_CASE(exposition_malformedLine_refused)
 {
-    for (const std::string_view line :
-         {"x", "x ", "x one", "x{a=\"b\" 1", "x{a=b} 1", "x{a=\"b\\", "x{a} 1", "{", " 1", "x{a=\"b\"} 1 2", "x Nan"}) {
+    for (const std::string_view line : {"x", "x ", "x one", "x{a=\"b\" 1", "x{a=b} 1", "x{a=\"b\\", "x{a} 1", "{", " 1",
+                                        "x{a=\"b\"} 1 2", "x Nan", "x +Inf", "x inf"}) {
         BOOST_CHECK_THROW(parseExposition(line), coordination_error);
     }
 }
