--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -62,12 +62,6 @@
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
 };
 
-/// Objectives for the report on service-level burn.
-struct objective_settings {
-    double availabilityPercent = 99.9; ///< Share of requests that must end well.
-    std::uint32_t latencyMs = 300; ///< A slower answer spends budget as well.
-};
-
 /// All settings of one daemon.
 struct daemon_settings {
     vm_settings vm; ///< Who this VM is.
@@ -76,7 +70,6 @@
     secret_settings secrets; ///< Files with secrets.
     control_settings control; ///< The control's replicated log.
     entry_settings entry; ///< Limits of an entry VM.
-    objective_settings objectives; ///< For the burn report.
 };
 
 /// Whether the VM has a role.
