Property test of refusals over every point at which a request stops

Single cases stood in tests/entry; nothing covered their combinations: a deadline while a claim waits, a shed request that another one's end makes room for, a late answer after a timer.

Not reached: health ejections and reports of other VMs, and the front end's own mapping of bytes to outcomes.

--- /dev/null
+++ b/tests/entry/entry_schedule.h
@@ -0,0 +1,362 @@
+#pragma once
+
+#include "entry/entry_fixture.h"
+#include "entry/request_record.h"
+
+#include <guavafront/coordination/quarantine/fingerprint.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <type_traits>
+#include <utility>
+
+namespace guavafront
+{
+
+/// Where a request stood before the step that ended it, and the code; Ok when its caller left.
+using stopping_point = std::pair<exchange_stage, result_code>;
+
+/// An entry VM under a seeded schedule of requests, outcomes and disturbances, with small bounds so that each is met.
+/// Every effect is checked against the front end's own record of the request.
+struct entry_schedule : entry_fixture {
+    std::mt19937_64 choices; ///< Of the schedule; the entry has its own.
+    std::map<exchange_id, request_record> records; ///< All requests ever sent.
+    std::deque<std::pair<vm_id, claim_request>> asked; ///< Claims that other homes have yet to answer.
+    std::deque<lease_request> wanted; ///< Leases that the other owner has yet to grant.
+    std::uint64_t round = 0; ///< Of the other owner's requests for shares.
+    std::set<stopping_point> *seen; ///< Gets where requests stopped.
+    std::uint64_t epoch = 0; ///< Of the claims view.
+    bool claimsElsewhere = false; ///< Other VMs are homes of the claims too.
+
+    /// Prepares an entry; seen must outlive it.
+    entry_schedule(std::uint64_t scheduleSeed, std::set<stopping_point> &stops)
+        : choices(scheduleSeed)
+        , seen(&stops)
+    {
+        state.settings.bounds = {.requests = 12, .bodyBytes = 4'000};
+        state.settings.admission.accountLimit = 3;
+        state.settings.admission.totalLimit = 4;
+        draft->accounts.push_back({.id = {2}, .name = "tjarnaveitur", .kindOrder = {"reading", "booking"}});
+        draft->keys.push_back({.label = "tjarnaveitur-1", .hash = hashOf(9), .owner = {2}});
+        draft->defaults.accountRatePerSecond = 100;
+        draft->defaults.accountBurst = 12;
+        draft->defaults.quarantineDeaths = 1;
+        draft->routes[0].timeoutMs = 60;
+        draft->routes[1].timeoutMs = 80;
+        draft->routes.push_back(
+            {.id = {3}, .pathPrefix = "/readings", .service = "reservas", .kind = "reading", .timeoutMs = 15});
+        draft->routes.push_back({.id = {4}, .pathPrefix = "/nobody", .service = "rutas", .kind = "list"});
+        apply();
+        changeClaimsView();
+        changeOwner();
+        pass(std::chrono::seconds(4)); // A share that this VM had delegated to itself comes back.
+        askForShares();
+    }
+
+    /// One of 0 to count - 1.
+    std::size_t pick(std::size_t count)
+    {
+        return static_cast<std::size_t>(choices() % count);
+    }
+
+    /// One of several values.
+    template<class value, std::size_t count>
+    value pickOf(const std::array<value, count> &values)
+    {
+        return values[pick(count)];
+    }
+
+    /// Time goes on by up to that much.
+    void elapse(std::size_t mostMicroseconds)
+    {
+        now += std::chrono::microseconds(pick(mostMicroseconds));
+    }
+
+    /// One step with all its checks.
+    void perform(const entry_event &event)
+    {
+        std::map<exchange_id, exchange_stage> stages;
+        for (const auto &[id, request] : state.exchanges) {
+            stages[id] = request.stage;
+        }
+        run(event);
+        for (const entry_effect &each : effects) {
+            std::visit([this, &stages](const auto &effect) { take(effect, stages); }, each);
+        }
+        std::size_t live = 0;
+        for (const auto &[id, record] : records) {
+            live += isLive(record) ? 1 : 0;
+            require(isLive(record) == state.exchanges.contains(id), "lost or kept too long", id);
+        }
+        require(live == state.exchanges.size(), "unknown requests are held", {});
+    }
+
+    /// Checks an effect on a request; notes what other VMs must answer.
+    template<class effect_type>
+    void take(const effect_type &effect, const std::map<exchange_id, exchange_stage> &stages)
+    {
+        if constexpr (requires(request_record & record) { check(record, effect); }) {
+            check(records.at(effect.id), effect);
+        }
+        if constexpr (std::is_same_v<effect_type, refuse_request>) {
+            const auto stage = stages.find(effect.id);
+            seen->emplace(stage == stages.end() ? exchange_stage::Limit : stage->second, effect.reason.code);
+        }
+        if constexpr (std::is_same_v<effect_type, send_claim_message>) {
+            if (const auto *request = std::get_if<claim_request>(&effect.message)) {
+                asked.emplace_back(effect.to, *request);
+            }
+        }
+        if constexpr (std::is_same_v<effect_type, limit_send>) {
+            if (const auto *request = std::get_if<lease_request>(&effect.message)) {
+                wanted.push_back(*request);
+            }
+        }
+    }
+
+    /// A caller sends a request.
+    void arrive()
+    {
+        const exchange_id id{++lastExchange};
+        const auto method = pickOf(std::array<std::string_view, 2>{"GET", "POST"});
+        const auto path = pickOf(std::array<std::string_view, 8>{"/bookings", "/bookings", "/bookings", "/readings",
+                                                                 "/readings", "/flags", "/nobody", "/nothing"});
+        const auto idempotencyKey = pickOf(std::array<std::string_view, 4>{"", "a", "b", "c"});
+        std::optional<key_hash> key = hashOf(pickOf(std::array<unsigned char, 8>{7, 7, 7, 7, 9, 9, 9, 8}));
+        if (pick(20) == 0) {
+            key.reset();
+        }
+        records[id] = {.repeatable = method == "GET", .claims = !idempotencyKey.empty()};
+        perform(request_arrived{{.id = id,
+                                 .method = method,
+                                 .host = "any.example",
+                                 .path = path,
+                                 .key = key,
+                                 .idempotencyKey = idempotencyKey,
+                                 .digest = {.high = 0, .low = pick(12)},
+                                 .bodyBytes = static_cast<std::uint32_t>(pick(1'000))}});
+    }
+
+    /// Some request that the entry holds; nothing when there is none, or none of those wanted.
+    std::optional<exchange_id> pickLive(bool runningOnly)
+    {
+        std::vector<exchange_id> found;
+        for (const auto &[id, record] : records) {
+            if (isLive(record) && (record.running || !runningOnly)) {
+                found.push_back(id);
+            }
+        }
+        return found.empty() ? std::nullopt : std::optional(found[pick(found.size())]);
+    }
+
+    /// A try ends in one of the ways that the front end can report.
+    void endAttempt()
+    {
+        const std::optional<exchange_id> id = pickLive(true);
+        if (!id) {
+            return;
+        }
+        attempt_result result{.outcome = static_cast<attempt_outcome>(pick(6)),
+                              .bytesMayHaveLeft = true,
+                              .newConnection = pick(2) == 0,
+                              .status = 200,
+                              .latency = std::chrono::microseconds(pick(20'000))};
+        const bool couldFailUnsent =
+            result.outcome == attempt_outcome::ClosedEarly || result.outcome == attempt_outcome::TimedOut;
+        result.bytesMayHaveLeft =
+            result.outcome != attempt_outcome::ConnectFailed && (!couldFailUnsent || pick(2) == 0);
+        note(records.at(*id), result);
+        perform(attempt_ended{*id, result, {std::byte{5}}});
+    }
+
+    /// A caller goes away.
+    void leave()
+    {
+        if (const std::optional<exchange_id> id = pickLive(false)) {
+            seen->emplace(state.exchanges.at(*id).stage, result_code::Ok);
+            records.at(*id).left = true;
+            perform(caller_left{*id});
+        }
+    }
+
+    /// Time passes, and the entry is told.
+    void wait(std::size_t mostMicroseconds)
+    {
+        elapse(mostMicroseconds);
+        perform(time_passed{});
+        for (const auto &[id, request] : state.exchanges) {
+            require(request.deadline > now, "held beyond its deadline", id);
+        }
+    }
+
+    /// Another home answers a claim, or its answer is lost.
+    void answerClaim()
+    {
+        if (asked.empty()) {
+            return;
+        }
+        const auto [home, request] = asked.front();
+        asked.pop_front();
+        claim_reply reply{.attempt = request.attempt,
+                          .key = request.key,
+                          .vote = static_cast<claim_vote>(pick(4)),
+                          .epoch = request.epoch};
+        if (reply.vote == claim_vote::Taken && pick(2) == 0) {
+            reply.outcome = claim_outcome{
+                .digest = {.high = 0, .low = pick(12)}, .answerKept = pick(2) == 0, .answer = {std::byte{6}}};
+        } else if (reply.vote == claim_vote::Taken) {
+            reply.holders = {{.attempt = {.claimant = {8}, .number = 1},
+                              .digest = request.digest,
+                              .remaining = std::chrono::milliseconds(pick(100))}};
+        }
+        if (pick(4) != 0) {
+            perform(claim_message_received{home, reply});
+        }
+    }
+
+    /// Another VM becomes the owner of some accounts' rates, or this one is alone again.
+    void changeOwner()
+    {
+        perform(limit_members_changed{pick(3) == 0 ? std::vector<vm_id>{{1}} : std::vector<vm_id>{{1}, {5}}});
+    }
+
+    /// The other owner asks for this VM's shares.
+    void askForShares()
+    {
+        share_request request{.round = ++round, .slots = {}};
+        for (limit_slot slot = 0; slot < state.settings.limits.slotCount; ++slot) {
+            request.slots.push_back(slot);
+        }
+        perform(limit_message_received{{5}, request});
+    }
+
+    /// The other owner grants some tokens, or its grant is lost.
+    void grantLease()
+    {
+        if (wanted.empty()) {
+            return;
+        }
+        lease_grant grant{.sequence = wanted.front().sequence, .items = {}};
+        for (const lease_request_item &item : wanted.front().items) {
+            const auto tokens = static_cast<double>(pick(4));
+            grant.items.push_back({.account = item.account,
+                                   .capacity = tokens,
+                                   .tokens = tokens,
+                                   .lifetime = std::chrono::seconds(1),
+                                   .retryAfter = std::chrono::milliseconds(pick(100))});
+        }
+        wanted.pop_front();
+        if (pick(4) != 0) {
+            perform(limit_message_received{{5}, grant});
+        }
+    }
+
+    /// Claims are kept here alone, or by two other VMs as well.
+    void changeClaimsView()
+    {
+        const std::vector<claims_member> here{{.id = {1}, .life = 0, .dataCentre = "a"}};
+        std::vector<claims_member> members = here;
+        claimsElsewhere = !claimsElsewhere && pick(2) == 0;
+        if (claimsElsewhere) {
+            members.push_back({.id = {8}, .life = 0, .dataCentre = "b"});
+            members.push_back({.id = {9}, .life = 0, .dataCentre = "c"});
+        }
+        perform(claims_view_changed{{.epoch = {++epoch}, .members = members, .previous = {}}});
+    }
+
+    /// An instance changes.
+    void changeInstance()
+    {
+        const std::uint64_t id = 1 + pick(4);
+        const auto where = static_cast<instance_state>(pick(4) == 0 ? 1 + pick(2) : 0);
+        perform(instance_announced{
+            {.instance = {id},
+             .sequence = ++lastSequence,
+             .service = id <= 2 ? "reservas" : "flagsja",
+             .ip = "127.0.0.1",
+             .port = 9000,
+             .dataCentre = "gdl-a",
+             .slots = static_cast<std::uint16_t>(1 + pick(2)),
+             .state = where,
+             .lease = pick(4) == 0 ? duration(std::chrono::milliseconds(50)) : duration(std::chrono::hours(1))}});
+    }
+
+    /// The configuration, the views of the fleet or what is known of requests changes.
+    void disturb()
+    {
+        switch (pick(7)) {
+        case 0:
+            perform(
+                freshness_changed{.confirmedAt = now - std::chrono::seconds(pick(2) * 10), .isolated = pick(2) == 0});
+            break;
+        case 1:
+            perform(death_learned{{.what = {.request = fingerprintOf(account_id{1}, route_id{1}, {0, pick(12)}),
+                                            .instance = {100 + pick(3)}}}});
+            break;
+        case 2:
+            ++draft->current.value;
+            draft->keys[1].hash = hashOf(pick(2) == 0 ? 9 : 10);
+            perform(configuration_changed{std::make_shared<const configuration>(*draft)});
+            break;
+        case 3:
+        case 4:
+            changeOwner();
+            askForShares();
+            break;
+        case 5:
+            changeClaimsView();
+            break;
+        default:
+            changeInstance();
+            break;
+        }
+    }
+
+    /// One event of the schedule. Timers may be late: most events come without the entry being told of the time.
+    void advanceOnce()
+    {
+        elapse(2'000);
+        const std::size_t kind = pick(100);
+        if (kind < 35) {
+            arrive();
+        } else if (kind < 60) {
+            endAttempt();
+        } else if (kind < 66) {
+            leave();
+        } else if (kind < 76) {
+            wait(30'000);
+        } else if (kind < 84) {
+            answerClaim();
+        } else if (kind < 88) {
+            grantLease();
+        } else if (kind < 93) {
+            changeInstance();
+        } else {
+            disturb();
+        }
+    }
+
+    /// Runs the schedule to the end of all its requests; throws what was broken.
+    void complete()
+    {
+        constexpr int events = 150;
+        const int stopAt = pick(4) == 0 ? static_cast<int>(pick(events)) : events;
+        for (int number = 0; number < events; ++number) {
+            if (number == stopAt) {
+                perform(stop_requested{});
+            }
+            advanceOnce();
+        }
+        now += std::chrono::seconds(11);
+        perform(time_passed{});
+        require(state.exchanges.empty() && state.deadlines.empty(), "something outlived all deadlines", {});
+        require(state.bodyBytes == 0 && state.waits.byAccount.empty() && state.waits.ends.empty(), "a bound leaks", {});
+        for (const auto &[service, admission] : state.admissions.byService) {
+            require(admission.running == 0 && admission.queue.waiting == 0, "a slot leaks", {});
+        }
+    }
+};
+
+} // namespace guavafront
