Run an account at five times its rate over three entry processes

The schedules in tests/limits drive the decisions only; nothing showed the promise with links, timers and HTTP between.

tests/fair_share: 60 callers send 200/s of an account with 40/s and a burst of 20 through three entry VMs, three others 30/s of an account with the defaults. The second must be answered always; of the first at most rate x measured time + burst may run, counted by request id at the stand-in, and each refusal must say not run. There is no other assert on time.

--- /dev/null
+++ b/tests/fair_share/fair_share_test.cpp
@@ -0,0 +1,154 @@
+#include "fleet/fleet_processes.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Requests of one account through one entry VM, sent evenly.
+struct request_stream {
+    std::string account; ///< Its name, which is also the start of its request ids.
+    std::string entry; ///< Entry VM.
+    std::size_t count = 0; ///< Requests.
+    duration period{}; ///< Between two of them.
+    std::size_t answered = 0; ///< Got 200.
+    std::vector<std::string> others; ///< All other answers.
+};
+
+/// Three entry VMs before one stand-in of "rutas"; account "flooder" has an exception, "steady" the defaults.
+struct fair_share_fixture {
+    static constexpr double floodRate = 40; ///< Rate of "flooder" a second.
+    static constexpr double floodBurst = 20; ///< Its burst.
+    static constexpr int floodFactor = 5; ///< It sends that multiple of its rate.
+    static constexpr std::size_t floodCallers = 20; ///< At each entry VM; more than its rate keeps waiting for tokens.
+    static constexpr duration loadTime = 6s; ///< How long both send, when the machine keeps up.
+    static constexpr double steadyRate = 30; ///< Requests a second of "steady"; the default rate is above it.
+    fleet_processes fleet{fleet_layout{.controls = 1, .entries = 3}};
+    std::map<std::string, std::string> keys; ///< By account.
+    std::string upstream; ///< The stand-in.
+
+    fair_share_fixture()
+    {
+        fleet.startAll();
+        for (const char *account : {"flooder", "steady"}) {
+            keys[account] = fleet.createAccount(account);
+        }
+        const auto except = [this](const char *setting, double value) {
+            fleet.operate({"exception", "put", "account:flooder", setting, std::to_string(value), "--reason", "test"});
+        };
+        except("accountRatePerSecond", floodRate);
+        except("accountBurst", floodBurst);
+        fleet.operate({"route", "put", "/listas", "--service", "rutas", "--kind", "lista"});
+        upstream = fleet.startUpstream("rutas", {"entry-1", "entry-2"}, {"--slots", "16"});
+        for (const std::string &entry : fleet.entries()) {
+            fleet.waitForStatus(entry, "/listas/hoy", keys["flooder"], 200);
+        }
+        // One request a poll, which stays below the rate of "steady".
+        std::size_t answeredInARow = 0;
+        fleet_processes::waitUntil("every entry VM gets tokens of the account at once", [this, &answeredInARow] {
+            const std::string &entry = fleet.entries()[answeredInARow % fleet.entries().size()];
+            const bool answered = fleet.request(entry, "GET", "/listas/hoy", keys["steady"]).status == 200;
+            answeredInARow = answered ? answeredInARow + 1 : 0;
+            return answeredInARow == 4 * fleet.entries().size();
+        });
+    }
+
+    /// Streams through each entry VM at a rate over all of them, from so many callers at each.
+    void addStreams(std::vector<request_stream> &streams, const std::string &account, double rate,
+                    std::size_t callers) const
+    {
+        const auto period = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(static_cast<double>(callers * fleet.entries().size()) / rate));
+        for (std::size_t number = 0; number < callers * fleet.entries().size(); ++number) {
+            const std::string &entry = fleet.entries()[number % fleet.entries().size()];
+            streams.push_back({.account = account,
+                               .entry = entry,
+                               .count = static_cast<std::size_t>(loadTime / period),
+                               .period = period,
+                               .others = {}});
+        }
+    }
+
+    /// Sends a stream; a machine that can't keep up sends late, never less.
+    void send(request_stream &stream) const
+    {
+        const auto start = std::chrono::steady_clock::now();
+        for (std::size_t number = 0; number < stream.count; ++number) {
+            std::this_thread::sleep_until(start + number * stream.period);
+            const std::string id = stream.account + '-' + stream.entry + '-' + std::to_string(number);
+            const std::vector<http_header> headers{{"X-Request-Id", id}};
+            const http_answer answer =
+                httpCall({"127.0.0.1", fleet.portsOf(stream.entry).callers}, {.method = "GET",
+                                                                              .target = "/listas/hoy",
+                                                                              .token = keys.at(stream.account),
+                                                                              .headers = headers,
+                                                                              .timeout = 20s});
+            if (answer.status == 200) {
+                ++stream.answered;
+            } else {
+                stream.others.push_back(bodyOf(answer));
+            }
+        }
+    }
+
+    /// Requests of an account that ran at the stand-in.
+    std::size_t runsOf(const std::string &account) const
+    {
+        const auto counts = nlohmann::json::parse(bodyOf(fleet.askUpstream(upstream, "GET", "/counts")));
+        std::size_t runs = 0;
+        for (const auto &[id, count] : counts.items()) {
+            runs += id.starts_with(account + '-') ? count.get<std::size_t>() : 0;
+        }
+        return runs;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fair_share_test, fair_share_fixture)
+
+BOOST_AUTO_TEST_CASE(account_otherSendsFiveTimesItsRate_allAnsweredAndTheOtherBounded)
+{
+    std::vector<request_stream> streams;
+    addStreams(streams, "flooder", floodFactor * floodRate, floodCallers);
+    addStreams(streams, "steady", steadyRate, 1);
+    const auto start = std::chrono::steady_clock::now();
+    {
+        std::vector<std::jthread> senders;
+        senders.reserve(streams.size());
+        for (request_stream &stream : streams) {
+            senders.emplace_back([this, &stream] { send(stream); });
+        }
+    }
+    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - start;
+    std::map<std::string, std::size_t> answered;
+    std::map<std::string, std::size_t> sent;
+    for (const request_stream &stream : streams) {
+        answered[stream.account] += stream.answered;
+        sent[stream.account] += stream.count;
+        for (const std::string &other : stream.others) {
+            BOOST_TEST(stream.account == "flooder", "steady refused: " << other);
+            BOOST_TEST(other.find("\"not_run\":true") != std::string::npos, other);
+        }
+    }
+    for (const auto &[account, count] : answered) {
+        BOOST_TEST_MESSAGE(account << ": " << count << " of " << sent[account] << " answered in " << time.count()
+                                   << " s");
+    }
+    BOOST_TEST(answered["steady"] == sent["steady"]);
+    BOOST_TEST(answered["flooder"] < sent["flooder"]);
+    BOOST_TEST(runsOf("flooder") == answered["flooder"]);
+    BOOST_TEST(static_cast<double>(runsOf("flooder")) <= floodRate * time.count() + floodBurst);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
