Let an instance with few turns let all draws of one choice pass

Cause: a member of low weight let a draw pass, but after six draws the part was searched without regard to weights, and the second of two choices is drawn from what the first one left. With two near instances, one returning at a tenth of its turns, it was the second choice each time: it got 1,000 of 1,000 turns when it looked fast, as a broken instance does.

Ruled out: more draws (a part with one member always ends in the search); dividing the cost by the weight (round robin and random have no cost).

Change: a choice decides once for each member whether its turn has come; only when no other member has a slot are the weights ignored.

--- a/src/coordination/routing/balancer.cpp
+++ b/src/coordination/routing/balancer.cpp
@@ -10,6 +10,9 @@
 
 constexpr int maxDraws = 6; ///< Draws before the members are searched one by one.
 
+/// Whether members with a weight below 1 may let this turn pass.
+enum class turn_rule : std::uint8_t { ByWeight, Ignored };
+
 /// Weyl sequence with the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
 std::uint64_t nextRandom(std::uint64_t &state)
 {
@@ -30,23 +33,27 @@
 struct pass_filter {
     std::span<const instance_id> tried; ///< Left out.
     candidate_standing worst; ///< Members of a worse standing are left out.
+    turn_rule turns; ///< Whether those whose turn it isn't are left out.
+    std::uint64_t turn; ///< Random; with it a member lets the turn pass in all draws of one choice or in none.
     const candidate *other = nullptr; ///< Left out as well: the first of two to be drawn.
 };
 
+/// Whether a member with a weight below 1 lets this turn pass.
+bool letsPass(const candidate &member, std::uint64_t turn)
+{
+    constexpr float scale = 1.0F / 4294967296.0F;
+    std::uint64_t state = turn ^ member.instance.value;
+    return member.weight < 1 && static_cast<float>(nextRandom(state) >> 32) * scale >= member.weight;
+}
+
 bool isUsable(const candidate &member, const pass_filter &filter)
 {
     return &member != filter.other && member.standing <= filter.worst && member.weight > 0
            && member.outstanding < member.slots
+           && (filter.turns == turn_rule::Ignored || !letsPass(member, filter.turn))
            && std::ranges::find(filter.tried, member.instance) == filter.tried.end();
 }
 
-/// Whether a member with a weight below 1 lets this turn pass.
-bool letsPass(const candidate &member, std::uint64_t random)
-{
-    constexpr float scale = 1.0F / 4294967296.0F;
-    return static_cast<float>(random & 0xffffffff) * scale >= member.weight;
-}
-
 const candidate *search(std::span<const candidate> part, std::size_t start, const pass_filter &filter)
 {
     for (std::size_t step = 0; step < part.size(); ++step) {
@@ -66,7 +73,7 @@
     for (int attempt = 0; attempt < maxDraws; ++attempt) {
         const std::uint64_t bits = nextRandom(random);
         const candidate &member = part[below(part.size(), bits)];
-        if (isUsable(member, filter) && !letsPass(member, bits)) {
+        if (isUsable(member, filter)) {
             return &member;
         }
     }
@@ -85,7 +92,7 @@
                             std::uint64_t &random)
 {
     const candidate *first = draw(part, filter, random);
-    const candidate *second = draw(part, {filter.tried, filter.worst, first}, random);
+    const candidate *second = draw(part, {filter.tried, filter.worst, filter.turns, filter.turn, first}, random);
     if (!first || !second) {
         return first;
     }
@@ -108,7 +115,7 @@
 const candidate *drawByOutstanding(const candidate_set &set, const pass_filter &filter, std::uint64_t &random)
 {
     const candidate *first = draw(set.items, filter, random);
-    const candidate *second = draw(set.items, {filter.tried, filter.worst, first}, random);
+    const candidate *second = draw(set.items, {filter.tried, filter.worst, filter.turns, filter.turn, first}, random);
     return !first || !second || first->outstanding <= second->outstanding ? first : second;
 }
 
@@ -155,9 +162,14 @@
     using enum candidate_standing;
     const candidate_standing first = request.repeatable ? Returning : InRotation;
     const candidate_standing second = request.repeatable ? LastResort : Returning;
-    const candidate *member = drawMember(set, policy, {request.tried, first}, random);
+    std::uint64_t state = random;
+    const std::uint64_t turn = nextRandom(state);
+    const candidate *member = drawMember(set, policy, {request.tried, first, turn_rule::ByWeight, turn}, random);
+    if (!member) {
+        member = drawMember(set, policy, {request.tried, first, turn_rule::Ignored, turn}, random);
+    }
     if (!member) {
-        member = drawMember(set, policy, {request.tried, second}, random);
+        member = drawMember(set, policy, {request.tried, second, turn_rule::Ignored, turn}, random);
     }
     if (!member) {
         return std::nullopt;
--- a/tests/balancing/balancer_test.cpp
+++ b/tests/balancing/balancer_test.cpp
@@ -136,6 +136,26 @@
     BOOST_TEST(counts.at(4) > 0);
 }
 
+// The other near instance is the only one beside it, so that every second draw ends at the one with few turns.
+BOOST_AUTO_TEST_CASE(everyPolicy_lowWeightInSmallPart_fewTurnsWhileOthersAreFree)
+{
+    member(1).weight = 0.1F;
+    for (candidate &each : set.items) {
+        each.latencyUs = each.instance.value == 1 ? 1'000 : 9'000;
+    }
+    for (const auto policy : {balancing_policy::Random, balancing_policy::RoundRobin, balancing_policy::TwoChoices,
+                              balancing_policy::ExpectedLatency}) {
+        set.nextTurn = 0;
+        const auto counts = chosen(policy);
+        BOOST_TEST(counts.contains(1));
+        BOOST_TEST(counts.at(1) < 150);
+    }
+    for (candidate &each : set.items) {
+        each.outstanding = each.instance.value == 1 ? 0 : each.slots;
+    }
+    BOOST_TEST(chosen(balancing_policy::ExpectedLatency).at(1) == 1'000);
+}
+
 BOOST_AUTO_TEST_CASE(updateMembers_drainingInstance_removedOthersKeepMeasures)
 {
     onRequestSent(member(3));
