Take instances out of rotation only by consent of a majority, by groups

Cause: each VM kept the floor for itself, but a VM acted on its own evidence and on what it happened to hear, so that VMs that disagreed took out different instances.

Change: instances fall by hash into as many groups as fit above the floor; a VM consents to one of each group at most and to another one only 10 s after it withdrew; out of rotation needs the consents of more than half of all VMs, missing ones included. By its own evidence, or its data centre's word without a majority, a VM gives an instance a tenth of its turns and no request that may not be repeated while others have a slot.

--- a/bench/model/upstream_run.h
+++ b/bench/model/upstream_run.h
@@ -70,6 +70,7 @@
     std::vector<std::vector<bool>> idle; ///< Kept connections by instance; true for a silent one.
     consecutive_errors errors; ///< Baseline's state.
     std::set<std::uint64_t> out; ///< Instances out of rotation when last looked at.
+    std::set<std::uint64_t> avoided; ///< Instances out of rotation or with few turns when last looked at.
 };
 
 /// One run of the model: all instances and VMs in virtual time.
@@ -118,12 +119,14 @@
     void scheduleSupervision();
     void superviseVm(std::size_t index);
     static std::set<std::uint64_t> outOf(const entry_vm &vm);
+    static std::set<std::uint64_t> avoidedBy(const entry_vm &vm);
     /// Whether the instance is truly faulty as seen from a VM.
     bool isFaulty(std::size_t vm, std::uint64_t id) const;
     void noteEjections(std::size_t index);
     void noteDetection();
     double meanCapacity() const;
-    double unionCapacity() const;
+    /// Share of the instances that are in no VM's set.
+    double unionCapacity(std::set<std::uint64_t> entry_vm::*taken) const;
     void finish();
     const model_options m_options; ///< As constructed.
     std::mt19937_64 m_random; ///< All random numbers of the run.
--- a/bench/model/upstream_run_requests.cpp
+++ b/bench/model/upstream_run_requests.cpp
@@ -22,6 +22,7 @@
     vm.selection.policy = m_options.policy;
     vm.selection.fleet.vmsInDataCentre = m_options.vmsPerDataCentre;
     vm.selection.fleet.vms = m_options.vmsPerDataCentre * 3;
+    vm.selection.startedAt = instant(-1h);
     for (const upstream_instance &each : m_instances) {
         announceTo(vm, each.self);
     }
--- a/include/guavafront/coordination/health/ejection.h
+++ b/include/guavafront/coordination/health/ejection.h
@@ -9,14 +9,13 @@
 namespace guavafront
 {
 
-/// How strongly the fleet wants an instance out of rotation; the stronger are granted first.
+/// What an instance may lose; the stronger claims are granted first.
 enum class ejection_claim : std::uint8_t {
-    Ejected, ///< Some VM ejects it already: it takes up capacity whether or not it is granted here.
-    Corroborated, ///< Enough VMs of one data centre agree, for long enough that all VMs have heard.
-    Own, ///< This VM's evidence alone.
+    Agreed, ///< A majority of all VMs consents that it is out of rotation.
+    Own, ///< No majority: by evidence of this VM or its data centre it gets few turns, but stays in rotation.
 };
 
-/// Instance that some VM wants out of rotation.
+/// Instance that some VM wants out of rotation, or to get few turns.
 struct ejection_request {
     instance_id instance; ///< The instance.
     std::uint32_t slots = 1; ///< Capacity that would go with it.
@@ -27,8 +26,8 @@
 /// Slots that may be out of rotation so that at least floorPercent of totalSlots stay.
 std::uint32_t ejectableSlots(std::uint32_t totalSlots, std::uint32_t floorPercent);
 
-/// The requests that fit above the floor and apply here, in order of id. All VMs grant in one order, by claim and then
-/// by id, so that those that hear each other grant the same ones; what another data centre holds out counts too.
+/// The requests that fit above the floor and apply here, in order of id. They are granted in order of claim and id;
+/// what is agreed but doesn't apply here, as another data centre holds it out, takes up capacity too.
 std::vector<instance_id> grantEjections(std::span<const ejection_request> requests, std::uint32_t totalSlots,
                                         std::uint32_t floorPercent);
 
--- a/include/guavafront/coordination/health/shared_evidence.h
+++ b/include/guavafront/coordination/health/shared_evidence.h
@@ -25,7 +25,7 @@
 struct health_report {
     std::string dataCentre; ///< Data centre of the VM, since health is a view per data centre.
     std::vector<suspicion> suspects; ///< Instances with evidence against them, in order of id.
-    std::vector<instance_id> ejected; ///< Instances that the VM ejects, in order of id.
+    std::vector<instance_id> consents; ///< Instances that may be out of rotation for this VM's part, in order of id.
 
     /// Memberwise equality.
     bool operator==(const health_report &) const = default;
@@ -35,13 +35,13 @@
 struct fleet_opinion {
     bool corroboratedHere = false; ///< Enough VMs of the asked data centre suspect it strongly enough.
     bool corroborated = false; ///< Enough VMs of some data centre do.
-    bool ejected = false; ///< Some VM ejects it.
+    std::uint32_t consents = 0; ///< VMs that consent to its being out of rotation.
 };
 
 /// Newest reports of all VMs, this one's included.
 struct shared_evidence {
     std::unordered_map<vm_id, health_report> reports; ///< By reporting VM.
-    std::unordered_map<instance_id, std::vector<vm_id>> reporters; ///< VMs that suspect or eject the instance.
+    std::unordered_map<instance_id, std::vector<vm_id>> reporters; ///< VMs that suspect it or consent.
 };
 
 /// Replaces a VM's report.
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/health/consent.h>
 #include <guavafront/coordination/health/ejection.h>
 #include <guavafront/coordination/health/service_health.h>
 #include <guavafront/coordination/health/shared_evidence.h>
@@ -22,7 +23,10 @@
     service_health health; ///< This VM's evidence.
     retry_budget retries; ///< Tokens for retries.
     std::vector<instance_id> outOfRotation; ///< Instances out of rotation here, in order.
+    std::vector<instance_id> fewTurns; ///< Suspect instances that stay in rotation here, in order.
+    std::vector<consent> consents; ///< This VM's, also those that still bar their group.
     std::uint32_t totalSlots = 0; ///< Of all serving instances, the whole service's capacity.
+    std::uint32_t largestSlots = 0; ///< Of one serving instance.
     std::uint64_t generation = 0; ///< Of the registry's list that this follows.
 };
 
@@ -30,7 +34,8 @@
 struct living_fleet {
     std::uint32_t vmsInDataCentre = 1; ///< Living VMs of this one's data centre, itself included.
     std::uint32_t vms = 1; ///< All living VMs.
-    bool hearsMajority = true; ///< It hears most of the fleet; otherwise it begins no ejection on others' word.
+    std::uint32_t missingVms = 0; ///< VMs that were lost and may still run, apart from this one's view.
+    bool hearsMajority = true; ///< It hears most of the fleet; otherwise others' word alone changes nothing.
 };
 
 /// Choice of upstream instances at one VM: balancing, detection and ejection over all services.
@@ -42,7 +47,7 @@
     living_fleet fleet; ///< Other VMs.
     std::vector<selected_service> services; ///< Same indexes as in the registry.
     shared_evidence evidence; ///< Reports of all VMs, the own one included.
-    std::unordered_map<instance_id, instant> corroboratedSince; ///< When enough VMs agreed, as heard here.
+    std::optional<instant> startedAt; ///< When this life of the VM began; the first supervision sets it.
     std::vector<instance_id> toConfirm; ///< Lost a connection: the next request shows whether they are alive.
     std::unordered_map<instance_id, instant> confirmedAt; ///< When one was last put into toConfirm.
     instant lastReport{}; ///< When the own report last changed.
--- a/src/coordination/health/shared_evidence.cpp
+++ b/src/coordination/health/shared_evidence.cpp
@@ -21,7 +21,7 @@
 struct suspicion_sum {
     std::uint32_t reporters = 0; ///< VMs.
     std::uint32_t levels = 0; ///< Sum of their levels.
-    bool ejected = false; ///< Some VM ejects the instance.
+    std::uint32_t consents = 0; ///< VMs that consent to an ejection.
 };
 
 /// Sums by data centre of the reporting VMs.
@@ -35,7 +35,7 @@
     for (const vm_id reporter : known->second) {
         const health_report &report = evidence.reports.at(reporter);
         suspicion_sum &sum = sums[report.dataCentre];
-        sum.ejected = sum.ejected || std::ranges::find(report.ejected, instance) != report.ejected.end();
+        sum.consents += std::ranges::find(report.consents, instance) != report.consents.end() ? 1 : 0;
         const auto suspicion = std::ranges::find(report.suspects, instance, &suspicion::instance);
         if (suspicion != report.suspects.end()) {
             ++sum.reporters;
@@ -69,7 +69,7 @@
 void forEachInstance(const health_report &report, action apply)
 {
     std::ranges::for_each(report.suspects, [&apply](const suspicion &each) { apply(each.instance); });
-    std::ranges::for_each(report.ejected, apply);
+    std::ranges::for_each(report.consents, apply);
 }
 
 } // namespace
@@ -100,7 +100,7 @@
         const bool enough = sum.reporters >= rule.reporters && sum.levels >= levelsNeeded;
         opinion.corroborated = opinion.corroborated || enough;
         opinion.corroboratedHere = opinion.corroboratedHere || (enough && where == dataCentre);
-        opinion.ejected = opinion.ejected || sum.ejected;
+        opinion.consents += sum.consents;
     }
     return opinion;
 }
--- a/src/coordination/upstreams/rotation.cpp
+++ b/src/coordination/upstreams/rotation.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Reports cross the fleet within it, so that all VMs grant from the same ones.
-constexpr duration settleTime = std::chrono::milliseconds(500);
-
 bool contains(std::span<const instance_id> ordered, instance_id instance)
 {
     return std::ranges::binary_search(ordered, instance.value, {}, &instance_id::value);
@@ -23,33 +20,35 @@
     return health && health->standing == local_standing::Held;
 }
 
-/// Whether enough VMs have agreed for long enough that all VMs have heard; remembers since when.
-bool isSettled(upstream_selection &selection, instance_id instance, bool corroborated, instant now)
+/// Whether this VM holds an instance, or may act on its data centre's word.
+bool appliesHere(const upstream_selection &selection, const selected_service &service, instance_id instance,
+                 const fleet_opinion &opinion)
 {
-    if (!corroborated) {
-        selection.corroboratedSince.erase(instance);
-        return false;
-    }
-    const auto [since, isNew] = selection.corroboratedSince.emplace(instance, now);
-    return since->second + settleTime <= now;
+    return isHeld(service, instance) || (opinion.corroboratedHere && selection.fleet.hearsMajority);
+}
+
+std::uint32_t majorityOf(const living_fleet &fleet)
+{
+    return consentMajority(fleet.vms + fleet.missingVms);
 }
 
-/// The request that reports and own evidence make for an instance.
-ejection_request requestFor(upstream_selection &selection, const selected_service &service,
-                            const announcement &instance, std::uint32_t usual, instant now)
+/// Adds the request and the motion that reports and own evidence make for an instance.
+void addWanted(const upstream_selection &selection, const selected_service &service, const announcement &instance,
+               std::uint32_t usual, service_requests &wanted)
 {
     const corroboration_rule rule{.reporters = reportersNeeded(selection.fleet.vmsInDataCentre), .usualLevels = usual};
     const fleet_opinion opinion = opinionOf(selection.evidence, instance.instance, selection.dataCentre, rule);
-    const bool settled = isSettled(selection, instance.instance, opinion.corroborated, now);
-    const bool onOthersWord = opinion.corroboratedHere && settled && selection.fleet.hearsMajority;
-    ejection_request request{.instance = instance.instance, .slots = instance.slots};
-    request.appliesHere = onOthersWord || isHeld(service, instance.instance);
-    if (opinion.ejected) {
-        request.claim = ejection_claim::Ejected;
-    } else if (settled) {
-        request.claim = ejection_claim::Corroborated;
+    if (opinion.corroborated) {
+        wanted.motions.push_back({instance.instance, opinion.consents});
+    }
+    const bool agreed = opinion.consents >= majorityOf(selection.fleet);
+    const ejection_request request{.instance = instance.instance,
+                                   .slots = instance.slots,
+                                   .claim = agreed ? ejection_claim::Agreed : ejection_claim::Own,
+                                   .appliesHere = appliesHere(selection, service, instance.instance, opinion)};
+    if (agreed || request.appliesHere) {
+        wanted.requests.push_back(request);
     }
-    return request;
 }
 
 /// Lower median of the levels against a service's instances: when all look alike, none of them is the fault.
@@ -64,12 +63,6 @@
     return *middle;
 }
 
-/// Whether a request concerns other VMs: own evidence alone takes up no capacity but here.
-bool isRelevant(const ejection_request &request)
-{
-    return request.appliesHere || request.claim != ejection_claim::Own;
-}
-
 /// Instances that this VM holds or any VM reports.
 std::vector<instance_id> concernedInstances(const upstream_selection &selection)
 {
@@ -105,21 +98,53 @@
     return grantEjections(used, usedSlots, floorPercent);
 }
 
-candidate_standing standingOf(const instance_health *health, bool out)
+/// Of what is granted, the instances with one claim.
+std::vector<instance_id> withClaim(std::span<const instance_id> granted, std::span<const ejection_request> requests,
+                                   ejection_claim claim)
+{
+    std::vector<instance_id> found;
+    for (const ejection_request &request : requests) {
+        if (request.claim == claim && contains(granted, request.instance)) {
+            found.push_back(request.instance);
+        }
+    }
+    std::ranges::sort(found, {}, &instance_id::value);
+    return found;
+}
+
+candidate_standing standingOf(const selected_service &service, instance_id instance, const instance_health *health)
 {
-    if (out) {
+    if (contains(service.outOfRotation, instance)) {
         return candidate_standing::LastResort;
     }
     const bool returning = health && health->standing == local_standing::Probation;
-    return returning ? candidate_standing::Returning : candidate_standing::InRotation;
+    const bool inDoubt = returning || contains(service.fewTurns, instance);
+    return inDoubt ? candidate_standing::Returning : candidate_standing::InRotation;
+}
+
+float weightOf(const selected_service &service, instance_id instance, const instance_health *health, instant now)
+{
+    const float weight = health ? rampWeight(service.health.limits, *health, now) : 1;
+    const bool few = contains(service.fewTurns, instance);
+    return few ? std::min(weight, service.health.limits.firstWeight) : weight;
+}
+
+/// Instances that lost turns until now and get them back come back gradually.
+void startReturns(selected_service &service, std::span<const instance_id> before, std::span<const instance_id> granted,
+                  instant now)
+{
+    for (const instance_id instance : before) {
+        if (!contains(granted, instance)) {
+            startProbation(service.health, instance, now);
+        }
+    }
 }
 
 } // namespace
 
-std::vector<std::vector<ejection_request>> collectRequests(upstream_selection &selection, const registry &known,
-                                                           instant now)
+std::vector<service_requests> collectRequests(const upstream_selection &selection, const registry &known)
 {
-    std::vector<std::vector<ejection_request>> requests(selection.services.size());
+    std::vector<service_requests> wanted(selection.services.size());
     for (const instance_id instance : concernedInstances(selection)) {
         const registered_instance *entry = findInstance(known, instance);
         if (!entry || entry->last.state != instance_state::Serving) {
@@ -127,48 +152,51 @@
         }
         const std::uint32_t index = known.serviceOf.at(instance);
         const std::uint32_t usual = usualLevels(selection.evidence, known.services[index].instances);
-        const ejection_request request = requestFor(selection, selection.services[index], entry->last, usual, now);
-        if (isRelevant(request)) {
-            requests[index].push_back(request);
-        }
+        addWanted(selection, selection.services[index], entry->last, usual, wanted[index]);
     }
-    return requests;
+    return wanted;
 }
 
-void decideRotation(const upstream_selection &selection, selected_service &service,
-                    std::span<const ejection_request> requests, instant now)
+void decideConsents(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
+                    instant now)
 {
-    const std::vector<instance_id> granted = grantEjections(requests, service.totalSlots, selection.floorPercent);
-    const std::vector<instance_id> out = boundToOwnPart(service, granted, requests, selection.floorPercent);
-    for (const instance_id instance : service.outOfRotation) {
-        if (!contains(out, instance)) {
-            startProbation(service.health, instance, now);
-        }
-    }
-    service.outOfRotation = out;
+    const std::uint32_t ejectable = ejectableSlots(service.totalSlots, selection.floorPercent);
+    const consent_rule rule{.groups = consentGroups(ejectable, service.largestSlots),
+                            .majority = majorityOf(selection.fleet),
+                            .firstAt = selection.startedAt.value_or(now) + consentMemory};
+    updateConsents(service.consents, wanted.motions, rule, now);
+}
+
+void decideRotation(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
+                    instant now)
+{
+    const std::uint32_t floor = selection.floorPercent;
+    const std::vector<instance_id> fitting = grantEjections(wanted.requests, service.totalSlots, floor);
+    const std::vector<instance_id> granted = boundToOwnPart(service, fitting, wanted.requests, floor);
+    startReturns(service, service.outOfRotation, granted, now);
+    startReturns(service, service.fewTurns, granted, now);
+    service.outOfRotation = withClaim(granted, wanted.requests, ejection_claim::Agreed);
+    service.fewTurns = withClaim(granted, wanted.requests, ejection_claim::Own);
     for (candidate &member : service.candidates.items) {
         const instance_health *health = findHealth(service.health, member.instance);
-        member.standing = standingOf(health, contains(out, member.instance));
-        member.weight = health ? rampWeight(service.health.limits, *health, now) : 1;
+        member.standing = standingOf(service, member.instance, health);
+        member.weight = weightOf(service, member.instance, health, now);
     }
 }
 
-void addToReport(const upstream_selection &selection, const selected_service &service,
-                 std::span<const ejection_request> requests, instant now, health_report &report)
+void addToReport(const upstream_selection &selection, const selected_service &service, instant now,
+                 health_report &report)
 {
-    const auto reports = [&selection](instance_id instance) {
-        return isReporter(selection.self, instance, selection.fleet.vmsInDataCentre);
-    };
     for (const instance_health &health : service.health.instances) {
         const suspicion_level level = suspicionOf(service.health, health, now);
-        if (level != suspicion_level::None && reports(health.instance)) {
+        if (level != suspicion_level::None
+            && isReporter(selection.self, health.instance, selection.fleet.vmsInDataCentre)) {
             report.suspects.push_back({health.instance, level});
         }
     }
-    for (const ejection_request &request : requests) {
-        const bool ejected = request.claim != ejection_claim::Own && contains(service.outOfRotation, request.instance);
-        if (ejected && reports(request.instance)) {
-            report.ejected.push_back(request.instance);
+    for (const consent &mine : service.consents) {
+        if (!mine.withdrawn) {
+            report.consents.push_back(mine.instance);
         }
     }
 }
--- a/src/coordination/upstreams/rotation.h
+++ b/src/coordination/upstreams/rotation.h
@@ -8,16 +8,26 @@
 namespace guavafront
 {
 
-/// All that is wanted out of rotation, by this VM's evidence and the others' reports, for each service by its index.
-std::vector<std::vector<ejection_request>> collectRequests(upstream_selection &selection, const registry &known,
-                                                           instant now);
+/// What is wanted of one service's instances, by this VM's evidence and the others' reports.
+struct service_requests {
+    std::vector<ejection_request> requests; ///< Out of rotation or few turns.
+    std::vector<ejection_motion> motions; ///< Suspect to some data centre: VMs may consent.
+};
 
-/// Grants a service's requests above the floor, and sets standing and weight of its candidates.
-void decideRotation(const upstream_selection &selection, selected_service &service,
-                    std::span<const ejection_request> requests, instant now);
+/// All that is wanted, for each service by its index.
+std::vector<service_requests> collectRequests(const upstream_selection &selection, const registry &known);
+
+/// Gives and withdraws this VM's consents in a service.
+void decideConsents(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
+                    instant now);
+
+/// Takes what is agreed out of rotation and lets what is only suspect have few turns, both above the floor; sets
+/// standing and weight of the candidates.
+void decideRotation(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
+                    instant now);
 
 /// Adds what this VM tells the others of a service.
-void addToReport(const upstream_selection &selection, const selected_service &service,
-                 std::span<const ejection_request> requests, instant now, health_report &report);
+void addToReport(const upstream_selection &selection, const selected_service &service, instant now,
+                 health_report &report);
 
 } // namespace guavafront
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -39,11 +39,21 @@
     return slots;
 }
 
+std::uint32_t largestSlots(std::span<const registered_instance> instances)
+{
+    std::uint32_t largest = 0;
+    for (const registered_instance &entry : instances) {
+        largest = std::max<std::uint32_t>(largest, entry.last.state == instance_state::Serving ? entry.last.slots : 0);
+    }
+    return largest;
+}
+
 void followService(const upstream_selection &selection, selected_service &service, const service_instances &group)
 {
     updateMembers(service.candidates, group.instances, {.self = selection.self, .dataCentre = selection.dataCentre});
     updateMembers(service.health, usedInstances(service.candidates, group.instances));
     service.totalSlots = servingSlots(group.instances);
+    service.largestSlots = largestSlots(group.instances);
     service.generation = group.generation;
 }
 
@@ -80,16 +90,16 @@
 void sortReport(health_report &report)
 {
     std::ranges::sort(report.suspects, {}, [](const suspicion &each) { return each.instance.value; });
-    std::ranges::sort(report.ejected, {}, &instance_id::value);
+    std::ranges::sort(report.consents, {}, &instance_id::value);
 }
 
-/// Whether a report says something that the others should hear at once: more than a hint, or an ejection.
+/// Whether a report says something that the others should hear at once: more than a hint, or a consent.
 bool isUrgent(const health_report &before, const health_report &after)
 {
     const auto isNewSuspicion = [&before](const suspicion &each) {
         return each.level > suspicion_level::Hint && std::ranges::find(before.suspects, each) == before.suspects.end();
     };
-    return before.ejected != after.ejected || std::ranges::any_of(after.suspects, isNewSuspicion);
+    return before.consents != after.consents || std::ranges::any_of(after.suspects, isNewSuspicion);
 }
 
 /// Whether a report is to be published now. What isn't urgent waits, the longer the more VMs there are, so that all
@@ -175,15 +185,17 @@
 
 std::optional<health_report> supervise(upstream_selection &selection, const registry &known, instant now)
 {
+    selection.startedAt = selection.startedAt.value_or(now);
     for (selected_service &service : selection.services) {
         advance(service.health, now);
         relaxLatencies(service.candidates, now);
     }
-    const std::vector<std::vector<ejection_request>> requests = collectRequests(selection, known, now);
+    const std::vector<service_requests> requests = collectRequests(selection, known);
     health_report report{.dataCentre = selection.dataCentre};
     for (std::size_t index = 0; index < selection.services.size(); ++index) {
+        decideConsents(selection, selection.services[index], requests[index], now);
         decideRotation(selection, selection.services[index], requests[index], now);
-        addToReport(selection, selection.services[index], requests[index], now, report);
+        addToReport(selection, selection.services[index], now, report);
     }
     sortReport(report);
     if (!isDue(selection, report, now)) {
--- a/src/wire/health_codec.cpp
+++ b/src/wire/health_codec.cpp
@@ -41,7 +41,7 @@
     for (const suspicion &each : report.suspects) {
         suspects.push_back(nlohmann::json::array({each.instance.value, static_cast<std::uint8_t>(each.level)}));
     }
-    return encodeCbor(nlohmann::json::array({report.dataCentre, suspects, idsToCbor(report.ejected)}));
+    return encodeCbor(nlohmann::json::array({report.dataCentre, suspects, idsToCbor(report.consents)}));
 }
 
 health_report decodeHealthReport(std::span<const std::byte> bytes)
@@ -54,7 +54,7 @@
         const instance_id instance{parts.whole<std::uint64_t>()};
         report.suspects.push_back({instance, parts.oneOf(suspicion_level::Held)});
     }
-    report.ejected = idsFromCbor(fields.array(maxInstances), "ejected instances");
+    report.consents = idsFromCbor(fields.array(maxInstances), "consents");
     return report;
 }
 
--- a/tests/upstreams/selection_fixture.h
+++ b/tests/upstreams/selection_fixture.h
@@ -32,6 +32,8 @@
             selection.self = {vm + 1};
             selection.dataCentre = dataCentreOf(vm / 3);
             selection.fleet.vmsInDataCentre = 3;
+            selection.fleet.vms = 9;
+            selection.startedAt = instant{};
             followRegistry(selection, known);
         }
     }
