Hold an instance only when it fails more than its peers in the same time

Cause: with all instances failing alike (30 % errors), what is usual was taken from the better 70 % of instances over half a second. A VM sends most requests to two to four near instances; the few outcomes at far ones were good by chance, so that the usual share was near 0 (below 0.1 at 11 of the 12 holds looked at, true 0.3) and three errors of a sound near instance were held against it.

Change: from when its score rose from 0, the instance's outcomes and the peers' are counted; to be held or reported as suspect it must fail more by the G test (6.6, 1 % by chance; half of it on probation). Without any outcome of peers the score decides alone.

--- a/include/guavafront/coordination/health/service_health.h
+++ b/include/guavafront/coordination/health/service_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/health/outcome.h>
+#include <guavafront/coordination/health/outcome_counts.h>
 #include <guavafront/coordination/registry/registry.h>
 
 #include <cstdint>
@@ -16,6 +17,7 @@
     float suspectScore = 6; ///< From here on it reports a suspicion.
     duration hintDelay = std::chrono::milliseconds(500); ///< A hint must last so long; a stray error doesn't.
     float holdScore = 9; ///< From here on a VM acts on its own evidence alone.
+    float standOut = 6.6F; ///< G statistic from which an instance fails more than its peers (1 % by chance).
     float faultyShare = 0.5F; ///< Share of bad outcomes at a faulty instance, for the likelihood ratio.
     float minBackgroundShare = 0.02F; ///< Bad outcomes that a healthy instance is granted in any case.
     float slowFactor = 3; ///< An answer this many times slower than the peers' is bad.
@@ -49,6 +51,8 @@
 struct instance_health {
     instance_id instance; ///< The instance.
     float score = 0; ///< Cumulative log likelihood ratio of faulty against healthy (CUSUM; Page, 1954), 0 or more.
+    outcome_counts sinceRise; ///< Its outcomes since the score last rose from 0, when the fault began if there is one.
+    outcome_counts serviceAtRise; ///< The service's counts at that time.
     float goodOutcomes = 0; ///< Good ones lately.
     float badOutcomes = 0; ///< Bad ones lately.
     float latencyUs = 0; ///< Moving average of answers' latency; 0 before the first.
@@ -66,6 +70,7 @@
 struct service_health {
     health_limits limits; ///< Limits of the detector.
     std::vector<instance_health> instances; ///< Ordered by instance id.
+    outcome_counts counts; ///< Outcomes of all instances that weren't held at the time.
     float peerLatencyUs = 0; ///< Median of the instances' latency.
     float backgroundShare = 0; ///< Share of bad outcomes at the better instances; what is usual for the service now.
     float peerScore = 0; ///< Median of the instances' scores; only what stands out against it counts.
--- a/src/coordination/health/service_health.cpp
+++ b/src/coordination/health/service_health.cpp
@@ -99,13 +99,46 @@
     instance.scoredAt = now;
 }
 
+/// Whether an instance fails more than its peers did since its score rose: a fault of all makes none of them stand out,
+/// whatever the score that it gives them. One that has just failed is granted less doubt; with no outcome of peers
+/// there is nothing to compare with, and the score alone decides.
+bool standsOut(const service_health &service, const instance_health &instance)
+{
+    constexpr float returningShare = 0.5F;
+    const bool returning = instance.standing == local_standing::Probation;
+    const float needed = service.limits.standOut * (returning ? returningShare : 1.0F);
+    const outcome_counts peers = service.counts - instance.serviceAtRise - instance.sinceRise;
+    return (peers.good == 0 && peers.bad == 0) || gStatistic(instance.sinceRise, peers) >= needed;
+}
+
+/// Counts from here on again: the score rises from 0, or the instance returns.
+void beginRise(const service_health &service, instance_health &instance)
+{
+    instance.sinceRise = {};
+    instance.serviceAtRise = service.counts;
+}
+
+void countOutcome(service_health &service, instance_health &instance, bool bad, int events)
+{
+    if (instance.score <= 0) {
+        beginRise(service, instance);
+    }
+    if (instance.standing == local_standing::Held) {
+        return;
+    }
+    const auto more = static_cast<std::uint32_t>(events);
+    (bad ? instance.sinceRise.bad : instance.sinceRise.good) += more;
+    (bad ? service.counts.bad : service.counts.good) += more;
+}
+
 void addEvidence(service_health &service, instance_health &instance, float ratio, instant now)
 {
     const bool wasHint = decayedScore(service.limits, instance, now) >= service.limits.hintScore;
     instance.score = std::max(0.0F, decayedScore(service.limits, instance, now) + ratio);
     instance.scoredAt = now;
     instance.hintSince = wasHint ? instance.hintSince : now;
-    if (instance.score - service.peerScore >= service.limits.holdScore && instance.standing != local_standing::Held) {
+    const bool enough = instance.score - service.peerScore >= service.limits.holdScore;
+    if (enough && instance.standing != local_standing::Held && standsOut(service, instance)) {
         hold(service.limits, instance, now);
     }
 }
@@ -121,9 +154,11 @@
 }
 
 /// Probation begins with a score that one more bad outcome lifts over the limit.
-void beginProbation(const health_limits &limits, instance_health &instance, instant now)
+void beginProbation(const service_health &service, instance_health &instance, instant now)
 {
     constexpr float oneBadOutcome = 3;
+    const health_limits &limits = service.limits;
+    beginRise(service, instance);
     instance.standing = local_standing::Probation;
     instance.since = now;
     instance.until = now + limits.returnRamp;
@@ -134,13 +169,14 @@
     instance.latencyUs = 0;
 }
 
-void moveOn(const health_limits &limits, instance_health &instance, instant now)
+void moveOn(const service_health &service, instance_health &instance, instant now)
 {
+    const health_limits &limits = service.limits;
     if (now < instance.until) {
         return;
     }
     if (instance.standing == local_standing::Held) {
-        beginProbation(limits, instance, now);
+        beginProbation(service, instance, now);
         return;
     }
     if (instance.standing == local_standing::Probation) {
@@ -277,6 +313,7 @@
     }
     const int events = noAnswer ? instance->silentConnections + 1 : 1;
     instance->silentConnections = 0;
+    countOutcome(service, *instance, bad, events);
     addEvidence(service, *instance, likelihoodRatio(service, news, bad) * static_cast<float>(events), now);
 }
 
@@ -284,7 +321,7 @@
 {
     fadeOutcomes(service, now);
     for (instance_health &instance : service.instances) {
-        moveOn(service.limits, instance, now);
+        moveOn(service, instance, now);
     }
     service.peerLatencyUs = medianLatency(service);
     updateUsualShare(service);
@@ -295,7 +332,7 @@
 {
     instance_health *known = find(service, instance);
     if (known && known->standing == local_standing::Healthy) {
-        beginProbation(service.limits, *known, now);
+        beginProbation(service, *known, now);
     }
 }
 
@@ -311,7 +348,7 @@
         return instance.standing == local_standing::Held ? suspicion_level::Held : suspicion_level::None;
     }
     const float score = decayedScore(service.limits, instance, now) - service.peerScore;
-    if (score >= service.limits.suspectScore) {
+    if (score >= service.limits.suspectScore && standsOut(service, instance)) {
         return suspicion_level::Suspect;
     }
     const bool lasts = instance.hintSince + service.limits.hintDelay <= now;
--- a/tests/health/service_health_test.cpp
+++ b/tests/health/service_health_test.cpp
@@ -71,6 +71,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(service_health_test, service_health_fixture)
 
+// Most requests go to the two near instances, which fail alike; the few at the far ones went well by chance.
+BOOST_AUTO_TEST_CASE(recordOutcome_busyInstancesFailAlike_noneHeld)
+{
+    for (int round = 0; round < 30; ++round) {
+        now += 100ms;
+        for (std::uint64_t id = 1; id <= 2; ++id) {
+            record(id, outcome_kind::ErrorAnswer);
+            record(id, outcome_kind::Answered);
+            record(id, outcome_kind::Answered);
+        }
+        record(3 + static_cast<std::uint64_t>(round) % 4, outcome_kind::Answered);
+        advance(service, now);
+        BOOST_TEST_REQUIRE(!isHeld(1));
+        BOOST_TEST_REQUIRE(!isHeld(2));
+    }
+    BOOST_TEST(outcomesUntilHeld(1, outcome_kind::ErrorAnswer) < 50); // Worse than its peers at last.
+}
+
+BOOST_AUTO_TEST_CASE(gStatistic_sameShareAsPeers_zero)
+{
+    BOOST_TEST(gStatistic({.good = 7, .bad = 3}, {.good = 66, .bad = 30}) < 0.1F);
+    BOOST_TEST(gStatistic({.good = 9, .bad = 1}, {.good = 66, .bad = 30}) == 0);
+    BOOST_TEST(gStatistic({.bad = 3}, {.good = 3}) > 6.6F);
+    BOOST_TEST(gStatistic({.bad = 3}, {.good = 3, .bad = 3}) < 6.6F);
+}
+
 BOOST_AUTO_TEST_CASE(recordOutcome_everyOutcomeBad_heldAfterThree)
 {
     BOOST_TEST(outcomesUntilHeld(1, outcome_kind::HalfAnswer) == 3);
