Read an exception to the floor for one service

Cause: the entry took the fleet's healthyFloorPercent for all services; an exception for "service:NAME" was accepted and had no effect.

Change: the selection keeps the floors of excepted services; consents and rotation use the floor of their service.

--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -25,6 +25,7 @@
     std::vector<instance_id> outOfRotation; ///< Instances out of rotation here, in order.
     std::vector<instance_id> fewTurns; ///< Suspect instances that stay in rotation here, in order.
     std::vector<consent> consents; ///< This VM's, also those that still bar their group.
+    std::uint32_t floorPercent = 100; ///< Share of the capacity that ejection leaves.
     std::uint32_t totalSlots = 0; ///< Of all serving instances, the whole service's capacity.
     std::uint32_t largestSlots = 0; ///< Of one serving instance.
     std::uint64_t generation = 0; ///< Of the registry's list that this follows.
@@ -38,12 +39,19 @@
     bool hearsMajority = true; ///< It hears most of the fleet; otherwise others' word alone changes nothing.
 };
 
+/// Floor of one service that departs from the fleet's.
+struct service_floor {
+    std::string service; ///< Name.
+    std::uint32_t percent = 0; ///< Share of the service's capacity that ejection leaves.
+};
+
 /// Choice of upstream instances at one VM: balancing, detection and ejection over all services.
 struct upstream_selection {
     vm_id self; ///< This VM.
     std::string dataCentre; ///< Of this VM.
     balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
     std::uint32_t floorPercent = 70; ///< Ejection leaves this share of a service's capacity.
+    std::vector<service_floor> floors; ///< Services with another one.
     living_fleet fleet; ///< Other VMs.
     std::vector<selected_service> services; ///< Same indexes as in the registry.
     shared_evidence evidence; ///< Reports of all VMs, the own one included.
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -20,7 +20,7 @@
         return; // Revisions on a VM only go up.
     }
     state.current = std::move(value);
-    state.selection.floorPercent = state.current->defaults.healthyFloorPercent;
+    followFloors(state.selection, *state.current);
     state.routes = buildRouteTable(state.current->routes);
     state.keys = buildKeyTable(state.current->keys);
     state.idempotency.home.options.retention = std::chrono::milliseconds(state.current->defaults.claimRetentionMs);
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/try_evidence.h"
 
+#include <guavafront/coordination/configuration/setting.h>
+
 #include <algorithm>
 
 namespace guavafront
@@ -144,6 +146,20 @@
     }
 }
 
+void followFloors(upstream_selection &selection, const configuration &current)
+{
+    selection.floorPercent = current.defaults.healthyFloorPercent;
+    selection.floors.clear();
+    for (const setting_exception &exception : current.exceptions) {
+        const exception_subject subject = parseSubject(exception.subject);
+        if (subject.type != subject_type::Service) {
+            continue;
+        }
+        const std::uint32_t percent = valuesForService(current, subject.name).healthyFloorPercent;
+        selection.floors.push_back({std::string(subject.name), percent});
+    }
+}
+
 void followUpstreams(step_context &context)
 {
     followRegistry(context.state.selection, context.state.upstreams);
--- a/src/coordination/entry/try_evidence.h
+++ b/src/coordination/entry/try_evidence.h
@@ -24,6 +24,9 @@
 /// Moves health on when it is due, and tells the other VMs what changed.
 void superviseUpstreams(step_context &context);
 
+/// Takes the floors of the configuration, the fleet's and those of single services.
+void followFloors(upstream_selection &selection, const configuration &current);
+
 /// Follows a change of the registry.
 void followUpstreams(step_context &context);
 
--- a/src/coordination/upstreams/rotation.cpp
+++ b/src/coordination/upstreams/rotation.cpp
@@ -160,17 +160,16 @@
 void decideConsents(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
                     instant now)
 {
-    const std::uint32_t ejectable = ejectableSlots(service.totalSlots, selection.floorPercent);
+    const std::uint32_t ejectable = ejectableSlots(service.totalSlots, service.floorPercent);
     const consent_rule rule{.groups = consentGroups(ejectable, service.largestSlots),
                             .majority = majorityOf(selection.fleet),
                             .firstAt = selection.startedAt.value_or(now) + consentMemory};
     updateConsents(service.consents, wanted.motions, rule, now);
 }
 
-void decideRotation(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
-                    instant now)
+void decideRotation(selected_service &service, const service_requests &wanted, instant now)
 {
-    const std::uint32_t floor = selection.floorPercent;
+    const std::uint32_t floor = service.floorPercent;
     const std::vector<instance_id> fitting = grantEjections(wanted.requests, service.totalSlots, floor);
     const std::vector<instance_id> granted = boundToOwnPart(service, fitting, wanted.requests, floor);
     startReturns(service, service.outOfRotation, granted, now);
--- a/src/coordination/upstreams/rotation.h
+++ b/src/coordination/upstreams/rotation.h
@@ -23,8 +23,7 @@
 
 /// Takes what is agreed out of rotation and lets what is only suspect have few turns, both above the floor; sets
 /// standing and weight of the candidates.
-void decideRotation(const upstream_selection &selection, selected_service &service, const service_requests &wanted,
-                    instant now);
+void decideRotation(selected_service &service, const service_requests &wanted, instant now);
 
 /// Adds what this VM tells the others of a service.
 void addToReport(const upstream_selection &selection, const selected_service &service, instant now,
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -87,6 +87,12 @@
     return std::nullopt;
 }
 
+std::uint32_t floorOf(const upstream_selection &selection, std::string_view service)
+{
+    const auto found = std::ranges::find(selection.floors, service, &service_floor::service);
+    return found == selection.floors.end() ? selection.floorPercent : found->percent;
+}
+
 void sortReport(health_report &report)
 {
     std::ranges::sort(report.suspects, {}, [](const suspicion &each) { return each.instance.value; });
@@ -193,8 +199,9 @@
     const std::vector<service_requests> requests = collectRequests(selection, known);
     health_report report{.dataCentre = selection.dataCentre};
     for (std::size_t index = 0; index < selection.services.size(); ++index) {
+        selection.services[index].floorPercent = floorOf(selection, known.services[index].service);
         decideConsents(selection, selection.services[index], requests[index], now);
-        decideRotation(selection, selection.services[index], requests[index], now);
+        decideRotation(selection.services[index], requests[index], now);
         addToReport(selection, selection.services[index], now, report);
     }
     sortReport(report);
--- a/tests/entry/upstream_health_test.cpp
+++ b/tests/entry/upstream_health_test.cpp
@@ -92,6 +92,30 @@
     BOOST_TEST(!serve(100, failingAt({5}, halfAnswer)).contains(5));
 }
 
+BOOST_AUTO_TEST_CASE(halfAnswers_floorOfServiceIsWholeCapacity_staysInRotation)
+{
+    draft->exceptions = {
+        {.subject = "service:reservas", .setting = "healthyFloorPercent", .value = 100, .reason = "few instances"}};
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::InRotation));
+    draft->exceptions.clear();
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::LastResort));
+}
+
+BOOST_AUTO_TEST_CASE(halfAnswers_floorOfServiceLowerThanDefault_outOfRotation)
+{
+    draft->defaults.healthyFloorPercent = 100;
+    draft->exceptions = {
+        {.subject = "service:flagsja", .setting = "healthyFloorPercent", .value = 0, .reason = "other service"},
+        {.subject = "service:reservas", .setting = "healthyFloorPercent", .value = 70, .reason = "many instances"}};
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::LastResort));
+}
+
 BOOST_AUTO_TEST_CASE(slowAnswers_oneInstance_avoidedAfterTheFirst)
 {
     attempt_result slow = answered();
