List and release held-back requests at the control VMs

Cause: listQuarantined() and release() existed, but nothing called them: the quarantine is spread among entry VMs, operators come in at control VMs.

Ways weighed: asking every entry VM (one that doesn't answer is missed); releases in the configuration (a revision for each, for hours); a copy at the control VMs of the Quarantine topic, which they hold already (kept).

Change: deaths and releases of the spread map go to the operators task too; GET /v1/quarantine lists what the defaults in force hold back, POST /v1/quarantine/release forgives the known deaths and publishes that. A VM with both roles is told of its own deaths and releases directly. The command line has "operator quarantine list" and "release". The operators' mailbox is as large as the entry's, since its news comes with peers' traffic, and the task asks for the present entries when it starts.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -175,6 +175,17 @@
     };
 }
 
+/// Has an operator's release spread; a VM doesn't hear its own entries, so its entry task is told.
+std::function<void(const publish_release &)> releasePublisher(const daemon_settings &settings, daemon_wiring &wiring)
+{
+    return [&wiring, isEntry = hasRole(settings, vm_role::Entry)](const publish_release &released) {
+        wiring.peers.post(publicationOf(released));
+        if (isEntry) {
+            wiring.entries.post(release_learned{released.request, released.forgiven});
+        }
+    };
+}
+
 child_spec configurationChild(const daemon_secrets &secrets, daemon_wiring &wiring)
 {
     return {.name = "configuration",
@@ -213,16 +224,19 @@
                                owner.run();
                            },
                        .shutdownLimit = shortShutdown};
-    child_spec operators{
-        .name = "operators",
-        .body =
-            [&settings, &secrets, &wiring](loop &owner) {
-                const operators_task task(
-                    owner, {.server = serverAt(settings.listen.operators, settings.entry), .tokens = secrets.operators},
-                    wiring.operators, wiring.control, wiring.counters);
-                owner.run();
-            },
-        .shutdownLimit = shortShutdown};
+    child_spec operators{.name = "operators",
+                         .body =
+                             [&settings, &secrets, &wiring](loop &owner) {
+                                 const operators_task task(
+                                     owner,
+                                     {.server = serverAt(settings.listen.operators, settings.entry),
+                                      .tokens = secrets.operators,
+                                      .publishRelease = releasePublisher(settings, wiring)},
+                                     wiring.operators, wiring.control, wiring.counters);
+                                 wiring.peers.post(resend_state{});
+                                 owner.run();
+                             },
+                         .shutdownLimit = shortShutdown};
     return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne},
                            {std::move(control), std::move(operators)});
 }
@@ -233,10 +247,12 @@
     child_spec entries{.name = "entry",
                        .body =
                            [&settings, self, &wiring](loop &owner) {
+                               const bool isControl = hasRole(settings, vm_role::Control);
                                const entry_task task(owner, entryOptions(settings, self), wiring.entries,
                                                      {.peers = wiring.peers,
                                                       .metrics = wiring.metrics,
-                                                      .configurations = wiring.configurations},
+                                                      .configurations = wiring.configurations,
+                                                      .operators = isControl ? &wiring.operators : nullptr},
                                                      wiring.counters);
                                owner.run();
                            },
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -28,7 +28,7 @@
     mailbox<peers_message> peers{largeCapacity}; ///< To the peers task.
     mailbox<configuration_message> configurations{largeCapacity}; ///< To the configuration task.
     mailbox<control_message> control{smallCapacity}; ///< To the control task.
-    mailbox<operators_message> operators{smallCapacity}; ///< To the operators task.
+    mailbox<operators_message> operators{largeCapacity}; ///< To the operators task.
     mailbox<entry_event> entries{largeCapacity}; ///< To the entry task.
     mailbox<std::shared_ptr<const configuration>> announcements{smallCapacity}; ///< To the announcements task.
 };
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -94,6 +94,7 @@
     : m_loop(owner)
     , m_options(std::move(options))
     , m_peers(outlets.peers)
+    , m_operators(outlets.operators)
     , m_metrics(outlets.metrics)
     , m_counters(counters)
     , m_state(makeEntry(m_options.identity, m_options.policy))
@@ -305,6 +306,9 @@
 void entry_task::perform(const publish_death &effect)
 {
     m_peers.post(publicationOf(effect));
+    if (m_operators) {
+        m_operators->post(death_learned{effect.death}); // A VM doesn't hear its own entries.
+    }
 }
 
 void entry_task::perform(const publish_release &effect)
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -4,6 +4,7 @@
 #include "daemon/entry/upstream_pool.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
+#include "daemon/operators/operators_message.h"
 #include "daemon/peers/peers_message.h"
 #include "http/http_server.h"
 #include "runtime/mailbox.h"
@@ -34,6 +35,7 @@
     mailbox<peers_message> &peers; ///< Links to other VMs.
     mailbox<metrics_message> &metrics; ///< Readiness for the balancer.
     mailbox<configuration_message> &configurations; ///< Asked for the configuration at the start.
+    mailbox<operators_message> *operators = nullptr; ///< Told of deaths; null when this is no control VM.
 };
 
 /// Serves callers: turns HTTP into events of the entry's decisions and their effects into HTTP.
@@ -80,6 +82,7 @@
     loop &m_loop; ///< Not owned.
     entry_task_options m_options; ///< As constructed.
     mailbox<peers_message> &m_peers; ///< Not owned.
+    mailbox<operators_message> *m_operators; ///< Not owned; null when this is no control VM.
     mailbox<metrics_message> &m_metrics; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
     entry m_state; ///< All decisions' state.
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -76,6 +76,7 @@
     try {
         noteClaimsMember(entry);
         if (auto event = eventOf(entry)) {
+            tellOperators(*event);
             tellEntry(std::move(*event));
         }
     } catch (const coordination_error &error) {
@@ -112,6 +113,18 @@
     tellEntry(m_freshness);
 }
 
+void fleet_watch::tellOperators(const entry_event &event)
+{
+    if ((m_self.roles & ControlRole) == 0) {
+        return;
+    }
+    if (const auto *death = std::get_if<death_learned>(&event)) {
+        m_wiring.operators.post(*death);
+    } else if (const auto *released = std::get_if<release_learned>(&event)) {
+        m_wiring.operators.post(*released);
+    }
+}
+
 void fleet_watch::tellEntry(entry_event event)
 {
     if ((m_self.roles & EntryRole) != 0) {
--- a/src/daemon/fleet/fleet_watch.h
+++ b/src/daemon/fleet/fleet_watch.h
@@ -37,6 +37,7 @@
     void noteClaimsMember(const spread_entry &entry);
     void tellOfClaimsMembers();
 
+    void tellOperators(const entry_event &event);
     void tellEntry(entry_event event);
 
     peer_identity m_self; ///< This VM.
--- a/src/daemon/operators/operators_message.h
+++ b/src/daemon/operators/operators_message.h
@@ -2,6 +2,8 @@
 
 #include "daemon/control/control_message.h"
 
+#include <guavafront/coordination/entry/entry_event.h>
+
 #include <variant>
 
 namespace guavafront
@@ -20,6 +22,6 @@
 };
 
 /// What the operators task reacts to.
-using operators_message = std::variant<change_answered, status_answered>;
+using operators_message = std::variant<change_answered, status_answered, death_learned, release_learned>;
 
 } // namespace guavafront
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -3,6 +3,7 @@
 #include "daemon/token_check.h"
 #include "http/header_filter.h"
 #include "wire/operator_json.h"
+#include "wire/quarantine_json.h"
 #include "wire/replacement_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
@@ -35,11 +36,19 @@
         .dump();
 }
 
+void requireOperator(const change_author &author, const char *what)
+{
+    if (author.role != operator_role::Operator) {
+        throw coordination_error(result_code::NotAuthorized, what);
+    }
+}
+
 } // namespace
 
 operators_task::operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
                                mailbox<control_message> &control, daemon_counters &counters)
     : m_tokens(std::move(options.tokens))
+    , m_publishRelease(std::move(options.publishRelease))
     , m_inbox(inbox)
     , m_control(control)
     , m_counters(counters)
@@ -75,12 +84,16 @@
     } else if (request.method == "POST" && request.path == "/v1/replacements") {
         submitReplacement(id, author->author, request);
     } else if (request.method == "GET" && request.path == "/v1/configuration") {
-        if (author->author.role != operator_role::Operator) {
-            throw coordination_error(result_code::NotAuthorized, "only operators read the configuration");
-        }
+        requireOperator(author->author, "only operators read the configuration");
         ask(id, question::Configuration);
     } else if (request.method == "GET" && request.path == "/v1/status") {
         ask(id, question::Status);
+    } else if (request.method == "GET" && request.path == "/v1/quarantine") {
+        requireOperator(author->author, "only operators list held-back requests");
+        ask(id, question::Quarantine);
+    } else if (request.method == "POST" && request.path == "/v1/quarantine/release") {
+        requireOperator(author->author, "only operators release held-back requests");
+        releaseRequest(id, request);
     } else {
         throw coordination_error(result_code::NoRoute, "no such operation");
     }
@@ -100,9 +113,7 @@
 
 void operators_task::submitReplacement(exchange_id id, const change_author &author, const http_request &request)
 {
-    if (author.role != operator_role::Operator) {
-        throw coordination_error(result_code::NotAuthorized, "only operators replace control VMs");
-    }
+    requireOperator(author, "only operators replace control VMs");
     const replacement_request parsed = parseReplacementJson(textOf(request.body));
     replacement_submitted message{
         .old = parsed.old, .fresh = parsed.fresh, .answer = [&inbox = m_inbox, id](const change_answer &answer) {
@@ -113,6 +124,17 @@
     }
 }
 
+void operators_task::releaseRequest(exchange_id id, const http_request &request)
+{
+    const request_fingerprint named = parseReleaseJson(textOf(request.body));
+    const std::optional<death_record> released = release(m_held, named, loop::now());
+    if (!released) {
+        throw coordination_error(result_code::ChangeInvalid, "this VM knows of no death by this request");
+    }
+    m_publishRelease({.request = named, .forgiven = released->forgiven});
+    reply(id, result_code::Ok, jsonAnswer(statusOk, releaseJson(named)));
+}
+
 void operators_task::ask(exchange_id id, question asked)
 {
     status_requested message{.answer = [&inbox = m_inbox, id](const control_status &status) {
@@ -136,15 +158,38 @@
     if (found == m_questions.end()) {
         return; // The operator went away.
     }
-    const bool whole = found->second == question::Configuration;
+    const question asked = found->second;
     m_questions.erase(found);
-    if (whole && !message.status.leader) {
+    if (asked == question::Configuration && !message.status.leader) {
         reply(message.id, result_code::NotLeader,
               problemAnswer(result_code::NotLeader, "only the leader's configuration is current"));
         return;
     }
-    reply(message.id, result_code::Ok,
-          jsonAnswer(statusOk, whole ? toOperatorJson(*message.status.accepted) : statusJson(message.status)));
+    reply(message.id, result_code::Ok, jsonAnswer(statusOk, answerTo(asked, message.status)));
+}
+
+std::string operators_task::answerTo(question asked, const control_status &status)
+{
+    switch (asked) {
+    case question::Configuration:
+        return toOperatorJson(*status.accepted);
+    case question::Quarantine:
+        expire(m_held, loop::now());
+        return toJson(listQuarantined(m_held, status.accepted->defaults.quarantineDeaths), *status.accepted);
+    case question::Status:
+        break;
+    }
+    return statusJson(status);
+}
+
+void operators_task::handle(const death_learned &news)
+{
+    learnDeath(m_held, news.death, loop::now());
+}
+
+void operators_task::handle(const release_learned &news)
+{
+    learnRelease(m_held, news.request, news.forgiven, loop::now());
 }
 
 void operators_task::reply(exchange_id id, result_code code, const http_answer &answer)
--- a/src/daemon/operators/operators_task.h
+++ b/src/daemon/operators/operators_task.h
@@ -7,6 +7,10 @@
 #include "http/http_server.h"
 #include "runtime/mailbox.h"
 
+#include <guavafront/coordination/entry/entry_effect.h>
+#include <guavafront/coordination/quarantine/quarantine.h>
+
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,10 +22,12 @@
 struct operators_task_options {
     http_server_options server; ///< Where operators come in.
     std::vector<operator_token> tokens; ///< Who may ask.
+    std::function<void(const publish_release &)> publishRelease; ///< Tells all entry VMs of a release.
 };
 
-/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status. Every request
-/// carries a bearer token.
+/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status,
+/// GET /v1/quarantine, POST /v1/quarantine/release. Every request carries a bearer token. Held-back requests are those
+/// that entry VMs tell of in the spread map.
 class operators_task
 {
 public:
@@ -30,18 +36,24 @@
                    mailbox<control_message> &control, daemon_counters &counters);
 
 private:
-    enum class question : std::uint8_t { Configuration, Status };
+    enum class question : std::uint8_t { Configuration, Status, Quarantine };
 
     void receive(exchange_id id, const http_request &request);
     void dispatch(exchange_id id, const http_request &request);
     void submit(exchange_id id, const change_author &author, const http_request &request);
     void submitReplacement(exchange_id id, const change_author &author, const http_request &request);
     void ask(exchange_id id, question asked);
+    void releaseRequest(exchange_id id, const http_request &request);
+    std::string answerTo(question asked, const control_status &status);
     void handle(const change_answered &message);
     void handle(const status_answered &message);
+    void handle(const death_learned &news);
+    void handle(const release_learned &news);
     void reply(exchange_id id, result_code code, const http_answer &answer);
 
     std::vector<operator_token> m_tokens; ///< Who may ask.
+    std::function<void(const publish_release &)> m_publishRelease; ///< As constructed.
+    quarantine m_held; ///< Deaths and releases that the entry VMs know.
     mailbox<operators_message> &m_inbox; ///< Not owned; answers come back here.
     mailbox<control_message> &m_control; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_call.h"
 #include "wire/operator_json.h"
+#include "wire/quarantine_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -54,6 +55,25 @@
     throw last;
 }
 
+std::string releaseAtControl(const operator_client &client, request_fingerprint request)
+{
+    const std::string body = releaseJson(request);
+    coordination_error last(result_code::ConnectFailed, "no control VM was named");
+    for (const endpoint &server : client.servers) {
+        try {
+            const http_answer answer = httpCall(
+                server, {.method = "POST", .target = "/v1/quarantine/release", .token = client.token, .body = body});
+            if (answer.status == statusOk) {
+                return std::string(textOf(answer.body));
+            }
+            last = errorOf(answer);
+        } catch (const coordination_error &error) {
+            last = error;
+        }
+    }
+    throw last;
+}
+
 revision currentRevision(const operator_client &client)
 {
     std::optional<revision> highest;
--- a/src/program/operator_client.h
+++ b/src/program/operator_client.h
@@ -4,6 +4,7 @@
 #include "wire/replacement_json.h"
 
 #include <guavafront/coordination/configuration/change_log.h>
+#include <guavafront/coordination/quarantine/fingerprint.h>
 
 #include <string>
 #include <string_view>
@@ -21,6 +22,10 @@
 /// Body of GET target from the first control VM that answers well. Throws coordination_error.
 std::string readFromControl(const operator_client &client, std::string_view target);
 
+/// Has the first control VM that knows it release a held-back request; the body of its answer. Throws
+/// coordination_error.
+std::string releaseAtControl(const operator_client &client, request_fingerprint request);
+
 /// Highest revision that a control VM names. Throws coordination_error.
 revision currentRevision(const operator_client &client);
 
--- a/src/program/operator_command.cpp
+++ b/src/program/operator_command.cpp
@@ -3,6 +3,7 @@
 #include "program/operator_client.h"
 #include "settings/settings_reader.h"
 #include "wire/operator_json.h"
+#include "wire/quarantine_json.h"
 
 #include <guavafront/coordination/configuration/setting.h>
 #include <guavafront/coordination/core/coordination_error.h>
@@ -212,6 +213,20 @@
     });
 }
 
+void addReleaseCommand(CLI::App &quarantine, command_action &action, const commands_pointer &commands)
+{
+    const auto request = std::make_shared<std::string>();
+    CLI::App *release = quarantine.add_subcommand("release", "Lets a held-back request run again");
+    release->add_option("request", *request, "16 hex digits, as listed")->required();
+    release->callback([&action, commands, request] {
+        action = [commands, request] {
+            const request_fingerprint named = parseFingerprint(*request);
+            std::printf("%s\n", releaseAtControl(clientOf(commands->options), named).c_str());
+            return exit_status::Done;
+        };
+    });
+}
+
 void addReadCommand(CLI::App &parent, command_action &action, const commands_pointer &commands, const char *name,
                     const char *help, const char *target)
 {
@@ -223,6 +238,14 @@
     });
 }
 
+void addQuarantineCommands(CLI::App &parent, command_action &action, const commands_pointer &commands)
+{
+    CLI::App *quarantine = parent.add_subcommand("quarantine", "Requests held back since instances died of them");
+    quarantine->require_subcommand(1);
+    addReadCommand(*quarantine, action, commands, "list", "Lists them", "/v1/quarantine");
+    addReleaseCommand(*quarantine, action, commands);
+}
+
 } // namespace
 
 void addOperatorCommand(CLI::App &app, command_action &action)
@@ -242,6 +265,7 @@
     addSettingCommands(*parent, action, commands);
     addRouteCommands(*parent, action, commands);
     addReplaceCommand(*parent, action, commands);
+    addQuarantineCommands(*parent, action, commands);
     addReadCommand(*parent, action, commands, "status", "Shows the control VM's status", "/v1/status");
     addReadCommand(*parent, action, commands, "show", "Shows the configuration", "/v1/configuration");
 }
--- /dev/null
+++ b/tests/fleet/quarantine_test.cpp
@@ -0,0 +1,86 @@
+#include "fleet/fleet_processes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <string>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// A control VM and an entry VM that hold back a request after one death, and an instance of "rutas".
+struct quarantine_operation_fixture {
+    static constexpr std::string_view deadly = "/listas/hoy?behaviour=crash";
+
+    fleet_processes fleet{fleet_layout{.controls = 1, .entries = 1}};
+    std::string entry = fleet.entries().front();
+    std::string key;
+
+    quarantine_operation_fixture()
+    {
+        fleet.startAll();
+        key = fleet.createAccount("panalera");
+        fleet.operate({"route", "put", "/listas", "--service", "rutas", "--kind", "lista"});
+        fleet.operate({"default", "quarantineDeaths", "1"});
+        fleet.startUpstream("rutas", {entry});
+        fleet.waitForStatus(entry, "/listas/hoy", key, 200);
+    }
+
+    /// What an operator command printed.
+    nlohmann::json operate(const std::vector<std::string> &arguments)
+    {
+        fleet.operate(arguments);
+        std::ifstream log(fleet.folder() / "operator.log");
+        std::string last;
+        for (std::string line; std::getline(log, line);) {
+            last = line.starts_with("{") ? line : last;
+        }
+        return nlohmann::json::parse(last);
+    }
+
+    /// Whether the deadly request was refused without being run.
+    bool isHeldBack()
+    {
+        return bodyOf(fleet.request(entry, "GET", deadly, key)).find("\"not_run\":true") != std::string::npos;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(quarantine_operation_test, quarantine_operation_fixture)
+
+BOOST_AUTO_TEST_CASE(crashRequest_listedAndReleasedByOperator_runsAgain)
+{
+    BOOST_TEST(operate({"quarantine", "list"})["held"].empty());
+    BOOST_TEST(!isHeldBack());
+    fleet.startUpstream("rutas", {entry});
+    fleet.waitForStatus(entry, "/listas/hoy", key, 200);
+    nlohmann::json held;
+    fleet_processes::waitUntil("the request is listed", [&] {
+        held = operate({"quarantine", "list"})["held"];
+        return held.size() == 1;
+    });
+    BOOST_TEST(held[0]["account"] == "panalera");
+    BOOST_TEST(held[0]["path_prefix"] == "/listas");
+    BOOST_TEST(held[0]["deaths"].size() == 1U);
+    BOOST_TEST(isHeldBack());
+    const std::string request = held[0]["request"];
+    BOOST_TEST(operate({"quarantine", "release", request})["request"] == request);
+    BOOST_TEST(operate({"quarantine", "list"})["held"].empty());
+    fleet_processes::waitUntil("the entry VM lets it run", [this] { return !isHeldBack(); });
+}
+
+BOOST_AUTO_TEST_CASE(release_unknownRequest_refused)
+{
+    BOOST_CHECK_THROW(fleet.operate({"quarantine", "release", "00000000000000aa"}), std::runtime_error);
+    BOOST_CHECK_THROW(fleet.operate({"quarantine", "release", "nonsense"}), std::runtime_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
