--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -36,14 +36,13 @@
     return {status["revision"].get<std::uint64_t>()};
 }
 
-} // namespace
-
-std::string readFromControl(const operator_client &client, std::string_view target)
+/// Body of the first good answer that a control VM gives. Throws coordination_error.
+std::string firstGoodAnswer(const operator_client &client, const http_call_request &request)
 {
     coordination_error last(result_code::ConnectFailed, "no control VM was named");
     for (const endpoint &server : client.servers) {
         try {
-            const http_answer answer = httpCall(server, {.method = "GET", .target = target, .token = client.token});
+            const http_answer answer = httpCall(server, request);
             if (answer.status == statusOk) {
                 return std::string(textOf(answer.body));
             }
@@ -55,23 +54,18 @@
     throw last;
 }
 
+} // namespace
+
+std::string readFromControl(const operator_client &client, std::string_view target)
+{
+    return firstGoodAnswer(client, {.method = "GET", .target = target, .token = client.token});
+}
+
 std::string releaseAtControl(const operator_client &client, request_fingerprint request)
 {
     const std::string body = releaseJson(request);
-    coordination_error last(result_code::ConnectFailed, "no control VM was named");
-    for (const endpoint &server : client.servers) {
-        try {
-            const http_answer answer = httpCall(
-                server, {.method = "POST", .target = "/v1/quarantine/release", .token = client.token, .body = body});
-            if (answer.status == statusOk) {
-                return std::string(textOf(answer.body));
-            }
-            last = errorOf(answer);
-        } catch (const coordination_error &error) {
-            last = error;
-        }
-    }
-    throw last;
+    return firstGoodAnswer(client,
+                           {.method = "POST", .target = "/v1/quarantine/release", .token = client.token, .body = body});
 }
 
 revision currentRevision(const operator_client &client)
