--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -33,7 +33,10 @@
 /// What the choice of upstreams needs to know; only entry VMs choose.
 living_fleet summaryOf(const fleet_view &view, const std::string &dataCentre)
 {
-    living_fleet summary{.vmsInDataCentre = 0, .vms = 0, .hearsMajority = view.aliveShare >= majorityShare};
+    living_fleet summary{.vmsInDataCentre = 0,
+                         .vms = 0,
+                         .missingVms = static_cast<std::uint32_t>(view.missing.size()),
+                         .hearsMajority = view.aliveShare >= majorityShare};
     for (const member_record &each : view.live) {
         if ((each.roles & EntryRole) != 0) {
             ++summary.vms;
@@ -94,6 +97,7 @@
     try {
         noteClaimsMember(entry);
         if (auto event = eventOf(entry)) {
+            tellOperators(*event);
             tellEntry(std::move(*event));
         }
     } catch (const coordination_error &error) {
@@ -130,6 +134,18 @@
     tellEntry(m_freshness);
 }
 
+void fleet_watch::tellOperators(const entry_event &event)
+{
+    if ((m_self.roles & ControlRole) == 0) {
+        return;
+    }
+    if (const auto *death = std::get_if<death_learned>(&event)) {
+        m_wiring.operators.post(*death);
+    } else if (const auto *released = std::get_if<release_learned>(&event)) {
+        m_wiring.operators.post(*released);
+    }
+}
+
 void fleet_watch::tellEntry(entry_event event)
 {
     if ((m_self.roles & EntryRole) != 0) {
--- a/src/daemon/operators/operators_message.h
+++ b/src/daemon/operators/operators_message.h
@@ -3,6 +3,7 @@
 #include "daemon/control/control_message.h"
 
 #include <guavafront/coordination/configuration/confirmations.h>
+#include <guavafront/coordination/entry/entry_event.h>
 
 #include <variant>
 
@@ -29,6 +30,7 @@
 };
 
 /// What the operators task reacts to.
-using operators_message = std::variant<change_answered, status_answered, confirmation_answered>;
+using operators_message =
+    std::variant<change_answered, status_answered, confirmation_answered, death_learned, release_learned>;
 
 } // namespace guavafront
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -4,6 +4,7 @@
 #include "http/header_filter.h"
 #include "wire/confirmation_json.h"
 #include "wire/operator_json.h"
+#include "wire/quarantine_json.h"
 #include "wire/replacement_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
@@ -36,11 +37,19 @@
         .dump();
 }
 
+void requireOperator(const change_author &author, const char *what)
+{
+    if (author.role != operator_role::Operator) {
+        throw coordination_error(result_code::NotAuthorized, what);
+    }
+}
+
 } // namespace
 
 operators_task::operators_task(loop &owner, operators_task_options options, mailbox<operators_message> &inbox,
                                const operators_task_outlets &outlets, daemon_counters &counters)
     : m_tokens(std::move(options.tokens))
+    , m_publishRelease(std::move(options.publishRelease))
     , m_inbox(inbox)
     , m_control(outlets.control)
     , m_configurations(outlets.configurations)
@@ -77,17 +86,19 @@
     } else if (request.method == "POST" && request.path == "/v1/replacements") {
         submitReplacement(id, author->author, request);
     } else if (request.method == "GET" && request.path == "/v1/configuration") {
-        if (author->author.role != operator_role::Operator) {
-            throw coordination_error(result_code::NotAuthorized, "only operators read the configuration");
-        }
+        requireOperator(author->author, "only operators read the configuration");
         ask(id, {question_kind::Configuration, {}});
     } else if (request.method == "GET" && request.path == "/v1/status") {
         ask(id, {question_kind::Status, {}});
     } else if (request.method == "GET" && request.path == "/v1/confirmations") {
-        if (author->author.role != operator_role::Operator) {
-            throw coordination_error(result_code::NotAuthorized, "only operators see the fleet's VMs");
-        }
+        requireOperator(author->author, "only operators see the fleet's VMs");
         ask(id, {question_kind::Confirmations, parseConfirmationQuery(request.query)});
+    } else if (request.method == "GET" && request.path == "/v1/quarantine") {
+        requireOperator(author->author, "only operators list held-back requests");
+        ask(id, {question_kind::Quarantine, {}});
+    } else if (request.method == "POST" && request.path == "/v1/quarantine/release") {
+        requireOperator(author->author, "only operators release held-back requests");
+        releaseRequest(id, request);
     } else {
         throw coordination_error(result_code::NoRoute, "no such operation");
     }
@@ -107,9 +118,7 @@
 
 void operators_task::submitReplacement(exchange_id id, const change_author &author, const http_request &request)
 {
-    if (author.role != operator_role::Operator) {
-        throw coordination_error(result_code::NotAuthorized, "only operators replace control VMs");
-    }
+    requireOperator(author, "only operators replace control VMs");
     const replacement_request parsed = parseReplacementJson(textOf(request.body));
     replacement_submitted message{
         .old = parsed.old, .fresh = parsed.fresh, .answer = [&inbox = m_inbox, id](const change_answer &answer) {
@@ -120,6 +129,17 @@
     }
 }
 
+void operators_task::releaseRequest(exchange_id id, const http_request &request)
+{
+    const request_fingerprint named = parseReleaseJson(textOf(request.body));
+    const std::optional<death_record> released = release(m_held, named, loop::now());
+    if (!released) {
+        throw coordination_error(result_code::ChangeInvalid, "this VM knows of no death by this request");
+    }
+    m_publishRelease({.request = named, .forgiven = released->forgiven});
+    reply(id, result_code::Ok, jsonAnswer(statusOk, releaseJson(named)));
+}
+
 void operators_task::ask(exchange_id id, const question &asked)
 {
     status_requested message{.answer = [&inbox = m_inbox, id](const control_status &status) {
@@ -158,6 +178,10 @@
         reply(id, result_code::Ok, jsonAnswer(statusOk, statusJson(status)));
         return;
     }
+    if (asked.kind == question_kind::Quarantine) {
+        reply(id, result_code::Ok, jsonAnswer(statusOk, heldRequestsJson(status)));
+        return;
+    }
     if (!status.leader) {
         throw coordination_error(result_code::NotLeader, "only the leader's answer is current");
     }
@@ -189,6 +213,22 @@
     reply(message.id, code, jsonAnswer(describe(code).httpStatus, toJson(answer)));
 }
 
+std::string operators_task::heldRequestsJson(const control_status &status)
+{
+    expire(m_held, loop::now());
+    return toJson(listQuarantined(m_held, status.accepted->defaults.quarantineDeaths), *status.accepted);
+}
+
+void operators_task::handle(const death_learned &news)
+{
+    learnDeath(m_held, news.death, loop::now());
+}
+
+void operators_task::handle(const release_learned &news)
+{
+    learnRelease(m_held, news.request, news.forgiven, loop::now());
+}
+
 void operators_task::reply(exchange_id id, result_code code, const http_answer &answer)
 {
     m_counters.countOperatorRequest(code);
--- a/src/daemon/operators/operators_task.h
+++ b/src/daemon/operators/operators_task.h
@@ -8,6 +8,10 @@
 #include "http/http_server.h"
 #include "runtime/mailbox.h"
 
+#include <guavafront/coordination/entry/entry_effect.h>
+#include <guavafront/coordination/quarantine/quarantine.h>
+
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +23,7 @@
 struct operators_task_options {
     http_server_options server; ///< Where operators come in.
     std::vector<operator_token> tokens; ///< Who may ask.
+    std::function<void(const publish_release &)> publishRelease; ///< Tells all entry VMs of a release.
 };
 
 /// Mailboxes that the operators task posts into; not owned.
@@ -27,8 +32,9 @@
     mailbox<configuration_message> &configurations; ///< Questions how far a revision has come.
 };
 
-/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status, GET
-/// /v1/confirmations?revision=N. Every request carries a bearer token.
+/// Operators' HTTP: POST /v1/changes, POST /v1/replacements, GET /v1/configuration, GET /v1/status,
+/// GET /v1/confirmations?revision=N, GET /v1/quarantine, POST /v1/quarantine/release. Every request carries a bearer
+/// token. Held-back requests are those that entry VMs tell of in the spread map.
 class operators_task
 {
 public:
@@ -37,7 +43,7 @@
                    const operators_task_outlets &outlets, daemon_counters &counters);
 
 private:
-    enum class question_kind : std::uint8_t { Configuration, Status, Confirmations };
+    enum class question_kind : std::uint8_t { Configuration, Status, Confirmations, Quarantine };
 
     struct question {
         question_kind kind; ///< What is asked.
@@ -54,9 +60,15 @@
     void handle(const confirmation_answered &message);
     void answerFrom(exchange_id id, const question &asked, const control_status &status);
     void askConfirmations(exchange_id id, revision wanted);
+    void releaseRequest(exchange_id id, const http_request &request);
+    std::string heldRequestsJson(const control_status &status);
+    void handle(const death_learned &news);
+    void handle(const release_learned &news);
     void reply(exchange_id id, result_code code, const http_answer &answer);
 
     std::vector<operator_token> m_tokens; ///< Who may ask.
+    std::function<void(const publish_release &)> m_publishRelease; ///< As constructed.
+    quarantine m_held; ///< Deaths and releases that the entry VMs know.
     mailbox<operators_message> &m_inbox; ///< Not owned; answers come back here.
     mailbox<control_message> &m_control; ///< Not owned.
     mailbox<configuration_message> &m_configurations; ///< Not owned.
--- a/src/program/operator_client.cpp
+++ b/src/program/operator_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_call.h"
 #include "wire/operator_json.h"
+#include "wire/quarantine_json.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -58,14 +59,13 @@
     }
 }
 
-} // namespace
-
-std::string readFromControl(const operator_client &client, std::string_view target)
+/// Body of the first good answer that a control VM gives. Throws coordination_error.
+std::string firstGoodAnswer(const operator_client &client, const http_call_request &request)
 {
     coordination_error last(result_code::ConnectFailed, "no control VM was named");
     for (const endpoint &server : client.servers) {
         try {
-            const http_answer answer = httpCall(server, {.method = "GET", .target = target, .token = client.token});
+            const http_answer answer = httpCall(server, request);
             if (answer.status < firstOtherStatus) {
                 return std::string(textOf(answer.body));
             }
@@ -77,6 +77,20 @@
     throw last;
 }
 
+} // namespace
+
+std::string readFromControl(const operator_client &client, std::string_view target)
+{
+    return firstGoodAnswer(client, {.method = "GET", .target = target, .token = client.token});
+}
+
+std::string releaseAtControl(const operator_client &client, request_fingerprint request)
+{
+    const std::string body = releaseJson(request);
+    return firstGoodAnswer(client,
+                           {.method = "POST", .target = "/v1/quarantine/release", .token = client.token, .body = body});
+}
+
 revision currentRevision(const operator_client &client)
 {
     std::optional<revision> highest;
--- a/tests/entry/upstream_health_test.cpp
+++ b/tests/entry/upstream_health_test.cpp
@@ -92,6 +92,30 @@
     BOOST_TEST(!serve(100, failingAt({5}, halfAnswer)).contains(5));
 }
 
+BOOST_AUTO_TEST_CASE(halfAnswers_floorOfServiceIsWholeCapacity_staysInRotation)
+{
+    draft->exceptions = {
+        {.subject = "service:reservas", .setting = "healthyFloorPercent", .value = 100, .reason = "few instances"}};
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::InRotation));
+    draft->exceptions.clear();
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::LastResort));
+}
+
+BOOST_AUTO_TEST_CASE(halfAnswers_floorOfServiceLowerThanDefault_outOfRotation)
+{
+    draft->defaults.healthyFloorPercent = 100;
+    draft->exceptions = {
+        {.subject = "service:flagsja", .setting = "healthyFloorPercent", .value = 0, .reason = "other service"},
+        {.subject = "service:reservas", .setting = "healthyFloorPercent", .value = 70, .reason = "many instances"}};
+    apply();
+    serve(100, failingAt({5}, halfAnswer));
+    BOOST_TEST((standingOf(5) == candidate_standing::LastResort));
+}
+
 BOOST_AUTO_TEST_CASE(slowAnswers_oneInstance_avoidedAfterTheFirst)
 {
     attempt_result slow = answered();
@@ -185,12 +209,18 @@
 BOOST_AUTO_TEST_CASE(reportsOfOtherVms_deadToThisDataCentre_ejectedHere)
 {
     run(fleet_changed{{.vmsInDataCentre = 3, .vms = 3}});
-    for (std::uint64_t vm = 2; vm <= 3; ++vm) {
-        run(health_reported{{vm}, {.dataCentre = "gdl-a", .suspects = {{{5}, suspicion_level::Held}}}});
-    }
-    serve(100, [](instance_id) { return answered(); });
+    health_report report{.dataCentre = "gdl-a", .suspects = {{{5}, suspicion_level::Held}}};
+    run(health_reported{{2}, report});
+    run(health_reported{{3}, report});
+    serve(50, [](instance_id) { return answered(); });
+    BOOST_TEST((standingOf(5) == candidate_standing::Returning)); // Suspect, but no majority consents.
+    report.consents = {{5}};
+    run(health_reported{{2}, report});
+    run(health_reported{{3}, report});
+    serve(50, [](instance_id) { return answered(); });
     BOOST_TEST((standingOf(5) == candidate_standing::LastResort));
     run(health_report_lost{{2}});
+    run(health_report_lost{{3}});
     serve(50, [](instance_id) { return answered(); });
     BOOST_TEST((standingOf(5) != candidate_standing::LastResort));
 }
