Scenario language, runner and TCP relay

A relay task stands before each upstream and holds, delays, closes or silences connections; a load task behaves like callers behind a balancer. The stand-in upstream can hold a run until released, announce its relay's port, and writes each run into a file before it begins. fleet_processes can start a named stand-in again, run operators at once and lose a disk.

--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -67,7 +67,8 @@
 } // namespace
 
 fleet_processes::fleet_processes(const fleet_layout &layout)
-    : m_folder(makeFolder())
+    : m_balancerGraceMs(layout.balancerGraceMs)
+    , m_folder(makeFolder())
 {
     writeSecret(m_folder / "fleet.secret", "fleet-secret-of-the-test");
     writeSecret(m_folder / "service.token", serviceToken);
@@ -129,7 +130,7 @@
         settings["listen"]["callers"] = local(ports.callers);
         settings["listen"]["announcements"] = local(ports.announcements);
         settings["secrets"]["serviceTokenFile"] = "service.token";
-        settings["entry"]["balancerGraceMs"] = 100;
+        settings["entry"]["balancerGraceMs"] = m_balancerGraceMs;
     }
     std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
 }
@@ -166,38 +167,53 @@
 
 void fleet_processes::waitForLeader() const
 {
-    waitUntil("a control VM leads", [this] {
-        for (const std::string &control : m_controls) {
-            try {
-                const http_answer answer = httpCall({"127.0.0.1", portsOf(control).operators},
-                                                    {.method = "GET", .target = "/v1/status", .token = operatorToken});
-                if (bodyOf(answer).find("\"leader\":true") != std::string::npos) {
-                    return true;
-                }
-            } catch (const coordination_error &) {
-                continue; // This one is away.
+    waitUntil("a control VM leads", [this] { return !leaderStatus().empty(); });
+}
+
+std::string fleet_processes::leaderStatus() const
+{
+    for (const std::string &control : m_controls) {
+        try {
+            std::string status = bodyOf(httpCall({"127.0.0.1", portsOf(control).operators},
+                                                 {.method = "GET", .target = "/v1/status", .token = operatorToken}));
+            if (status.find("\"leader\":true") != std::string::npos) {
+                return status;
             }
+        } catch (const coordination_error &) {
+            continue; // This one is away.
         }
-        return false;
-    });
+    }
+    return {};
+}
+
+std::uint64_t fleet_processes::acceptedRevision() const
+{
+    const nlohmann::json status = nlohmann::json::parse(leaderStatus(), nullptr, false);
+    return status.is_object() ? status.value("revision", std::uint64_t{0}) : 0;
 }
 
 std::string fleet_processes::startUpstream(const std::string &service, const std::vector<std::string> &entries,
                                            const std::vector<std::string> &moreOptions)
 {
     std::string name = "upstream-" + std::to_string(++m_upstreams);
-    const std::filesystem::path portFile = m_folder / (name + ".port");
+    startStandIn({.name = name, .service = service, .entries = entries, .moreOptions = moreOptions});
+    return name;
+}
+
+void fleet_processes::startStandIn(const stand_in_process &upstream)
+{
+    const std::filesystem::path portFile = m_folder / (upstream.name + ".port");
+    std::filesystem::remove(portFile);
     std::vector<std::string> arguments{
-        "--name",          name,           "--service",     service,         "--port-file",
-        portFile.string(), "--token-file", "service.token", "--data-centre", "dc-1"};
-    for (const std::string &entry : entries) {
+        "--name",          upstream.name,  "--service",     upstream.service, "--port-file",
+        portFile.string(), "--token-file", "service.token", "--data-centre",  "dc-1"};
+    for (const std::string &entry : upstream.entries) {
         arguments.insert(arguments.end(), {"--announce-to", local(portsOf(entry).announcements)});
     }
-    arguments.insert(arguments.end(), moreOptions.begin(), moreOptions.end());
-    run(name, GUAVAFRONT_STAND_IN, arguments);
-    waitUntil(name + " listens", [&portFile] { return std::filesystem::exists(portFile); });
-    std::ifstream(portFile) >> m_upstreamPorts[name];
-    return name;
+    arguments.insert(arguments.end(), upstream.moreOptions.begin(), upstream.moreOptions.end());
+    run(upstream.name, GUAVAFRONT_STAND_IN, arguments);
+    waitUntil(upstream.name + " listens", [&portFile] { return std::filesystem::exists(portFile); });
+    std::ifstream(portFile) >> m_upstreamPorts[upstream.name];
 }
 
 void fleet_processes::signal(const std::string &name, int number)
@@ -215,18 +231,50 @@
     m_running.at(name)->kill();
 }
 
-void fleet_processes::operate(const std::vector<std::string> &arguments)
+std::vector<std::string> fleet_processes::operatorArguments(const std::vector<std::string> &command) const
 {
     std::vector<std::string> all{"operator", "--token-file", "operator.token"};
     for (const std::string &control : m_controls) {
         all.insert(all.end(), {"--server", local(portsOf(control).operators)});
     }
-    const std::string &command = arguments.front();
-    all.insert(all.end(), arguments.begin(), arguments.end());
-    child_process process(GUAVAFRONT_BINARY, all, m_folder.string(), (m_folder / "operator.log").string());
-    if (!process.waitForEnd(waitLimit) || process.exitStatus() != 0) {
-        throw std::runtime_error("operator " + command + " failed");
+    all.insert(all.end(), command.begin(), command.end());
+    return all;
+}
+
+void fleet_processes::operate(const std::vector<std::string> &arguments)
+{
+    if (operateAtOnce({arguments}).front() != 0) {
+        throw std::runtime_error("operator " + arguments.front() + " failed");
+    }
+}
+
+std::vector<int> fleet_processes::operateAtOnce(const std::vector<std::vector<std::string>> &commands) const
+{
+    std::vector<std::unique_ptr<child_process>> running;
+    running.reserve(commands.size());
+    for (const std::vector<std::string> &command : commands) {
+        running.push_back(std::make_unique<child_process>(GUAVAFRONT_BINARY, operatorArguments(command),
+                                                          m_folder.string(), (m_folder / "operator.log").string()));
     }
+    std::vector<int> statuses;
+    statuses.reserve(running.size());
+    for (const auto &each : running) {
+        if (!each->waitForEnd(waitLimit)) {
+            throw std::runtime_error("an operator command did not end");
+        }
+        statuses.push_back(each->exitStatus());
+    }
+    return statuses;
+}
+
+void fleet_processes::loseDisk(const std::string &control) const
+{
+    std::filesystem::remove_all(m_folder / (control + "-data"));
+}
+
+std::uint16_t fleet_processes::upstreamPort(const std::string &upstream) const
+{
+    return m_upstreamPorts.at(upstream);
 }
 
 std::string fleet_processes::createAccount(const std::string &name)
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -31,6 +31,15 @@
     std::size_t controls = 1; ///< Control VMs.
     std::size_t entries = 2; ///< Entry VMs.
     std::size_t dataCentres = 3; ///< VMs are dealt to them in turn.
+    std::uint64_t balancerGraceMs = 100; ///< Of the entry VMs.
+};
+
+/// One stand-in upstream as a process.
+struct stand_in_process {
+    std::string name; ///< Of the process.
+    std::string service; ///< That it announces.
+    std::vector<std::string> entries; ///< Hear its announcements in turn.
+    std::vector<std::string> moreOptions; ///< Of its command line.
 };
 
 /// The real daemons and stand-in upstreams as processes on loopback, in a folder of their own that is removed at the
@@ -57,6 +66,9 @@
     std::string startUpstream(const std::string &service, const std::vector<std::string> &entries,
                               const std::vector<std::string> &moreOptions = {});
 
+    /// Starts a stand-in and waits until it listens; a name may be used again once its process has ended.
+    void startStandIn(const stand_in_process &upstream);
+
     /// Sends a signal to a process.
     void signal(const std::string &name, int number);
 
@@ -69,6 +81,18 @@
     /// Runs an operator command against all control VMs; throws when it fails.
     void operate(const std::vector<std::string> &arguments);
 
+    /// Runs operator commands at once against all control VMs; gives their exit statuses.
+    std::vector<int> operateAtOnce(const std::vector<std::vector<std::string>> &commands) const;
+
+    /// Latest accepted revision that the leader names; 0 when none leads.
+    std::uint64_t acceptedRevision() const;
+
+    /// Removes the data folder of a control VM that doesn't run.
+    void loseDisk(const std::string &control) const;
+
+    /// Port that a stand-in listens on.
+    std::uint16_t upstreamPort(const std::string &upstream) const;
+
     /// Creates an account with a key "key-of-NAME-0123456789" and gives the key.
     std::string createAccount(const std::string &name);
 
@@ -103,8 +127,11 @@
 
 private:
     void writeSettings(const std::string &name, bool control, const std::string &dataCentre) const;
+    std::string leaderStatus() const;
+    std::vector<std::string> operatorArguments(const std::vector<std::string> &command) const;
     void run(const std::string &name, const std::string &program, const std::vector<std::string> &arguments);
 
+    std::uint64_t m_balancerGraceMs; ///< Of the entry VMs.
     std::filesystem::path m_folder; ///< Removed at the end.
     std::vector<std::string> m_controls; ///< In start order.
     std::vector<std::string> m_entries; ///< In start order.
--- /dev/null
+++ b/tests/scenarios/load_steps.cpp
@@ -0,0 +1,59 @@
+#include "scenarios/scenario_run.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int okStatus = 200;
+
+} // namespace
+
+void perform(scenario_run &run, const load_step &step)
+{
+    load_options options{.vms = {},
+                         .key = run.keys.at(step.account),
+                         .method = step.method,
+                         .target = step.target,
+                         .claimed = step.claimed,
+                         .connections = step.connections,
+                         .pause = std::chrono::milliseconds(step.pauseMs)};
+    for (const std::string &entry : run.fleet.entries()) {
+        const vm_ports &ports = run.fleet.portsOf(entry);
+        options.vms.push_back({.callers = {"127.0.0.1", ports.callers}, .metrics = {"127.0.0.1", ports.metrics}});
+    }
+    run.traffic = std::make_unique<load>(std::move(options));
+}
+
+void perform(scenario_run &run, const await_load_step &step)
+{
+    const std::size_t wanted = run.traffic->ended() + step.answers;
+    fleet_processes::waitUntil("the load goes on", [&] { return run.traffic->ended() >= wanted; });
+}
+
+void perform(scenario_run &run, const stop_load_step &step)
+{
+    const std::vector<load_result> results = run.traffic->finish();
+    run.traffic.reset();
+    std::size_t ran = 0;
+    for (const load_result &each : results) {
+        const bool allowed =
+            each.status == okStatus
+            || std::ranges::find(step.allowed, static_cast<std::uint64_t>(each.status)) != step.allowed.end();
+        BOOST_CHECK_MESSAGE(allowed, each.name << " got " << each.status << " " << each.body);
+        const bool saidNotRun = each.body.find("\"not_run\":true") != std::string::npos;
+        const std::uint64_t runs = runsOf(run, each.name);
+        BOOST_CHECK_MESSAGE(runs <= 1, each.name << " ran " << runs << " times");
+        BOOST_CHECK_MESSAGE(each.status != okStatus || runs == 1, each.name << " answered, ran " << runs << " times");
+        BOOST_CHECK_MESSAGE(!saidNotRun || runs == 0, each.name << " told not run, ran " << runs << " times");
+        ran += runs;
+    }
+    BOOST_TEST_MESSAGE("load: " << results.size() << " answers, " << ran << " runs");
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/load_task.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "http/upstream_connection.h"
+#include "runtime/mailbox.h"
+#include "runtime/timer.h"
+#include "settings/endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace guavafront
+{
+
+/// One entry VM as a balancer knows it.
+struct balanced_vm {
+    endpoint callers; ///< Where requests go.
+    endpoint metrics; ///< Has /ready.
+    bool ready = true; ///< As last heard.
+};
+
+/// What the load sends.
+struct load_options {
+    std::vector<balanced_vm> vms; ///< Taken in turn while ready.
+    std::string key; ///< Caller's key.
+    std::string method; ///< In capitals.
+    std::string target; ///< Path with query.
+    bool claimed = false; ///< Each request carries an idempotency key.
+    std::size_t connections = 4; ///< Each has one request under way.
+    duration pause{}; ///< Between two requests on one connection.
+};
+
+/// End of one request of the load.
+struct load_result {
+    std::string name; ///< Under which upstreams count it.
+    int status = 0; ///< 0 when there was no whole answer.
+    std::string body; ///< Of the answer.
+};
+
+/// Asks how many requests have ended.
+struct count_load {
+    std::promise<std::size_t> reply; ///< Number of results.
+};
+
+/// Ends the load once the requests under way have ended.
+struct finish_load {
+    std::promise<std::vector<load_result>> reply; ///< All results.
+};
+
+/// Message to a load's task.
+using load_message = std::variant<count_load, finish_load>;
+
+/// Steady load on a thread of its own.
+class load
+{
+public:
+    /// Begins at once.
+    explicit load(load_options options);
+    ~load();
+    load(const load &) = delete;
+    load &operator=(const load &) = delete;
+
+    /// Requests that have ended.
+    std::size_t ended();
+
+    /// Stops sending, waits for the requests under way and gives all results.
+    std::vector<load_result> finish();
+
+private:
+    mailbox<load_message> m_inbox; ///< Outlives the task.
+    loop m_loop; ///< The task's.
+    std::thread m_thread; ///< Last: runs the task.
+};
+
+/// What a load's thread runs. Loop's thread only.
+class load_task
+{
+public:
+    /// Begins at once.
+    load_task(loop &owner, load_options options, mailbox<load_message> &inbox);
+
+private:
+    struct caller {
+        std::size_t vm = 0; ///< Where its connection leads.
+        std::unique_ptr<upstream_connection> connection; ///< Kept while the VM is ready.
+        std::unique_ptr<timer> next; ///< Until its next request.
+        bool running = false; ///< A request is under way.
+    };
+
+    void receive(load_message message);
+    void checkReady();
+    void check(std::size_t vm);
+    void send(caller &from);
+    void connect(caller &from);
+    void ended(caller &from, const std::string &name, const upstream_outcome &outcome);
+    void finishWhenIdle();
+
+    loop &m_loop; ///< Not owned.
+    load_options m_options; ///< As constructed; readiness changes.
+    std::vector<std::unique_ptr<upstream_connection>> m_checks; ///< By VM.
+    std::vector<caller> m_callers; ///< One for each connection.
+    std::vector<load_result> m_results; ///< In order of their ends.
+    std::size_t m_sent = 0; ///< Requests ever sent.
+    std::size_t m_nextVm = 0; ///< Where the turn is.
+    std::optional<finish_load> m_finish; ///< Set once asked to.
+    timer m_checkAgain; ///< Until the next look at /ready.
+    mailbox_attachment<load_message> m_attachment; ///< Last, so that it ends first.
+};
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/relay.cpp
@@ -0,0 +1,49 @@
+#include "scenarios/relay.h"
+
+#include "scenarios/relay_task.h"
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t inboxCapacity = 1024;
+
+} // namespace
+
+relay::relay()
+    : m_inbox(inboxCapacity)
+    , m_thread([this] {
+        const relay_task task(m_loop, m_inbox, m_bound);
+        m_loop.run();
+    })
+{
+    m_port = m_bound.get_future().get();
+}
+
+relay::~relay()
+{
+    m_loop.requestStop();
+    m_thread.join();
+}
+
+std::uint16_t relay::port() const
+{
+    return m_port;
+}
+
+void relay::post(relay_message message)
+{
+    m_inbox.post(std::move(message));
+}
+
+std::size_t relay::heldBytes(link_direction direction)
+{
+    count_held_bytes question{.direction = direction, .reply = {}};
+    std::future<std::size_t> answer = question.reply.get_future();
+    post(std::move(question));
+    return answer.get();
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/relay_task.cpp
@@ -0,0 +1,166 @@
+#include "scenarios/relay_task.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <utility>
+
+namespace guavafront
+{
+
+void relay_task::socket_deleter::operator()(bufferevent *owned) const
+{
+    bufferevent_free(owned);
+}
+
+relay_task::relay_task(loop &owner, mailbox<relay_message> &inbox, std::promise<std::uint16_t> &bound)
+    : m_loop(owner)
+    , m_sweep(owner, [this] { m_connections.remove_if([](const relayed_connection &each) { return each.closed; }); })
+    , m_listener(std::make_unique<listener>(owner, "127.0.0.1:0", [this](bufferevent *socket) { accept(socket); }))
+    , m_address("127.0.0.1:" + std::to_string(m_listener->port()))
+    , m_attachment(inbox, owner, [this](relay_message message) { receive(std::move(message)); })
+{
+    bound.set_value(m_listener->port());
+}
+
+relay_task::~relay_task() = default;
+
+void relay_task::receive(relay_message message)
+{
+    std::visit([this](auto &each) { take(each); }, message);
+}
+
+void relay_task::take(const set_relay_target &message)
+{
+    m_target = message.target;
+    if (!m_target) {
+        m_listener.reset();
+    } else if (!m_listener) {
+        m_listener = std::make_unique<listener>(m_loop, m_address, [this](bufferevent *socket) { accept(socket); });
+    }
+}
+
+void relay_task::take(const set_relay_mode &message)
+{
+    m_modes[static_cast<std::size_t>(message.direction)] = message;
+    pumpAll();
+}
+
+void relay_task::take(const silence_connections & /*message*/)
+{
+    for (relayed_connection &each : m_connections) {
+        each.silent = true;
+    }
+}
+
+void relay_task::take(count_held_bytes &message)
+{
+    const auto direction = static_cast<std::size_t>(message.direction);
+    std::size_t bytes = 0;
+    for (const relayed_connection &each : m_connections) {
+        if (each.closed) {
+            continue;
+        }
+        bytes += evbuffer_get_length(bufferevent_get_input(each.sources[direction].socket.get()));
+        bytes += evbuffer_get_length(bufferevent_get_output(each.sources[1 - direction].socket.get()));
+    }
+    message.reply.set_value(bytes);
+}
+
+void relay_task::accept(bufferevent *socket)
+{
+    bufferevent *far = m_target ? openConnection(m_loop, toText(*m_target)) : nullptr;
+    if (!far) {
+        bufferevent_free(socket);
+        return;
+    }
+    relayed_connection &opened = m_connections.emplace_back();
+    opened.owner = this;
+    opened.sources[static_cast<std::size_t>(link_direction::Towards)].socket.reset(socket);
+    opened.sources[static_cast<std::size_t>(link_direction::Away)].socket.reset(far);
+    for (std::size_t direction = 0; direction < directions; ++direction) {
+        opened.delays[direction] =
+            std::make_unique<timer>(m_loop, [this, &opened, direction] { passOn(opened, direction); });
+        bufferevent *each = opened.sources[direction].socket.get();
+        bufferevent_setcb(each, socketChanged, socketChanged, socketEvent, &opened);
+        bufferevent_enable(each, EV_READ | EV_WRITE);
+    }
+}
+
+void relay_task::pumpAll()
+{
+    for (relayed_connection &each : m_connections) {
+        for (std::size_t direction = 0; direction < directions; ++direction) {
+            pump(each, direction);
+        }
+    }
+}
+
+void relay_task::pump(relayed_connection &connection, std::size_t direction)
+{
+    if (connection.closed || connection.silent) {
+        return;
+    }
+    const bool waiting = evbuffer_get_length(bufferevent_get_input(connection.sources[direction].socket.get())) > 0;
+    switch (m_modes[direction].mode) {
+    case link_mode::Hold:
+        break;
+    case link_mode::Reset:
+        if (waiting) {
+            closeSoon(connection);
+        }
+        break;
+    case link_mode::Delay:
+        if (waiting || connection.sources[direction].ended) {
+            connection.delays[direction]->arm(m_modes[direction].delay);
+        }
+        break;
+    case link_mode::Pass:
+        passOn(connection, direction);
+        break;
+    }
+}
+
+void relay_task::passOn(relayed_connection &connection, std::size_t direction)
+{
+    relay_end &source = connection.sources[direction];
+    bufferevent *target = connection.sources[1 - direction].socket.get();
+    if (connection.closed) {
+        return;
+    }
+    bufferevent_write_buffer(target, bufferevent_get_input(source.socket.get()));
+    const bool written = evbuffer_get_length(bufferevent_get_output(target)) == 0;
+    if (source.ended && (written || connection.sources[1 - direction].ended)) {
+        closeSoon(connection);
+    }
+}
+
+void relay_task::closeSoon(relayed_connection &connection)
+{
+    connection.closed = true;
+    m_sweep.arm(duration::zero());
+}
+
+void relay_task::socketChanged(bufferevent * /*socket*/, void *connection)
+{
+    auto *changed = static_cast<relayed_connection *>(connection);
+    changed->owner->m_loop.guard([changed] {
+        for (std::size_t direction = 0; direction < directions; ++direction) {
+            changed->owner->pump(*changed, direction);
+        }
+    });
+}
+
+void relay_task::socketEvent(bufferevent *socket, short what, void *connection)
+{
+    auto *changed = static_cast<relayed_connection *>(connection);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        for (relay_end &each : changed->sources) {
+            each.ended = each.ended || each.socket.get() == socket;
+        }
+    }
+    socketChanged(socket, connection);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/request_steps.cpp
@@ -0,0 +1,111 @@
+#include "scenarios/scenario_run.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration callLimit = std::chrono::seconds(20);
+constexpr duration resendLimit = std::chrono::seconds(20);
+constexpr int okStatus = 200;
+constexpr std::size_t sayLimit = 200;
+
+/// Sends a request to an entry VM and waits for its end.
+call_result call(const endpoint &entry, const request_step &what, const std::string &key)
+{
+    std::vector<http_header> headers{{"X-Request-Id", what.name}};
+    if (what.claimed) {
+        headers.push_back({"Idempotency-Key", what.name});
+    }
+    try {
+        const http_answer answer = httpCall(
+            entry,
+            {.method = what.method, .target = what.target, .token = key, .headers = headers, .timeout = callLimit});
+        const std::string body = bodyOf(answer);
+        return {.status = answer.status, .notRun = body.find("\"not_run\":true") != std::string::npos, .body = body};
+    } catch (const coordination_error &) {
+        return {}; // The connection ended before the whole answer.
+    }
+}
+
+std::future<call_result> beginCall(const scenario_run &run, const std::string &entry, const request_step &what)
+{
+    const std::string key = what.account.empty() ? std::string() : run.keys.at(what.account);
+    const endpoint at{"127.0.0.1", run.fleet.portsOf(entry).callers};
+    return std::async(std::launch::async, [at, what, key] { return call(at, what, key); });
+}
+
+/// Whether a request's answer is to itself: upstreams name the request that they answer.
+bool answersItself(const request_step &what, const call_result &result)
+{
+    return result.status != okStatus || result.body.find("\"request\":\"" + what.name + "\"") != std::string::npos;
+}
+
+void expect(const scenario_run &run, const sent_request &sent, const expectation &wanted)
+{
+    const call_result &got = sent.results.back();
+    const std::string said = sent.what.name + " got " + std::to_string(got.status) + " " + got.body.substr(0, sayLimit);
+    const bool statusAllowed =
+        wanted.status.empty()
+        || std::ranges::find(wanted.status, static_cast<std::uint64_t>(got.status)) != wanted.status.end();
+    BOOST_TEST_MESSAGE(said);
+    BOOST_CHECK_MESSAGE(statusAllowed, said);
+    BOOST_CHECK_MESSAGE(wanted.notRun.empty() || got.notRun == (wanted.notRun == "true"), said);
+    BOOST_CHECK_MESSAGE(answersItself(sent.what, got), said);
+    if (!wanted.sameAs.empty()) {
+        BOOST_TEST(got.body == run.requests.at(wanted.sameAs).results.front().body);
+    }
+}
+
+} // namespace
+
+void perform(scenario_run &run, const request_step &step)
+{
+    sent_request &sent = run.requests[step.name];
+    sent.what = step;
+    sent.pending = beginCall(run, step.entry, step);
+    if (!step.background) {
+        perform(run, await_step{.request = step.name, .expect = step.expect});
+    }
+}
+
+void perform(scenario_run &run, const await_step &step)
+{
+    sent_request &sent = run.requests.at(step.request);
+    sent.results.push_back(sent.pending.get());
+    expect(run, sent, step.expect);
+}
+
+void perform(scenario_run &run, const await_runs_step &step)
+{
+    const sent_request &sent = run.requests.at(step.request);
+    const auto ended = [&sent] {
+        return sent.pending.valid() && sent.pending.wait_for(duration::zero()) == std::future_status::ready;
+    };
+    fleet_processes::waitUntil(step.request + " runs or ends",
+                               [&] { return runsOf(run, step.request) >= step.runs || ended(); });
+    if (runsOf(run, step.request) < step.runs) {
+        perform(run, await_step{.request = step.request, .expect = {}});
+        throw std::runtime_error(step.request + " ended before it ran: " + sent.results.back().body);
+    }
+}
+
+void perform(scenario_run &run, const resend_step &step)
+{
+    sent_request &sent = run.requests.at(step.request);
+    const instant end = loop::now() + resendLimit;
+    do {
+        sent.results.push_back(beginCall(run, step.entry, sent.what).get());
+    } while (step.untilDecided && sent.results.back().notRun && loop::now() < end);
+    expect(run, sent, step.expect);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/scenario_end.cpp
@@ -0,0 +1,99 @@
+#include "scenarios/scenario_run.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Calls visit with each line that upstreams wrote when a run began; lines survive the processes.
+template<class visitor>
+void forEachRun(const scenario_run &run, const visitor &visit)
+{
+    for (const auto &[name, upstream] : run.upstreams) {
+        std::ifstream file(run.fleet.folder() / (name + ".runs"));
+        for (std::string line; std::getline(file, line);) {
+            visit(line);
+        }
+    }
+}
+
+/// Runs by request ID.
+std::map<std::string, std::uint64_t> countRuns(const scenario_run &run)
+{
+    std::map<std::string, std::uint64_t> runs;
+    forEachRun(run, [&runs](const std::string &line) {
+        const nlohmann::json report = nlohmann::json::parse(line, nullptr, false);
+        if (!report.is_discarded()) { // Else it is being written.
+            ++runs[report.at("request").get<std::string>()];
+        }
+    });
+    return runs;
+}
+
+/// Lets what is under way on the links reach its end.
+void settle(scenario_run &run)
+{
+    for (auto &[name, upstream] : run.upstreams) {
+        perform(run, link_step{.link = name, .mode = link_mode::Pass, .towards = true, .away = true});
+        if (!upstream.running) {
+            continue;
+        }
+        if (upstream.frozen) {
+            perform(run, process_step{process_act::Thaw, name});
+        }
+        fleet_processes::waitUntil(name + "'s link is empty",
+                                   [&link = upstream.link] { return link.heldBytes(link_direction::Towards) == 0; });
+        // Asked after the bytes came, it answers after it has taken them.
+        run.fleet.askUpstream(name, "GET", "/counts");
+        run.fleet.askUpstream(name, "GET", "/counts");
+    }
+}
+
+void checkRuns(const scenario_run &run)
+{
+    std::map<std::string, std::uint64_t> runs = countRuns(run);
+    for (const auto &[name, sent] : run.requests) {
+        const bool allNotRun = std::ranges::all_of(sent.results, &call_result::notRun);
+        BOOST_CHECK_MESSAGE(runs[name] <= 1 || !sent.what.claimed, name << " ran " << runs[name] << " times");
+        BOOST_CHECK_MESSAGE(!allNotRun || runs[name] == 0, name << " told not run, ran " << runs[name] << " times");
+    }
+    for (const run_bounds &each : run.plan.runs) {
+        const std::uint64_t count = runs[each.request];
+        BOOST_CHECK_MESSAGE(count >= each.least && count <= each.most, each.request << " ran " << count << " times");
+    }
+}
+
+void checkKeysHidden(const scenario_run &run)
+{
+    forEachRun(run, [&run](const std::string &line) {
+        for (const auto &[account, key] : run.keys) {
+            BOOST_CHECK_MESSAGE(line.find(key) == std::string::npos, "an upstream saw the key of " << account);
+        }
+    });
+}
+
+} // namespace
+
+std::uint64_t runsOf(const scenario_run &run, const std::string &request)
+{
+    return countRuns(run)[request];
+}
+
+void checkEnd(scenario_run &run)
+{
+    settle(run);
+    checkRuns(run);
+    checkKeysHidden(run);
+    for (const auto &[name, sent] : run.requests) {
+        BOOST_CHECK_MESSAGE(!sent.pending.valid(), name << " was not awaited");
+    }
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/tests/scenarios/scenario_run.cpp
@@ -0,0 +1,206 @@
+#include "scenarios/scenario_run.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Starts an upstream's process behind its relay.
+void startUpstream(scenario_run &run, relayed_upstream &upstream)
+{
+    const std::filesystem::path runsFile = run.fleet.folder() / (upstream.what.name + ".runs");
+    run.fleet.startStandIn({.name = upstream.what.name,
+                            .service = upstream.what.service,
+                            .entries = upstream.what.entries,
+                            .moreOptions = {"--announced-port", std::to_string(upstream.link.port()), "--slots",
+                                            std::to_string(upstream.what.slots), "--runs-file", runsFile.string()}});
+    upstream.link.post(set_relay_target{endpoint{"127.0.0.1", run.fleet.upstreamPort(upstream.what.name)}});
+    upstream.running = true;
+}
+
+/// The upstream that a process name means; null for a VM.
+relayed_upstream *upstreamOf(scenario_run &run, const std::string &process)
+{
+    const auto found = run.upstreams.find(process);
+    return found == run.upstreams.end() ? nullptr : &found->second;
+}
+
+/// Waits until a claim can be made at every entry VM.
+void awaitClaims(const scenario_run &run, const route_spec &route)
+{
+    for (const std::string &entry : run.fleet.entries()) {
+        int attempt = 0;
+        fleet_processes::waitUntil("a claim can be made at " + entry, [&] {
+            const std::string name = "warm-" + entry + "-" + std::to_string(++attempt);
+            return run.fleet.post(entry, route.prefix, run.keys.begin()->second, "{}", name).status == 200;
+        });
+    }
+}
+
+void start(scenario_run &run, const std::string &process)
+{
+    if (relayed_upstream *upstream = upstreamOf(run, process)) {
+        startUpstream(run, *upstream);
+    } else {
+        run.fleet.start(process);
+    }
+}
+
+void signalProcess(scenario_run &run, const std::string &process, int number)
+{
+    if (relayed_upstream *upstream = upstreamOf(run, process)) {
+        upstream->frozen = number == SIGSTOP;
+    }
+    run.fleet.signal(process, number);
+}
+
+void kill(scenario_run &run, const std::string &process)
+{
+    if (relayed_upstream *upstream = upstreamOf(run, process)) {
+        upstream->running = false;
+        upstream->link.post(set_relay_target{}); // A dead process refuses connections.
+    }
+    run.fleet.kill(process);
+}
+
+} // namespace
+
+scenario_run::scenario_run(const scenario &what)
+    : plan(what)
+    , fleet({.controls = what.fleet.controls,
+             .entries = what.fleet.entries,
+             .dataCentres = what.fleet.dataCentres,
+             .balancerGraceMs = what.fleet.balancerGraceMs})
+{
+}
+
+void startFleet(scenario_run &run)
+{
+    const fleet_spec &spec = run.plan.fleet;
+    run.fleet.startAll();
+    for (const std::string &account : spec.accounts) {
+        run.keys[account] = run.fleet.createAccount(account);
+    }
+    for (const default_spec &each : spec.defaults) {
+        run.fleet.operate({"default", each.setting, std::to_string(each.value)});
+    }
+    for (const route_spec &each : spec.routes) {
+        run.fleet.operate({"route", "put", each.prefix, "--service", each.service, "--kind", each.service,
+                           "--timeout-ms", std::to_string(each.timeoutMs), "--repeats", each.repeats});
+    }
+    for (const upstream_spec &each : spec.upstreams) {
+        relayed_upstream &upstream = run.upstreams[each.name];
+        upstream.what = each;
+        startUpstream(run, upstream);
+    }
+    for (const route_spec &each : spec.routes) {
+        for (const std::string &entry : run.fleet.entries()) {
+            run.fleet.waitForStatus(entry, each.prefix, run.keys.begin()->second, 200);
+        }
+        awaitClaims(run, each);
+    }
+}
+
+void perform(scenario_run &run, const process_step &step)
+{
+    switch (step.act) {
+    case process_act::Kill:
+        kill(run, step.process);
+        break;
+    case process_act::Freeze:
+        signalProcess(run, step.process, SIGSTOP);
+        break;
+    case process_act::Thaw:
+        signalProcess(run, step.process, SIGCONT);
+        break;
+    case process_act::Terminate:
+        signalProcess(run, step.process, SIGTERM);
+        break;
+    case process_act::Start:
+        start(run, step.process);
+        break;
+    case process_act::LoseDisk:
+        run.fleet.loseDisk(step.process);
+        break;
+    case process_act::AwaitEnd:
+        fleet_processes::waitUntil(step.process + " ends",
+                                   [&] { return run.fleet.waitForEnd(step.process, duration::zero()); });
+        break;
+    case process_act::AwaitReady:
+        fleet_processes::waitUntil(step.process + " is ready", [&] {
+            const endpoint metrics{"127.0.0.1", run.fleet.portsOf(step.process).metrics};
+            return httpCall(metrics, {.method = "GET", .target = "/ready"}).status == 200;
+        });
+        break;
+    case process_act::Release:
+        run.fleet.askUpstream(step.process, "POST", "/release");
+        break;
+    }
+}
+
+void perform(scenario_run &run, const link_step &step)
+{
+    relay &link = run.upstreams.at(step.link).link;
+    const duration delay = std::chrono::milliseconds(step.milliseconds);
+    if (step.towards) {
+        link.post(set_relay_mode{.direction = link_direction::Towards, .mode = step.mode, .delay = delay});
+    }
+    if (step.away) {
+        link.post(set_relay_mode{.direction = link_direction::Away, .mode = step.mode, .delay = delay});
+    }
+}
+
+void perform(scenario_run &run, const silence_step &step)
+{
+    run.upstreams.at(step.link).link.post(silence_connections{});
+}
+
+void perform(scenario_run &run, const await_held_step &step)
+{
+    const link_direction direction = step.towards ? link_direction::Towards : link_direction::Away;
+    relay &link = run.upstreams.at(step.link).link;
+    fleet_processes::waitUntil(step.link + " holds bytes", [&] { return link.heldBytes(direction) > 0; });
+}
+
+void perform(scenario_run &run, const await_status_step &step)
+{
+    const std::string key = step.account.empty() ? std::string() : run.keys.at(step.account);
+    run.fleet.waitForStatus(step.entry, step.target, key, static_cast<int>(step.status));
+}
+
+void perform(scenario_run &run, const withdraw_step &step)
+{
+    run.fleet.operate({"key", "withdraw", step.account + "-1"});
+}
+
+void perform(scenario_run &run, const race_step &step)
+{
+    const std::string base = std::to_string(run.fleet.acceptedRevision());
+    std::vector<std::vector<std::string>> commands;
+    for (std::uint64_t each = 0; each < step.operators; ++each) {
+        commands.push_back({"account", "create", "racer-" + std::to_string(each), "--expected-revision", base});
+    }
+    const std::vector<int> statuses = run.fleet.operateAtOnce(commands);
+    BOOST_TEST(std::ranges::count(statuses, 0) == 1);
+}
+
+void runScenario(const scenario &plan)
+{
+    scenario_run run(plan);
+    startFleet(run);
+    for (const scenario_step &step : plan.steps) {
+        std::visit([&run](const auto &each) { perform(run, each); }, step);
+    }
+    checkEnd(run);
+}
+
+} // namespace guavafront
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -26,6 +26,7 @@
     std::vector<std::string> announceTo; ///< Entry VMs' announcement addresses.
     std::string tokenFile; ///< File with the service token.
     std::string portFile; ///< Where the bound port is written.
+    std::uint16_t announcedPort = 0; ///< Port that it announces; 0 announces the bound one.
 };
 
 void addOptions(CLI::App &app, arguments &given)
@@ -40,6 +41,8 @@
     app.add_option("--data-centre", given.self.dataCentre, "data centre that it announces");
     app.add_option("--lease-ms", given.leaseMs, "lease of its announcements");
     app.add_option("--announce-to", given.announceTo, "entry VM that hears its announcements, IP:PORT");
+    app.add_option("--announced-port", given.announcedPort, "port that it announces, when a relay stands before it");
+    app.add_option("--runs-file", given.options.runsFile, "file that gets a line of JSON for each run");
     app.add_option("--token-file", given.tokenFile, "file with the service token");
 }
 
@@ -89,7 +92,7 @@
     });
     given.self.instance = {std::random_device()() | (std::uint64_t{std::random_device()()} << 32)};
     given.self.ip = given.options.server.address;
-    given.self.port = upstream.port();
+    given.self.port = given.announcedPort != 0 ? given.announcedPort : upstream.port();
     given.self.slots = static_cast<std::uint16_t>(given.options.slots);
     given.self.lease = std::chrono::milliseconds(given.leaseMs);
     announcing = std::make_unique<announcer>(events, parseTargets(given.announceTo), readToken(given.tokenFile),
--- a/tests/stand_in/stand_in.cpp
+++ b/tests/stand_in/stand_in.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <utility>
 
 namespace guavafront
@@ -16,9 +17,10 @@
 
 constexpr std::string_view foreignAnswer = "HTTP/1.1 201 Created\r\nContent-Length: 7\r\n\r\nforeign";
 
-constexpr std::array<std::pair<std::string_view, stand_in_behaviour>, 9> behaviourNames{{
+constexpr std::array<std::pair<std::string_view, stand_in_behaviour>, 10> behaviourNames{{
     {"normal", stand_in_behaviour::Normal},
     {"silent", stand_in_behaviour::Silent},
+    {"hold", stand_in_behaviour::Hold},
     {"cut", stand_in_behaviour::Cut},
     {"cut-header", stand_in_behaviour::CutHeader},
     {"close", stand_in_behaviour::Close},
@@ -123,6 +125,8 @@
         m_server.answer(id, textAnswer(200, nlohmann::json(m_runs).dump()));
     } else if (request.path == "/control") {
         control(id, request);
+    } else if (request.path == "/release") {
+        release(id);
     } else {
         run(id, request);
     }
@@ -151,16 +155,36 @@
     const std::string_view given = headerValue(request.headers, "X-Request-Id");
     const std::string_view requestId = given.empty() ? headerValue(request.headers, "Idempotency-Key") : given;
     ++m_runs[std::string(requestId)];
+    std::string report = describeRun(request, requestId);
+    recordRun(report);
     if (what.behaviour == stand_in_behaviour::Crash) {
         std::_Exit(EXIT_FAILURE);
     }
     running_request &started = m_running[id];
     started.what = what;
-    started.answer = describeRun(request, requestId);
+    started.answer = std::move(report);
     started.done = std::make_unique<timer>(m_loop, [this, id] { finish(id); });
     started.done->arm(what.latency);
 }
 
+void stand_in::recordRun(const std::string &report) const
+{
+    if (!m_options.runsFile.empty()) {
+        std::ofstream(m_options.runsFile, std::ios::app) << report << std::endl;
+    }
+}
+
+void stand_in::release(exchange_id id)
+{
+    for (auto &[held, request] : m_running) {
+        if (request.what.behaviour == stand_in_behaviour::Hold) {
+            request.what.behaviour = stand_in_behaviour::Normal;
+            request.done->arm(duration::zero());
+        }
+    }
+    m_server.answer(id, textAnswer(200, "{}"));
+}
+
 std::string stand_in::describeRun(const http_request &request, std::string_view requestId)
 {
     nlohmann::json headers = nlohmann::json::array();
@@ -187,6 +211,7 @@
     const std::string raw = rawAnswer(done.answer);
     switch (done.what.behaviour) {
     case stand_in_behaviour::Silent:
+    case stand_in_behaviour::Hold:
         m_running.insert(std::move(node)); // Holds its slot until the caller gives up.
         return;
     case stand_in_behaviour::Cut:
--- a/tests/stand_in/stand_in.h
+++ b/tests/stand_in/stand_in.h
@@ -18,6 +18,7 @@
 enum class stand_in_behaviour : std::uint8_t {
     Normal, ///< Answers after the latency.
     Silent, ///< Runs the request and never answers.
+    Hold, ///< Runs the request and answers after a call of /release.
     Cut, ///< Closes in the middle of the answer's body.
     CutHeader, ///< Closes in the middle of the answer's header.
     Close, ///< Closes without a byte.
@@ -33,10 +34,12 @@
     std::string name = "stand-in"; ///< Shown in each answer.
     duration latency{}; ///< Time to run a request.
     std::size_t slots = 4; ///< Requests it runs at once; more are shed.
+    std::string runsFile; ///< Gets a line of JSON for each run before it starts, so that a crash hides none.
 };
 
 /// Upstream for tests: runs requests in slots, counts the runs of each request ID, misbehaves on demand. A request
-/// asks for a behaviour by the query parameters `behaviour` and `ms`; /control sets them for all requests.
+/// asks for a behaviour by the query parameters `behaviour` and `ms`; /control sets them for all requests; /release
+/// answers all that are held.
 class stand_in
 {
 public:
@@ -70,6 +73,8 @@
     void receive(exchange_id id, const http_request &request);
     void control(exchange_id id, const http_request &request);
     void run(exchange_id id, const http_request &request);
+    void recordRun(const std::string &report) const;
+    void release(exchange_id id);
     void finish(exchange_id id);
     void sendRaw(exchange_id id, std::string_view bytes, bool closeAfter);
     std::string describeRun(const http_request &request, std::string_view requestId);
