--- a/tests/scenarios/load_steps.cpp
+++ b/tests/scenarios/load_steps.cpp
@@ -17,7 +17,7 @@
 void perform(scenario_run &run, const load_step &step)
 {
     load_options options{.vms = {},
-                         .key = run.keys.at(step.account),
+                         .key = keyOf(run, step.account),
                          .method = step.method,
                          .target = step.target,
                          .claimed = step.claimed,
@@ -45,7 +45,9 @@
         const bool allowed =
             each.status == okStatus
             || std::ranges::find(step.allowed, static_cast<std::uint64_t>(each.status)) != step.allowed.end();
-        BOOST_CHECK_MESSAGE(allowed, each.name << " got " << each.status << " " << each.body);
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(each.since).count();
+        BOOST_CHECK_MESSAGE(allowed, each.name << " at " << since << " ms got " << each.status << " from "
+                                               << run.fleet.entries()[each.vm] << " " << each.body);
         const bool saidNotRun = each.body.find("\"not_run\":true") != std::string::npos;
         const std::uint64_t runs = runsOf(run, each.name);
         BOOST_CHECK_MESSAGE(runs <= 1, each.name << " ran " << runs << " times");
--- a/tests/scenarios/load_task.cpp
+++ b/tests/scenarios/load_task.cpp
@@ -129,9 +129,10 @@
     const std::string name = "load-" + std::to_string(++m_sent);
     const std::string authorization = "Bearer " + m_options.key;
     const std::string host = toText(m_options.vms[from.vm].callers);
-    std::vector<header_view> headers{{.name = "Host", .value = host},
-                                     {.name = "Authorization", .value = authorization},
-                                     {.name = "X-Request-Id", .value = name}};
+    std::vector<header_view> headers{{.name = "Host", .value = host}, {.name = "X-Request-Id", .value = name}};
+    if (!m_options.key.empty()) {
+        headers.push_back({.name = "Authorization", .value = authorization});
+    }
     if (m_options.claimed) {
         headers.push_back({.name = "Idempotency-Key", .value = name});
     }
@@ -149,7 +150,9 @@
     const bool answered = outcome.result == upstream_result::Answered;
     m_results.push_back({.name = name,
                          .status = answered ? outcome.answer.status : 0,
-                         .body = answered ? std::string(textOf(outcome.answer.body)) : std::string()});
+                         .body = answered ? std::string(textOf(outcome.answer.body)) : std::string(),
+                         .vm = from.vm,
+                         .since = loop::now() - m_begin});
     if (!outcome.reusable) {
         from.connection.reset();
     }
--- a/tests/scenarios/load_task.h
+++ b/tests/scenarios/load_task.h
@@ -27,7 +27,7 @@
 /// What the load sends.
 struct load_options {
     std::vector<balanced_vm> vms; ///< Taken in turn while ready.
-    std::string key; ///< Caller's key.
+    std::string key; ///< Caller's key; empty sends none.
     std::string method; ///< In capitals.
     std::string target; ///< Path with query.
     bool claimed = false; ///< Each request carries an idempotency key.
@@ -40,6 +40,8 @@
     std::string name; ///< Under which upstreams count it.
     int status = 0; ///< 0 when there was no whole answer.
     std::string body; ///< Of the answer.
+    std::size_t vm = 0; ///< Which of the VMs got it.
+    duration since{}; ///< Begin of the load to the end of the request.
 };
 
 /// Asks how many requests have ended.
@@ -105,6 +107,7 @@
     std::vector<std::unique_ptr<upstream_connection>> m_checks; ///< By VM.
     std::vector<caller> m_callers; ///< One for each connection.
     std::vector<load_result> m_results; ///< In order of their ends.
+    const instant m_begin = loop::now(); ///< Of the load.
     std::size_t m_sent = 0; ///< Requests ever sent.
     std::size_t m_nextVm = 0; ///< Where the turn is.
     std::optional<finish_load> m_finish; ///< Set once asked to.
--- a/tests/scenarios/request_steps.cpp
+++ b/tests/scenarios/request_steps.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace guavafront
 {
@@ -16,6 +17,7 @@
 constexpr duration callLimit = std::chrono::seconds(20);
 constexpr duration resendLimit = std::chrono::seconds(20);
 constexpr int okStatus = 200;
+constexpr std::uint64_t inProgressStatus = 409;
 constexpr std::size_t sayLimit = 200;
 
 /// Sends a request to an entry VM and waits for its end.
@@ -38,7 +40,7 @@
 
 std::future<call_result> beginCall(const scenario_run &run, const std::string &entry, const request_step &what)
 {
-    const std::string key = what.account.empty() ? std::string() : run.keys.at(what.account);
+    const std::string key = keyOf(run, what.account);
     const endpoint at{"127.0.0.1", run.fleet.portsOf(entry).callers};
     return std::async(std::launch::async, [at, what, key] { return call(at, what, key); });
 }
@@ -49,6 +51,11 @@
     return result.status != okStatus || result.body.find("\"request\":\"" + what.name + "\"") != std::string::npos;
 }
 
+bool hasEnded(const std::future<call_result> &pending)
+{
+    return pending.valid() && pending.wait_for(duration::zero()) == std::future_status::ready;
+}
+
 void expect(const scenario_run &run, const sent_request &sent, const expectation &wanted)
 {
     const call_result &got = sent.results.back();
@@ -86,14 +93,23 @@
     expect(run, sent, step.expect);
 }
 
+void perform(scenario_run &run, const await_claimed_step &step)
+{
+    sent_request &sent = run.requests.at(step.request);
+    std::future<call_result> twin = beginCall(run, sent.what.entry, sent.what);
+    fleet_processes::waitUntil(step.request + " is claimed", [&] { return hasEnded(twin) || hasEnded(sent.pending); });
+    if (hasEnded(sent.pending)) {
+        std::swap(twin, sent.pending); // The later one won.
+    }
+    sent.results.push_back(twin.get());
+    expect(run, sent, {.status = {inProgressStatus}, .notRun = "false", .sameAs = {}});
+}
+
 void perform(scenario_run &run, const await_runs_step &step)
 {
     const sent_request &sent = run.requests.at(step.request);
-    const auto ended = [&sent] {
-        return sent.pending.valid() && sent.pending.wait_for(duration::zero()) == std::future_status::ready;
-    };
     fleet_processes::waitUntil(step.request + " runs or ends",
-                               [&] { return runsOf(run, step.request) >= step.runs || ended(); });
+                               [&] { return runsOf(run, step.request) >= step.runs || hasEnded(sent.pending); });
     if (runsOf(run, step.request) < step.runs) {
         perform(run, await_step{.request = step.request, .expect = {}});
         throw std::runtime_error(step.request + " ended before it ran: " + sent.results.back().body);
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -24,6 +24,7 @@
     std::string service; ///< Where it leads.
     std::uint64_t timeoutMs = 2000; ///< Deadline.
     std::string repeats = "by_method"; ///< As the operator command names it.
+    bool open = false; ///< No key is needed.
 };
 
 /// One fleet-wide default that differs from the product's.
@@ -77,6 +78,12 @@
     expectation expect; ///< Of the last answer.
 };
 
+/// Waits until a request in the background has won its claim: sends it again to the same entry VM until one of the two
+/// is told that the other is in progress.
+struct await_claimed_step {
+    std::string request; ///< Its name.
+};
+
 /// Faults and acts upon one process.
 enum class process_act : std::uint8_t {
     Kill, ///< SIGKILL.
@@ -140,7 +147,7 @@
 
 /// Steady load over kept connections, placed as a balancer does: on VMs whose /ready says yes.
 struct load_step {
-    std::string account; ///< Whose key it carries.
+    std::string account; ///< Whose key it carries; empty carries none.
     std::string method = "POST"; ///< In capitals.
     std::string target; ///< Path with query.
     bool claimed = false; ///< Each request carries an idempotency key.
@@ -169,9 +176,9 @@
 };
 
 /// One step.
-using scenario_step = std::variant<request_step, await_step, resend_step, process_step, link_step, silence_step,
-                                   await_held_step, await_runs_step, await_status_step, load_step, await_load_step,
-                                   stop_load_step, withdraw_step, race_step>;
+using scenario_step = std::variant<request_step, await_step, resend_step, await_claimed_step, process_step, link_step,
+                                   silence_step, await_held_step, await_runs_step, await_status_step, load_step,
+                                   await_load_step, stop_load_step, withdraw_step, race_step>;
 
 /// Bounds of a request's runs at all upstreams together.
 struct run_bounds {
--- a/tests/scenarios/scenario_reader.cpp
+++ b/tests/scenarios/scenario_reader.cpp
@@ -37,6 +37,7 @@
         .member("service", value.service, required)
         .member("timeoutMs", value.timeoutMs)
         .member("repeats", value.repeats)
+        .member("open", value.open)
         .refuseUnknown();
 }
 
@@ -123,6 +124,13 @@
     return step;
 }
 
+scenario_step readAwaitClaimed(const std::string &path, const json &found)
+{
+    await_claimed_step step;
+    readMember(path, found, step.request);
+    return step;
+}
+
 step_reader processStep(process_act act)
 {
     return [act](const std::string &path, const json &found) {
@@ -192,7 +200,7 @@
 {
     load_step step;
     object_reader(path, found)
-        .member("account", step.account, required)
+        .member("account", step.account)
         .member("method", step.method)
         .member("target", step.target, required)
         .member("claimed", step.claimed)
@@ -237,6 +245,7 @@
         {"request", readRequest},
         {"await", readAwait},
         {"resend", readResend},
+        {"awaitClaimed", readAwaitClaimed},
         {"kill", processStep(process_act::Kill)},
         {"freeze", processStep(process_act::Freeze)},
         {"thaw", processStep(process_act::Thaw)},
--- a/tests/scenarios/scenario_run.cpp
+++ b/tests/scenarios/scenario_run.cpp
@@ -83,6 +83,11 @@
 {
 }
 
+std::string keyOf(const scenario_run &run, const std::string &account)
+{
+    return account.empty() ? std::string() : run.keys.at(account);
+}
+
 void startFleet(scenario_run &run)
 {
     const fleet_spec &spec = run.plan.fleet;
@@ -94,8 +99,14 @@
         run.fleet.operate({"default", each.setting, std::to_string(each.value)});
     }
     for (const route_spec &each : spec.routes) {
-        run.fleet.operate({"route", "put", each.prefix, "--service", each.service, "--kind", each.service,
-                           "--timeout-ms", std::to_string(each.timeoutMs), "--repeats", each.repeats});
+        std::vector<std::string> command{"route",      "put",          each.prefix,
+                                         "--service",  each.service,   "--kind",
+                                         each.service, "--timeout-ms", std::to_string(each.timeoutMs),
+                                         "--repeats",  each.repeats};
+        if (each.open) {
+            command.emplace_back("--open");
+        }
+        run.fleet.operate(command);
     }
     for (const upstream_spec &each : spec.upstreams) {
         relayed_upstream &upstream = run.upstreams[each.name];
@@ -175,8 +186,7 @@
 
 void perform(scenario_run &run, const await_status_step &step)
 {
-    const std::string key = step.account.empty() ? std::string() : run.keys.at(step.account);
-    run.fleet.waitForStatus(step.entry, step.target, key, static_cast<int>(step.status));
+    run.fleet.waitForStatus(step.entry, step.target, keyOf(run, step.account), static_cast<int>(step.status));
 }
 
 void perform(scenario_run &run, const withdraw_step &step)
--- a/tests/scenarios/scenario_run.h
+++ b/tests/scenarios/scenario_run.h
@@ -56,6 +56,7 @@
 void perform(scenario_run &run, const request_step &step);
 void perform(scenario_run &run, const await_step &step); ///< As above.
 void perform(scenario_run &run, const resend_step &step); ///< As above.
+void perform(scenario_run &run, const await_claimed_step &step); ///< As above.
 void perform(scenario_run &run, const process_step &step); ///< As above.
 void perform(scenario_run &run, const link_step &step); ///< As above.
 void perform(scenario_run &run, const silence_step &step); ///< As above.
@@ -68,6 +69,9 @@
 void perform(scenario_run &run, const withdraw_step &step); ///< As above.
 void perform(scenario_run &run, const race_step &step); ///< As above.
 
+/// Key of an account; empty for no account.
+std::string keyOf(const scenario_run &run, const std::string &account);
+
 /// Runs of a request at all upstreams that ever ran.
 std::uint64_t runsOf(const scenario_run &run, const std::string &request);
 
