Cuts between VMs; a withdrawn key through a one-way cut, operators' race, silent connections

A relay could not be put before a VM: every VM told the others the address that it listens on, and a relay could not tell which VM had opened a link.

Change: setting peers.advertise (where other VMs reach listen.peers when it differs), and links to other VMs leave from the IP number of listen.peers. With relayPeers each VM of a scenario has an IP number and a relay; cut, heal and delay take a VM and the peer.

Ruled out: one relay per pair of VMs (a VM has one address for all), the kernel's network tools (rights).

The first form of the silent scenario, with one upstream, got 504 for a GET: a try that hits a silent kept connection is not made again at the same instance over a new one.

Conclusion: the withdrawal reaches an entry VM that hears nothing from the control, by way of its peers.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -82,10 +82,9 @@
 {
     peers_task_options options;
     options.links.listenAddress = toText(settings.listen.peers);
-    options.links.link.self = {.id = self,
-                               .address = toText(settings.listen.peers),
-                               .dataCentre = settings.vm.dataCentre,
-                               .roles = roleBits(settings)};
+    const endpoint &reached = settings.peers.advertise.ip.empty() ? settings.listen.peers : settings.peers.advertise;
+    options.links.link.self = {
+        .id = self, .address = toText(reached), .dataCentre = settings.vm.dataCentre, .roles = roleBits(settings)};
     options.links.link.secret = secrets.fleet;
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -124,7 +124,7 @@
 void link_table::open(const std::string &address, outgoing_connection &target)
 {
     ++m_counters.opened;
-    if (bufferevent *socket = openConnection(m_loop, address)) {
+    if (bufferevent *socket = openConnection(m_loop, address, m_options.listenAddress)) {
         target.link = adopt(websocket_role::Client, socket, address);
     } else {
         ++m_counters.ended[static_cast<std::size_t>(link_end::ConnectFailed)];
--- a/src/daemon/peers/listener.cpp
+++ b/src/daemon/peers/listener.cpp
@@ -40,6 +40,19 @@
     }
 };
 
+/// A socket that leaves from the source's IP number if it is of the family; -1 when there is none.
+int boundSocket(int family, const std::string &source)
+{
+    const int descriptor = socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    socket_address from(source.substr(0, source.rfind(':'))); // Without a port: any free one.
+    if (descriptor >= 0 && !source.empty() && from.valid && from.get()->sa_family == family) {
+        const int on = 1;
+        setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+        bind(descriptor, from.get(), static_cast<socklen_t>(from.length)); // Else the system chooses.
+    }
+    return descriptor;
+}
+
 } // namespace
 
 listener::listener(loop &owner, const std::string &address, std::function<void(bufferevent *)> accepted)
@@ -97,13 +110,15 @@
     static_cast<listener *>(self)->m_pause.arm(pauseAfterError);
 }
 
-bufferevent *openConnection(loop &owner, const std::string &address)
+bufferevent *openConnection(loop &owner, const std::string &address, const std::string &source)
 {
     socket_address parsed(address);
     if (!parsed.valid) {
         return nullptr;
     }
-    bufferevent *socket = bufferevent_socket_new(owner.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const int descriptor = boundSocket(parsed.get()->sa_family, source);
+    bufferevent *socket =
+        descriptor < 0 ? nullptr : bufferevent_socket_new(owner.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
     if (!socket) {
         return nullptr;
     }
--- a/src/daemon/peers/listener.h
+++ b/src/daemon/peers/listener.h
@@ -39,7 +39,8 @@
 };
 
 /// Opens a connection to "IP:port"; the result is owned by the caller, null when the address can't be parsed or the
-/// connection fails at once.
-bufferevent *openConnection(loop &owner, const std::string &address);
+/// connection fails at once. It leaves from the IP number of source, "IP:port", when that is of the same family; empty
+/// leaves the choice to the system.
+bufferevent *openConnection(loop &owner, const std::string &address, const std::string &source = {});
 
 } // namespace guavafront
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -34,6 +34,7 @@
 
 /// Links to other VMs.
 struct peer_settings {
+    endpoint advertise; ///< Where other VMs reach listen.peers when it differs, as behind a relay; empty: listen.peers.
     std::vector<endpoint> seeds; ///< Peers' addresses to join by, control VMs first.
     std::uint32_t fleetSize = 48; ///< Most entry VMs that ever run at once; the same on all VMs.
 };
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -32,6 +32,7 @@
     each.field("listen.operators", values.listen.operators, presence::Optional);
     each.field("listen.announcements", values.listen.announcements, presence::Optional);
     each.field("listen.metrics", values.listen.metrics, presence::Required);
+    each.field("peers.advertise", values.peers.advertise, presence::Optional);
     each.field("peers.seeds", values.peers.seeds, presence::Optional);
     each.field("peers.fleetSize", values.peers.fleetSize, number_range{1, 10'000});
     each.field("secrets.fleetSecretFile", values.secrets.fleetSecretFile, presence::Required);
--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -67,7 +67,8 @@
 } // namespace
 
 fleet_processes::fleet_processes(const fleet_layout &layout)
-    : m_balancerGraceMs(layout.balancerGraceMs)
+    : m_peerRelays(layout.peerRelays)
+    , m_balancerGraceMs(layout.balancerGraceMs)
     , m_folder(makeFolder())
 {
     writeSecret(m_folder / "fleet.secret", "fleet-secret-of-the-test");
@@ -91,6 +92,10 @@
                                      .announcements = freePort(),
                                      .metrics = freePort()};
     }
+    int host = 1;
+    for (const auto &[vm, unused] : m_peerRelays) {
+        m_ports.at(vm).peersIp = "127.0.0." + std::to_string(++host);
+    }
     for (std::size_t index = 0; index < m_controls.size(); ++index) {
         writeSettings(m_controls[index], true, dataCentreOf(index));
     }
@@ -114,13 +119,13 @@
     nlohmann::json seeds = nlohmann::json::array();
     for (const std::string &other : m_controls) {
         if (other != name) {
-            seeds.push_back(local(m_ports.at(other).peers));
+            seeds.push_back(reachedPeer(other));
         }
     }
     nlohmann::json settings{
         {"vm", {{"name", name}, {"dataCentre", dataCentre}, {"roles", {control ? "control" : "entry"}}}},
-        {"listen", {{"peers", local(ports.peers)}, {"metrics", local(ports.metrics)}}},
-        {"peers", {{"seeds", seeds}, {"fleetSize", m_entries.size()}}},
+        {"listen", {{"peers", ports.peersIp + ":" + std::to_string(ports.peers)}, {"metrics", local(ports.metrics)}}},
+        {"peers", {{"advertise", reachedPeer(name)}, {"seeds", seeds}, {"fleetSize", m_entries.size()}}},
         {"secrets", {{"fleetSecretFile", "fleet.secret"}}}};
     if (control) {
         settings["vm"]["dataFolder"] = name + "-data";
@@ -135,6 +140,12 @@
     std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
 }
 
+std::string fleet_processes::reachedPeer(const std::string &vm) const
+{
+    const auto relayed = m_peerRelays.find(vm);
+    return local(relayed == m_peerRelays.end() ? m_ports.at(vm).peers : relayed->second);
+}
+
 void fleet_processes::run(const std::string &name, const std::string &program,
                           const std::vector<std::string> &arguments)
 {
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -19,6 +19,7 @@
 
 /// Ports of one VM's listeners on loopback.
 struct vm_ports {
+    std::string peersIp = "127.0.0.1"; ///< For links between VMs.
     std::uint16_t callers = 0; ///< HTTP for callers.
     std::uint16_t peers = 0; ///< Links between VMs.
     std::uint16_t operators = 0; ///< HTTP for operators.
@@ -32,6 +33,7 @@
     std::size_t entries = 2; ///< Entry VMs.
     std::size_t dataCentres = 3; ///< VMs are dealt to them in turn.
     std::uint64_t balancerGraceMs = 100; ///< Of the entry VMs.
+    std::map<std::string, std::uint16_t> peerRelays; ///< By VM: port where others reach it; each VM has an IP number.
 };
 
 /// One stand-in upstream as a process.
@@ -131,6 +133,9 @@
     std::vector<std::string> operatorArguments(const std::vector<std::string> &command) const;
     void run(const std::string &name, const std::string &program, const std::vector<std::string> &arguments);
 
+    std::string reachedPeer(const std::string &vm) const;
+
+    std::map<std::string, std::uint16_t> m_peerRelays; ///< As in the layout.
     std::uint64_t m_balancerGraceMs; ///< Of the entry VMs.
     std::filesystem::path m_folder; ///< Removed at the end.
     std::vector<std::string> m_controls; ///< In start order.
--- a/tests/scenarios/load_steps.cpp
+++ b/tests/scenarios/load_steps.cpp
@@ -36,6 +36,13 @@
     fleet_processes::waitUntil("the load goes on", [&] { return run.traffic->ended() >= wanted; });
 }
 
+void perform(scenario_run &run, const await_load_status_step &step)
+{
+    fleet_processes::waitUntil("each entry VM answers the load with " + std::to_string(step.status), [&] {
+        return run.traffic->vmsAnswering(static_cast<int>(step.status)) == run.fleet.entries().size();
+    });
+}
+
 void perform(scenario_run &run, const stop_load_step &step)
 {
     const std::vector<load_result> results = run.traffic->finish();
--- a/tests/scenarios/load_task.cpp
+++ b/tests/scenarios/load_task.cpp
@@ -40,6 +40,14 @@
     return answer.get();
 }
 
+std::size_t load::vmsAnswering(int status)
+{
+    count_vms_answering question{.status = status, .reply = {}};
+    std::future<std::size_t> answer = question.reply.get_future();
+    m_inbox.post(std::move(question));
+    return answer.get();
+}
+
 std::vector<load_result> load::finish()
 {
     finish_load question;
@@ -65,11 +73,26 @@
 
 void load_task::receive(load_message message)
 {
-    if (auto *count = std::get_if<count_load>(&message)) {
-        count->reply.set_value(m_results.size());
-        return;
+    std::visit([this](auto &each) { take(each); }, message);
+}
+
+void load_task::take(count_load &question)
+{
+    question.reply.set_value(m_results.size());
+}
+
+void load_task::take(count_vms_answering &question)
+{
+    std::vector<int> latest(m_options.vms.size());
+    for (const load_result &each : m_results) {
+        latest[each.vm] = each.status;
     }
-    m_finish = std::move(std::get<finish_load>(message));
+    question.reply.set_value(static_cast<std::size_t>(std::ranges::count(latest, question.status)));
+}
+
+void load_task::take(finish_load &question)
+{
+    m_finish = std::move(question);
     finishWhenIdle();
 }
 
--- a/tests/scenarios/load_task.h
+++ b/tests/scenarios/load_task.h
@@ -49,13 +49,19 @@
     std::promise<std::size_t> reply; ///< Number of results.
 };
 
+/// Asks how many VMs gave a status with their latest answer.
+struct count_vms_answering {
+    int status = 0; ///< Asked for.
+    std::promise<std::size_t> reply; ///< Number of VMs.
+};
+
 /// Ends the load once the requests under way have ended.
 struct finish_load {
     std::promise<std::vector<load_result>> reply; ///< All results.
 };
 
 /// Message to a load's task.
-using load_message = std::variant<count_load, finish_load>;
+using load_message = std::variant<count_load, count_vms_answering, finish_load>;
 
 /// Steady load on a thread of its own.
 class load
@@ -70,6 +76,9 @@
     /// Requests that have ended.
     std::size_t ended();
 
+    /// VMs whose latest answer had the status.
+    std::size_t vmsAnswering(int status);
+
     /// Stops sending, waits for the requests under way and gives all results.
     std::vector<load_result> finish();
 
@@ -95,6 +104,9 @@
     };
 
     void receive(load_message message);
+    void take(count_load &question);
+    void take(count_vms_answering &question);
+    void take(finish_load &question);
     void checkReady();
     void check(std::size_t vm);
     void send(caller &from);
--- a/tests/scenarios/relay.h
+++ b/tests/scenarios/relay.h
@@ -29,6 +29,7 @@
 
 /// What becomes of bytes in one direction from now on.
 struct set_relay_mode {
+    std::string source; ///< Only connections from this IP number; empty for all.
     link_direction direction = link_direction::Towards; ///< Which.
     link_mode mode = link_mode::Pass; ///< What becomes of them.
     duration delay{}; ///< Of Delay.
--- a/tests/scenarios/relay_task.cpp
+++ b/tests/scenarios/relay_task.cpp
@@ -4,11 +4,30 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace guavafront
 {
 
+namespace
+{
+
+/// IPv4 number at the other end of a socket.
+std::string sourceOf(int descriptor)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    std::array<char, INET_ADDRSTRLEN> text{};
+    getpeername(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return text.data();
+}
+
+} // namespace
+
 void relay_task::socket_deleter::operator()(bufferevent *owned) const
 {
     bufferevent_free(owned);
@@ -43,7 +62,7 @@
 
 void relay_task::take(const set_relay_mode &message)
 {
-    m_modes[static_cast<std::size_t>(message.direction)] = message;
+    m_modes.push_back(message);
     pumpAll();
 }
 
@@ -59,7 +78,7 @@
     const auto direction = static_cast<std::size_t>(message.direction);
     std::size_t bytes = 0;
     for (const relayed_connection &each : m_connections) {
-        if (each.closed) {
+        if (each.closed || each.silent) { // Silent ones never pass what they hold.
             continue;
         }
         bytes += evbuffer_get_length(bufferevent_get_input(each.sources[direction].socket.get()));
@@ -77,6 +96,7 @@
     }
     relayed_connection &opened = m_connections.emplace_back();
     opened.owner = this;
+    opened.source = sourceOf(bufferevent_getfd(socket));
     opened.sources[static_cast<std::size_t>(link_direction::Towards)].socket.reset(socket);
     opened.sources[static_cast<std::size_t>(link_direction::Away)].socket.reset(far);
     for (std::size_t direction = 0; direction < directions; ++direction) {
@@ -88,6 +108,16 @@
     }
 }
 
+const set_relay_mode &relay_task::modeOf(const relayed_connection &connection, std::size_t direction) const
+{
+    static const set_relay_mode pass;
+    const auto latest = std::ranges::find_if(m_modes.rbegin(), m_modes.rend(), [&](const set_relay_mode &each) {
+        return static_cast<std::size_t>(each.direction) == direction
+               && (each.source.empty() || each.source == connection.source);
+    });
+    return latest == m_modes.rend() ? pass : *latest;
+}
+
 void relay_task::pumpAll()
 {
     for (relayed_connection &each : m_connections) {
@@ -103,7 +133,8 @@
         return;
     }
     const bool waiting = evbuffer_get_length(bufferevent_get_input(connection.sources[direction].socket.get())) > 0;
-    switch (m_modes[direction].mode) {
+    const set_relay_mode &mode = modeOf(connection, direction);
+    switch (mode.mode) {
     case link_mode::Hold:
         break;
     case link_mode::Reset:
@@ -113,7 +144,7 @@
         break;
     case link_mode::Delay:
         if (waiting || connection.sources[direction].ended) {
-            connection.delays[direction]->arm(m_modes[direction].delay);
+            connection.delays[direction]->arm(mode.delay);
         }
         break;
     case link_mode::Pass:
--- a/tests/scenarios/relay_task.h
+++ b/tests/scenarios/relay_task.h
@@ -6,6 +6,7 @@
 
 #include <list>
 #include <memory>
+#include <vector>
 
 struct bufferevent;
 
@@ -37,6 +38,7 @@
 
     struct relayed_connection {
         relay_task *owner = nullptr; ///< For callbacks.
+        std::string source; ///< IP number that it came from.
         std::array<relay_end, directions> sources; ///< Where the bytes of each direction come from.
         std::array<std::unique_ptr<timer>, directions> delays; ///< Run while bytes are delayed.
         bool silent = false; ///< Holds all bytes for good.
@@ -49,6 +51,7 @@
     void take(const silence_connections &message);
     void take(count_held_bytes &message);
     void accept(bufferevent *socket);
+    const set_relay_mode &modeOf(const relayed_connection &connection, std::size_t direction) const;
     void pumpAll();
     void pump(relayed_connection &connection, std::size_t direction);
     void passOn(relayed_connection &connection, std::size_t direction);
@@ -59,7 +62,7 @@
 
     loop &m_loop; ///< Not owned.
     std::optional<endpoint> m_target; ///< None refuses connections.
-    std::array<set_relay_mode, directions> m_modes; ///< By direction.
+    std::vector<set_relay_mode> m_modes; ///< The latest that fits a connection holds.
     std::list<relayed_connection> m_connections; ///< Open ones.
     timer m_sweep; ///< Destroys closed ones.
     std::unique_ptr<listener> m_listener; ///< Null while connections are refused.
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -38,6 +38,7 @@
     std::uint64_t controls = 1; ///< Control VMs.
     std::uint64_t entries = 2; ///< Entry VMs.
     std::uint64_t dataCentres = 3; ///< Dealt to the VMs in turn.
+    bool relayPeers = false; ///< Links between VMs lead through relays.
     std::uint64_t balancerGraceMs = 100; ///< Of the entry VMs.
     std::vector<std::string> accounts; ///< Client accounts, each with one key.
     std::vector<default_spec> defaults; ///< Set before the steps.
@@ -117,6 +118,7 @@
     link_mode mode = link_mode::Pass; ///< From now on.
     bool towards = false; ///< Bytes to the link's owner.
     bool away = false; ///< Bytes from it.
+    std::string peer; ///< Between VMs: only bytes from and to this VM; empty for all.
     std::uint64_t milliseconds = 0; ///< Of Delay.
 };
 
@@ -160,6 +162,11 @@
     std::uint64_t answers = 50; ///< More than now.
 };
 
+/// Waits until the load's latest answer from each entry VM has a status.
+struct await_load_status_step {
+    std::uint64_t status = 0; ///< Awaited.
+};
+
 /// Ends the load and waits for the answers under way.
 struct stop_load_step {
     std::vector<std::uint64_t> allowed; ///< Statuses that may have come, besides 200; 0 is a cut request.
@@ -178,7 +185,7 @@
 /// One step.
 using scenario_step = std::variant<request_step, await_step, resend_step, await_claimed_step, process_step, link_step,
                                    silence_step, await_held_step, await_runs_step, await_status_step, load_step,
-                                   await_load_step, stop_load_step, withdraw_step, race_step>;
+                                   await_load_step, await_load_status_step, stop_load_step, withdraw_step, race_step>;
 
 /// Bounds of a request's runs at all upstreams together.
 struct run_bounds {
--- a/tests/scenarios/scenario_reader.cpp
+++ b/tests/scenarios/scenario_reader.cpp
@@ -56,6 +56,7 @@
         .member("entries", value.entries)
         .member("dataCentres", value.dataCentres)
         .member("balancerGraceMs", value.balancerGraceMs)
+        .member("relayPeers", value.relayPeers)
         .member("accounts", value.accounts)
         .member("defaults", value.defaults)
         .member("routes", value.routes)
@@ -146,7 +147,7 @@
         link_step step{.link = {}, .mode = mode};
         std::string direction = "both";
         object_reader reader(path, found);
-        reader.member("link", step.link, required).member("direction", direction);
+        reader.member("link", step.link, required).member("direction", direction).member("peer", step.peer);
         if (mode == link_mode::Delay) {
             reader.member("milliseconds", step.milliseconds, required);
         }
@@ -217,6 +218,13 @@
     return step;
 }
 
+scenario_step readAwaitLoadStatus(const std::string &path, const json &found)
+{
+    await_load_status_step step;
+    readMember(path, found, step.status);
+    return step;
+}
+
 scenario_step readStopLoad(const std::string &path, const json &found)
 {
     stop_load_step step;
@@ -265,6 +273,7 @@
         {"awaitStatus", readAwaitStatus},
         {"load", readLoad},
         {"awaitLoad", readAwaitLoad},
+        {"awaitLoadStatus", readAwaitLoadStatus},
         {"stopLoad", readStopLoad},
         {"withdrawKey", readWithdraw},
         {"operatorRace", readRace},
--- a/tests/scenarios/scenario_run.cpp
+++ b/tests/scenarios/scenario_run.cpp
@@ -63,6 +63,56 @@
     run.fleet.signal(process, number);
 }
 
+/// Makes a relay before each VM if the plan wants them; gives their ports by VM.
+std::map<std::string, std::uint16_t> makeVmLinks(const fleet_spec &spec, std::map<std::string, relay> &links)
+{
+    std::map<std::string, std::uint16_t> ports;
+    const auto add = [&](const std::string &role, std::uint64_t count) {
+        for (std::uint64_t number = 1; spec.relayPeers && number <= count; ++number) {
+            const std::string vm = role + std::to_string(number);
+            ports[vm] = links[vm].port();
+        }
+    };
+    add("control-", spec.controls);
+    add("entry-", spec.entries);
+    return ports;
+}
+
+/// Sets a mode for one direction of a VM's links: those that others opened to it, and those that it opened.
+void setVmMode(scenario_run &run, const link_step &step, link_direction direction)
+{
+    const link_direction opposite =
+        direction == link_direction::Towards ? link_direction::Away : link_direction::Towards;
+    const duration delay = std::chrono::milliseconds(step.milliseconds);
+    for (auto &[vm, link] : run.vmLinks) {
+        const std::string ownIp = run.fleet.portsOf(step.link).peersIp;
+        const std::string peerIp = step.peer.empty() ? std::string() : run.fleet.portsOf(step.peer).peersIp;
+        if (vm == step.link) {
+            link.post(set_relay_mode{.source = peerIp, .direction = direction, .mode = step.mode, .delay = delay});
+        } else if (step.peer.empty() || vm == step.peer) {
+            link.post(set_relay_mode{.source = ownIp, .direction = opposite, .mode = step.mode, .delay = delay});
+        }
+    }
+}
+
+/// Bytes that are held of a direction on links that a VM opened to others.
+std::size_t heldOnOpenedLinks(scenario_run &run, const std::string &vm, link_direction direction)
+{
+    const link_direction opposite =
+        direction == link_direction::Towards ? link_direction::Away : link_direction::Towards;
+    std::size_t bytes = 0;
+    for (auto &[other, link] : run.vmLinks) {
+        bytes += run.vmLinks.contains(vm) && other != vm ? link.heldBytes(opposite) : 0;
+    }
+    return bytes;
+}
+
+void setUpstreamMode(relay &link, const link_step &step, link_direction direction)
+{
+    const duration delay = std::chrono::milliseconds(step.milliseconds);
+    link.post(set_relay_mode{.source = {}, .direction = direction, .mode = step.mode, .delay = delay});
+}
+
 void kill(scenario_run &run, const std::string &process)
 {
     if (relayed_upstream *upstream = upstreamOf(run, process)) {
@@ -76,11 +126,17 @@
 
 scenario_run::scenario_run(const scenario &what)
     : plan(what)
+    , vmLinks()
     , fleet({.controls = what.fleet.controls,
              .entries = what.fleet.entries,
              .dataCentres = what.fleet.dataCentres,
-             .balancerGraceMs = what.fleet.balancerGraceMs})
+             .balancerGraceMs = what.fleet.balancerGraceMs,
+             .peerRelays = makeVmLinks(what.fleet, vmLinks)})
 {
+    for (auto &[vm, link] : vmLinks) {
+        const vm_ports &ports = fleet.portsOf(vm);
+        link.post(set_relay_target{endpoint{ports.peersIp, ports.peers}});
+    }
 }
 
 std::string keyOf(const scenario_run &run, const std::string &account)
@@ -162,13 +218,16 @@
 
 void perform(scenario_run &run, const link_step &step)
 {
-    relay &link = run.upstreams.at(step.link).link;
-    const duration delay = std::chrono::milliseconds(step.milliseconds);
-    if (step.towards) {
-        link.post(set_relay_mode{.direction = link_direction::Towards, .mode = step.mode, .delay = delay});
-    }
-    if (step.away) {
-        link.post(set_relay_mode{.direction = link_direction::Away, .mode = step.mode, .delay = delay});
+    relayed_upstream *upstream = upstreamOf(run, step.link);
+    for (const link_direction direction : {link_direction::Towards, link_direction::Away}) {
+        if (direction == link_direction::Towards ? !step.towards : !step.away) {
+            continue;
+        }
+        if (upstream) {
+            setUpstreamMode(upstream->link, step, direction);
+        } else {
+            setVmMode(run, step, direction);
+        }
     }
 }
 
@@ -180,8 +239,10 @@
 void perform(scenario_run &run, const await_held_step &step)
 {
     const link_direction direction = step.towards ? link_direction::Towards : link_direction::Away;
-    relay &link = run.upstreams.at(step.link).link;
-    fleet_processes::waitUntil(step.link + " holds bytes", [&] { return link.heldBytes(direction) > 0; });
+    relay &link = upstreamOf(run, step.link) ? run.upstreams.at(step.link).link : run.vmLinks.at(step.link);
+    fleet_processes::waitUntil(step.link + " holds bytes", [&] {
+        return link.heldBytes(direction) > 0 || heldOnOpenedLinks(run, step.link, direction) > 0;
+    });
 }
 
 void perform(scenario_run &run, const await_status_step &step)
--- a/tests/scenarios/scenario_run.h
+++ b/tests/scenarios/scenario_run.h
@@ -39,6 +39,7 @@
 /// State of a scenario under way.
 struct scenario_run {
     const scenario &plan; ///< Not owned.
+    std::map<std::string, relay> vmLinks; ///< Before VMs, by name; empty unless the plan relays links between VMs.
     fleet_processes fleet; ///< Its processes.
     std::map<std::string, std::string> keys; ///< By account.
     std::map<std::string, relayed_upstream> upstreams; ///< By name.
@@ -65,6 +66,7 @@
 void perform(scenario_run &run, const await_status_step &step); ///< As above.
 void perform(scenario_run &run, const load_step &step); ///< As above.
 void perform(scenario_run &run, const await_load_step &step); ///< As above.
+void perform(scenario_run &run, const await_load_status_step &step); ///< As above.
 void perform(scenario_run &run, const stop_load_step &step); ///< As above.
 void perform(scenario_run &run, const withdraw_step &step); ///< As above.
 void perform(scenario_run &run, const race_step &step); ///< As above.
