--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -14,8 +14,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
-#include <random>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -30,32 +28,33 @@
 constexpr duration waitLimit = std::chrono::seconds(20);
 constexpr int pollPeriodMs = 20;
 
-/// Ports below those that the system gives to outgoing connections, which would take them before a VM listens.
-constexpr std::uint16_t lowestPort = 10'000;
-constexpr std::uint16_t portCount = 22'000;
-
+/// Whether a port of loopback can be listened on.
 bool isFree(std::uint16_t port)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
     address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const bool bound = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
     close(descriptor);
     return bound;
 }
 
-/// A port that was free a moment ago and was not given before.
+/// A port for a daemon that starts later. It lies below those that the system gives to outgoing connections, which
+/// would take it in the meantime; test processes that run side by side begin at different ones.
 std::uint16_t freePort()
 {
-    static std::random_device random; // Other fleets on this machine must choose others.
-    static std::set<std::uint16_t> given;
-    for (int tries = 0; tries < portCount; ++tries) {
-        const auto port = static_cast<std::uint16_t>(lowestPort + random() % portCount);
-        if (!given.contains(port) && isFree(port)) {
-            given.insert(port);
-            return port;
+    constexpr int lowest = 10'000;
+    constexpr int count = 20'000;
+    constexpr int portsPerProcess = 211;
+    static int last = static_cast<int>(std::int64_t{getpid()} * portsPerProcess % count);
+    for (int tried = 0; tried < count; ++tried) {
+        last = (last + 1) % count;
+        if (isFree(static_cast<std::uint16_t>(lowest + last))) {
+            return static_cast<std::uint16_t>(lowest + last);
         }
     }
     throw std::runtime_error("no free port on loopback");
@@ -84,7 +83,9 @@
 } // namespace
 
 fleet_processes::fleet_processes(const fleet_layout &layout)
-    : m_folder(makeFolder())
+    : m_peerRelays(layout.peerRelays)
+    , m_balancerGraceMs(layout.balancerGraceMs)
+    , m_folder(makeFolder())
 {
     writeSecret(m_folder / "fleet.secret", "fleet-secret-of-the-test");
     writeSecret(m_folder / "service.token", serviceToken);
@@ -107,6 +108,10 @@
                                      .announcements = freePort(),
                                      .metrics = freePort()};
     }
+    int host = 1;
+    for (const auto &[vm, unused] : m_peerRelays) {
+        m_ports.at(vm).peersIp = "127.0.0." + std::to_string(++host);
+    }
     for (std::size_t index = 0; index < m_controls.size(); ++index) {
         writeSettings(m_controls[index], true, dataCentreOf(index));
     }
@@ -130,13 +135,13 @@
     nlohmann::json seeds = nlohmann::json::array();
     for (const std::string &other : m_controls) {
         if (other != name) {
-            seeds.push_back(local(m_ports.at(other).peers));
+            seeds.push_back(reachedPeer(other));
         }
     }
     nlohmann::json settings{
         {"vm", {{"name", name}, {"dataCentre", dataCentre}, {"roles", {control ? "control" : "entry"}}}},
-        {"listen", {{"peers", local(ports.peers)}, {"metrics", local(ports.metrics)}}},
-        {"peers", {{"seeds", seeds}, {"fleetSize", m_entries.size()}}},
+        {"listen", {{"peers", ports.peersIp + ":" + std::to_string(ports.peers)}, {"metrics", local(ports.metrics)}}},
+        {"peers", {{"advertise", reachedPeer(name)}, {"seeds", seeds}, {"fleetSize", m_entries.size()}}},
         {"secrets", {{"fleetSecretFile", "fleet.secret"}}}};
     if (control) {
         settings["vm"]["dataFolder"] = name + "-data";
@@ -146,11 +151,17 @@
         settings["listen"]["callers"] = local(ports.callers);
         settings["listen"]["announcements"] = local(ports.announcements);
         settings["secrets"]["serviceTokenFile"] = "service.token";
-        settings["entry"]["balancerGraceMs"] = 100;
+        settings["entry"]["balancerGraceMs"] = m_balancerGraceMs;
     }
     std::ofstream(m_folder / (name + ".json")) << settings.dump(2);
 }
 
+std::string fleet_processes::reachedPeer(const std::string &vm) const
+{
+    const auto relayed = m_peerRelays.find(vm);
+    return local(relayed == m_peerRelays.end() ? m_ports.at(vm).peers : relayed->second);
+}
+
 void fleet_processes::run(const std::string &name, const std::string &program,
                           const std::vector<std::string> &arguments)
 {
@@ -183,36 +194,52 @@
 
 void fleet_processes::waitForLeader() const
 {
-    waitUntil("a control VM leads", [this] {
-        for (const std::string &control : m_controls) {
-            try {
-                if (bodyOf(askControl(control, "GET", "/v1/status")).find("\"leader\":true") != std::string::npos) {
-                    return true;
-                }
-            } catch (const coordination_error &) {
-                continue; // This one is away.
+    waitUntil("a control VM leads", [this] { return !leaderStatus().empty(); });
+}
+
+std::string fleet_processes::leaderStatus() const
+{
+    for (const std::string &control : m_controls) {
+        try {
+            std::string status = bodyOf(askControl(control, "GET", "/v1/status"));
+            if (status.find("\"leader\":true") != std::string::npos) {
+                return status;
             }
+        } catch (const coordination_error &) {
+            continue; // This one is away.
         }
-        return false;
-    });
+    }
+    return {};
+}
+
+std::uint64_t fleet_processes::acceptedRevision() const
+{
+    const nlohmann::json status = nlohmann::json::parse(leaderStatus(), nullptr, false);
+    return status.is_object() ? status.value("revision", std::uint64_t{0}) : 0;
 }
 
 std::string fleet_processes::startUpstream(const std::string &service, const std::vector<std::string> &entries,
                                            const std::vector<std::string> &moreOptions)
 {
     std::string name = "upstream-" + std::to_string(++m_upstreams);
-    const std::filesystem::path portFile = m_folder / (name + ".port");
+    startStandIn({.name = name, .service = service, .entries = entries, .moreOptions = moreOptions});
+    return name;
+}
+
+void fleet_processes::startStandIn(const stand_in_process &upstream)
+{
+    const std::filesystem::path portFile = m_folder / (upstream.name + ".port");
+    std::filesystem::remove(portFile);
     std::vector<std::string> arguments{
-        "--name",          name,           "--service",     service,         "--port-file",
-        portFile.string(), "--token-file", "service.token", "--data-centre", "dc-1"};
-    for (const std::string &entry : entries) {
+        "--name",          upstream.name,  "--service",     upstream.service, "--port-file",
+        portFile.string(), "--token-file", "service.token", "--data-centre",  "dc-1"};
+    for (const std::string &entry : upstream.entries) {
         arguments.insert(arguments.end(), {"--announce-to", local(portsOf(entry).announcements)});
     }
-    arguments.insert(arguments.end(), moreOptions.begin(), moreOptions.end());
-    run(name, GUAVAFRONT_STAND_IN, arguments);
-    waitUntil(name + " listens", [&portFile] { return std::filesystem::exists(portFile); });
-    std::ifstream(portFile) >> m_upstreamPorts[name];
-    return name;
+    arguments.insert(arguments.end(), upstream.moreOptions.begin(), upstream.moreOptions.end());
+    run(upstream.name, GUAVAFRONT_STAND_IN, arguments);
+    waitUntil(upstream.name + " listens", [&portFile] { return std::filesystem::exists(portFile); });
+    std::ifstream(portFile) >> m_upstreamPorts[upstream.name];
 }
 
 void fleet_processes::signal(const std::string &name, int number)
@@ -230,15 +257,20 @@
     m_running.at(name)->kill();
 }
 
-operator_outcome fleet_processes::tryOperate(const std::vector<std::string> &arguments)
+std::vector<std::string> fleet_processes::operatorArguments(const std::vector<std::string> &command) const
 {
     std::vector<std::string> all{"operator", "--token-file", "operator.token"};
     for (const std::string &control : m_controls) {
         all.insert(all.end(), {"--server", local(portsOf(control).operators)});
     }
-    all.insert(all.end(), arguments.begin(), arguments.end());
+    all.insert(all.end(), command.begin(), command.end());
+    return all;
+}
+
+operator_outcome fleet_processes::tryOperate(const std::vector<std::string> &arguments)
+{
     const std::string log = (m_folder / ("operator-" + std::to_string(++m_commands) + ".log")).string();
-    child_process process(GUAVAFRONT_BINARY, all, m_folder.string(), log);
+    child_process process(GUAVAFRONT_BINARY, operatorArguments(arguments), m_folder.string(), log);
     if (!process.waitForEnd(waitLimit)) {
         throw std::runtime_error("operator " + arguments.front() + " did not end");
     }
@@ -258,6 +290,35 @@
     }
 }
 
+std::vector<int> fleet_processes::operateAtOnce(const std::vector<std::vector<std::string>> &commands) const
+{
+    std::vector<std::unique_ptr<child_process>> running;
+    running.reserve(commands.size());
+    for (const std::vector<std::string> &command : commands) {
+        running.push_back(std::make_unique<child_process>(GUAVAFRONT_BINARY, operatorArguments(command),
+                                                          m_folder.string(), (m_folder / "operator.log").string()));
+    }
+    std::vector<int> statuses;
+    statuses.reserve(running.size());
+    for (const auto &each : running) {
+        if (!each->waitForEnd(waitLimit)) {
+            throw std::runtime_error("an operator command did not end");
+        }
+        statuses.push_back(each->exitStatus());
+    }
+    return statuses;
+}
+
+void fleet_processes::loseDisk(const std::string &control) const
+{
+    std::filesystem::remove_all(m_folder / (control + "-data"));
+}
+
+std::uint16_t fleet_processes::upstreamPort(const std::string &upstream) const
+{
+    return m_upstreamPorts.at(upstream);
+}
+
 std::string fleet_processes::createAccount(const std::string &name)
 {
     std::string key = "key-of-" + name + "-0123456789";
--- a/tests/fleet/fleet_processes.h
+++ b/tests/fleet/fleet_processes.h
@@ -19,6 +19,7 @@
 
 /// Ports of one VM's listeners on loopback.
 struct vm_ports {
+    std::string peersIp = "127.0.0.1"; ///< For links between VMs.
     std::uint16_t callers = 0; ///< HTTP for callers.
     std::uint16_t peers = 0; ///< Links between VMs.
     std::uint16_t operators = 0; ///< HTTP for operators.
@@ -31,6 +32,16 @@
     std::size_t controls = 1; ///< Control VMs.
     std::size_t entries = 2; ///< Entry VMs.
     std::size_t dataCentres = 3; ///< VMs are dealt to them in turn.
+    std::uint64_t balancerGraceMs = 100; ///< Of the entry VMs.
+    std::map<std::string, std::uint16_t> peerRelays; ///< By VM: port where others reach it; each VM has an IP number.
+};
+
+/// One stand-in upstream as a process.
+struct stand_in_process {
+    std::string name; ///< Of the process.
+    std::string service; ///< That it announces.
+    std::vector<std::string> entries; ///< Hear its announcements in turn.
+    std::vector<std::string> moreOptions; ///< Of its command line.
 };
 
 /// How an operator command ended.
@@ -63,6 +74,9 @@
     std::string startUpstream(const std::string &service, const std::vector<std::string> &entries,
                               const std::vector<std::string> &moreOptions = {});
 
+    /// Starts a stand-in and waits until it listens; a name may be used again once its process has ended.
+    void startStandIn(const stand_in_process &upstream);
+
     /// Sends a signal to a process.
     void signal(const std::string &name, int number);
 
@@ -78,6 +92,18 @@
     /// Runs an operator command against all control VMs; throws when it fails.
     void operate(const std::vector<std::string> &arguments);
 
+    /// Runs operator commands at once against all control VMs; gives their exit statuses.
+    std::vector<int> operateAtOnce(const std::vector<std::vector<std::string>> &commands) const;
+
+    /// Latest accepted revision that the leader names; 0 when none leads.
+    std::uint64_t acceptedRevision() const;
+
+    /// Removes the data folder of a control VM that doesn't run.
+    void loseDisk(const std::string &control) const;
+
+    /// Port that a stand-in listens on.
+    std::uint16_t upstreamPort(const std::string &upstream) const;
+
     /// Creates an account with a key "key-of-NAME-0123456789" and gives the key.
     std::string createAccount(const std::string &name);
 
@@ -122,8 +148,14 @@
 
 private:
     void writeSettings(const std::string &name, bool control, const std::string &dataCentre) const;
+    std::string leaderStatus() const;
+    std::vector<std::string> operatorArguments(const std::vector<std::string> &command) const;
     void run(const std::string &name, const std::string &program, const std::vector<std::string> &arguments);
 
+    std::string reachedPeer(const std::string &vm) const;
+
+    std::map<std::string, std::uint16_t> m_peerRelays; ///< As in the layout.
+    std::uint64_t m_balancerGraceMs; ///< Of the entry VMs.
     std::filesystem::path m_folder; ///< Removed at the end.
     std::vector<std::string> m_controls; ///< In start order.
     std::vector<std::string> m_entries; ///< In start order.
