--- a/tests/fleet/fleet_processes.cpp
+++ b/tests/fleet/fleet_processes.cpp
@@ -395,8 +395,17 @@
 void fleet_processes::waitForStatus(const std::string &entry, std::string_view target, std::string_view key,
                                     int status) const
 {
-    waitUntil(entry + " answers " + std::string(target) + " with " + std::to_string(status),
-              [&] { return request(entry, "GET", target, key).status == status; });
+    http_answer last;
+    const auto arrived = [&] {
+        last = request(entry, "GET", target, key);
+        return last.status == status;
+    };
+    try {
+        waitUntil(entry + " answers " + std::string(target) + " with " + std::to_string(status), arrived);
+    } catch (const std::runtime_error &fault) {
+        throw std::runtime_error(std::string(fault.what()) + "; last " + std::to_string(last.status) + " "
+                                 + bodyOf(last));
+    }
 }
 
 const vm_ports &fleet_processes::portsOf(const std::string &vm) const
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -4,7 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <string>
 
 namespace guavafront
@@ -34,13 +33,9 @@
     /// What an operator command printed.
     nlohmann::json operate(const std::vector<std::string> &arguments)
     {
-        fleet.operate(arguments);
-        std::ifstream log(fleet.folder() / "operator.log");
-        std::string last;
-        for (std::string line; std::getline(log, line);) {
-            last = line.starts_with("{") ? line : last;
-        }
-        return nlohmann::json::parse(last);
+        const operator_outcome outcome = fleet.tryOperate(arguments);
+        BOOST_REQUIRE(outcome.exitStatus == 0);
+        return nlohmann::json::parse(outcome.answer);
     }
 
     /// Whether the deadly request was refused without being run.
