Look at what binding a link's socket says

As before the link leaves from an address that the system chooses when it fails; a verbose line says so. Nothing else was reported by the lint of the whole tree. test_peers passes.

--- a/src/daemon/peers/listener.cpp
+++ b/src/daemon/peers/listener.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <glog/logging.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -48,7 +49,9 @@
     if (descriptor >= 0 && !source.empty() && from.valid && from.get()->sa_family == family) {
         const int on = 1;
         setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-        bind(descriptor, from.get(), static_cast<socklen_t>(from.length)); // Else the system chooses.
+        if (bind(descriptor, from.get(), static_cast<socklen_t>(from.length)) != 0) {
+            VLOG(1) << "a link leaves from an address that the system chooses";
+        }
     }
     return descriptor;
 }
