--- a/src/coordination/limits/share_holder.cpp
+++ b/src/coordination/limits/share_holder.cpp
@@ -50,7 +50,7 @@
                                                                std::span<const vm_id> preferredOwners, instant now)
 {
     std::vector<std::pair<vm_id, share_delegation>> due;
-    for (limit_slot slot = 0; slot < settings.slotCount; ++slot) {
+    for (limit_slot slot = 0; slot < holder.shares.size(); ++slot) {
         held_share &share = holder.shares[slot];
         if (share.claimant == vm_id{} || now < share.freeFrom) {
             continue;
