--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -103,11 +103,7 @@
 struct publications_lost {
 };
 
-/// A planned stop has begun: requests are still served, duties go to other VMs.
-struct stop_announced {
-};
-
-/// The planned stop comes to its end: no new request is taken.
+/// A planned stop has begun.
 struct stop_requested {
 };
 
@@ -119,8 +115,8 @@
 using entry_event =
     std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
                  instance_announced, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
-                 health_reported, health_report_lost, death_learned, request_released, release_learned, stop_announced,
-                 stop_requested, time_passed, limit_members_changed, limit_message_received, claim_message_received,
+                 health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
+                 time_passed, limit_members_changed, limit_message_received, claim_message_received,
                  claims_view_changed, publications_lost>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/limit_messages.h
+++ b/include/guavafront/coordination/limits/limit_messages.h
@@ -13,8 +13,7 @@
 /// Part of the accounts; all accounts of a slot have the same owner.
 using limit_slot = std::uint16_t;
 
-/// An owner asks a VM to delegate its share of every account in these slots. Without slots it retires: it goes on
-/// serving what was delegated to it, and wants no more.
+/// An owner asks a VM to delegate its share of every account in these slots.
 struct share_request {
     std::uint64_t round = 0; ///< Names the moment of sending on the owner's own clock.
     std::vector<limit_slot> slots; ///< Slots the owner serves.
--- a/include/guavafront/coordination/limits/limiter.h
+++ b/include/guavafront/coordination/limits/limiter.h
@@ -17,14 +17,10 @@
     limit_settings settings; ///< Same on all VMs.
     limit_table limits; ///< From the configuration in force.
     std::vector<vm_id> members; ///< Live VMs as this one sees them, ordered.
-    std::vector<vm_id> retired; ///< Those of them that stop and want no more shares.
     std::vector<vm_id> preferredOwners; ///< By slot, from the members.
-    std::vector<vm_id> nextOwners; ///< By slot: preferred before the first came, retired ones too; 0 for none.
     share_holder holder; ///< Own shares.
     lease_owner owner; ///< Budgets this VM serves.
     lessee entry; ///< Leases this VM uses.
-    bool retiring = false; ///< This VM is about to stop.
-    instant retiredAt = instant::max(); ///< What was delegated to this VM has run out by then; max while it serves.
     instant nextRound{}; ///< When the owner asks for shares again.
     instant nextRenewal{}; ///< When the leases are renewed.
 };
@@ -49,17 +45,13 @@
 struct limit_tick {
 };
 
-/// The VM is going to stop: others are to own its accounts once the delegations have run out; see retiredAt.
-struct limiter_retiring {
-};
-
 /// The VM stops: leases go back, shares are no longer asked for.
 struct limiter_stopping {
 };
 
 /// What can happen to a limiter.
-using limit_event = std::variant<limit_members_changed, limits_changed, limit_message_received, limit_tick,
-                                 limiter_retiring, limiter_stopping>;
+using limit_event =
+    std::variant<limit_members_changed, limits_changed, limit_message_received, limit_tick, limiter_stopping>;
 
 /// Message to another VM. Losing it costs tokens, never the limit.
 struct limit_send {
--- a/include/guavafront/coordination/limits/share_pool.h
+++ b/include/guavafront/coordination/limits/share_pool.h
@@ -43,9 +43,6 @@
 /// Adds a VM's share or prolongs it.
 void addShare(share_pool &pool, vm_id holder, instant usableUntil, instant now);
 
-/// When the first of the shares ends, exactly if that is before the horizon; else a time not before the horizon.
-instant firstLapse(share_pool &pool, instant horizon);
-
 /// Drops shares that have lapsed and gives the number of usable ones.
 std::uint32_t usableShares(share_pool &pool, instant now);
 
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -143,11 +143,6 @@
     publishAgain(context);
 }
 
-void handle(step_context &context, const stop_announced & /*event*/)
-{
-    updateLimits(context, limiter_retiring{});
-}
-
 void handle(step_context &context, const stop_requested & /*event*/)
 {
     context.state.stopping = true;
--- a/src/coordination/limits/lease_owner.cpp
+++ b/src/coordination/limits/lease_owner.cpp
@@ -161,16 +161,8 @@
     return std::clamp(duration(static_cast<duration::rep>(micros)), shortestRetry, longestRetry);
 }
 
-/// Longest lease that ends before any of the pool's delegations does.
-duration longestLease(share_pool &pool, const limit_settings &settings, instant now)
-{
-    const instant lapse = firstLapse(pool, now + settings.leaseLifetime);
-    const auto left = static_cast<double>((lapse - now).count()) * (1 - 4 * settings.clockDrift);
-    return std::min(settings.leaseLifetime, settings.singleLifetime + duration(static_cast<duration::rep>(left)));
-}
-
 lease_grant_item decide(owned_account &account, lessee_record &record, const limit_settings &settings,
-                        const rate_limit &total, const lease_request_item &item, duration longest, instant now)
+                        const rate_limit &total, const lease_request_item &item, instant now)
 {
     const grant_bounds bounds{
         .total = total,
@@ -194,7 +186,7 @@
         grant.retryAfter = retryAfter(account, bounds, 1 - item.level - grant.tokens);
     }
     const bool single = item.waiting > 0 && grant.capacity <= item.waiting + roundingTokens;
-    grant.lifetime = single ? settings.singleLifetime : longest;
+    grant.lifetime = single ? settings.singleLifetime : settings.leaseLifetime;
     record.offered = {.sequence = record.lastSequence,
                       .leased = {.ratePerSecond = grant.rate, .burst = grant.capacity},
                       .tokens = grant.tokens,
@@ -235,8 +227,7 @@
     countOut(account, record);
     confirm(record, item, account.reserve);
     dropEnded(record, now);
-    const duration longest = longestLease(pool, settings, now);
-    const lease_grant_item grant = decide(account, record, settings, total, item, longest, now);
+    const lease_grant_item grant = decide(account, record, settings, total, item, now);
     countIn(account, record);
     account.reserve.level = std::clamp(account.reserve.level, 0.0, std::max(0.0, total.burst - account.leased.burst));
     return grant;
@@ -268,9 +259,8 @@
     if (round == owner.rounds.end()) {
         return;
     }
-    // The shortest leases still fit in; longer ones are cut to the delegations' end.
     const instant usableUntil =
-        round->startedAt + settings.delegationLifetime - stretched(settings, settings.singleLifetime);
+        round->startedAt + settings.delegationLifetime - stretched(settings, settings.leaseLifetime);
     for (const limit_slot slot : delegation.slots) {
         if (slot < owner.pools.size()) {
             addShare(owner.pools[slot], holder, usableUntil, now);
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 #include <map>
 #include <xxhash.h>
 
@@ -47,32 +46,15 @@
     return best;
 }
 
-/// A slot whose owner has changed is asked for at once.
-void chooseOwners(limiter &state, instant now)
-{
-    std::vector<vm_id> candidates;
-    std::ranges::set_difference(state.members, state.retired, std::back_inserter(candidates));
-    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
-        const vm_id before = state.preferredOwners[slot];
-        const vm_id owner = preferredOwner(slot, candidates.empty() ? state.members : candidates);
-        state.preferredOwners[slot] = owner;
-        std::vector<vm_id> others = state.members;
-        std::erase(others, owner);
-        state.nextOwners[slot] = preferredOwner(slot, others);
-        if (before != state.self && state.preferredOwners[slot] == state.self) {
-            state.nextRound = std::min(state.nextRound, now);
-        }
-    }
-}
-
-void changeMembers(limiter &state, std::span<const vm_id> members, instant now)
+void changeMembers(limiter &state, std::span<const vm_id> members)
 {
     state.members.assign(members.begin(), members.end());
     state.members.push_back(state.self);
     std::ranges::sort(state.members);
     state.members.erase(std::unique(state.members.begin(), state.members.end()), state.members.end());
-    std::erase_if(state.retired, [&state](vm_id vm) { return !std::ranges::binary_search(state.members, vm); });
-    chooseOwners(state, now);
+    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
+        state.preferredOwners[slot] = preferredOwner(slot, state.members);
+    }
 }
 
 void refill(const limiter &state, leased_account &account, account_id id, instant now)
@@ -81,21 +63,13 @@
     refillAccount(account, state.settings, limitOf(state.limits, id), share.freeFrom, now);
 }
 
-/// Leases come from where the VM's own share is, so that they are backed by it. An owner that has just joined has no
-/// shares yet: they are still at the one before it, which is the next by preference.
-vm_id ownerFor(limiter &state, const leased_account &account, account_id id, instant now)
+/// Leases come from where the VM's own share is, so that they are backed by it.
+vm_id ownerFor(const limiter &state, account_id id, instant now)
 {
     const limit_slot slot = slotOf(state.settings, id);
     const held_share &share = state.holder.shares[slot];
-    if (share.delegate != vm_id{} && now < share.freeFrom) {
-        return share.delegate;
-    }
-    const vm_id preferred = state.preferredOwners[slot];
-    const bool empty = preferred == state.self && usableShares(state.owner.pools[slot], now) == 0;
-    const bool askedLately = now - account.askedAt < state.settings.leaseLifetime;
-    const bool silent = account.asking && askedLately && account.askedOwner == preferred;
-    const vm_id next = state.nextOwners[slot];
-    return (empty || silent) && next != vm_id{} ? next : preferred;
+    const bool delegated = share.delegate != vm_id{} && now < share.freeFrom;
+    return delegated ? share.delegate : state.preferredOwners[slot];
 }
 
 bool requestPending(const limiter &state, const leased_account &account, instant now)
@@ -105,7 +79,7 @@
 
 void ask(limiter &state, leased_account &account, account_id id, instant now, limit_effects &effects)
 {
-    const vm_id owner = ownerFor(state, account, id, now);
+    const vm_id owner = ownerFor(state, id, now);
     lease_request request{.sequence = ++state.entry.lastSequence};
     request.items.push_back(prepareRequest(account, id, state.settings, owner, request.sequence, now));
     send(state, owner, std::move(request), now, effects);
@@ -146,13 +120,13 @@
     std::ranges::sort(due);
     std::map<vm_id, lease_request> requests;
     for (const account_id id : due) {
-        leased_account &account = state.entry.accounts.at(id);
-        const vm_id owner = ownerFor(state, account, id, now);
+        const vm_id owner = ownerFor(state, id, now);
         const auto [place, created] = requests.try_emplace(owner);
         lease_request &request = place->second;
         if (created) {
             request.sequence = ++state.entry.lastSequence;
         }
+        leased_account &account = state.entry.accounts.at(id);
         request.items.push_back(prepareRequest(account, id, state.settings, owner, request.sequence, now));
     }
     for (auto &[owner, request] : requests) {
@@ -176,11 +150,11 @@
 {
     std::vector<limit_slot> slots;
     for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
-        if (state.preferredOwners[slot] == state.self && !state.retiring) {
+        if (state.preferredOwners[slot] == state.self) {
             slots.push_back(slot);
         }
     }
-    if (slots.empty() && !state.retiring) {
+    if (slots.empty()) {
         return;
     }
     const share_request request = startRound(state.owner, std::move(slots), now);
@@ -192,9 +166,6 @@
 
 void passTime(limiter &state, instant now, limit_effects &effects)
 {
-    for (auto &[owner, delegation] : dueDelegations(state.holder, state.settings, state.preferredOwners, now)) {
-        send(state, owner, std::move(delegation), now, effects);
-    }
     if (now >= state.nextRound) {
         state.nextRound = now + state.settings.roundPeriod;
         requestShares(state, now, effects);
@@ -207,17 +178,6 @@
     }
 }
 
-void retire(limiter &state, instant now, limit_effects &effects)
-{
-    if (state.retiring) {
-        return;
-    }
-    state.retiring = true;
-    const bool alone = state.members.size() == 1;
-    state.retiredAt = alone ? now : now + stretched(state.settings, state.settings.delegationLifetime);
-    requestShares(state, now, effects);
-}
-
 void giveBackLeases(limiter &state, instant now, limit_effects &effects)
 {
     state.nextRound = instant::max();
@@ -230,24 +190,8 @@
     state.nextRenewal = instant::max();
 }
 
-void noteRetirement(limiter &state, vm_id from, bool retires, instant now)
-{
-    const auto place = std::ranges::lower_bound(state.retired, from);
-    const bool known = place != state.retired.end() && *place == from;
-    if (known == retires || !std::ranges::binary_search(state.members, from)) {
-        return;
-    }
-    if (retires) {
-        state.retired.insert(place, from);
-    } else {
-        state.retired.erase(place);
-    }
-    chooseOwners(state, now);
-}
-
 void apply(limiter &state, vm_id from, const share_request &request, instant now, limit_effects &effects)
 {
-    noteRetirement(state, from, request.slots.empty(), now);
     share_delegation delegation =
         delegateShares(state.holder, state.settings, from, request, state.preferredOwners, now);
     if (!delegation.slots.empty()) {
@@ -369,23 +313,20 @@
     state.owner.lastRound = firstNumber;
     state.entry.lastSequence = firstNumber;
     state.preferredOwners.resize(settings.slotCount);
-    state.nextOwners.resize(settings.slotCount);
-    changeMembers(state, {}, now);
+    changeMembers(state, {});
     return state;
 }
 
 void step(limiter &state, const limit_event &event, instant now, limit_effects &effects)
 {
     if (const auto *members = std::get_if<limit_members_changed>(&event)) {
-        changeMembers(state, members->members, now);
+        changeMembers(state, members->members);
     } else if (const auto *limits = std::get_if<limits_changed>(&event)) {
         state.limits = limits->limits;
     } else if (const auto *received = std::get_if<limit_message_received>(&event)) {
         deliver(state, received->from, received->message, now, effects);
     } else if (std::holds_alternative<limit_tick>(event)) {
         passTime(state, now, effects);
-    } else if (std::holds_alternative<limiter_retiring>(event)) {
-        retire(state, now, effects);
     } else {
         giveBackLeases(state, now, effects);
     }
@@ -393,7 +334,7 @@
 
 instant nextTick(const limiter &state)
 {
-    return std::min({state.nextRound, state.nextRenewal, nextDelegation(state.holder)});
+    return std::min(state.nextRound, state.nextRenewal);
 }
 
 take_result tryTake(limiter &state, account_id id, take_attempt attempt, instant now, limit_effects &effects)
--- a/src/coordination/limits/share_pool.cpp
+++ b/src/coordination/limits/share_pool.cpp
@@ -31,19 +31,14 @@
     }
 }
 
-void findNextLapse(share_pool &pool)
+void dropLapsed(share_pool &pool, instant now)
 {
+    const instant lapsedAt = pool.nextLapse;
+    std::erase_if(pool.shares, [now](const pooled_share &share) { return share.usableUntil <= now; });
     pool.nextLapse = instant::max();
     for (const pooled_share &share : pool.shares) {
         pool.nextLapse = std::min(pool.nextLapse, share.usableUntil);
     }
-}
-
-void dropLapsed(share_pool &pool, instant now)
-{
-    const instant lapsedAt = pool.nextLapse;
-    std::erase_if(pool.shares, [now](const pooled_share &share) { return share.usableUntil <= now; });
-    findNextLapse(pool);
     const instant from = std::max(lapsedAt, pool.history.back().from);
     noteWeight(pool, from, static_cast<std::uint32_t>(pool.shares.size()));
 }
@@ -93,14 +88,6 @@
     return static_cast<std::uint32_t>(pool.shares.size());
 }
 
-instant firstLapse(share_pool &pool, instant horizon)
-{
-    if (pool.nextLapse < horizon) {
-        findNextLapse(pool);
-    }
-    return pool.nextLapse;
-}
-
 pool_reserve startReserve(const share_pool &pool)
 {
     assert(!pool.history.empty());
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -103,7 +103,6 @@
     , m_pool(owner, m_options.pool)
     , m_wake(owner, [this] { run(time_passed{}); })
     , m_balancerGrace(owner, [this] { closeListener(); })
-    , m_handover(owner, [this] { finishStop(); })
     , m_drainLimit(owner,
                    [this] {
                        LOG(WARNING) << "drain limit reached with " << m_requests.size() << " requests under way";
@@ -340,24 +339,13 @@
 {
     LOG(INFO) << "planned stop: " << m_requests.size() << " requests under way";
     m_metrics.post(readiness_changed{false});
-    run(stop_announced{});
     m_balancerGrace.arm(m_options.balancerGrace);
 }
 
 void entry_task::closeListener()
 {
     m_drainLimit.arm(m_options.drainLimit);
-    m_server.stop(idleGraceWhenStopping, [this] { awaitHandover(); });
-}
-
-void entry_task::awaitHandover()
-{
-    const instant now = loop::now();
-    if (m_state.limits->retiredAt <= now) {
-        finishStop();
-        return;
-    }
-    m_handover.arm(m_state.limits->retiredAt - now);
+    m_server.stop(idleGraceWhenStopping, [this] { finishStop(); });
 }
 
 void entry_task::finishStop()
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -78,7 +78,6 @@
     void count(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
     void closeListener();
-    void awaitHandover();
     void finishStop();
 
     loop &m_loop; ///< Not owned.
@@ -96,7 +95,6 @@
     upstream_pool m_pool; ///< Connections to upstreams.
     timer m_wake; ///< Sends time_passed.
     timer m_balancerGrace; ///< Ends listening when it fires.
-    timer m_handover; ///< Ends the loop when other VMs own the accounts that this one owned.
     timer m_drainLimit; ///< Bounds a planned stop.
     http_server m_server; ///< Callers' connections.
     mailbox_attachment<entry_event> m_attachment; ///< To the inbox.
