One HTTP layer on http-parser and bufferevents in place of evhttp

Ruled out: evhttp behind a filter (a second parser before the first), Boost.Beast (6 s a file). Change: message_parser over http-parser for requests and answers; server_connection reads on while a request runs, tells a caller's leaving, bounds header and receiving apart, answers 400/408/413/431/501 and lingers so that the answer isn't reset; upstream_connection takes answers without a length as whole when the peer closes in order, skips informational answers and answers that echo another request's identifier. loop::now() counts suspended time (CLOCK_BOOTTIME). The changelist flag, which warned with every closed connection, is gone.

--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -30,6 +30,7 @@
     std::string_view host; ///< Lower case without port.
     std::string_view path; ///< Normalized, starts with '/'.
     std::string_view query; ///< Without '?'; empty when there is none.
+    std::string_view rawPath; ///< Path as it was sent.
     std::span<const header_view> headers; ///< In the order received.
     std::span<const std::byte> body; ///< The whole body.
 };
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/connection_table.h"
+#include "http/server_connection.h"
 #include "http/http_message.h"
 #include "runtime/loop.h"
 #include "runtime/timer.h"
@@ -13,13 +13,11 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
-struct bufferevent;
-struct event_base;
+struct event;
 struct evconnlistener;
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_request;
+struct sockaddr;
 
 namespace guavafront
 {
@@ -33,6 +31,7 @@
     std::size_t bodyLimitBytes = std::size_t{1024} * 1024; ///< Request body.
     std::size_t connectionLimit = 10'000; ///< Further callers wait in the listen queue.
     duration idleTimeout = std::chrono::seconds(60); ///< Silent connections are closed.
+    duration headerTimeout = std::chrono::seconds(30); ///< Time to receive a header section, first byte to last.
     duration receiveTimeout = std::chrono::seconds(30); ///< Time to receive one request, first byte to last.
 };
 
@@ -55,6 +54,12 @@
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
+    /// Puts other bounds of requests in force, from the next request of each connection on.
+    void setLimits(const connection_limits &limits);
+
+    /// Tells callers with each answer that the connection closes, while new ones are still taken.
+    void announceClose();
+
     /// Port that it listens on.
     std::uint16_t port() const;
 
@@ -71,47 +76,46 @@
     /// Requests that are with the handler.
     std::size_t runningRequests() const;
 
-    /// Connections, give or take those that closed within the last housekeeping period.
+    /// Callers' connections.
     std::size_t connections() const;
 
     /// Requests refused as malformed so far.
     std::uint64_t malformedRequests() const;
 
 private:
-    struct exchange;
-    struct http_deleter {
-        void operator()(evhttp *owned) const;
+    struct listener_deleter {
+        void operator()(evconnlistener *owned) const;
+    };
+    struct event_deleter {
+        void operator()(event *owned) const;
     };
 
     void listen();
-    void receive(evhttp_request *received);
-    void refuseMalformed(evhttp_request *received);
-    void dispatch(evhttp_request *received, std::unique_ptr<exchange> opened);
-    void watchCaller(exchange &opened);
-    void callerGone(exchange_id id);
-    void send(evhttp_request *received, const http_answer &reply);
-    void houseKeep();
+    void accept(int descriptor);
+    void receive(server_connection &from);
+    void connectionEnded(server_connection &ended);
+    void sweep();
     void finishStop();
+    void closeIdle();
 
-    static bufferevent *connectionCallback(event_base *base, void *self);
-    static void requestCallback(evhttp_request *received, void *self);
-    static void answeredCallback(evhttp_request *answered, void *self);
-    static void callerGoneCallback(int descriptor, short events, void *opened);
+    static void acceptCallback(evconnlistener *listener, int descriptor, sockaddr *address, int length, void *self);
+    static void sweepCallback(int descriptor, short events, void *self);
 
     loop &m_loop; ///< Not owned.
     const http_server_options m_options; ///< As constructed.
     const http_handler m_handler; ///< As constructed.
-    connection_table m_connections; ///< Outlives m_http, whose end closes them.
-    std::unique_ptr<evhttp, http_deleter> m_http; ///< The library's server.
-    evhttp_bound_socket *m_listener = nullptr; ///< Owned by m_http; null once stopped.
-    bool m_listenerPaused = false; ///< The limit of connections is reached.
+    connection_limits m_limits; ///< In force.
+    std::unique_ptr<evconnlistener, listener_deleter> m_listener; ///< Null once stopped.
+    std::unique_ptr<event, event_deleter> m_sweepEvent; ///< Destroys ended connections outside their callbacks.
     std::uint16_t m_port = 0; ///< Bound port.
     std::uint64_t m_lastExchange = 0; ///< Highest number given.
     std::uint64_t m_malformed = 0; ///< Requests refused.
-    std::unordered_map<exchange_id, std::unique_ptr<exchange>> m_exchanges; ///< Requests with the handler.
-    timer m_houseKeeping; ///< Periodic while the server lives.
-    bool m_stopping = false; ///< stop() was called.
-    instant m_closeIdleAt{}; ///< While stopping.
+    std::unordered_map<server_connection *, std::unique_ptr<server_connection>> m_connections; ///< All that stand.
+    std::vector<std::unique_ptr<server_connection>> m_ended; ///< To be destroyed by the sweep.
+    std::unordered_map<exchange_id, server_connection *> m_exchanges; ///< Requests with the handler.
+    timer m_idleGrace; ///< Ends the grace of idle connections while stopping.
+    bool m_announceClose = false; ///< See announceClose().
+    bool m_closingIdle = false; ///< Stopping, and the grace is over.
     std::function<void()> m_onStopped; ///< Set while stopping.
 };
 
--- /dev/null
+++ b/src/http/message_parser.cpp
@@ -0,0 +1,239 @@
+#include "http/message_parser.h"
+
+#include "http/message_check.h"
+
+#include <limits>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr int firstFinalStatus = 200;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
+constexpr std::size_t fieldOverheadBytes = 4; // Colon, space and line end.
+
+std::string trimmed(std::string_view value)
+{
+    const std::size_t first = value.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return std::string(value.substr(first, value.find_last_not_of(" \t") - first + 1));
+}
+
+} // namespace
+
+message_parser::message_parser(http_parser_type kind, message_limits limits, header_check check)
+    : m_kind(kind)
+    , m_limits(limits)
+    , m_check(std::move(check))
+{
+    // The library's own bound holds for the whole process; the limits here are kept for each message.
+    http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
+    reset();
+}
+
+void message_parser::reset(bool answersHead)
+{
+    http_parser_init(&m_parser, m_kind);
+    m_parser.data = this;
+    m_message = {};
+    m_fault = message_fault::None;
+    m_answersHead = answersHead;
+    m_begun = false;
+    m_headersWhole = false;
+    m_whole = false;
+    m_valueSeen = false;
+    m_headerBytes = 0;
+}
+
+void message_parser::setLimits(const message_limits &limits)
+{
+    m_limits = limits;
+}
+
+const http_parser_settings &message_parser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_url = onTarget;
+        made.on_header_field = onFieldName;
+        made.on_header_value = onFieldValue;
+        made.on_headers_complete = onHeadersComplete;
+        made.on_body = onBody;
+        made.on_message_complete = onMessageComplete;
+        return made;
+    }();
+    return settings;
+}
+
+std::size_t message_parser::take(std::span<const std::byte> bytes)
+{
+    std::size_t skipped = 0;
+    if (!m_begun && m_kind == HTTP_REQUEST) { // RFC 9112 section 2.2: empty lines before a request are ignored.
+        while (skipped < bytes.size() && (bytes[skipped] == std::byte{'\r'} || bytes[skipped] == std::byte{'\n'})) {
+            ++skipped;
+        }
+    }
+    if (skipped == bytes.size() || m_whole || m_fault != message_fault::None) {
+        return skipped;
+    }
+    m_begun = true;
+    const std::span<const std::byte> rest = bytes.subspan(skipped);
+    const std::size_t taken =
+        http_parser_execute(&m_parser, &callbacks(), reinterpret_cast<const char *>(rest.data()), rest.size());
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error != HPE_OK && error != HPE_PAUSED && m_fault == message_fault::None) {
+        m_fault = message_fault::Malformed;
+    }
+    return skipped + taken;
+}
+
+void message_parser::takeEnd()
+{
+    if (m_begun && !m_whole && m_fault == message_fault::None) {
+        http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    }
+}
+
+bool message_parser::whole() const
+{
+    return m_whole;
+}
+
+bool message_parser::headersWhole() const
+{
+    return m_headersWhole;
+}
+
+bool message_parser::begun() const
+{
+    return m_begun;
+}
+
+message_fault message_parser::fault() const
+{
+    return m_fault;
+}
+
+received_message &message_parser::message()
+{
+    return m_message;
+}
+
+message_parser &message_parser::self(http_parser *parser)
+{
+    return *static_cast<message_parser *>(parser->data);
+}
+
+int message_parser::stop(message_fault fault)
+{
+    m_fault = fault;
+    return -1;
+}
+
+int message_parser::countHeader(std::size_t length)
+{
+    m_headerBytes += length;
+    return m_headerBytes > m_limits.headerBytes ? stop(message_fault::HeaderTooLarge) : 0;
+}
+
+bool message_parser::inTrailers() const
+{
+    return m_headersWhole;
+}
+
+int message_parser::onTarget(http_parser *parser, const char *at, std::size_t length)
+{
+    message_parser &owner = self(parser);
+    owner.m_message.target.append(at, length);
+    return owner.countHeader(length);
+}
+
+int message_parser::onFieldName(http_parser *parser, const char *at, std::size_t length)
+{
+    message_parser &owner = self(parser);
+    if (owner.inTrailers()) {
+        return 0; // Trailers aren't passed on; RFC 9110 section 6.5 allows discarding them.
+    }
+    std::vector<http_header> &headers = owner.m_message.headers;
+    if (headers.empty() || owner.m_valueSeen) {
+        headers.emplace_back();
+        owner.m_valueSeen = false;
+    }
+    headers.back().name.append(at, length);
+    return owner.countHeader(length + fieldOverheadBytes);
+}
+
+int message_parser::onFieldValue(http_parser *parser, const char *at, std::size_t length)
+{
+    message_parser &owner = self(parser);
+    if (owner.inTrailers()) {
+        return 0;
+    }
+    owner.m_message.headers.back().value.append(at, length);
+    owner.m_valueSeen = true;
+    return owner.countHeader(length);
+}
+
+int message_parser::onHeadersComplete(http_parser *parser)
+{
+    return self(parser).headersComplete();
+}
+
+int message_parser::headersComplete()
+{
+    constexpr int skipBody = 1;
+    m_headersWhole = true;
+    m_parser.upgrade = 0; // No other protocol is offered; what follows is HTTP.
+    for (http_header &field : m_message.headers) {
+        field.value = trimmed(field.value);
+    }
+    const std::vector<header_view> views = viewsOf(m_message.headers);
+    if (m_parser.http_major != 1 || !fieldsWellFormed(views) || !framingWellFormed(views)) {
+        return stop(message_fault::Malformed);
+    }
+    if (m_kind == HTTP_REQUEST) {
+        m_message.method = http_method_str(static_cast<http_method>(m_parser.method));
+    } else {
+        m_message.status = m_parser.status_code;
+    }
+    m_message.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    if (m_check && !m_check(m_message)) {
+        return stop(message_fault::Malformed);
+    }
+    const bool counted = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    if (counted && !m_answersHead && m_parser.content_length > m_limits.bodyBytes) {
+        return stop(message_fault::BodyTooLarge);
+    }
+    const int status = m_message.status;
+    const bool bodiless = m_answersHead || status == noContent || status == notModified
+                          || (m_kind == HTTP_RESPONSE && status < firstFinalStatus);
+    return bodiless ? skipBody : 0;
+}
+
+int message_parser::onBody(http_parser *parser, const char *at, std::size_t length)
+{
+    message_parser &owner = self(parser);
+    std::vector<std::byte> &body = owner.m_message.body;
+    if (body.size() + length > owner.m_limits.bodyBytes) {
+        return owner.stop(message_fault::BodyTooLarge);
+    }
+    const auto *first = reinterpret_cast<const std::byte *>(at);
+    body.insert(body.end(), first, first + length);
+    return 0;
+}
+
+int message_parser::onMessageComplete(http_parser *parser)
+{
+    self(parser).m_whole = true;
+    http_parser_pause(parser, 1); // What follows belongs to the next message.
+    return 0;
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/http/server_connection.cpp
@@ -0,0 +1,341 @@
+#include "http/server_connection.h"
+
+#include "http/message_check.h"
+#include "http/status_text.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr std::size_t readAhead = std::size_t{64} * 1024; // Bytes held unread of a caller who sends ahead.
+constexpr duration lingerLimit = std::chrono::seconds(2); // An ended connection still reads, lest the answer be reset.
+constexpr std::array<std::string_view, 7> knownMethods{"GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH"};
+constexpr int statusTimeout = 408;
+constexpr int statusBadRequest = 400;
+constexpr int statusBodyTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+constexpr int statusNotImplemented = 501;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+server_connection::server_connection(loop &owner, int descriptor, const connection_limits &limits,
+                                     connection_owner told)
+    : m_loop(owner)
+    , m_limits(limits)
+    , m_told(std::move(told))
+    , m_socket(bufferevent_socket_new(owner.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , m_parser(HTTP_REQUEST, limits.message, [this](const received_message &head) { return acceptHead(head); })
+    , m_timer(owner, [this] { timedOut(); })
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bufferevent_setcb(m_socket, readCallback, writeCallback, eventCallback, this);
+    bufferevent_setwatermark(m_socket, EV_READ, 0, readAhead);
+    bufferevent_enable(m_socket, EV_READ | EV_WRITE);
+    m_timer.arm(m_limits.idleTimeout);
+}
+
+server_connection::~server_connection()
+{
+    bufferevent_free(m_socket);
+}
+
+received_message &server_connection::request()
+{
+    return m_parser.message();
+}
+
+std::span<const header_view> server_connection::fields() const
+{
+    return m_fields;
+}
+
+const std::string &server_connection::host() const
+{
+    return m_host;
+}
+
+const std::string &server_connection::path() const
+{
+    return m_path;
+}
+
+std::string_view server_connection::query() const
+{
+    const std::string_view target = const_cast<message_parser &>(m_parser).message().target;
+    const std::size_t mark = target.find('?');
+    return mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+}
+
+std::string_view server_connection::rawPath() const
+{
+    return pathOf(const_cast<message_parser &>(m_parser).message().target);
+}
+
+int server_connection::descriptor() const
+{
+    return bufferevent_getfd(m_socket);
+}
+
+bool server_connection::running() const
+{
+    return m_phase == phase::Running;
+}
+
+bool server_connection::busy() const
+{
+    return m_phase == phase::Running || m_phase == phase::Lingering || m_parser.begun()
+           || evbuffer_get_length(bufferevent_get_input(m_socket)) > 0
+           || evbuffer_get_length(bufferevent_get_output(m_socket)) > 0;
+}
+
+void server_connection::closeWhenIdle()
+{
+    m_closing = true;
+    if (!busy()) {
+        end();
+    }
+}
+
+void server_connection::readCallback(bufferevent * /*socket*/, void *self)
+{
+    auto *connection = static_cast<server_connection *>(self);
+    connection->m_loop.guard([connection] { connection->process(); });
+}
+
+void server_connection::writeCallback(bufferevent * /*socket*/, void *self)
+{
+    auto *connection = static_cast<server_connection *>(self);
+    connection->m_loop.guard([connection] { connection->flushed(); });
+}
+
+void server_connection::eventCallback(bufferevent * /*socket*/, short events, void *self)
+{
+    auto *connection = static_cast<server_connection *>(self);
+    connection->m_loop.guard([connection, events] {
+        if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+            return;
+        }
+        connection->m_peerClosed = true;
+        if (connection->m_phase == phase::Running) {
+            connection->m_told.onCallerGone(*connection);
+        }
+        connection->end();
+    });
+}
+
+void server_connection::process()
+{
+    if (m_processing) {
+        return; // An answer given at once leads back here; the loop below goes on.
+    }
+    m_processing = true;
+    while (takeSome()) {
+    }
+    m_processing = false;
+}
+
+/// Takes what has come; whether there may be more to do.
+bool server_connection::takeSome()
+{
+    evbuffer *input = bufferevent_get_input(m_socket);
+    if (m_phase == phase::Lingering) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return false;
+    }
+    if (m_phase != phase::Reading || m_closing) {
+        if (m_phase == phase::Reading && !m_parser.begun()
+            && evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
+            linger();
+        }
+        return false;
+    }
+    const std::size_t available = evbuffer_get_contiguous_space(input);
+    if (available == 0) {
+        return false;
+    }
+    const bool wasBegun = m_parser.begun();
+    const bool hadHead = m_parser.headersWhole();
+    const auto *bytes = reinterpret_cast<const std::byte *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(available)));
+    evbuffer_drain(input, m_parser.take({bytes, available}));
+    if (!wasBegun && m_parser.begun()) {
+        m_requestBegan = loop::now();
+    }
+    if (m_parser.fault() != message_fault::None) {
+        refuseHead();
+        return false;
+    }
+    if (m_parser.whole()) {
+        m_phase = phase::Running;
+        m_fields = viewsOf(m_parser.message().headers);
+        m_timer.cancel();
+        m_told.onRequest(*this);
+        return m_phase == phase::Reading;
+    }
+    if (wasBegun != m_parser.begun() || hadHead != m_parser.headersWhole()) {
+        armForReading();
+    }
+    return true;
+}
+
+void server_connection::armForReading()
+{
+    if (!m_parser.begun()) {
+        m_timer.arm(m_limits.idleTimeout);
+        return;
+    }
+    const duration header = std::min(m_limits.headerTimeout, m_limits.receiveTimeout);
+    m_timer.arm(m_requestBegan + (m_parser.headersWhole() ? m_limits.receiveTimeout : header) - loop::now());
+}
+
+bool server_connection::acceptHead(const received_message &head)
+{
+    const std::vector<header_view> views = viewsOf(head.headers);
+    std::string_view target = head.target;
+    if (!targetWellFormed(target) || !hostWellFormed(views)) {
+        return false;
+    }
+    std::string_view authority = headerValue(views, "Host");
+    constexpr std::string_view scheme = "http://";
+    std::string_view path = pathOf(target);
+    if (target.starts_with(scheme)) { // RFC 9112 section 3.2.2: the target's authority goes before Host.
+        const std::string_view rest = target.substr(scheme.size());
+        const std::size_t slash = std::min(rest.find('/'), rest.size());
+        authority = rest.substr(0, slash);
+        path = pathOf(slash < rest.size() ? rest.substr(slash) : std::string_view("/"));
+    }
+    const std::optional<std::string> normal = normalizePath(path);
+    if (!normal) {
+        return false;
+    }
+    m_path = *normal;
+    m_host = normalizeHost(authority);
+    if (sameFieldName(headerValue(views, "Expect"), "100-continue") && !m_continueSent) {
+        m_continueSent = true;
+        constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(m_socket, goOn.data(), goOn.size());
+    }
+    return true;
+}
+
+void server_connection::refuseHead()
+{
+    const std::string &method = m_parser.message().method;
+    const bool unknown = !method.empty() && std::ranges::find(knownMethods, method) == knownMethods.end();
+    switch (m_parser.fault()) {
+    case message_fault::HeaderTooLarge:
+        refuse(statusHeaderTooLarge);
+        break;
+    case message_fault::BodyTooLarge:
+        refuse(statusBodyTooLarge);
+        break;
+    case message_fault::None:
+    case message_fault::Malformed:
+        refuse(unknown ? statusNotImplemented : statusBadRequest);
+        break;
+    }
+}
+
+void server_connection::refuse(int status)
+{
+    m_told.onMalformed();
+    write({.status = status, .headers = {}, .body = {}}, true);
+}
+
+void server_connection::answer(const http_answer &reply, bool lastOne)
+{
+    write(reply, lastOne || !m_parser.message().keepAlive);
+    if (!m_processing && m_phase == phase::Reading) {
+        process();
+    }
+}
+
+void server_connection::write(const http_answer &reply, bool lastOne)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(reply.status) + ' ' + std::string(statusText(reply.status)) + "\r\n";
+    for (const http_header &field : reply.headers) {
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    const bool bodiless = reply.status == statusNoContent || reply.status == statusNotModified;
+    if (!bodiless) {
+        head.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+    }
+    if (lastOne) {
+        head.append("Connection: close\r\n");
+    }
+    head.append("\r\n");
+    bufferevent_write(m_socket, head.data(), head.size());
+    if (!bodiless && m_parser.message().method != "HEAD" && !reply.body.empty()) {
+        bufferevent_write(m_socket, reply.body.data(), reply.body.size());
+    }
+    m_parser.reset();
+    m_parser.setLimits(m_limits.message);
+    m_continueSent = false;
+    m_closing = m_closing || lastOne;
+    m_phase = phase::Reading;
+    m_timer.arm(m_limits.idleTimeout);
+}
+
+void server_connection::flushed()
+{
+    if (m_closing && m_phase == phase::Reading && !m_parser.begun()) {
+        linger();
+    }
+}
+
+void server_connection::linger()
+{
+    if (m_peerClosed) {
+        end();
+        return;
+    }
+    m_phase = phase::Lingering;
+    shutdown(descriptor(), SHUT_WR);
+    m_timer.arm(lingerLimit);
+    process();
+}
+
+void server_connection::timedOut()
+{
+    const bool unread = m_phase == phase::Reading && !m_closing && m_parser.begun();
+    if (unread) {
+        refuse(statusTimeout); // Part of a request came: it hasn't run.
+        return;
+    }
+    end();
+}
+
+void server_connection::end()
+{
+    if (m_phase == phase::Ended) {
+        return;
+    }
+    m_phase = phase::Ended;
+    m_timer.cancel();
+    bufferevent_disable(m_socket, EV_READ | EV_WRITE);
+    m_told.onEnd(*this);
+}
+
+} // namespace guavafront
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/http_message.h"
+#include "http/message_parser.h"
 #include "runtime/loop.h"
 #include "runtime/timer.h"
 
@@ -13,11 +13,8 @@
 #include <string>
 #include <string_view>
 
-struct evbuffer;
-struct evbuffer_cb_info;
+struct bufferevent;
 struct event;
-struct evhttp_connection;
-struct evhttp_request;
 
 namespace guavafront
 {
@@ -27,6 +24,7 @@
     std::string address = "127.0.0.1"; ///< IP number.
     std::uint16_t port = 0; ///< Port.
     duration connectTimeout = std::chrono::seconds(1); ///< Time to establish the connection.
+    duration unackedTimeout{}; ///< A socket whose bytes aren't acknowledged for so long has gone silent; 0 for the system's.
     std::size_t headerLimitBytes = std::size_t{64} * 1024; ///< Status line and header fields of an answer.
     std::size_t bodyLimitBytes = std::size_t{8} * 1024 * 1024; ///< Body of an answer.
 };
@@ -37,6 +35,8 @@
     std::string_view target; ///< Path with query.
     std::span<const header_view> headers; ///< With Host, without framing.
     std::span<const std::byte> body; ///< The whole body.
+    http_header echoed; ///< An answer whose field of this name has another value belongs to an earlier request; unless
+                        ///< the name is empty.
     duration timeout{}; ///< From now to the whole answer.
 };
 
@@ -45,7 +45,7 @@
     Answered, ///< The whole answer is there.
     ConnectFailed, ///< No connection could be made; no byte left.
     Closed, ///< The connection ended before the first byte of an answer.
-    AnswerIncomplete, ///< The answer was cut, malformed, without a definite end, or not to this request.
+    AnswerIncomplete, ///< The answer was cut or malformed.
     TimedOut, ///< No whole answer in time.
     Cancelled, ///< cancel() was called.
 };
@@ -81,40 +81,39 @@
     void cancel();
 
 private:
-    struct connection_deleter {
-        void operator()(evhttp_connection *owned) const;
-    };
     struct event_deleter {
         void operator()(event *owned) const;
     };
     enum class phase : std::uint8_t { New, Running, Idle, Ended };
 
-    void open();
-    evhttp_request *compose(const upstream_request &request);
-    void completed(evhttp_request *finished);
-    void takeAnswer(evhttp_request *finished);
+    void openSocket();
+    void write(const upstream_request &request);
+    void read();
+    void takeAnswer();
+    void socketEvent(short events);
+    void ended(bool inOrder);
     void end(upstream_result result);
     void deliver();
-    bool acceptHeaders(evhttp_request *answered);
+    void close();
+    bool isForeign() const;
     bool requestRunning() const;
 
-    static void completedCallback(evhttp_request *finished, void *self);
-    static int headersCallback(evhttp_request *answered, void *self);
-    static void closedCallback(evhttp_connection *closed, void *self);
-    static void inputCallback(evbuffer *input, const evbuffer_cb_info *info, void *self);
-    static void outputCallback(evbuffer *output, const evbuffer_cb_info *info, void *self);
+    static void readCallback(bufferevent *socket, void *self);
+    static void eventCallback(bufferevent *socket, short events, void *self);
     static void deliverCallback(int descriptor, short events, void *self);
 
     loop &m_loop; ///< Not owned.
     const upstream_connection_options m_options; ///< As constructed.
     const std::function<void()> m_onClosed; ///< As constructed.
-    std::unique_ptr<evhttp_connection, connection_deleter> m_connection; ///< The library's connection.
-    std::unique_ptr<event, event_deleter> m_deliver; ///< Leaves evhttp's stack before the owner is called.
+    bufferevent *m_socket = nullptr; ///< Owned.
+    message_parser m_parser; ///< Of answers.
+    std::unique_ptr<event, event_deleter> m_deliver; ///< Leaves the socket's callback before the owner is called.
     timer m_connectTimer; ///< Runs until the connection is there.
     timer m_answerTimer; ///< Runs until the outcome.
     phase m_phase = phase::New; ///< What the connection does.
-    bool m_answerRefused = false; ///< The answer that is coming is malformed or isn't to this request.
-    std::size_t m_sentBytes = 0; ///< Bytes of the running request that were taken by the kernel.
+    bool m_foreignSeen = false; ///< An answer to an earlier request came; the connection isn't used again.
+    bool m_answersHead = false; ///< The running request is a HEAD.
+    http_header m_echoed; ///< Of the running request.
     std::function<void(upstream_outcome)> m_onOutcome; ///< Owner of the running request.
     std::optional<upstream_outcome> m_outcome; ///< Waits for its delivery.
     upstream_outcome m_running; ///< What is known of the running request.
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <ctime>
 #include <stdexcept>
 #include <utility>
 
@@ -19,8 +20,6 @@
     if (!options) {
         return nullptr;
     }
-    // Without a list of changes evhttp's enabling and disabling of events costs a system call each time.
-    event_config_set_flag(options.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     if (precision == timer_precision::Microseconds) {
         event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     }
@@ -60,8 +59,11 @@
 
 instant loop::now()
 {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return instant(std::chrono::duration_cast<duration>(sinceEpoch));
+    // Unlike the steady clock it counts the time that a VM is suspended, so that leases and views age meanwhile.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec)
+                                                        + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 void loop::run()
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -32,6 +32,12 @@
     raw_request{"counted", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi", true},
     raw_request{"chunked", "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
                 true},
+    raw_request{"chunkExtension",
+                "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2;x=1\r\nhi\r\n0;y\r\n\r\n", true},
+    raw_request{"quotedChunkExtension",
+                "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2;x=\"a b\"\r\nhi\r\n0;y\r\n\r\n",
+                true},
+    raw_request{"emptyLineFirst", "\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\n", true},
     raw_request{"twoEqualLengths", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi",
                 false},
     raw_request{"twoLengths", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
@@ -150,6 +156,23 @@
     BOOST_TEST(seen[1].text == "GET x /2 ");
 }
 
+BOOST_AUTO_TEST_CASE(request_emptyLineBetweenTwo_bothAnswered)
+{
+    start();
+    caller->write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    runUntilCallerGets("okHTTP/1.1 200 OK\r\nX-Kind: lista\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST(seen.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(request_pipelinedSecondMalformed_firstAnsweredFirst)
+{
+    start();
+    caller->write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n");
+    runUntilCallerGets("HTTP/1.1 400");
+    BOOST_TEST(caller->received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(seen.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(answer_callerWentAway_noticedAndNotSent)
 {
     answerAtOnce = false;
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -56,6 +56,14 @@
         bufferevent_write(m_socket, bytes.data(), bytes.size());
     }
 
+    /// Resets the connection.
+    void reset()
+    {
+        const linger hard{.l_onoff = 1, .l_linger = 0};
+        setsockopt(bufferevent_getfd(m_socket), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        close();
+    }
+
     /// Hands bytes to the kernel without a turn of the loop.
     void writeAtOnce(std::string_view bytes)
     {
