--- a/include/guavafront/coordination/configuration/change.h
+++ b/include/guavafront/coordination/configuration/change.h
@@ -70,9 +70,16 @@
     bool operator==(const remove_exception &) const = default; ///< Memberwise equality.
 };
 
+/// Replaces the whole configuration by one that carries a version of the operator's own: the highest one wins. Ids in
+/// value are placeholders; accounts and routes that stay keep theirs.
+struct replace_all {
+    configuration value; ///< The new content, with externalVersion and document.
+    bool operator==(const replace_all &) const = default; ///< Memberwise equality.
+};
+
 /// One operator's edit.
 using change = std::variant<set_defaults, create_account, set_kind_order, grant_key, withdraw_key, put_route,
-                            remove_route, put_exception, remove_exception>;
+                            remove_route, put_exception, remove_exception, replace_all>;
 
 /// Changes that one request may hold.
 constexpr std::size_t maxChangesPerRequest = 1000;
@@ -85,6 +92,9 @@
     bool operator==(const change_request &) const = default; ///< Memberwise equality.
 };
 
+/// Whether the edit's version is higher than the one in force; otherwise it changes nothing.
+bool isNewer(const configuration &current, const replace_all &edit);
+
 /// The configuration after one more revision. Throws coordination_error (ChangeInvalid, SubjectUnknown,
 /// SubjectExists, ReasonMissing) and leaves nothing half applied.
 configuration applyChanges(const configuration &before, std::span<const change> changes);
--- a/include/guavafront/coordination/configuration/configuration.h
+++ b/include/guavafront/coordination/configuration/configuration.h
@@ -44,6 +44,7 @@
     account_id id; ///< Given by the control.
     std::string name; ///< Unique; goes upstream with each request.
     std::vector<std::string> kindOrder; ///< Kinds of requests, most important first; the account manager's order.
+    std::uint32_t priority = 0; ///< Rank among the accounts, 0 first; goes before a route's.
 
     /// Memberwise equality.
     bool operator==(const account &) const = default;
@@ -59,6 +60,15 @@
     bool operator==(const account_key &) const = default;
 };
 
+/// One part of a route whose requests are split.
+struct weighted_service {
+    std::string service; ///< Service that gets the part.
+    double weight = 1; ///< Share of the requests, relative to the other parts; 0 gets none.
+
+    /// Memberwise equality.
+    bool operator==(const weighted_service &) const = default;
+};
+
 /// Way from callers' requests to a service.
 struct route {
     route_id id; ///< Given by the control.
@@ -70,6 +80,10 @@
     bool ordered = false; ///< Changes of one resource reach the service in the order of arrival.
     repeatability repeats = repeatability::ByMethod; ///< Whether its requests may be repeated.
     std::uint32_t timeoutMs = 0; ///< Deadline; 0 takes the default.
+    std::vector<weighted_service> split; ///< Services in place of service, each with its share; empty for one service.
+    std::uint32_t targetLatencyMs = 0; ///< An answer within it is worth most; 0 for none.
+    std::uint32_t priority = 0; ///< Rank among the routes, 0 first.
+    std::uint32_t maxAttempts = 0; ///< Instances that a request may be sent to; 0 leaves it to the retry limits.
 
     /// Memberwise equality.
     bool operator==(const route &) const = default;
@@ -86,6 +100,17 @@
     bool operator==(const setting_exception &) const = default;
 };
 
+/// Bounds of what callers may send; 0 leaves each to the VM's settings.
+struct caller_limits {
+    std::uint32_t headerBytes = 0; ///< First line and header fields of a request.
+    std::uint32_t bodyBytes = 0; ///< Body of a request.
+    std::uint32_t headerTimeoutMs = 0; ///< From a request's first byte to the end of its header fields.
+    std::uint32_t idleTimeoutMs = 0; ///< A caller's connection that sends nothing for longer is closed.
+
+    /// Memberwise equality.
+    bool operator==(const caller_limits &) const = default;
+};
+
 /// The whole accepted configuration at one revision.
 struct configuration {
     revision current; ///< Revision; 0 is the empty configuration.
@@ -96,6 +121,9 @@
     std::vector<setting_exception> exceptions; ///< Ordered by subject, then setting.
     account_id lastAccount; ///< Highest account id ever given.
     route_id lastRoute; ///< Highest route id ever given.
+    caller_limits limits; ///< Bounds of what callers may send.
+    std::uint64_t externalVersion = 0; ///< Version that an outside operator gave with replace_all; 0 before the first.
+    std::string document; ///< What that operator sent, as it is read back; empty before the first.
 
     /// Memberwise equality.
     bool operator==(const configuration &) const = default;
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -23,6 +23,7 @@
     instance_id instance; ///< Upstream instance.
     std::string ip; ///< Its IP number.
     std::uint16_t port = 0; ///< Its TCP port.
+    std::string instanceName; ///< Its own name; empty when it announced none.
     std::string service; ///< Service that the instance belongs to.
     std::string accountName; ///< Client account to name upstream; empty on a route open to all.
     instant deadline; ///< Give up then.
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -49,6 +49,12 @@
     announcement news; ///< What it said.
 };
 
+/// An instance said that it is gone for good.
+struct instance_left {
+    std::string name; ///< Its own name.
+    std::uint64_t born = 0; ///< Start of its process in Unix milliseconds; 0 for whichever life is known.
+};
+
 /// Another VM hears an instance.
 struct instance_learned {
     vm_id hearer; ///< VM that answers for it.
@@ -114,7 +120,7 @@
 /// All that an entry's decisions react to.
 using entry_event =
     std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
-                 instance_announced, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
+                 instance_announced, instance_left, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
                  health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
                  time_passed, limit_members_changed, limit_message_received, claim_message_received,
                  claims_view_changed, publications_lost>;
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -36,6 +36,10 @@
     std::string idempotencyKey; ///< As sent; empty when there is none.
     request_digest digest; ///< Of the whole request.
     std::uint32_t bodyBytes = 0; ///< Size of its body.
+    std::uint32_t maxAttempts = 0; ///< Instances it may be sent to; 0 leaves it to the retry limits.
+    std::uint32_t sends = 0; ///< Tries whose bytes may have reached an instance.
+    std::uint32_t rank = 0; ///< Place among the requests that wait, 0 first: the account's priority before the route's.
+    instant wantedBy{}; ///< End of the target latency; the deadline when there is none.
     bool claimed = false; ///< It has won the claim of its idempotency key.
     std::vector<std::byte> answer; ///< Of the try that was answered, for resends.
     instant arrived; ///< When it came.
--- a/include/guavafront/coordination/entry/request_head.h
+++ b/include/guavafront/coordination/entry/request_head.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/core/identifiers.h>
+#include <guavafront/coordination/core/time.h>
 
 #include <compare>
 #include <cstdint>
@@ -30,6 +31,7 @@
     std::string_view idempotencyKey; ///< Idempotency-Key as sent; empty when there is none.
     request_digest digest; ///< Of the whole request.
     std::uint32_t bodyBytes = 0; ///< Size of the body in bytes.
+    std::optional<duration> timeLimit; ///< How long the caller waits; nothing when it didn't say.
     bool keyInContent = false; ///< The caller's key stands where it can't be removed; the request must not be sent.
 };
 
--- a/include/guavafront/coordination/registry/registry.h
+++ b/include/guavafront/coordination/registry/registry.h
@@ -49,6 +49,10 @@
 /// Takes an announcement made to this VM.
 registry_change announce(registry &state, const announcement &news, instant now);
 
+/// Takes an instance's word that it is gone, by its name and, unless 0, its birth; none of its later announcements
+/// counts. The announcement to publish; nothing when the instance isn't known or has left already.
+std::optional<announcement> leave(registry &state, std::string_view name, std::uint64_t born, instant now);
+
 /// Takes what another VM hears. The highest sequence number wins; at the same one the present hearer stays.
 registry_change learn(registry &state, vm_id hearer, const announcement &news, instant now);
 
--- a/include/guavafront/coordination/replication/membership.h
+++ b/include/guavafront/coordination/replication/membership.h
@@ -31,8 +31,8 @@
     bool operator==(const membership &) const = default; ///< Memberwise equality.
 };
 
-/// Control VMs that may be set aside at most.
-constexpr std::size_t maxMembers = 10;
+/// Members at most: the control VMs that may be set aside and those that are about to replace one of them.
+constexpr std::size_t maxMembers = 16;
 
 /// The member with this identity; null when there is none.
 const member *findMember(const membership &members, vm_id id);
--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -226,9 +226,9 @@
 /// Replica as of a start, from what its disk holds.
 replica restore(const replica_options &options, const stored_state &stored, instant now, std::uint64_t random);
 
-/// What the disk of the first member of a new cluster holds: it is the only voter. Done once, by an operator; a VM that
+/// What the disks of a new cluster's founders hold: they are its voters, the same on each of them. Done once; a VM that
 /// starts without stored state joins as a learner instead.
-stored_state bootstrapState(cluster_id cluster, vm_id self);
+stored_state bootstrapState(cluster_id cluster, std::span<const vm_id> founders);
 
 /// Handles one event. Effects are appended to out. The host performs them in order over all steps, and performs nothing
 /// that follows a sync_writes until that sync is complete; storage effects that follow may be written earlier and share
--- a/src/coordination/configuration/change.cpp
+++ b/src/coordination/configuration/change.cpp
@@ -6,7 +6,9 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <algorithm>
+#include <string>
 #include <tuple>
+#include <unordered_map>
 
 namespace guavafront
 {
@@ -135,8 +137,74 @@
     current.exceptions.erase(place);
 }
 
+/// Ids of the accounts that stay; new ones for the others. Keys follow their accounts.
+void takeAccounts(configuration &current, const configuration &next)
+{
+    std::vector<account> accounts = next.accounts;
+    std::unordered_map<std::uint32_t, account_id> renumbered;
+    for (account &each : accounts) {
+        const account_id placeholder = each.id;
+        const auto kept = std::ranges::find(current.accounts, each.name, &account::name);
+        if (kept != current.accounts.end()) {
+            each.id = kept->id;
+        } else {
+            ++current.lastAccount.value;
+            each.id = current.lastAccount;
+        }
+        renumbered[placeholder.value] = each.id;
+    }
+    std::ranges::sort(accounts, {}, &account::id);
+    current.accounts = std::move(accounts);
+    current.keys = next.keys;
+    for (account_key &each : current.keys) {
+        each.owner = renumbered[each.owner.value];
+    }
+    std::ranges::sort(current.keys, {}, &account_key::label);
+}
+
+void takeRoutes(configuration &current, const configuration &next)
+{
+    std::unordered_map<std::string, route_id> known;
+    for (const route &each : current.routes) {
+        known.emplace(each.host + std::string(normalizedPathPrefix(each.pathPrefix)), each.id);
+    }
+    std::vector<route> routes = next.routes;
+    for (route &each : routes) {
+        const auto kept = known.find(each.host + std::string(normalizedPathPrefix(each.pathPrefix)));
+        if (kept != known.end()) {
+            each.id = kept->second;
+        } else {
+            ++current.lastRoute.value;
+            each.id = current.lastRoute;
+        }
+    }
+    std::ranges::sort(routes, {}, &route::id);
+    current.routes = std::move(routes);
+}
+
+void apply(configuration &current, const replace_all &edit)
+{
+    if (!isNewer(current, edit)) {
+        return;
+    }
+    takeAccounts(current, edit.value);
+    takeRoutes(current, edit.value);
+    current.defaults = edit.value.defaults;
+    current.exceptions = edit.value.exceptions;
+    std::ranges::sort(current.exceptions, {},
+                      [](const setting_exception &each) { return std::pair(each.subject, each.setting); });
+    current.limits = edit.value.limits;
+    current.externalVersion = edit.value.externalVersion;
+    current.document = edit.value.document;
+}
+
 } // namespace
 
+bool isNewer(const configuration &current, const replace_all &edit)
+{
+    return edit.value.externalVersion > current.externalVersion;
+}
+
 configuration applyChanges(const configuration &before, std::span<const change> changes)
 {
     if (changes.empty() || changes.size() > maxChangesPerRequest) {
--- a/src/coordination/configuration/change_log.cpp
+++ b/src/coordination/configuration/change_log.cpp
@@ -15,7 +15,12 @@
     if (!isAuthorized(proposal.author, proposal.request)) {
         return {result_code::NotAuthorized, current.current, "the role does not allow this change"};
     }
-    if (proposal.request.expected != current.current) {
+    const std::vector<change> &changes = proposal.request.changes;
+    const auto *whole = changes.size() == 1 ? std::get_if<replace_all>(&changes.front()) : nullptr;
+    if (whole != nullptr && !isNewer(current, *whole)) {
+        return {result_code::Ok, current.current, "a higher version is in force"};
+    }
+    if (whole == nullptr && proposal.request.expected != current.current) {
         return {result_code::RevisionConflict, current.current, "the change was based on another revision"};
     }
     try {
--- a/src/coordination/configuration/validation.cpp
+++ b/src/coordination/configuration/validation.cpp
@@ -5,6 +5,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <algorithm>
+#include <cmath>
 #include <span>
 #include <string>
 #include <tuple>
@@ -110,6 +111,10 @@
     require(isValidPathPrefix(each.pathPrefix), "route path prefix", each.pathPrefix);
     require(isValidName(each.service), "route service", each.service);
     require(isValidName(each.kind), "route kind", each.kind);
+    for (const weighted_service &part : each.split) {
+        require(isValidName(part.service), "route service", part.service);
+        require(std::isfinite(part.weight) && part.weight >= 0, "route weight of service", part.service);
+    }
     const setting_descriptor &timeout = *findSetting("requestTimeoutMs");
     require(each.timeoutMs == 0 || isAllowed(timeout, each.timeoutMs), "route timeout of service", each.service);
     require(each.repeats <= repeatability::NotRepeatable, "route repeatability of service", each.service);
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -72,23 +72,59 @@
                                                 owner ? owner->name : std::string()});
 }
 
+/// Service of a route; of a split one, one of its services by their weights.
+const std::string &chooseService(const route &match, std::mt19937_64 &random)
+{
+    double total = 0;
+    for (const weighted_service &part : match.split) {
+        total += part.weight;
+    }
+    if (total <= 0) {
+        return match.service;
+    }
+    double point = std::uniform_real_distribution<double>(0, total)(random);
+    for (const weighted_service &part : match.split) {
+        if (point < part.weight) {
+            return part.service;
+        }
+        point -= part.weight;
+    }
+    return match.split.front().service;
+}
+
+/// Ranks of accounts go before ranks of routes.
+std::uint32_t rankOf(const route &match, const account *owner)
+{
+    constexpr std::uint32_t routeRanks = 1'000;
+    return (owner ? owner->priority : 0) * routeRanks + std::min(match.priority, routeRanks - 1);
+}
+
 exchange makeExchange(const step_context &context, const request_head &head, const route &match, const account *owner)
 {
     const std::uint32_t timeoutMs =
         match.timeoutMs != 0 ? match.timeoutMs : context.state.current->defaults.requestTimeoutMs;
+    duration limit = std::chrono::milliseconds(timeoutMs);
+    if (head.timeLimit) {
+        limit = std::min(limit, std::max(*head.timeLimit, duration::zero()));
+    }
     exchange request;
     request.id = head.id;
     request.mayBeRepeated = mayBeRepeated(match, head.method);
     request.path = match.id;
     request.owner = owner ? owner->id : account_id{};
     request.accountName = owner ? owner->name : std::string();
-    request.service = match.service;
+    request.service = chooseService(match, context.random);
     request.kind = match.kind;
     request.idempotencyKey = head.idempotencyKey;
     request.digest = head.digest;
     request.bodyBytes = head.bodyBytes;
     request.arrived = context.now;
-    request.deadline = context.now + std::chrono::milliseconds(timeoutMs);
+    request.deadline = context.now + limit;
+    request.maxAttempts = match.maxAttempts;
+    request.rank = rankOf(match, owner);
+    request.wantedBy = match.targetLatencyMs == 0
+                           ? request.deadline
+                           : std::min(request.deadline, context.now + std::chrono::milliseconds(match.targetLatencyMs));
     return request;
 }
 
@@ -104,6 +140,10 @@
         refuseAtOnce(context, head.id, result_code::KeyMisplaced, nullptr, nullptr);
         return;
     }
+    if (context.state.current->current.value == 0) {
+        refuseAtOnce(context, head.id, result_code::ConfigurationStale, nullptr, nullptr);
+        return; // Nothing is known yet: whether the route is there can't be told.
+    }
     const route *match = findRoute(context.state.routes, head.host, head.path);
     if (!match) {
         refuseAtOnce(context, head.id, result_code::NoRoute, nullptr, nullptr);
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -37,6 +37,9 @@
 bool mayTryAgain(const step_context &context, const exchange &request, const failed_attempt &failed)
 {
     retry_budget *budget = findRetryBudget(context.state.selection, context.state.upstreams, request.service);
+    if (request.maxAttempts > 0 && request.sends >= request.maxAttempts) {
+        return false;
+    }
     return budget && !request.callerLeft && shouldRetry(*budget, retry_limits{}, failed);
 }
 
@@ -97,6 +100,7 @@
                                                .instance = target.instance,
                                                .ip = target.ip,
                                                .port = target.port,
+                                               .instanceName = target.name,
                                                .service = request.service,
                                                .accountName = request.accountName,
                                                .deadline = request.deadline - attemptMargin,
@@ -107,6 +111,7 @@
 void concludeAttempt(step_context &context, exchange &request, const attempt_result &result)
 {
     noteCapacity(context.state, request, result.outcome);
+    request.sends += result.bytesMayHaveLeft ? 1 : 0;
     takeEvidence(context, request, result);
     if (result.outcome == attempt_outcome::Answered) {
         request.sent = true;
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -81,6 +81,14 @@
     updateUpstreams(context, event);
 }
 
+void handle(step_context &context, const instance_left &event)
+{
+    if (const auto last = leave(context.state.upstreams, event.name, event.born, context.now)) {
+        followUpstreams(context);
+        context.effects.emplace_back(publish_instance{*last});
+    }
+}
+
 void handle(step_context &context, const instance_learned &event)
 {
     updateUpstreams(context, event);
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -1,6 +1,7 @@
 #include <guavafront/coordination/registry/registry.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace guavafront
 {
@@ -99,24 +100,78 @@
     announcement comparable = after;
     comparable.sequence = before.sequence;
     comparable.load = before.load;
+    comparable.warmupLeft = before.warmupLeft;
     return before != comparable;
 }
 
+bool replacesAtAddress(const announcement &a, const announcement &b)
+{
+    return a.instance != b.instance && a.ip == b.ip && a.port == b.port && a.born > b.born;
+}
+
+namespace
+{
+
+/// Removes the instances whose address has passed to the announced one; whether the announced one itself is gone,
+/// because its address has passed on.
+bool settleAddress(registry &state, const announcement &news)
+{
+    std::vector<instance_id> replaced;
+    for (const service_instances &group : state.services) {
+        for (const registered_instance &entry : group.instances) {
+            if (replacesAtAddress(entry.last, news)) {
+                return true;
+            }
+            if (replacesAtAddress(news, entry.last)) {
+                replaced.push_back(idOf(entry));
+            }
+        }
+    }
+    for (const instance_id instance : replaced) {
+        remove(state, instance);
+    }
+    return false;
+}
+
+} // namespace
+
 registry_change announce(registry &state, const announcement &news, instant now)
 {
     const registered_instance *known = findInstance(state, news.instance);
-    if (known && known->last.sequence >= news.sequence) {
+    if ((known && known->last.sequence >= news.sequence) || settleAddress(state, news)) {
         return registry_change::None;
     }
     return store(state, state.self, news, now + news.lease, now) ? registry_change::Changed : registry_change::Renewed;
 }
 
+std::optional<announcement> leave(registry &state, std::string_view name, std::uint64_t born, instant now)
+{
+    const registered_instance *known = nullptr;
+    for (const service_instances &group : state.services) {
+        for (const registered_instance &entry : group.instances) {
+            const bool meant = entry.last.name == name && (born == 0 || entry.last.born == born);
+            if (meant && (!known || known->last.born < entry.last.born)) {
+                known = &entry;
+            }
+        }
+    }
+    if (!known || known->last.state == instance_state::Leaving) {
+        return std::nullopt;
+    }
+    announcement last = known->last;
+    last.state = instance_state::Leaving;
+    last.sequence = std::numeric_limits<std::uint64_t>::max();
+    store(state, state.self, last, now + last.lease, now);
+    return last;
+}
+
 registry_change learn(registry &state, vm_id hearer, const announcement &news, instant now)
 {
     const registered_instance *known = findInstance(state, news.instance);
-    if (hearer == state.self || (known && known->last.sequence >= news.sequence)) {
+    if (hearer == state.self || (known && known->last.sequence >= news.sequence) || settleAddress(state, news)) {
         return registry_change::None;
     }
+    known = findInstance(state, news.instance);
     const bool handedOver = known && known->hearer == state.self;
     store(state, hearer, news, std::nullopt, now);
     return handedOver ? registry_change::HandedOver : registry_change::Learned;
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -203,11 +203,14 @@
     return self;
 }
 
-stored_state bootstrapState(cluster_id cluster, vm_id self)
+stored_state bootstrapState(cluster_id cluster, std::span<const vm_id> founders)
 {
     stored_state state;
     state.cluster = cluster;
-    state.log.snapshot.members.members = {{.id = self, .role = voting_role::Voter, .replaces = {}}};
+    for (const vm_id founder : founders) {
+        membership &members = state.log.snapshot.members;
+        members = withMember(members, {.id = founder, .role = voting_role::Voter, .replaces = {}});
+    }
     return state;
 }
 
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,7 @@
     bool leader = false; ///< This VM leads with a quorum that answers, so that it may accept changes.
     vm_id self; ///< This VM's identity.
     vm_id leaderVm; ///< Leader as far as known; 0 for none.
+    std::string leaderAddress; ///< Of its links; empty when it isn't known.
     membership members; ///< Control VMs, with their roles.
     std::vector<vm_id> waiting; ///< Control VMs that are there but not members.
     std::shared_ptr<const configuration> accepted; ///< Highest accepted revision that this VM knows.
@@ -37,6 +39,11 @@
     std::function<void(const control_status &)> answer; ///< Called exactly once.
 };
 
+/// Question that only a leader may answer whose quorum has confirmed it since; leader is false otherwise.
+struct current_requested {
+    std::function<void(const control_status &)> answer; ///< Called exactly once.
+};
+
 /// An operator wants a control VM replaced by one that waits, or just removed.
 struct replacement_submitted {
     vm_id old; ///< Member that goes.
@@ -53,6 +60,7 @@
 /// Control VMs that are live now, besides this one; the leader takes in those that aren't members.
 struct control_vms_seen {
     std::vector<vm_id> vms; ///< Their identities.
+    std::vector<std::string> addresses; ///< Of their links, in the same order.
 };
 
 /// Live VMs that can keep claims; the leader agrees on a view of them.
@@ -65,7 +73,7 @@
 };
 
 /// What the control task reacts to.
-using control_message = std::variant<change_submitted, status_requested, replacement_submitted, replication_from_peer,
+using control_message = std::variant<change_submitted, status_requested, current_requested, replacement_submitted, replication_from_peer,
                                      control_vms_seen, claims_members_seen, accepted_wanted>;
 
 } // namespace guavafront
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -17,6 +17,8 @@
 
 /// Least time between two views, so that the homes of one have taken over before the next one.
 constexpr duration claimsViewPause = std::chrono::seconds(2);
+/// An operator waits a second for an answer.
+constexpr duration readingLimit = std::chrono::milliseconds(800);
 
 const char *nameOf(replica_role role)
 {
@@ -40,6 +42,7 @@
     : m_options(std::move(options))
     , m_configurations(configurations)
     , m_accepted(std::make_shared<const configuration>())
+    , m_readingLimit(owner, [this] { giveUpReadings(); })
     , m_host(owner, m_options.dataFolder, m_options.freshIdentity, m_options.replica, hostEvents())
     , m_attachment(inbox, owner, [this](const control_message &message) {
         std::visit([this](const auto &each) { handle(each); }, message);
@@ -59,19 +62,63 @@
         message.answer({result_code::ChangeInvalid, m_accepted->current, "the request is too large"});
         return;
     }
+    try {
+        decodeProposal(payload); // What can't be read back would stop every replica that applies it.
+    } catch (const coordination_error &fault) {
+        message.answer({result_code::ChangeInvalid, m_accepted->current, fault.what()});
+        return;
+    }
     m_host.post(command_proposed{addPending(message.answer), std::move(payload)});
 }
 
 void control_task::handle(const status_requested &message) const
 {
     const replica &replica = m_host.state();
-    const bool leads = replica.role == replica_role::Leader && isCurrent(replica, loop::now());
-    message.answer({.leader = leads,
-                    .self = replica.options.self,
-                    .leaderVm = replica.leader,
-                    .members = replica.members,
-                    .waiting = waitingVms(),
-                    .accepted = m_accepted});
+    message.answer(statusWith(replica.role == replica_role::Leader && isCurrent(replica, loop::now())));
+}
+
+void control_task::handle(const current_requested &message)
+{
+    if (m_host.state().role != replica_role::Leader) {
+        message.answer(statusWith(false));
+        return;
+    }
+    m_readings.push_back({message.answer, loop::now()});
+    m_readingLimit.arm(readingLimit);
+}
+
+/// Answers the questions that a quorum has confirmed this leader after.
+void control_task::answerReadings(instant confirmed)
+{
+    while (!m_readings.empty() && m_readings.front().asked < confirmed) {
+        m_readings.front().answer(statusWith(true));
+        m_readings.pop_front();
+    }
+}
+
+void control_task::giveUpReadings()
+{
+    for (const pending_reading &each : std::exchange(m_readings, {})) {
+        each.answer(statusWith(false));
+    }
+}
+
+control_status control_task::statusWith(bool leads) const
+{
+    const replica &replica = m_host.state();
+    return {.leader = leads,
+            .self = replica.options.self,
+            .leaderVm = replica.leader,
+            .leaderAddress = addressOf(replica.leader),
+            .members = replica.members,
+            .waiting = waitingVms(),
+            .accepted = m_accepted};
+}
+
+std::string control_task::addressOf(vm_id vm) const
+{
+    const auto found = m_addresses.find(vm);
+    return found == m_addresses.end() ? std::string() : found->second;
 }
 
 void control_task::handle(const replacement_submitted &message)
@@ -99,6 +146,9 @@
 void control_task::handle(const control_vms_seen &message)
 {
     m_seen = message.vms;
+    for (std::size_t index = 0; index < message.addresses.size(); ++index) {
+        m_addresses[message.vms[index]] = message.addresses[index];
+    }
     admitWaiting();
 }
 
@@ -125,7 +175,8 @@
             .appended = [this](const proposal_appended &appended) { noteAppended(appended); },
             .refused =
                 [this](const proposal_refused &refused) {
-                    settle(refused.ticket, {refused.code, m_accepted->current, "not decided here"});
+                    // Whoever asked finds the leader by its address.
+                    settle(refused.ticket, {refused.code, m_accepted->current, addressOf(refused.leader)});
                 },
             .roleChanged = [this](const role_changed &role) { noteRole(role); },
             .flushed = [this] { prove(); },
@@ -200,6 +251,7 @@
               << role.leader.value;
     if (role.role != replica_role::Leader) {
         failAll();
+        giveUpReadings();
     }
 }
 
@@ -229,6 +281,7 @@
         return;
     }
     m_lastProof = *asOf;
+    answerReadings(*asOf);
     if (m_options.proved) {
         m_options.proved({m_host.state().currentTerm, m_host.state().round, m_accepted->current, *asOf});
     }
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -5,7 +5,9 @@
 #include "daemon/control/control_state.h"
 #include "daemon/control/replica_host.h"
 #include "runtime/mailbox.h"
+#include "runtime/timer.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -52,8 +54,15 @@
         std::optional<term> at; ///< Once it is in the log.
     };
 
+    /// A question that waits for a quorum to confirm this leader.
+    struct pending_reading {
+        std::function<void(const control_status &)> answer; ///< Called once.
+        instant asked; ///< When it came.
+    };
+
     void handle(const change_submitted &message);
     void handle(const status_requested &message) const;
+    void handle(const current_requested &message);
     void handle(const replacement_submitted &message);
     void handle(const replication_from_peer &message);
     void handle(const control_vms_seen &message);
@@ -70,6 +79,10 @@
     void failAll();
     void publish(std::vector<configuration_delta> deltas);
     void prove();
+    void answerReadings(instant confirmed);
+    void giveUpReadings();
+    control_status statusWith(bool leads) const;
+    std::string addressOf(vm_id vm) const;
     void admitWaiting();
     void proposeClaimsView();
     void passOnClaimsView();
@@ -84,10 +97,13 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_ticketAt; ///< Ticket by log index.
     std::uint64_t m_lastTicket = 0; ///< Last ticket given.
     std::vector<vm_id> m_seen; ///< Control VMs that are live.
+    std::unordered_map<vm_id, std::string> m_addresses; ///< Of the links of control VMs seen so far.
+    std::deque<pending_reading> m_readings; ///< Oldest first.
     std::vector<claims_member> m_claimsMembers; ///< Live VMs that can keep claims, ordered by id.
     instant m_claimsProposed; ///< When this VM last proposed a view of them.
     view_epoch m_claimsPassedOn; ///< Highest view that was passed on.
     instant m_lastProof; ///< Time of the last proof.
+    timer m_readingLimit; ///< Ends questions that no quorum confirms.
     replica_host m_host; ///< The replica.
     mailbox_attachment<control_message> m_attachment; ///< To the inbox.
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/metrics/metrics_task.h"
 #include "daemon/operators/operators_task.h"
 #include "daemon/peers/peers_task.h"
+#include "daemon/registry/registry_task.h"
 #include "runtime/signal_watch.h"
 #include "runtime/supervisor.h"
 #include "settings/settings_reader.h"
@@ -18,9 +19,12 @@
 
 #include <glog/logging.h>
 #include <sodium.h>
+#include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <iterator>
 #include <unistd.h>
 
 namespace guavafront
@@ -30,6 +34,8 @@
 {
 
 constexpr duration shortShutdown = std::chrono::seconds(5);
+/// Stands for the secret where the settings say that there is none; it is public and proves nothing.
+constexpr std::string_view privateNetworkText = "private network without a secret";
 
 vm_id drawIdentity()
 {
@@ -105,9 +111,10 @@
     return options;
 }
 
-entry_task_options entryOptions(const daemon_settings &settings, vm_id self)
+entry_task_options entryOptions(const daemon_settings &settings, vm_id self, const front_end &front)
 {
     entry_task_options options;
+    options.dialect = front.dialect;
     options.identity = {.self = self, .dataCentre = settings.vm.dataCentre};
     randombytes_buf(&options.identity.life, sizeof options.identity.life); // Another one for each life of the task.
     options.server = serverAt(settings.listen.callers, settings.entry);
@@ -129,7 +136,10 @@
     return {.name = "metrics",
             .body =
                 [&settings, &wiring, readyAtStart](loop &owner) {
-                    const metrics_task task(owner, serverAt(settings.listen.metrics, settings.entry), readyAtStart,
+                    const metrics_task task(owner,
+                                            {.server = serverAt(settings.listen.metrics, settings.entry),
+                                             .readyPath = settings.listen.readyPath,
+                                             .ready = readyAtStart},
                                             wiring.metrics, wiring.counters);
                     owner.run();
                 },
@@ -245,18 +255,34 @@
                                  owner.run();
                              },
                          .shutdownLimit = shortShutdown};
-    return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne},
-                           {std::move(control), std::move(operators)});
+    std::vector<child_spec> children{std::move(control)};
+    if (!settings.listen.operators.ip.empty()) {
+        children.push_back(std::move(operators));
+    }
+    return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne}, std::move(children));
 }
 
-child_spec entryChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self, daemon_wiring &wiring)
+/// Hears instances on a VM that serves no callers.
+child_spec registryChild(vm_id self, daemon_wiring &wiring)
+{
+    return {.name = "registry",
+            .body =
+                [self, &wiring](loop &owner) {
+                    const registry_task task(owner, self, wiring.entries, wiring.peers);
+                    owner.run();
+                },
+            .shutdownLimit = shortShutdown};
+}
+
+child_spec entryChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self, daemon_wiring &wiring,
+                      const front_end &front)
 {
     const duration drain = std::chrono::milliseconds(settings.entry.balancerGraceMs + settings.entry.drainLimitMs);
     child_spec entries{.name = "entry",
                        .body =
-                           [&settings, self, &wiring](loop &owner) {
+                           [&settings, self, &wiring, &front](loop &owner) {
                                const bool isControl = hasRole(settings, vm_role::Control);
-                               const entry_task task(owner, entryOptions(settings, self), wiring.entries,
+                               const entry_task task(owner, entryOptions(settings, self, front), wiring.entries,
                                                      {.peers = wiring.peers,
                                                       .metrics = wiring.metrics,
                                                       .configurations = wiring.configurations,
@@ -277,7 +303,11 @@
                                  },
                              .shutdownLimit = shortShutdown};
     // Upstreams announce themselves elsewhere first; the entry task still hears its own instances' last words.
-    return supervisorChild({.name = "entry"}, {std::move(entries), std::move(announcements)});
+    std::vector<child_spec> children{std::move(entries)};
+    if (!settings.listen.announcements.ip.empty()) {
+        children.push_back(std::move(announcements));
+    }
+    return supervisorChild({.name = "entry"}, std::move(children));
 }
 
 } // namespace
@@ -285,18 +315,23 @@
 daemon_secrets readSecrets(const daemon_settings &settings)
 {
     daemon_secrets secrets;
-    secrets.fleet = deriveFleetSecret(readSecretFile(settings.secrets.fleetSecretFile));
-    if (hasRole(settings, vm_role::Entry)) {
+    if (settings.peers.privateNetwork) {
+        LOG(WARNING) << "peers.privateNetwork: links prove no secret; whoever reaches the network may speak as a VM";
+        secrets.fleet = deriveFleetSecret(privateNetworkText);
+    } else {
+        secrets.fleet = deriveFleetSecret(readSecretFile(settings.secrets.fleetSecretFile));
+    }
+    if (hasRole(settings, vm_role::Entry) && !settings.listen.announcements.ip.empty()) {
         secrets.serviceToken = readSecretFile(settings.secrets.serviceTokenFile);
     }
-    if (hasRole(settings, vm_role::Control)) {
+    if (hasRole(settings, vm_role::Control) && !settings.listen.operators.ip.empty()) {
         secrets.operators = parseOperatorTokens(readSecretFile(settings.secrets.operatorTokensFile));
     }
     return secrets;
 }
 
 std::vector<child_spec> makeTree(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
-                                 daemon_wiring &wiring)
+                                 daemon_wiring &wiring, const front_end &front)
 {
     std::vector<child_spec> children{metricsChild(settings, wiring), peersChild(settings, secrets, self, wiring),
                                      configurationChild(settings, secrets, self, wiring)};
@@ -304,8 +339,11 @@
         children.push_back(controlChild(settings, secrets, self, wiring));
     }
     if (hasRole(settings, vm_role::Entry)) {
-        children.push_back(entryChild(settings, secrets, self, wiring));
+        children.push_back(entryChild(settings, secrets, self, wiring, front));
+    } else {
+        children.push_back(registryChild(self, wiring));
     }
+    std::ranges::move(front.tasks(wiring), std::back_inserter(children));
     return children;
 }
 
@@ -317,10 +355,36 @@
     if (sodium_init() < 0) {
         throw std::runtime_error("libsodium can't be initialized");
     }
-    replica_store::bootstrap(settings.vm.dataFolder, drawIdentity(), {drawIdentity().value});
+    const vm_id self = drawIdentity();
+    replica_store::bootstrap(settings.vm.dataFolder, self, {drawIdentity().value}, std::array{self});
+}
+
+vm_id founderIdentity(const endpoint &address)
+{
+    const std::string text = "founder " + toText(address);
+    const std::uint64_t value = XXH3_64bits(text.data(), text.size());
+    return {value != 0 ? value : 1};
+}
+
+void beginClusterAsFounder(const daemon_settings &settings)
+{
+    const std::vector<endpoint> &founders = settings.control.founders;
+    const bool isFounder = std::ranges::find(founders, settings.listen.peers) != founders.end();
+    if (!settings.control.firstStart || !isFounder || replica_store::isUsed(settings.vm.dataFolder)) {
+        return;
+    }
+    std::vector<vm_id> identities;
+    std::uint64_t cluster = 0;
+    for (const endpoint &each : founders) {
+        identities.push_back(founderIdentity(each));
+        cluster ^= identities.back().value;
+    }
+    LOG(INFO) << "begins the cluster as one of " << founders.size() << " founders";
+    replica_store::bootstrap(settings.vm.dataFolder, founderIdentity(settings.listen.peers),
+                             {cluster != 0 ? cluster : 1}, identities);
 }
 
-void runDaemon(const daemon_settings &settings)
+void runDaemon(const daemon_settings &settings, const front_end &front)
 {
     if (sodium_init() < 0) {
         throw std::runtime_error("libsodium can't be initialized");
@@ -328,6 +392,9 @@
     const daemon_secrets secrets = readSecrets(settings);
     // A control VM's identity lives as long as its data folder.
     const bool isControl = hasRole(settings, vm_role::Control);
+    if (isControl) {
+        beginClusterAsFounder(settings);
+    }
     const vm_id self = isControl ? replica_store(settings.vm.dataFolder, drawIdentity()).self() : drawIdentity();
     daemon_wiring wiring;
     loop root;
@@ -338,8 +405,9 @@
         }
         root.requestStop();
     });
+    const signal_watch ignoreReload(root, {SIGHUP}, [] { LOG(INFO) << "SIGHUP: nothing to reload"; });
     LOG(INFO) << settings.vm.name << ": VM " << std::hex << self.value << " in " << settings.vm.dataCentre << " starts";
-    supervisor(supervisor_options{.name = "root"}, makeTree(settings, secrets, self, wiring)).run(root);
+    supervisor(supervisor_options{.name = "root"}, makeTree(settings, secrets, self, wiring, front)).run(root);
     LOG(INFO) << settings.vm.name << " has stopped";
 }
 
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -1,7 +1,6 @@
 #include "daemon/entry/entry_task.h"
 
 #include "daemon/fleet/shared_state.h"
-#include "http/header_filter.h"
 #include "http/http_message.h"
 #include "wire/answer_codec.h"
 #include "wire/claims_codec.h"
@@ -10,8 +9,6 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <glog/logging.h>
-#include <sodium.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <cassert>
@@ -24,28 +21,12 @@
 {
 
 constexpr duration idleGraceWhenStopping = std::chrono::milliseconds(200);
-constexpr std::string_view notRunHeader = "X-Guavafront-Not-Run";
 constexpr std::string_view replayedHeader = "Idempotent-Replayed";
-constexpr std::string_view accountHeader = "X-Guavafront-Account";
-constexpr std::string_view deadlineHeader = "X-Guavafront-Deadline-Ms";
-
-std::optional<key_hash> hashOfKey(std::string_view key)
-{
-    if (key.empty()) {
-        return std::nullopt;
-    }
-    key_hash hash;
-    crypto_hash_sha256(reinterpret_cast<unsigned char *>(hash.data()),
-                       reinterpret_cast<const unsigned char *>(key.data()), key.size());
-    return hash;
-}
-
-attempt_outcome outcomeOf(const upstream_outcome &outcome)
+attempt_outcome outcomeOf(const caller_dialect &dialect, const upstream_outcome &outcome)
 {
     switch (outcome.result) {
     case upstream_result::Answered:
-        return headerValue(viewsOf(outcome.answer.headers), notRunHeader) == "true" ? attempt_outcome::RefusedNotRun
-                                                                                    : attempt_outcome::Answered;
+        return dialect.judge(outcome.answer);
     case upstream_result::ConnectFailed:
         return attempt_outcome::ConnectFailed;
     case upstream_result::Closed:
@@ -60,35 +41,21 @@
     return attempt_outcome::Cancelled;
 }
 
-/// Header fields for the upstream: the caller's without key and identity, then ours.
-std::vector<http_header> headersFor(const http_request &request, const start_attempt &effect, duration timeLeft)
+/// Bounds of callers' connections: the configuration's, else the settings'.
+connection_limits limitsFrom(const http_server_options &settings, const caller_limits &limits)
 {
-    std::vector<http_header> headers = upstreamHeaders(request.headers, callerKey(request.headers));
-    if (!effect.accountName.empty()) {
-        headers.push_back({std::string(accountHeader), effect.accountName});
-    }
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-    headers.push_back({std::string(deadlineHeader), std::to_string(milliseconds)});
-    return headers;
+    const auto millisecondsOr = [](std::uint32_t given, duration fallback) -> duration {
+        return given > 0 ? std::chrono::milliseconds(given) : fallback;
+    };
+    return {.message = {.headerBytes = limits.headerBytes > 0 ? limits.headerBytes : settings.headerLimitBytes,
+                        .bodyBytes = limits.bodyBytes > 0 ? limits.bodyBytes : settings.bodyLimitBytes},
+            .idleTimeout = millisecondsOr(limits.idleTimeoutMs, settings.idleTimeout),
+            .headerTimeout = millisecondsOr(limits.headerTimeoutMs, settings.headerTimeout),
+            .receiveTimeout = settings.receiveTimeout};
 }
 
 } // namespace
 
-request_digest digestOf(const http_request &request)
-{
-    XXH3_state_t *state = XXH3_createState();
-    XXH3_128bits_reset(state);
-    for (const std::string_view part : {request.method, request.host, request.path, request.query}) {
-        const std::uint64_t size = part.size();
-        XXH3_128bits_update(state, &size, sizeof size);
-        XXH3_128bits_update(state, part.data(), part.size());
-    }
-    XXH3_128bits_update(state, request.body.data(), request.body.size());
-    const XXH128_hash_t digest = XXH3_128bits_digest(state);
-    XXH3_freeState(state);
-    return {.high = digest.high64, .low = digest.low64};
-}
-
 entry_task::entry_task(loop &owner, entry_task_options options, mailbox<entry_event> &inbox, entry_task_outlets outlets,
                        daemon_counters &counters)
     : m_loop(owner)
@@ -125,15 +92,15 @@
 void entry_task::receive(exchange_id id, const http_request &request)
 {
     m_requests.emplace(id, caller_request{.request = request, .arrived = loop::now()});
-    run(request_arrived{{.id = id,
-                         .method = request.method,
-                         .host = request.host,
-                         .path = request.path,
-                         .key = hashOfKey(callerKey(request.headers)),
-                         .idempotencyKey = headerValue(request.headers, "Idempotency-Key"),
-                         .digest = digestOf(request),
-                         .bodyBytes = static_cast<std::uint32_t>(request.body.size()),
-                         .keyInContent = contentHoldsKey(request, callerKey(request.headers))}});
+    request_head head;
+    try {
+        head = m_options.dialect.headOf(request);
+    } catch (const coordination_error &fault) {
+        perform(refuse_request{id, {.code = fault.code(), .ran = execution::NotRun}, {}, {}});
+        return;
+    }
+    head.id = id;
+    run(request_arrived{head});
 }
 
 void entry_task::callerGone(exchange_id id)
@@ -152,6 +119,7 @@
     const std::uint64_t held = m_state.current->current.value;
     if (std::holds_alternative<configuration_changed>(event)) {
         m_configurations.post(configuration_applied{{held}}); // Every request from now on is served by it.
+        m_server.setLimits(limitsFrom(m_options.server, m_state.current->limits));
     }
     m_counters.setRevision(held);
     if (!m_ready && held > 0) {
@@ -168,12 +136,8 @@
     caller.accountName = effect.accountName;
     caller.service = effect.service;
     const duration timeLeft = std::max(effect.deadline - loop::now(), duration(1));
-    const std::vector<http_header> headers = headersFor(caller.request, effect, timeLeft);
-    const std::string query = upstreamQuery(caller.request.query, callerKey(caller.request.headers));
-    std::string target(caller.request.path);
-    if (!query.empty()) {
-        target += "?" + query;
-    }
+    const std::vector<http_header> headers = m_options.dialect.upstreamHeaders(caller.request, effect, timeLeft);
+    const std::string target = m_options.dialect.upstreamTarget(caller.request);
     const std::vector<header_view> views = viewsOf(headers);
     m_attemptStarts[effect.id] = loop::now();
     m_pool.send(
@@ -183,6 +147,7 @@
          .target = target,
          .headers = views,
          .body = caller.request.body,
+         .echoed = m_options.dialect.echoedField(caller.request),
          .timeout = timeLeft},
         [this, id = effect.id](const upstream_outcome &outcome, bool newConnection) {
             attemptEnded(id, outcome, newConnection);
@@ -193,7 +158,7 @@
 {
     const instant started = m_attemptStarts[id];
     m_attemptStarts.erase(id);
-    attempt_result result{.outcome = outcomeOf(outcome),
+    attempt_result result{.outcome = outcomeOf(m_options.dialect, outcome),
                           .bytesMayHaveLeft = outcome.mayHaveLeft,
                           .newConnection = newConnection,
                           .status = static_cast<std::uint16_t>(outcome.answer.status),
@@ -215,7 +180,7 @@
         return {};
     }
     http_answer answer = outcome.answer;
-    answer.headers = callerHeaders(viewsOf(answer.headers));
+    answer.headers = m_options.dialect.callerHeaders(viewsOf(answer.headers));
     return encodeAnswer(answer);
 }
 
@@ -232,7 +197,7 @@
         return;
     }
     http_answer &answer = found->second.answer;
-    answer.headers = callerHeaders(viewsOf(answer.headers));
+    answer.headers = m_options.dialect.callerHeaders(viewsOf(answer.headers));
     count(found->second, result_code::Ok, static_cast<std::uint16_t>(answer.status));
     m_server.answer(effect.id, answer);
     m_requests.erase(found);
@@ -275,7 +240,7 @@
     found->second.service = effect.service;
     found->second.accountName = effect.accountName;
     count(found->second, effect.reason.code, describe(effect.reason.code).httpStatus);
-    m_server.answer(effect.id, refusalAnswer(effect.reason));
+    m_server.answer(effect.id, m_options.dialect.refusalAnswer(effect.reason));
     m_requests.erase(found);
 }
 
@@ -339,6 +304,7 @@
 {
     LOG(INFO) << "planned stop: " << m_requests.size() << " requests under way";
     m_metrics.post(readiness_changed{false});
+    m_server.announceClose();
     m_balancerGrace.arm(m_options.balancerGrace);
 }
 
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/configuration/configuration_message.h"
+#include "daemon/entry/caller_dialect.h"
 #include "daemon/entry/upstream_pool.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
@@ -25,6 +26,7 @@
     entry_policy policy; ///< Of its decisions.
     http_server_options server; ///< Where callers come in.
     upstream_pool_options pool; ///< Connections to upstreams.
+    caller_dialect dialect = ownDialect(); ///< How callers and upstreams word their messages.
     duration balancerGrace = std::chrono::seconds(5); ///< From "not ready" to the end of listening.
     duration drainLimit = std::chrono::seconds(30); ///< A planned stop waits no longer for running requests.
     std::uint64_t seed = 0; ///< Of the random numbers.
@@ -100,7 +102,4 @@
     mailbox_attachment<entry_event> m_attachment; ///< To the inbox.
 };
 
-/// Digest of a request's method, target and body.
-request_digest digestOf(const http_request &request);
-
 } // namespace guavafront
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -77,12 +77,16 @@
 {
     live_vms_changed others{.vms = othersWith(view, EntryRole | ControlRole, m_self.id), .entries = {}};
     if ((m_self.roles & ControlRole) != 0) {
-        m_wiring.control.post(control_vms_seen{othersWith(view, ControlRole, m_self.id)});
+        control_vms_seen seen{.vms = othersWith(view, ControlRole, m_self.id), .addresses = {}};
+        for (const vm_id vm : seen.vms) {
+            seen.addresses.push_back(std::ranges::find(view.live, vm, &member_record::id)->address);
+        }
+        m_wiring.control.post(std::move(seen));
         others.entries = entriesSeen(view);
     }
     m_wiring.configurations.post(std::move(others));
+    tellOfHearers(othersWith(view, EntryRole | ControlRole, m_self.id));
     std::vector<vm_id> entries = othersWith(view, EntryRole, m_self.id);
-    tellOfHearers(entries);
     m_entries = entries;
     entries.insert(std::ranges::upper_bound(entries, m_self.id), m_self.id);
     tellEntry(limit_members_changed{std::move(entries)});
@@ -114,12 +118,13 @@
     }
 }
 
-void fleet_watch::tellOfHearers(const std::vector<vm_id> &entries)
+void fleet_watch::tellOfHearers(std::vector<vm_id> hearers)
 {
     std::vector<vm_id> lost;
-    std::ranges::set_difference(m_entries, entries, std::back_inserter(lost));
+    std::ranges::set_difference(m_hearers, hearers, std::back_inserter(lost));
     std::vector<vm_id> found;
-    std::ranges::set_difference(entries, m_entries, std::back_inserter(found));
+    std::ranges::set_difference(hearers, m_hearers, std::back_inserter(found));
+    m_hearers = std::move(hearers);
     for (const vm_id vm : lost) {
         tellEntry(hearer_changed{vm, false});
         tellEntry(health_report_lost{vm});
@@ -148,9 +153,7 @@
 
 void fleet_watch::tellEntry(entry_event event)
 {
-    if ((m_self.roles & EntryRole) != 0) {
-        m_wiring.entries.post(std::move(event));
-    }
+    m_wiring.entries.post(std::move(event)); // Entry VMs choose by it; the others hear instances.
 }
 
 void fleet_watch::noteClaimsMember(const spread_entry &entry)
--- a/src/daemon/fleet/fleet_watch.h
+++ b/src/daemon/fleet/fleet_watch.h
@@ -32,7 +32,7 @@
     void handle(const beacon_state &beacon);
 
 private:
-    void tellOfHearers(const std::vector<vm_id> &entries);
+    void tellOfHearers(std::vector<vm_id> hearers);
     void tellOfFreshness();
     void noteClaimsMember(const spread_entry &entry);
     void tellOfClaimsMembers();
@@ -42,6 +42,7 @@
 
     peer_identity m_self; ///< This VM.
     daemon_wiring &m_wiring; ///< Not owned.
+    std::vector<vm_id> m_hearers; ///< Other VMs that may hear instances and live, ordered by id.
     std::vector<vm_id> m_entries; ///< Other entry VMs that live, ordered by id.
     std::map<vm_id, claims_member> m_claimsMembers; ///< VMs that can keep claims, live or not.
     freshness_changed m_freshness; ///< As last told.
--- a/src/daemon/metrics/metrics_task.cpp
+++ b/src/daemon/metrics/metrics_task.cpp
@@ -24,11 +24,12 @@
 
 } // namespace
 
-metrics_task::metrics_task(loop &owner, http_server_options options, bool ready, mailbox<metrics_message> &inbox,
+metrics_task::metrics_task(loop &owner, metrics_task_options options, mailbox<metrics_message> &inbox,
                            daemon_counters &counters)
     : m_counters(counters)
-    , m_ready(ready)
-    , m_server(owner, std::move(options),
+    , m_readyPath(std::move(options.readyPath))
+    , m_ready(options.ready)
+    , m_server(owner, std::move(options.server),
                {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
                 .onCallerGone =
                     [](exchange_id) {
@@ -51,7 +52,7 @@
     if (request.path == "/live") {
         return textAnswer(statusOk, "live\n");
     }
-    if (request.path == "/ready") {
+    if (request.path == m_readyPath) {
         return m_ready ? textAnswer(statusOk, "ready\n") : textAnswer(statusUnavailable, "not ready\n");
     }
     return textAnswer(statusNotFound, "no such page\n");
--- a/src/daemon/metrics/metrics_task.h
+++ b/src/daemon/metrics/metrics_task.h
@@ -8,13 +8,19 @@
 namespace guavafront
 {
 
-/// Serves /metrics, and /live and /ready for the balancer. It starts first and stops last.
+/// Settings of the metrics task.
+struct metrics_task_options {
+    http_server_options server; ///< Where the balancer and the collector come in.
+    std::string readyPath = "/ready"; ///< Path that tells the balancer whether callers may be sent here.
+    bool ready = false; ///< Its answer until the first message.
+};
+
+/// Serves /metrics, and /live and the ready path for the balancer. It starts first and stops last.
 class metrics_task
 {
 public:
-    /// Listens and takes messages from inbox; ready is the answer of /ready until the first one. Throws
-    /// coordination_error (SettingInvalid).
-    metrics_task(loop &owner, http_server_options options, bool ready, mailbox<metrics_message> &inbox,
+    /// Listens and takes messages from inbox. Throws coordination_error (SettingInvalid).
+    metrics_task(loop &owner, metrics_task_options options, mailbox<metrics_message> &inbox,
                  daemon_counters &counters);
 
 private:
@@ -22,7 +28,8 @@
     http_answer answerFor(const http_request &request);
 
     daemon_counters &m_counters; ///< Not owned.
-    bool m_ready; ///< As /ready answers.
+    std::string m_readyPath; ///< As constructed.
+    bool m_ready; ///< As the ready path answers.
     http_server m_server; ///< The balancer's and the collector's connections.
     mailbox_attachment<metrics_message> m_attachment; ///< To the inbox.
 };
--- /dev/null
+++ b/src/daemon/registry/registry_task.cpp
@@ -0,0 +1,85 @@
+#include "daemon/registry/registry_task.h"
+
+#include "daemon/fleet/shared_state.h"
+
+#include <glog/logging.h>
+
+#include <variant>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration expiryPeriod = std::chrono::seconds(1); // Leases last tens of seconds.
+
+} // namespace
+
+registry_task::registry_task(loop &owner, vm_id self, mailbox<entry_event> &inbox, mailbox<peers_message> &peers)
+    : m_peers(peers)
+    , m_timer(owner, [this] { tick(); })
+    , m_attachment(inbox, owner, [this](const entry_event &event) {
+        std::visit([this](const auto &each) { handle(each); }, event);
+    })
+{
+    m_state.self = self;
+    m_timer.arm(expiryPeriod);
+    m_peers.post(resend_state{});
+}
+
+void registry_task::handle(const instance_announced &event)
+{
+    if (announce(m_state, event.news, loop::now()) == registry_change::Changed) {
+        m_peers.post(publicationOf(publish_instance{event.news}));
+    }
+}
+
+void registry_task::handle(const instance_left &event)
+{
+    if (const auto last = leave(m_state, event.name, event.born, loop::now())) {
+        m_peers.post(publicationOf(publish_instance{*last}));
+    }
+}
+
+void registry_task::handle(const instance_learned &event)
+{
+    if (learn(m_state, event.hearer, event.news, loop::now()) == registry_change::HandedOver) {
+        m_peers.post(publicationOf(withdraw_instance{event.news.instance}));
+    }
+}
+
+void registry_task::handle(const instance_forgotten &event)
+{
+    forget(m_state, event.hearer, event.instance);
+}
+
+void registry_task::handle(const hearer_changed &event)
+{
+    if (event.reachable) {
+        onHearerFound(m_state, event.hearer);
+    } else {
+        onHearerLost(m_state, event.hearer, loop::now());
+    }
+}
+
+void registry_task::handle(const publications_lost & /*event*/)
+{
+    for (const service_instances &service : m_state.services) {
+        for (const registered_instance &each : service.instances) {
+            if (each.hearer == m_state.self) {
+                m_peers.post(publicationOf(publish_instance{each.last}));
+            }
+        }
+    }
+}
+
+void registry_task::tick()
+{
+    for (const instance_id instance : expire(m_state, loop::now())) {
+        m_peers.post(publicationOf(withdraw_instance{instance}));
+    }
+    m_timer.arm(expiryPeriod);
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/registry/registry_task.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "daemon/peers/peers_message.h"
+#include "runtime/loop.h"
+#include "runtime/mailbox.h"
+#include "runtime/timer.h"
+
+#include <guavafront/coordination/entry/entry_event.h>
+#include <guavafront/coordination/registry/registry.h>
+
+namespace guavafront
+{
+
+/// Hears upstream instances at a VM that serves no callers, and answers for them to the other VMs.
+class registry_task
+{
+public:
+    /// Takes the announcements among the events of inbox; the others concern callers and are dropped.
+    registry_task(loop &owner, vm_id self, mailbox<entry_event> &inbox, mailbox<peers_message> &peers);
+
+private:
+    void handle(const instance_announced &event);
+    void handle(const instance_left &event);
+    void handle(const instance_learned &event);
+    void handle(const instance_forgotten &event);
+    void handle(const hearer_changed &event);
+    void handle(const publications_lost &event);
+    template<class other>
+    void handle(const other & /*event*/)
+    {
+    }
+
+    void tick();
+
+    mailbox<peers_message> &m_peers; ///< Not owned.
+    registry m_state; ///< All announced instances.
+    timer m_timer; ///< Ends leases.
+    mailbox_attachment<entry_event> m_attachment; ///< To the inbox.
+};
+
+} // namespace guavafront
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,3 +1,4 @@
+#include "platform/platform_command.h"
 #include "daemon/daemon.h"
 #include "program/announce_command.h"
 #include "program/command_action.h"
@@ -114,6 +115,7 @@
     addAnnounceCommand(app, action);
     addLoadCommand(app, action);
     addReportCommand(app, action);
+    addPlatformCommand(app, action);
     addVersionCommand(app, action);
     try {
         app.parse(argc, argv);
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -29,7 +29,8 @@
     endpoint peers; ///< Links to the fleet's other VMs.
     endpoint operators; ///< HTTP for operators (control).
     endpoint announcements; ///< HTTP for upstreams' announcements (entry).
-    endpoint metrics; ///< HTTP for /metrics, /live and /ready.
+    endpoint metrics; ///< HTTP for /metrics, /live and readyPath.
+    std::string readyPath = "/ready"; ///< Path that tells the balancer whether callers may be sent here.
 };
 
 /// Links to other VMs.
@@ -37,6 +38,7 @@
     endpoint advertise; ///< Where other VMs reach listen.peers when it differs, as behind a relay; empty: listen.peers.
     std::vector<endpoint> seeds; ///< Peers' addresses to join by, control VMs first.
     std::uint32_t fleetSize = 48; ///< Most entry VMs that ever run at once; the same on all VMs.
+    bool privateNetwork = false; ///< Links prove no secret: the network lets no one else in.
 };
 
 /// Files that hold secrets; refused when others than the owner and group may read them.
@@ -48,7 +50,9 @@
 
 /// The control's replicated log.
 struct control_settings {
-    std::uint32_t voters = 3; ///< Control VMs that vote, 3 or 5; the same on all control VMs.
+    std::uint32_t voters = 3; ///< Control VMs that vote, an odd number; the same on all control VMs.
+    std::vector<endpoint> founders; ///< Peers' addresses of the VMs that begin the cluster together at the first start.
+    bool firstStart = false; ///< The whole fleet starts for the first time; a founder without data begins the cluster.
 };
 
 /// Limits of an entry VM against overload of its own.
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -109,6 +109,15 @@
         value = found.get<std::string>();
     }
 
+    void read(std::string_view path, const json &found, bool &value)
+    {
+        if (!found.is_boolean()) {
+            fault(path, "must be true or false");
+            return;
+        }
+        value = found.get<bool>();
+    }
+
     void read(std::string_view path, const json &found, endpoint &value)
     {
         const auto parsed = found.is_string() ? parseEndpoint(found.get_ref<const std::string &>()) : std::nullopt;
@@ -235,6 +244,10 @@
     if (values.vm.roles.empty()) {
         faults.push_back({result_code::SettingInvalid, "vm.roles", "must name at least one role"});
     }
+    if (!values.peers.privateNetwork && values.secrets.fleetSecretFile.empty()) {
+        faults.push_back({result_code::SettingInvalid, "secrets.fleetSecretFile",
+                          "is required unless peers.privateNetwork says that no one else can reach the links"});
+    }
     if (hasRole(values, vm_role::Entry)) {
         require(!values.listen.callers.ip.empty(), "listen.callers", "entry");
         require(!values.listen.announcements.ip.empty(), "listen.announcements", "entry");
@@ -251,7 +264,7 @@
 void checkValues(const daemon_settings &values, std::vector<setting_fault> &faults)
 {
     if (values.control.voters % 2 == 0) {
-        faults.push_back({result_code::SettingInvalid, "control.voters", "must be 3 or 5"});
+        faults.push_back({result_code::SettingInvalid, "control.voters", "must be odd"});
     }
     if (values.vm.name.size() > maxNameBytes) {
         faults.push_back(
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -79,13 +79,21 @@
     m_rewrite = false;
 }
 
-void replica_store::bootstrap(const std::string &folder, vm_id self, cluster_id cluster)
+bool replica_store::isUsed(const std::string &folder)
+{
+    std::error_code ignored; // A folder that can't be read is reported when it is opened.
+    const std::uintmax_t size = std::filesystem::file_size(folder + "/" + journalName, ignored);
+    return !ignored && size > 0;
+}
+
+void replica_store::bootstrap(const std::string &folder, vm_id self, cluster_id cluster,
+                              std::span<const vm_id> founders)
 {
     replica_store store(folder, self);
     if (store.m_self != self || store.m_state.cluster.value != 0) {
         throw coordination_error(result_code::SubjectExists, "the data folder " + folder + " is in use already");
     }
-    store.m_state = bootstrapState(cluster, self);
+    store.m_state = bootstrapState(cluster, founders);
     store.rewrite();
 }
 
--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -36,8 +36,12 @@
     /// Bytes of the journal.
     std::uint64_t size() const;
 
-    /// Creates the journal of the first member of a new cluster. Throws SubjectExists when the folder has one.
-    static void bootstrap(const std::string &folder, vm_id self, cluster_id cluster);
+    /// Creates the journal of a founder of a new cluster; self is one of founders. Throws SubjectExists when the folder
+    /// has one.
+    static void bootstrap(const std::string &folder, vm_id self, cluster_id cluster, std::span<const vm_id> founders);
+
+    /// Whether the folder holds a journal.
+    static bool isUsed(const std::string &folder);
 
 private:
     void load();
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -1,6 +1,8 @@
 #include "wire/change_json.h"
 
 #include "wire/cbor_fields.h"
+#include "wire/configuration_codec.h"
+#include "wire/deflate.h"
 
 #include <guavafront/coordination/configuration/validation.h>
 #include <guavafront/coordination/core/coordination_error.h>
@@ -18,6 +20,8 @@
 
 /// Longest text of a field that has no limit of its own; validate() applies the narrower ones.
 constexpr std::size_t maxTextBytes = 1024;
+/// Parts that one route may be split into.
+constexpr std::size_t maxSplitParts = 64;
 
 std::vector<std::string> textsFromJson(const json &values)
 {
@@ -74,6 +78,16 @@
     return json::array({edit.subject, edit.setting});
 }
 
+json fieldsOf(const replace_all &edit)
+{
+    return json::array({cborBytes(deflated(encodeConfiguration(edit.value)))});
+}
+
+void read(cbor_fields &fields, replace_all &edit)
+{
+    edit.value = decodeConfiguration(inflated(fields.bytes(maxChangesBytes), maxConfigurationBytes));
+}
+
 void read(cbor_fields &fields, set_defaults &edit)
 {
     edit.values = defaultsFromJson(fields.array(maxTextBytes));
@@ -155,7 +169,11 @@
 
 json toJson(const account &value)
 {
-    return json::array({value.id.value, value.name, value.kindOrder});
+    json fields = json::array({value.id.value, value.name, value.kindOrder});
+    if (value.priority > 0) {
+        fields.push_back(value.priority);
+    }
+    return fields;
 }
 
 json toJson(const account_key &value)
@@ -165,8 +183,18 @@
 
 json toJson(const route &value)
 {
-    return json::array({value.id.value, value.host, value.pathPrefix, value.service, value.kind, value.openToAll,
-                        value.ordered, static_cast<std::uint8_t>(value.repeats), value.timeoutMs});
+    json fields = json::array({value.id.value, value.host, value.pathPrefix, value.service, value.kind,
+                               value.openToAll, value.ordered, static_cast<std::uint8_t>(value.repeats),
+                               value.timeoutMs});
+    const bool plain = value.split.empty() && value.targetLatencyMs == 0 && value.priority == 0;
+    if (!plain || value.maxAttempts > 0) {
+        json parts = json::array();
+        for (const weighted_service &each : value.split) {
+            parts.push_back(json::array({each.service, each.weight}));
+        }
+        fields.insert(fields.end(), {std::move(parts), value.targetLatencyMs, value.priority, value.maxAttempts});
+    }
+    return fields;
 }
 
 json toJson(const setting_exception &value)
@@ -192,11 +220,16 @@
 
 account accountFromJson(const json &value)
 {
-    cbor_fields fields(value, "account", 3);
+    constexpr std::size_t plainFields = 3;
+    const bool ranked = value.is_array() && value.size() > plainFields;
+    cbor_fields fields(value, "account", ranked ? plainFields + 1 : plainFields);
     account result;
     result.id.value = fields.whole<std::uint32_t>();
     result.name = fields.text(maxTextBytes);
     result.kindOrder = textsFromJson(fields.array(maxKindsPerAccount));
+    if (ranked) {
+        result.priority = fields.whole<std::uint32_t>();
+    }
     return result;
 }
 
@@ -212,7 +245,9 @@
 
 route routeFromJson(const json &value)
 {
-    cbor_fields fields(value, "route", 9);
+    constexpr std::size_t plainFields = 9;
+    const bool extended = value.is_array() && value.size() > plainFields;
+    cbor_fields fields(value, "route", extended ? plainFields + 4 : plainFields);
     route result;
     result.id.value = fields.whole<std::uint32_t>();
     result.host = fields.text(maxTextBytes);
@@ -223,6 +258,17 @@
     result.ordered = fields.boolean();
     result.repeats = fields.oneOf(repeatability::NotRepeatable);
     result.timeoutMs = fields.whole<std::uint32_t>();
+    if (extended) {
+        for (const json &part : fields.array(maxSplitParts)) {
+            cbor_fields partFields(part, "route part", 2);
+            weighted_service each{.service = partFields.text(maxTextBytes)};
+            each.weight = partFields.real();
+            result.split.push_back(std::move(each));
+        }
+        result.targetLatencyMs = fields.whole<std::uint32_t>();
+        result.priority = fields.whole<std::uint32_t>();
+        result.maxAttempts = fields.whole<std::uint32_t>();
+    }
     return result;
 }
 
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -42,14 +42,35 @@
 
 json configurationToJson(const configuration &value)
 {
-    return json::array({configurationFormatVersion, value.current.value, toJson(value.defaults),
-                        listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
-                        listToJson(value.exceptions), value.lastAccount.value, value.lastRoute.value});
+    json fields = json::array({configurationFormatVersion, value.current.value, toJson(value.defaults),
+                               listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
+                               listToJson(value.exceptions), value.lastAccount.value, value.lastRoute.value});
+    const caller_limits &limits = value.limits;
+    if (value.externalVersion > 0) {
+        fields.push_back(
+            json::array({limits.headerBytes, limits.bodyBytes, limits.headerTimeoutMs, limits.idleTimeoutMs}));
+        fields.push_back(value.externalVersion);
+        fields.push_back(value.document);
+    }
+    return fields;
+}
+
+caller_limits limitsFromJson(const json &encoded)
+{
+    cbor_fields fields(encoded, "caller limits", 4);
+    caller_limits limits;
+    limits.headerBytes = fields.whole<std::uint32_t>();
+    limits.bodyBytes = fields.whole<std::uint32_t>();
+    limits.headerTimeoutMs = fields.whole<std::uint32_t>();
+    limits.idleTimeoutMs = fields.whole<std::uint32_t>();
+    return limits;
 }
 
 configuration configurationFromJson(const json &encoded)
 {
-    cbor_fields fields(encoded, "configuration", 9);
+    constexpr std::size_t ownFields = 9;
+    const bool fromOutside = encoded.is_array() && encoded.size() > ownFields;
+    cbor_fields fields(encoded, "configuration", fromOutside ? ownFields + 3 : ownFields);
     fields.version(configurationFormatVersion);
     configuration value;
     value.current.value = fields.whole<std::uint64_t>();
@@ -60,6 +81,11 @@
     value.exceptions = listFromJson(fields.array(unbounded), exceptionFromJson);
     value.lastAccount.value = fields.whole<std::uint32_t>();
     value.lastRoute.value = fields.whole<std::uint32_t>();
+    if (fromOutside) {
+        value.limits = limitsFromJson(fields.array(unbounded));
+        value.externalVersion = fields.whole<std::uint64_t>();
+        value.document = fields.text(maxConfigurationBytes);
+    }
     validate(value);
     return value;
 }
--- /dev/null
+++ b/src/wire/deflate.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+namespace guavafront
+{
+
+/// Bytes in the zlib format (RFC 1950).
+std::vector<std::byte> deflated(std::span<const std::byte> plain);
+
+/// The bytes before deflated(). Throws coordination_error (MessageMalformed, MessageTooLarge over limitBytes).
+std::vector<std::byte> inflated(std::span<const std::byte> packed, std::size_t limitBytes);
+
+} // namespace guavafront
--- a/src/wire/registry_codec.cpp
+++ b/src/wire/registry_codec.cpp
@@ -13,18 +13,21 @@
 {
 
 constexpr std::size_t maxAnnouncementBytes = 1'024;
-constexpr std::size_t fieldCount = 10;
+constexpr std::size_t fieldCount = 12;
+constexpr std::size_t maxInstanceNameBytes = 128;
 
 announcement fromArray(const nlohmann::json &fields)
 {
     if (!fields.is_array() || fields.size() != fieldCount) {
-        throw coordination_error(result_code::MessageMalformed, "announcement: not an array of ten fields");
+        throw coordination_error(result_code::MessageMalformed, "announcement: not an array of twelve fields");
     }
     const std::optional<instance_state> state = parseState(fields[7].get_ref<const std::string &>());
     if (!state) {
         throw coordination_error(result_code::MessageMalformed, "announcement: unknown state");
     }
     return {.instance = {fields[0].get<std::uint64_t>()},
+            .name = fields[10].get<std::string>(),
+            .born = fields[11].get<std::uint64_t>(),
             .sequence = fields[1].get<std::uint64_t>(),
             .service = fields[2].get<std::string>(),
             .ip = fields[3].get<std::string>(),
@@ -42,7 +45,8 @@
 {
     const auto leaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(value.lease).count();
     const nlohmann::json fields{value.instance.value, value.sequence, value.service,          value.ip,   value.port,
-                                value.dataCentre,     value.slots,    stateName(value.state), value.load, leaseMs};
+                                value.dataCentre,     value.slots,    stateName(value.state), value.load, leaseMs,
+                                value.name,           value.born};
     const std::vector<std::uint8_t> encoded = nlohmann::json::to_cbor(fields);
     const auto bytes = std::as_bytes(std::span(encoded));
     return {bytes.begin(), bytes.end()};
@@ -56,6 +60,9 @@
     try {
         const auto *first = reinterpret_cast<const std::uint8_t *>(bytes.data());
         announcement value = fromArray(nlohmann::json::from_cbor(first, first + bytes.size()));
+        if (value.name.size() > maxInstanceNameBytes) {
+            throw coordination_error(result_code::MessageMalformed, "announcement: the name is too long");
+        }
         if (const std::optional<std::string> fault = findFault(value)) {
             throw coordination_error(result_code::MessageMalformed, "announcement: " + *fault);
         }
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -29,7 +29,7 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "control_cluster_XXXXXX").string();
         m_folder = mkdtemp(pattern.data());
-        replica_store::bootstrap(folderOf(0), {1}, {7});
+        replica_store::bootstrap(folderOf(0), {1}, {7}, std::array{vm_id{1}});
         for (std::size_t vm = 0; vm < vms; ++vm) {
             m_vms.push_back(std::make_unique<control_vm>());
         }
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -54,7 +54,7 @@
     : m_random(seed)
     , m_targetVoters(vms)
 {
-    addVm({++m_lastVm}, bootstrapState({7}, {1}));
+    addVm({++m_lastVm}, bootstrapState({7}, std::array{vm_id{1}}));
     while (m_lastVm < vms) {
         addVm({++m_lastVm}, {});
     }
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -29,7 +29,7 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "replica_store_XXXXXX").string();
         folder = mkdtemp(pattern.data());
-        replica_store::bootstrap(folder, {11}, {7});
+        replica_store::bootstrap(folder, {11}, {7}, std::array{vm_id{11}});
         replica_store store(folder, {99});
         states.push_back(store.state());
         store.write(write_vote{{7}, {3}, {11}});
@@ -194,7 +194,7 @@
 
 BOOST_AUTO_TEST_CASE(bootstrap_folderInUse_refused)
 {
-    BOOST_CHECK_THROW(replica_store::bootstrap(folder, {12}, {8}), coordination_error);
+    BOOST_CHECK_THROW(replica_store::bootstrap(folder, {12}, {8}, std::array{vm_id{12}}), coordination_error);
     BOOST_CHECK(replica_store(folder, {99}).state() == states.back());
 }
 
