Choose instances by affinity and tell the whole fleet of each failure at once

Change: coordination/avoidance holds an instance for 5 s from the first failure that any VM saw, then lets one trial request decide; signs go through two control VMs to all entry VMs; routing/affinity gives each VM an order of near instances, so that connections are reused, and weighs reported load and speed; decision_log writes one JSON line a decision; instance news goes to all VMs directly, the spread repairs.

--- a/include/guavafront/coordination/entry/attempt_result.h
+++ b/include/guavafront/coordination/entry/attempt_result.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/core/time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace guavafront
 {
@@ -26,6 +27,8 @@
     std::uint16_t status = 0; ///< HTTP status when answered.
     duration connectTime{}; ///< Time to set the connection up; 0 on a kept one.
     duration latency{}; ///< From the start of the try to its end.
+    std::optional<std::uint32_t> reportedLoad; ///< Requests that run and wait at the instance, in its own words.
+    bool wrongInstance = false; ///< Another instance answered at the address.
 };
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/avoidance/avoidance.h>
 #include <guavafront/coordination/claims/claim_message.h>
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/refusal.h>
@@ -92,6 +93,11 @@
     claims_member member; ///< This VM.
 };
 
+/// Tell all entry VMs at once what this one saw at an instance.
+struct tell_fleet {
+    instance_evidence evidence; ///< What it saw.
+};
+
 /// Send time_passed at that time, or earlier; the last one of a step counts.
 struct wake_at {
     instant when; ///< Time to wake.
@@ -101,6 +107,6 @@
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
-                 publish_death, publish_release, publish_claims_member>;
+                 publish_death, publish_release, publish_claims_member, tell_fleet>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/avoidance/avoidance.h>
 #include <guavafront/coordination/claims/claims.h>
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/entry/attempt_result.h>
@@ -113,6 +114,11 @@
 struct stop_requested {
 };
 
+/// Another VM saw trouble at an instance, or the end of it.
+struct evidence_heard {
+    instance_evidence evidence; ///< What it saw.
+};
+
 /// Time moved on; sent when a wake_at has come.
 struct time_passed {
 };
@@ -123,6 +129,6 @@
                  instance_announced, instance_left, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
                  health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
                  time_passed, limit_members_changed, limit_message_received, claim_message_received,
-                 claims_view_changed, publications_lost>;
+                 claims_view_changed, publications_lost, evidence_heard>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/admission/admission_queue.h>
 #include <guavafront/coordination/limits/limit_settings.h>
+#include <guavafront/coordination/routing/balancer.h>
 
 #include <cstdint>
 
@@ -18,6 +19,7 @@
 struct entry_policy {
     limit_settings limits; ///< Of the limiter.
     admission_settings admission; ///< Of the queues before each service.
+    balancing_policy balancing = balancing_policy::ExpectedLatency; ///< How instances are chosen.
     entry_bounds bounds; ///< Beyond them, the cheapest work is shed.
 };
 
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -48,6 +48,9 @@
     bool holdsSlot = false; ///< Counts as running at its service.
     instant deadline; ///< It ends at the latest then.
     instance_id running; ///< Instance of the present try.
+    instant triedAt{}; ///< When the present try began.
+    bool onTrial = false; ///< The present try shows whether an avoided instance is sound again.
+    bool overdueTold = false; ///< The fleet was told that the present try's answer is overdue.
     std::vector<instance_id> tried; ///< Instances of all tries so far.
 };
 
--- a/include/guavafront/coordination/health/outcome.h
+++ b/include/guavafront/coordination/health/outcome.h
@@ -4,6 +4,7 @@
 #include <guavafront/coordination/core/time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace guavafront
 {
@@ -26,6 +27,7 @@
     outcome_kind kind = outcome_kind::Answered; ///< How it ended.
     duration latency{}; ///< From sending to the end.
     bool reusedConnection = false; ///< The connection had carried a request before.
+    std::optional<std::uint32_t> reportedLoad; ///< Requests at the instance, in its own words.
     bool suspectRequest = false; ///< An instance died of the same request: its end says nothing of this one.
 };
 
--- /dev/null
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <guavafront/coordination/avoidance/avoidance.h>
+#include <guavafront/coordination/routing/balancer.h>
+#include <guavafront/coordination/routing/candidate_set.h>
+
+#include <optional>
+
+namespace guavafront
+{
+
+/// Costs that the choice weighs against expected waiting.
+struct affinity_costs {
+    duration far = std::chrono::milliseconds(60); ///< Of another data centre: its trip, and bytes over a costly link.
+    duration rank = std::chrono::milliseconds(12); ///< Of each place down this VM's order, so that connections are reused.
+    duration loadMemory = std::chrono::seconds(2); ///< A reported load counts for so long.
+};
+
+/// What was chosen.
+struct affinity_choice {
+    instance_id instance; ///< The instance.
+    bool trial = false; ///< The request shows whether it is sound again; the fleet is to be told.
+};
+
+/// Chooses the instance with the least expected delay for a VM that sends each instance little: instances have an order
+/// of preference that differs from VM to VM, near ones first, so that few connections are kept in use and the VMs
+/// together spread over all; known load and speed, and trouble that any VM saw, go before the order. An instance on
+/// trial is taken for one request. Nothing when all were tried. now is the time; self seeds the order.
+std::optional<affinity_choice> chooseByAffinity(const candidate_set &set, const avoidance &troubles, vm_id self,
+                                                const choice_request &request, instant now,
+                                                const affinity_costs &costs = {});
+
+} // namespace guavafront
--- a/include/guavafront/coordination/routing/balancer.h
+++ b/include/guavafront/coordination/routing/balancer.h
@@ -14,6 +14,7 @@
     Random, ///< Any with a free slot.
     RoundRobin, ///< One after the other.
     TwoChoices, ///< The one with fewer requests outstanding of two drawn (Mitzenmacher, 2001).
+    Affinity, ///< By this VM's own order of near instances, load and trouble that the fleet knows of; see affinity.h.
     ExpectedLatency, ///< The one with the lower expected latency of two drawn near and two drawn far.
 };
 
--- a/include/guavafront/coordination/routing/candidate_set.h
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -28,6 +28,9 @@
     candidate_standing standing = candidate_standing::InRotation; ///< When it may be chosen.
     std::uint16_t slots = 1; ///< Requests it runs at once.
     std::uint16_t outstanding = 0; ///< Requests of this VM that it runs now.
+    std::uint16_t sentSinceLoad = 0; ///< Requests of this VM since it last told its load.
+    float reportedLoad = 0; ///< Requests that ran and waited there when it last told.
+    instant loadAt{}; ///< When it last told; the beginning of time before.
 };
 
 /// Instances of one service that this VM may choose from: those in its data centre first, each part ordered by id.
@@ -35,6 +38,7 @@
     std::vector<candidate> items; ///< Near ones, then far ones.
     std::uint32_t nearCount = 0; ///< How many of them are near.
     std::uint32_t nextTurn = 0; ///< Counter of the round robin policy.
+    std::uint32_t samples = 0; ///< Answers that typicalLatencyUs is made of, up to the length of its memory.
     float typicalLatencyUs = 5'000; ///< Moving average over all; stands in before an instance's first answer.
 };
 
@@ -58,6 +62,9 @@
 /// The request ended without an answer that says anything of latency.
 void onRequestEnded(candidate &member);
 
+/// The member told its load with an answer.
+void onLoadReported(candidate &member, std::uint32_t load, instant now);
+
 /// Lets the averages of members without recent answers drift to the typical latency, so that an instance which has
 /// recovered is tried again; call a few times a second.
 void relaxLatencies(candidate_set &set, instant now);
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/health/shared_evidence.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/retries/retry_budget.h>
+#include <guavafront/coordination/routing/affinity.h>
 #include <guavafront/coordination/routing/balancer.h>
 
 #include <optional>
@@ -50,6 +51,7 @@
     vm_id self; ///< This VM.
     std::string dataCentre; ///< Of this VM.
     balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
+    avoidance troubles; ///< Instances that the fleet avoids; for balancing_policy::Affinity.
     std::uint32_t floorPercent = 70; ///< Ejection leaves this share of a service's capacity.
     std::vector<service_floor> floors; ///< Services with another one.
     living_fleet fleet; ///< Other VMs.
@@ -69,6 +71,10 @@
                                           std::string_view service, const choice_request &request,
                                           std::uint64_t random);
 
+/// The same with balancing_policy::Affinity.
+std::optional<affinity_choice> selectByAffinity(upstream_selection &selection, const registry &known,
+                                                std::string_view service, const choice_request &request, instant now);
+
 /// The next request of its service goes to the instance: when it is dead, the failed connection proves it at once and
 /// the request, which has not run, goes elsewhere. At most once in a few seconds for an instance.
 void confirmNext(upstream_selection &selection, instance_id instance, instant now);
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+constexpr std::uint16_t firstServerError = 500;
 constexpr duration retryAfterNoUpstream = std::chrono::seconds(1);
 /// A try ends this much before its request, so that its connection's end is told before the request's.
 constexpr duration attemptMargin = std::chrono::milliseconds(2);
@@ -81,6 +82,31 @@
 
 } // namespace
 
+namespace
+{
+
+/// An instance by the VM's policy.
+std::optional<instance_id> chooseFor(step_context &context, exchange &request, const choice_request &choice)
+{
+    entry &state = context.state;
+    request.onTrial = false;
+    if (state.selection.policy != balancing_policy::Affinity) {
+        return selectInstance(state.selection, state.upstreams, request.service, choice, context.random());
+    }
+    const auto chosen =
+        selectByAffinity(state.selection, state.upstreams, request.service, choice, context.now);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    request.onTrial = chosen->trial;
+    if (chosen->trial) {
+        tellFleet(context, {chosen->instance, instance_sign::TrialBegan});
+    }
+    return chosen->instance;
+}
+
+} // namespace
+
 stage_verdict select(step_context &context, exchange &request)
 {
     if (isHeldBack(context.state, request)) {
@@ -88,14 +114,15 @@
     }
     noteFirstTry(context, request);
     const choice_request choice{.tried = request.tried, .repeatable = request.mayBeRepeated};
-    const std::optional<instance_id> chosen =
-        selectInstance(context.state.selection, context.state.upstreams, request.service, choice, context.random());
+    const std::optional<instance_id> chosen = chooseFor(context, request, choice);
     if (!chosen) {
         return refuseSelect(context, request, codeWithoutChoice(context.state, request), retryAfterNoUpstream);
     }
     const announcement &target = findInstance(context.state.upstreams, *chosen)->last;
     request.running = target.instance;
     request.tried.push_back(target.instance);
+    request.triedAt = context.now;
+    request.overdueTold = false;
     context.effects.emplace_back(start_attempt{.id = request.id,
                                                .instance = target.instance,
                                                .ip = target.ip,
@@ -113,6 +140,15 @@
     noteCapacity(context.state, request, result.outcome);
     request.sends += result.bytesMayHaveLeft ? 1 : 0;
     takeEvidence(context, request, result);
+    const execution erred = execution::Unknown;
+    const bool retriedError = result.outcome == attempt_outcome::Answered && result.status >= firstServerError
+                              && request.mayBeRepeated && request.maxAttempts > 0;
+    if (retriedError && mayTryAgain(context, request, failedAttempt(context, request, result, erred))) {
+        request.sent = true;
+        request.stage = exchange_stage::Select;
+        advance(context, request);
+        return;
+    }
     if (result.outcome == attempt_outcome::Answered) {
         request.sent = true;
         deliver(context, request);
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -119,6 +119,11 @@
     removeReport(context.state.selection.evidence, event.reporter);
 }
 
+void handle(step_context &context, const evidence_heard &event)
+{
+    noteSign(context.state.selection.troubles, event.evidence, context.now);
+}
+
 void handle(step_context &context, const death_learned &event)
 {
     learnDeath(context.state.held, event.death, context.now);
@@ -198,6 +203,7 @@
     state.upstreams.self = identity.self;
     state.selection.self = identity.self;
     state.selection.dataCentre = identity.dataCentre;
+    state.selection.policy = settings.balancing;
     state.idempotency = makeClaims(identity.self, identity.life, {}, {});
     state.identity = std::move(identity);
     takeConfiguration(state, std::make_shared<const configuration>());
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -106,6 +106,72 @@
     return isQuarantined(state.held, fingerprintOf(request), state.current->defaults.quarantineDeaths);
 }
 
+void tellFleet(step_context &context, const instance_evidence &evidence)
+{
+    if (noteSign(context.state.selection.troubles, evidence, context.now)) {
+        context.effects.emplace_back(tell_fleet{evidence});
+    }
+}
+
+namespace
+{
+
+/// What a try's end says of its instance to the whole fleet.
+void tellOutcome(step_context &context, const exchange &request, const attempt_result &result, outcome_kind kind)
+{
+    const instance_id instance = request.running;
+    switch (kind) {
+    case outcome_kind::Answered:
+        if (request.onTrial) {
+            tellFleet(context, {instance, instance_sign::Sound});
+        }
+        return;
+    case outcome_kind::ErrorAnswer:
+        tellFleet(context, {instance, instance_sign::Erred});
+        return;
+    case outcome_kind::Shed:
+        tellFleet(context, {instance, result.wrongInstance ? instance_sign::Failed : instance_sign::Erred});
+        return;
+    case outcome_kind::ConnectFailed: // Only the way from here may be cut; each VM finds out at no harm.
+        noteSign(context.state.selection.troubles, {instance, instance_sign::Failed}, context.now);
+        return;
+    case outcome_kind::ConnectionLost:
+    case outcome_kind::HalfAnswer:
+        tellFleet(context, {instance, instance_sign::Failed});
+        return;
+    case outcome_kind::TimedOut:
+        if (!request.overdueTold) {
+            tellFleet(context, {instance, instance_sign::Erred});
+        }
+        return;
+    case outcome_kind::Cancelled:
+        return;
+    }
+}
+
+/// Tries that take far longer than is usual at their service.
+void tellOverdue(step_context &context)
+{
+    constexpr float overdueFactor = 4;
+    constexpr float leastUs = 1'500'000;
+    entry &state = context.state;
+    for (auto &[id, request] : state.exchanges) {
+        if (request.stage != exchange_stage::Running || request.overdueTold) {
+            continue;
+        }
+        const candidate_set *candidates = findCandidates(state.selection, state.upstreams, request.service);
+        const float usualUs = candidates ? candidates->typicalLatencyUs : leastUs;
+        const float limitUs = std::max(leastUs, usualUs * overdueFactor);
+        if (static_cast<float>((context.now - request.triedAt).count()) > limitUs) {
+            request.overdueTold = true;
+            noteSign(state.selection.troubles, {request.running, instance_sign::Failed}, context.now);
+            context.effects.emplace_back(tell_fleet{{request.running, instance_sign::Erred}});
+        }
+    }
+}
+
+} // namespace
+
 void takeEvidence(step_context &context, const exchange &request, const attempt_result &result)
 {
     entry &state = context.state;
@@ -113,8 +179,12 @@
                        .kind = kindOf(result),
                        .latency = result.latency,
                        .reusedConnection = !result.newConnection,
+                       .reportedLoad = result.reportedLoad,
                        .suspectRequest = isSuspectRequest(state.held, fingerprintOf(request))};
     concludeTry(state.selection, state.upstreams, request.service, news, context.now);
+    if (state.selection.policy == balancing_policy::Affinity) {
+        tellOutcome(context, request, result, news.kind);
+    }
     noteForQuarantine(context, request, result);
     if (news.kind == outcome_kind::TimedOut && news.reusedConnection) {
         context.effects.emplace_back(drop_connections{request.running});
@@ -127,7 +197,8 @@
     return {.kind = kindOf(result),
             .ran = ran,
             .repeatable = request.mayBeRepeated,
-            .staleConnection = isStale(context.state, request, result),
+            // A route that names its attempts has the operator's word that another one is wanted.
+            .staleConnection = request.maxAttempts > 0 || isStale(context.state, request, result),
             .quarantined = isHeldBack(context.state, request),
             .attempts = static_cast<std::uint32_t>(request.tried.size()),
             .timeLeft = request.deadline - context.now};
@@ -141,6 +212,11 @@
     }
     state.nextSupervision = context.now + supervisionInterval;
     confirmDeaths(context);
+    if (state.selection.policy == balancing_policy::Affinity) {
+        tellOverdue(context);
+        forgetQuiet(state.selection.troubles, context.now);
+        return; // The fleet's evidence is told at once; no reports are needed.
+    }
     if (const auto report = supervise(state.selection, state.upstreams, context.now)) {
         context.effects.emplace_back(publish_health{*report});
     }
--- a/src/coordination/entry/try_evidence.h
+++ b/src/coordination/entry/try_evidence.h
@@ -30,4 +30,7 @@
 /// Follows a change of the registry.
 void followUpstreams(step_context &context);
 
+/// Notes a sign here and, when it is news, has the other VMs told.
+void tellFleet(step_context &context, const instance_evidence &evidence);
+
 } // namespace guavafront
--- a/src/coordination/routing/balancer.cpp
+++ b/src/coordination/routing/balancer.cpp
@@ -141,6 +141,7 @@
         return takeTurn(set, filter);
     case balancing_policy::TwoChoices:
         return drawByOutstanding(set, filter, random);
+    case balancing_policy::Affinity: // Chosen by chooseByAffinity().
     case balancing_policy::ExpectedLatency:
         break;
     }
--- a/src/coordination/routing/candidate_set.cpp
+++ b/src/coordination/routing/candidate_set.cpp
@@ -67,7 +67,7 @@
 
 void updateMembers(candidate_set &set, std::span<const registered_instance> instances, const placement &here)
 {
-    candidate_set next{.nextTurn = set.nextTurn, .typicalLatencyUs = set.typicalLatencyUs};
+    candidate_set next{.nextTurn = set.nextTurn, .samples = set.samples, .typicalLatencyUs = set.typicalLatencyUs};
     for (const instance_id id : membersOf(instances, here, true)) {
         append(next, set, instances, id);
     }
@@ -87,6 +87,7 @@
 void onRequestSent(candidate &member)
 {
     ++member.outstanding;
+    ++member.sentSinceLoad;
 }
 
 void onRequestEnded(candidate &member)
@@ -97,6 +98,14 @@
     }
 }
 
+void onLoadReported(candidate &member, std::uint32_t load, instant now)
+{
+    // The report counts the request that it came with.
+    member.reportedLoad = static_cast<float>(load > 0 ? load - 1 : 0);
+    member.sentSinceLoad = 0;
+    member.loadAt = now;
+}
+
 void relaxLatencies(candidate_set &set, instant now)
 {
     for (candidate &member : set.items) {
@@ -115,7 +124,10 @@
     const float before = member.latencyUs > 0 ? member.latencyUs : sampleUs;
     member.latencyUs = before + (sampleUs - before) * share;
     member.lastAnswer = now;
-    set.typicalLatencyUs += (sampleUs - set.typicalLatencyUs) * typicalSampleShare;
+    constexpr std::uint32_t memorySamples = 100;
+    set.samples = std::min(set.samples + 1, memorySamples);
+    const float typicalShare = std::max(typicalSampleShare, 1 / static_cast<float>(set.samples));
+    set.typicalLatencyUs += (sampleUs - set.typicalLatencyUs) * typicalShare;
 }
 
 } // namespace guavafront
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -151,6 +151,20 @@
     return chosen;
 }
 
+std::optional<affinity_choice> selectByAffinity(upstream_selection &selection, const registry &known,
+                                                std::string_view service, const choice_request &request, instant now)
+{
+    selected_service *selected = findService(selection, known, service);
+    if (!selected) {
+        return std::nullopt;
+    }
+    const auto chosen = chooseByAffinity(selected->candidates, selection.troubles, selection.self, request, now);
+    if (chosen) {
+        onRequestSent(*findCandidate(selected->candidates, chosen->instance));
+    }
+    return chosen;
+}
+
 void confirmNext(upstream_selection &selection, instance_id instance, instant now)
 {
     constexpr duration confirmInterval = std::chrono::seconds(5);
@@ -170,6 +184,9 @@
     }
     recordOutcome(selected->health, news, now);
     candidate *member = findCandidate(selected->candidates, news.instance);
+    if (member && news.reportedLoad) {
+        onLoadReported(*member, *news.reportedLoad, now);
+    }
     if (member) {
         updateCandidate(selected->candidates, *member, news, now);
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,7 +15,9 @@
 #include "settings/settings_reader.h"
 #include "storage/replica_store.h"
 #include "wire/claims_codec.h"
+#include "wire/evidence_codec.h"
 #include "wire/limits_codec.h"
+#include "wire/registry_codec.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
@@ -105,6 +107,17 @@
     subscribe(options, channel::Limits, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(limit_message_received{from, decodeLimitMessage(message.body)});
     });
+    subscribe(options, channel::Health, wiring, [&settings, &wiring](vm_id from, envelope message) {
+        if (hasRole(settings, vm_role::Control)) {
+            wiring.peers.post(pass_on{from, EntryRole, message});
+        }
+        if (hasRole(settings, vm_role::Entry)) {
+            wiring.entries.post(evidence_heard{decodeEvidence(message.body)});
+        }
+    });
+    subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
+        wiring.entries.post(instance_learned{from, decodeAnnouncement(message.body)});
+    });
     subscribe(options, channel::Claims, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(claim_message_received{from, decodeClaimMessage(message.body)});
     });
@@ -115,6 +128,7 @@
 {
     entry_task_options options;
     options.dialect = front.dialect;
+    options.vmName = settings.vm.name;
     options.identity = {.self = self, .dataCentre = settings.vm.dataCentre};
     randombytes_buf(&options.identity.life, sizeof options.identity.life); // Another one for each life of the task.
     options.server = serverAt(settings.listen.callers, settings.entry);
@@ -126,6 +140,7 @@
     options.balancerGrace = std::chrono::milliseconds(settings.entry.balancerGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.entry.drainLimitMs);
     options.policy.limits.fleetSize = settings.peers.fleetSize;
+    options.policy.balancing = settings.entry.sparse ? balancing_policy::Affinity : balancing_policy::ExpectedLatency;
     options.seed = self.value;
     return options;
 }
--- a/src/daemon/entry/caller_dialect.cpp
+++ b/src/daemon/entry/caller_dialect.cpp
@@ -90,7 +90,9 @@
             .upstreamHeaders = ownUpstreamHeaders,
             .upstreamTarget = ownUpstreamTarget,
             .echoedField = [](const http_request &) { return http_header{}; },
+            .requestId = [](const http_request &request) { return headerValue(request.headers, "X-Request-Id"); },
             .judge = ownJudge,
+            .factsOf = [](const http_answer &) { return answer_facts{}; },
             .callerHeaders = [](std::span<const header_view> headers) { return callerHeaders(headers); },
             .refusalAnswer = refusalAnswer};
 }
--- a/src/daemon/entry/caller_dialect.h
+++ b/src/daemon/entry/caller_dialect.h
@@ -15,6 +15,12 @@
 namespace guavafront
 {
 
+/// What an answer says besides.
+struct answer_facts {
+    std::optional<std::uint32_t> reportedLoad; ///< Requests that run and wait at the instance.
+    bool wrongInstance = false; ///< Another instance has the address.
+};
+
 /// How callers and upstreams word what the decisions need to know: which header holds the key, what a refusal looks
 /// like. Functions without state; another front end brings its own.
 struct caller_dialect {
@@ -30,9 +36,15 @@
     /// Field that an upstream repeats in the answer to this request; without a name when it repeats none.
     std::function<http_header(const http_request &)> echoedField;
 
+    /// The caller's name for the request, for logs; empty when it gave none.
+    std::function<std::string_view(const http_request &)> requestId;
+
     /// What a whole answer says of the try.
     std::function<attempt_outcome(const http_answer &)> judge;
 
+    /// What a whole answer says besides.
+    std::function<answer_facts(const http_answer &)> factsOf;
+
     /// Header fields of an answer that go back to the caller.
     std::function<std::vector<http_header>(std::span<const header_view>)> callerHeaders;
 
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -4,6 +4,7 @@
 #include "http/http_message.h"
 #include "wire/answer_codec.h"
 #include "wire/claims_codec.h"
+#include "wire/evidence_codec.h"
 
 #include "wire/limits_codec.h"
 #include <guavafront/coordination/core/coordination_error.h>
@@ -11,6 +12,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <utility>
 
@@ -21,7 +23,16 @@
 {
 
 constexpr duration idleGraceWhenStopping = std::chrono::milliseconds(200);
+/// Bounds the log under load to some tens of kilobytes a second.
+constexpr std::uint32_t logLinesPerSecond = 200;
 constexpr std::string_view replayedHeader = "Idempotent-Replayed";
+std::string_view outcomeName(attempt_outcome outcome)
+{
+    constexpr std::array<std::string_view, 7> names{"answered",          "refused_not_run", "connect_failed", "closed_early",
+                                                    "answer_incomplete", "timed_out",       "cancelled"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 attempt_outcome outcomeOf(const caller_dialect &dialect, const upstream_outcome &outcome)
 {
     switch (outcome.result) {
@@ -65,6 +76,7 @@
     , m_metrics(outlets.metrics)
     , m_configurations(outlets.configurations)
     , m_counters(counters)
+    , m_log(m_options.vmName, logLinesPerSecond)
     , m_state(makeEntry(m_options.identity, m_options.policy))
     , m_random(m_options.seed)
     , m_pool(owner, m_options.pool)
@@ -135,6 +147,7 @@
     caller_request &caller = found->second;
     caller.accountName = effect.accountName;
     caller.service = effect.service;
+    caller.instanceName = effect.instanceName;
     const duration timeLeft = std::max(effect.deadline - loop::now(), duration(1));
     const std::vector<http_header> headers = m_options.dialect.upstreamHeaders(caller.request, effect, timeLeft);
     const std::string target = m_options.dialect.upstreamTarget(caller.request);
@@ -163,11 +176,24 @@
                           .newConnection = newConnection,
                           .status = static_cast<std::uint16_t>(outcome.answer.status),
                           .latency = loop::now() - started};
+    if (outcome.result == upstream_result::Answered) {
+        const answer_facts facts = m_options.dialect.factsOf(outcome.answer);
+        result.reportedLoad = facts.reportedLoad;
+        result.wrongInstance = facts.wrongInstance;
+    }
     if (newConnection && outcome.connectedAt) {
         result.connectTime = *outcome.connectedAt - started;
     }
     if (const auto found = m_requests.find(id); found != m_requests.end()) {
         m_counters.countAttempt(found->second.service, result.outcome);
+        m_log.write("try", loop::now(),
+                    {{"id", requestIdOf(found->second)},
+                     {"service", found->second.service},
+                     {"instance", found->second.instanceName},
+                     {"outcome", outcomeName(result.outcome)},
+                     {"status", std::int64_t{result.status}},
+                     {"new_connection", std::int64_t{newConnection}},
+                     {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
         found->second.answer = outcome.answer;
     }
     run(attempt_ended{id, result, answerForResends(id, outcome)});
@@ -288,13 +314,30 @@
     }
 }
 
+void entry_task::perform(const tell_fleet &effect)
+{
+    m_peers.post(send_to_hubs{{.kind = channel::Health, .body = encodeEvidence(effect.evidence)}});
+}
+
 void entry_task::perform(const publish_release &effect)
 {
     m_peers.post(publicationOf(effect));
 }
 
+std::string_view entry_task::requestIdOf(const caller_request &request) const
+{
+    return m_options.dialect.requestId(request.request);
+}
+
 void entry_task::count(const caller_request &request, result_code code, std::uint16_t status)
 {
+    m_log.write("end", loop::now(),
+                {{"id", requestIdOf(request)},
+                 {"service", request.service},
+                 {"account", request.accountName},
+                 {"code", describe(code).name},
+                 {"status", std::int64_t{status}},
+                 {"ms", std::chrono::duration<double, std::milli>(loop::now() - request.arrived).count()}});
     m_counters.countRequest(request.service, request.accountName, code, status);
     const std::chrono::duration<double> seconds = loop::now() - request.arrived;
     m_counters.observeLatency(request.service, seconds.count());
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -3,6 +3,7 @@
 #include "daemon/configuration/configuration_message.h"
 #include "daemon/entry/caller_dialect.h"
 #include "daemon/entry/upstream_pool.h"
+#include "daemon/log/decision_log.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
 #include "daemon/operators/operators_message.h"
@@ -23,6 +24,7 @@
 /// Settings of the entry task.
 struct entry_task_options {
     entry_identity identity; ///< This VM.
+    std::string vmName; ///< For logs.
     entry_policy policy; ///< Of its decisions.
     http_server_options server; ///< Where callers come in.
     upstream_pool_options pool; ///< Connections to upstreams.
@@ -55,6 +57,7 @@
         std::string service; ///< Known once a try was started or the request ended.
         http_answer answer; ///< Of the last try that was answered.
         instant arrived; ///< When it came.
+        std::string instanceName; ///< Of the last try; its identity when it announced no name.
     };
 
     void receive(exchange_id id, const http_request &request);
@@ -75,8 +78,10 @@
     void perform(const publish_health &effect);
     void perform(const publish_death &effect);
     void perform(const publish_release &effect);
+    void perform(const tell_fleet &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
+    std::string_view requestIdOf(const caller_request &request) const;
     void count(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
     void closeListener();
@@ -89,6 +94,7 @@
     mailbox<metrics_message> &m_metrics; ///< Not owned.
     mailbox<configuration_message> &m_configurations; ///< Not owned.
     daemon_counters &m_counters; ///< Not owned.
+    decision_log m_log; ///< One line for each decision about a request.
     entry m_state; ///< All decisions' state.
     bool m_ready = false; ///< The balancer was told that callers can be served.
     std::mt19937_64 m_random; ///< For decisions.
--- a/src/daemon/peers/peers_message.h
+++ b/src/daemon/peers/peers_message.h
@@ -33,6 +33,18 @@
     envelope message; ///< Any channel but Control, Membership and Spread.
 };
 
+/// Sends to the nearest control VMs, which pass it on to all entry VMs.
+struct send_to_hubs {
+    envelope message; ///< Any channel but Control, Membership and Spread.
+};
+
+/// Passes a message on to every live VM with one of the roles but the one that it came from.
+struct pass_on {
+    vm_id from; ///< Sender.
+    std::uint8_t roles = EntryRole; ///< Bits of member_role.
+    envelope message; ///< What it sent.
+};
+
 /// The control leader on this VM proved its leadership.
 struct issue_beacon {
     term leaderTerm; ///< Its term.
@@ -47,6 +59,6 @@
 
 /// What other tasks ask of the peers task.
 using peers_message = std::variant<send_to_vm, send_to_seeds, send_to_linked, send_to_roles, spread_publish,
-                                   spread_withdraw, issue_beacon, resend_state>;
+                                   spread_withdraw, issue_beacon, resend_state, send_to_hubs, pass_on>;
 
 } // namespace guavafront
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -25,6 +25,8 @@
 constexpr duration farewellTime = std::chrono::milliseconds(200);
 constexpr double shareStep = 0.05;
 constexpr std::uint8_t bodyVersion = 1;
+/// Control VMs that each message to the fleet goes through; the second one covers the loss of the first.
+constexpr std::size_t hubsTold = 2;
 
 random_source systemSeededRandom()
 {
@@ -137,6 +139,32 @@
     issueBeacon(m_beacon, message.leaderTerm, message.counter, message.accepted, message.asOf);
 }
 
+void peers_task::handle(const send_to_hubs &message)
+{
+    std::vector<member_record> hubs = liveMembers(m_membership);
+    std::erase_if(hubs, [this](const member_record &each) {
+        return (each.roles & ControlRole) == 0 || each.id == self().id;
+    });
+    std::ranges::stable_partition(hubs, [this](const member_record &each) {
+        return each.dataCentre == self().dataCentre && each.status == member_status::Alive;
+    });
+    for (std::size_t index = 0; index < std::min(hubs.size(), hubsTold); ++index) {
+        m_links.send(hubs[index].id, hubs[index].address, message.message);
+    }
+    if (hubs.empty()) {
+        handle(send_to_linked{message.message});
+    }
+}
+
+void peers_task::handle(const pass_on &message)
+{
+    for (const member_record &each : liveMembers(m_membership)) {
+        if ((each.roles & message.roles) != 0 && each.id != self().id && each.id != message.from) {
+            m_links.send(each.id, each.address, message.message);
+        }
+    }
+}
+
 void peers_task::handle(const resend_state & /*message*/)
 {
     publishView(true);
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -33,6 +33,8 @@
     void handle(const spread_publish &message);
     void handle(const spread_withdraw &message);
     void handle(const issue_beacon &message);
+    void handle(const send_to_hubs &message);
+    void handle(const pass_on &message);
     void handle(const resend_state &message);
     void rememberSeed(const peer_identity &peer);
     void sendTo(vm_id to, const envelope &message);
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -1,6 +1,7 @@
 #include "daemon/registry/registry_task.h"
 
 #include "daemon/fleet/shared_state.h"
+#include "wire/registry_codec.h"
 
 #include <glog/logging.h>
 
@@ -31,17 +32,24 @@
 void registry_task::handle(const instance_announced &event)
 {
     if (announce(m_state, event.news, loop::now()) == registry_change::Changed) {
-        m_peers.post(publicationOf(publish_instance{event.news}));
+        publish(event.news);
     }
 }
 
 void registry_task::handle(const instance_left &event)
 {
     if (const auto last = leave(m_state, event.name, event.born, loop::now())) {
-        m_peers.post(publicationOf(publish_instance{*last}));
+        publish(*last);
     }
 }
 
+/// Tells all VMs at once; the spread repairs what gets lost.
+void registry_task::publish(const announcement &news)
+{
+    m_peers.post(send_to_roles{EntryRole | ControlRole, {.kind = channel::Registry, .body = encodeAnnouncement(news)}});
+    m_peers.post(publicationOf(publish_instance{news}));
+}
+
 void registry_task::handle(const instance_learned &event)
 {
     if (learn(m_state, event.hearer, event.news, loop::now()) == registry_change::HandedOver) {
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -30,6 +30,7 @@
     {
     }
 
+    void publish(const announcement &news);
     void tick();
 
     mailbox<peers_message> &m_peers; ///< Not owned.
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -132,6 +132,7 @@
 int main(int argc, char **argv)
 {
     FLAGS_logtostderr = true;
+    FLAGS_logbuflevel = -1;
     google::InitGoogleLogging(argv[0]);
     if (sodium_init() < 0) {
         std::fputs("libsodium can't be initialized\n", stderr);
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -51,6 +51,7 @@
     each.field("entry.drainLimitMs", values.entry.drainLimitMs, milliseconds);
     each.field("entry.connectTimeoutMs", values.entry.connectTimeoutMs, milliseconds);
     each.field("entry.idleConnectionsPerInstance", values.entry.idleConnectionsPerInstance, number_range{1, 10'000});
+    each.field("entry.sparse", values.entry.sparse, presence::Optional);
 }
 
 } // namespace guavafront
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -19,7 +19,8 @@
     Claims = 6, ///< At-most-once claims.
     Health = 7, ///< Evidence about upstreams.
     Operators = 8, ///< Operators' requests forwarded between VMs.
-    Last = Operators, ///< Highest known number.
+    Registry = 9, ///< Changes of instances that all VMs must know at once.
+    Last = Registry, ///< Highest known number.
 };
 
 /// One message between two VMs.
