Budgets of accounts by a ledger; trials and silence limits for sparse traffic

Cause: parts by fleet size need the number of VMs, which nobody tells, and refused what was within the rate; instances' gray spells here last 6 to 15 s, so that each early trial costs a request that may not be repeated; a silence limit from few samples cut sound answers (66 timed out). Ruled out: fleetSize guessed high (a third of each budget unused); counters told to all VMs (1.5 MB/s). Change: limits/ledger - a VM spends from its estimate of the whole budget, corrected by the account's owner among the control VMs ten times a second near the limit; trials of non-repeatable requests after 12 s or when capacity is short; silence limit not below 2 s; unacknowledged bytes for 1.5 s end a connection.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/core/refusal.h>
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/health/shared_evidence.h>
+#include <guavafront/coordination/limits/ledger.h>
 #include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
@@ -98,6 +99,12 @@
     instance_evidence evidence; ///< What it saw.
 };
 
+/// Report what was spent to an owner of budgets.
+struct send_ledger_report {
+    vm_id to; ///< Owner.
+    ledger_report report; ///< What was spent.
+};
+
 /// Send time_passed at that time, or earlier; the last one of a step counts.
 struct wake_at {
     instant when; ///< Time to wake.
@@ -107,6 +114,6 @@
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
-                 publish_death, publish_release, publish_claims_member, tell_fleet>;
+                 publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -5,6 +5,7 @@
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/entry/attempt_result.h>
 #include <guavafront/coordination/entry/request_head.h>
+#include <guavafront/coordination/limits/ledger.h>
 #include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
@@ -119,6 +120,16 @@
     instance_evidence evidence; ///< What it saw.
 };
 
+/// The control VMs that may own budgets changed.
+struct ledger_owners_changed {
+    std::vector<vm_id> owners; ///< Live control VMs, ordered.
+};
+
+/// An owner answered a report.
+struct ledger_statement_received {
+    ledger_statement statement; ///< What it says.
+};
+
 /// Time moved on; sent when a wake_at has come.
 struct time_passed {
 };
@@ -129,6 +140,7 @@
                  instance_announced, instance_left, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
                  health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
                  time_passed, limit_members_changed, limit_message_received, claim_message_received,
-                 claims_view_changed, publications_lost, evidence_heard>;
+                 claims_view_changed, publications_lost, evidence_heard, ledger_owners_changed,
+                 ledger_statement_received>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/limit_settings.h
+++ b/include/guavafront/coordination/limits/limit_settings.h
@@ -26,6 +26,7 @@
 
 /// Settings of the limiter; every VM of the fleet has the same.
 struct limit_settings {
+    bool bySize = true; ///< fleetSize is known and bounds each VM's part; otherwise the ledger holds the budgets.
     std::uint32_t fleetSize = 48; ///< Most VMs that ever run at once; each has 1/fleetSize of every budget.
     limit_slot slotCount = 8; ///< Parts of the accounts, each with one owner.
     duration roundPeriod = std::chrono::seconds(1); ///< Between an owner's requests for shares.
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::uint16_t firstServerError = 500;
+constexpr duration sparseSilence = std::chrono::seconds(2);
 constexpr duration retryAfterNoUpstream = std::chrono::seconds(1);
 /// A try ends this much before its request, so that its connection's end is told before the request's.
 constexpr duration attemptMargin = std::chrono::milliseconds(2);
@@ -51,7 +52,11 @@
     if (!request.mayBeRepeated || !candidates) {
         return {};
     }
-    return silenceTimeout(duration(static_cast<std::int64_t>(candidates->typicalLatencyUs)));
+    const duration usual(static_cast<std::int64_t>(candidates->typicalLatencyUs));
+    if (context.state.selection.policy == balancing_policy::Affinity) {
+        return std::max(silenceTimeout(usual), sparseSilence); // Few answers were seen; a short limit would be a guess.
+    }
+    return silenceTimeout(usual);
 }
 
 /// Earns a share of a retry with the first try.
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -107,6 +107,7 @@
 void handle(step_context &context, const fleet_changed &event)
 {
     context.state.selection.fleet = event.view;
+    context.state.budgets.spenders = std::max(event.view.vms, 1U);
 }
 
 void handle(step_context &context, const health_reported &event)
@@ -124,6 +125,16 @@
     noteSign(context.state.selection.troubles, event.evidence, context.now);
 }
 
+void handle(step_context &context, const ledger_owners_changed &event)
+{
+    context.state.budgets.owners = event.owners;
+}
+
+void handle(step_context &context, const ledger_statement_received &event)
+{
+    onStatement(context.state.budgets, event.statement, context.now);
+}
+
 void handle(step_context &context, const death_learned &event)
 {
     learnDeath(context.state.held, event.death, context.now);
@@ -177,6 +188,7 @@
     updateClaims(context, claims_time_passed{}); // Before the deadlines: it knows more of why a claim was not won.
     expireRequests(context);
     updateLimits(context, limit_tick{});
+    reportBudgets(context);
     endTokenWaits(context);
     expireInstances(context);
     superviseUpstreams(context);
--- a/src/coordination/entry/entry_queue_step.h
+++ b/src/coordination/entry/entry_queue_step.h
@@ -17,6 +17,9 @@
 /// Takes one token of the request's account, waits for one, or refuses.
 stage_verdict takeFromRate(step_context &context, exchange &request);
 
+/// Reports what was spent to the owners of budgets, when due.
+void reportBudgets(step_context &context);
+
 /// A request that may wait for a token ends.
 void leaveTokenWait(entry &state, exchange &request);
 
--- a/src/coordination/entry/limit_stage.cpp
+++ b/src/coordination/entry/limit_stage.cpp
@@ -114,13 +114,28 @@
 
 void updateLimits(step_context &context, const limit_event &event)
 {
+    if (!context.state.settings.limits.bySize) {
+        return; // The ledger holds the budgets.
+    }
     limit_effects effects;
     step(*context.state.limits, event, context.now, effects);
     emit(context, effects);
 }
 
+void reportBudgets(step_context &context)
+{
+    for (auto &[owner, report] : dueReports(context.state.budgets, context.now)) {
+        context.effects.emplace_back(send_ledger_report{owner, std::move(report)});
+    }
+}
+
 void configureLimits(step_context &context)
 {
+    context.state.budgets.limits = limitTableOf(*context.state.current);
+    context.state.budgets.configuration = context.state.current->current.value;
+    if (!context.state.settings.limits.bySize) {
+        return;
+    }
     updateLimits(context, limits_changed{limitTableOf(*context.state.current)});
 }
 
@@ -129,6 +144,14 @@
     if (request.owner == account_id{}) {
         return stage_verdict::Continue;
     }
+    if (!context.state.settings.limits.bySize) {
+        const take_result spent = take(context.state.budgets, request.owner, context.now);
+        reportBudgets(context);
+        if (spent.verdict == take_verdict::Granted) {
+            return stage_verdict::Continue;
+        }
+        return refuse(context, request, result_code::OverRate, execution::NotRun, spent.retryAfter);
+    }
     const take_result result = attempt(context, request.owner, take_attempt::First);
     if (result.verdict == take_verdict::Granted) {
         return stage_verdict::Continue;
@@ -178,6 +201,9 @@
 
 instant nextLimitWake(const entry &state)
 {
+    if (!state.settings.limits.bySize) {
+        return nextReport(state.budgets).value_or(instant::max());
+    }
     instant wake = nextTick(*state.limits);
     if (!state.waits.ends.empty()) {
         wake = std::min(wake, state.waits.ends.begin()->first);
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -90,12 +90,41 @@
 
 } // namespace
 
+namespace
+{
+
+/// Share of the service's slots at instances that are open.
+double openShare(const std::vector<ranked_member> &ranked)
+{
+    double open = 0;
+    double all = 0;
+    for (const ranked_member &each : ranked) {
+        all += each.member->slots;
+        open += each.standing == avoidance_standing::Open ? each.member->slots : 0;
+    }
+    return all > 0 ? open / all : 0;
+}
+
+/// The first instance that the request may show sound again. One that may not be repeated is risked only where
+/// capacity is short or the trouble is long ago.
+const ranked_member *findTrial(const std::vector<ranked_member> &ranked, const avoidance &troubles,
+                               const choice_request &request, instant now, const affinity_costs &costs)
+{
+    const bool isShort = openShare(ranked) < costs.shortage;
+    const auto found = std::ranges::find_if(ranked, [&](const ranked_member &each) {
+        const bool longAgo = now - lastTrouble(troubles, each.member->instance) > costs.patience;
+        return each.standing == avoidance_standing::Trial && (request.repeatable || (each.near && (isShort || longAgo)));
+    });
+    return found == ranked.end() ? nullptr : &*found;
+}
+
+} // namespace
+
 std::optional<affinity_choice> chooseByAffinity(const candidate_set &set, const avoidance &troubles, vm_id self,
                                                 const choice_request &request, instant now, const affinity_costs &costs)
 {
     const std::vector<ranked_member> ranked = rankedMembers(set, troubles, self, request, now);
-    const auto onTrial = std::ranges::find(ranked, avoidance_standing::Trial, &ranked_member::standing);
-    if (onTrial != ranked.end() && (request.repeatable || onTrial->near || !cheapest(ranked, set, now, costs))) {
+    if (const ranked_member *onTrial = findTrial(ranked, troubles, request, now, costs)) {
         return affinity_choice{onTrial->member->instance, true};
     }
     if (const ranked_member *best = cheapest(ranked, set, now, costs)) {
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -72,6 +72,9 @@
     }
 }
 
+/// Many VMs with little traffic each: their retries add up, so that each may save next to none.
+constexpr retry_budget sparseRetries{.tokens = 1.5F, .capacity = 1.5F};
+
 /// An instance of the service that is to be confirmed, for one request only.
 std::optional<instance_id> takeToConfirm(upstream_selection &selection, candidate_set &set,
                                          const choice_request &request)
@@ -126,7 +129,13 @@
 
 void followRegistry(upstream_selection &selection, const registry &known)
 {
+    const std::size_t before = selection.services.size();
     selection.services.resize(known.services.size());
+    for (std::size_t index = before; index < selection.services.size(); ++index) {
+        if (selection.policy == balancing_policy::Affinity) {
+            selection.services[index].retries = sparseRetries;
+        }
+    }
     for (std::size_t index = 0; index < known.services.size(); ++index) {
         if (selection.services[index].generation != known.services[index].generation) {
             followService(selection, selection.services[index], known.services[index]);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,7 @@
 #include "storage/replica_store.h"
 #include "wire/claims_codec.h"
 #include "wire/evidence_codec.h"
+#include "wire/ledger_codec.h"
 #include "wire/limits_codec.h"
 #include "wire/registry_codec.h"
 
@@ -115,6 +116,15 @@
             wiring.entries.post(evidence_heard{decodeEvidence(message.body)});
         }
     });
+    subscribe(options, channel::Ledger, wiring, [&wiring, budgets = std::make_shared<ledger_owner>()](vm_id from, const envelope &message) {
+        const ledger_message decoded = decodeLedgerMessage(message.body);
+        if (const auto *report = std::get_if<ledger_report>(&decoded)) {
+            const ledger_statement answer = book(*budgets, from, *report, loop::now());
+            wiring.peers.post(send_to_vm{from, {.kind = channel::Ledger, .body = encodeLedgerMessage(answer)}});
+        } else {
+            wiring.entries.post(ledger_statement_received{std::get<ledger_statement>(decoded)});
+        }
+    });
     subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(instance_learned{from, decodeAnnouncement(message.body)});
     });
@@ -135,11 +145,13 @@
     options.server.connectionLimit = settings.entry.maxConnections;
     options.server.idleTimeout = std::chrono::milliseconds(settings.entry.idleTimeoutMs);
     options.pool.connectTimeout = std::chrono::milliseconds(settings.entry.connectTimeoutMs);
+    options.pool.unackedTimeout = std::chrono::milliseconds(settings.entry.unackedTimeoutMs);
     options.pool.bodyLimitBytes = settings.entry.maxBodyBytes;
     options.pool.idlePerInstance = settings.entry.idleConnectionsPerInstance;
     options.balancerGrace = std::chrono::milliseconds(settings.entry.balancerGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.entry.drainLimitMs);
     options.policy.limits.fleetSize = settings.peers.fleetSize;
+    options.policy.limits.bySize = settings.peers.fleetSize > 0;
     options.policy.balancing = settings.entry.sparse ? balancing_policy::Affinity : balancing_policy::ExpectedLatency;
     options.seed = self.value;
     return options;
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -5,6 +5,7 @@
 #include "wire/answer_codec.h"
 #include "wire/claims_codec.h"
 #include "wire/evidence_codec.h"
+#include "wire/ledger_codec.h"
 
 #include "wire/limits_codec.h"
 #include <guavafront/coordination/core/coordination_error.h>
@@ -319,6 +320,11 @@
     m_peers.post(send_to_hubs{{.kind = channel::Health, .body = encodeEvidence(effect.evidence)}});
 }
 
+void entry_task::perform(const send_ledger_report &effect)
+{
+    m_peers.post(send_to_vm{effect.to, {.kind = channel::Ledger, .body = encodeLedgerMessage(effect.report)}});
+}
+
 void entry_task::perform(const publish_release &effect)
 {
     m_peers.post(publicationOf(effect));
--- a/src/daemon/entry/upstream_pool.cpp
+++ b/src/daemon/entry/upstream_pool.cpp
@@ -71,6 +71,7 @@
 {
     upstream_connection_options options{.address = std::string(target.ip), .port = target.port};
     options.connectTimeout = m_options.connectTimeout;
+    options.unackedTimeout = m_options.unackedTimeout;
     options.bodyLimitBytes = m_options.bodyLimitBytes;
     return std::make_unique<upstream_connection>(m_loop, options,
                                                  [this, instance = target.instance] { dropUnusable(instance); });
--- a/src/daemon/entry/upstream_pool.h
+++ b/src/daemon/entry/upstream_pool.h
@@ -19,6 +19,7 @@
 struct upstream_pool_options {
     duration connectTimeout = std::chrono::seconds(1); ///< Limit for a new connection.
     std::size_t bodyLimitBytes = std::size_t{1024} * 1024; ///< Body of one answer.
+    duration unackedTimeout{}; ///< A connection whose bytes aren't acknowledged for so long is lost; 0: the system's.
     std::size_t idlePerInstance = 32; ///< Idle connections kept for each instance.
 };
 
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -90,6 +90,7 @@
     m_entries = entries;
     entries.insert(std::ranges::upper_bound(entries, m_self.id), m_self.id);
     tellEntry(limit_members_changed{std::move(entries)});
+    tellEntry(ledger_owners_changed{othersWith(view, ControlRole, m_self.id)});
     tellEntry(fleet_changed{summaryOf(view, m_self.dataCentre)});
     m_freshness.isolated = view.aliveShare < majorityShare;
     tellOfFreshness();
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -37,7 +37,7 @@
 struct peer_settings {
     endpoint advertise; ///< Where other VMs reach listen.peers when it differs, as behind a relay; empty: listen.peers.
     std::vector<endpoint> seeds; ///< Peers' addresses to join by, control VMs first.
-    std::uint32_t fleetSize = 48; ///< Most entry VMs that ever run at once; the same on all VMs.
+    std::uint32_t fleetSize = 48; ///< Most entry VMs that ever run at once, the same on all VMs; 0 when nobody knows.
     bool privateNetwork = false; ///< Links prove no secret: the network lets no one else in.
 };
 
@@ -65,6 +65,7 @@
     std::uint32_t drainLimitMs = 30'000; ///< A planned stop waits this long for running requests.
     std::uint32_t connectTimeoutMs = 1'000; ///< Limit for a new connection to an upstream.
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
+    std::uint32_t unackedTimeoutMs = 0; ///< A connection whose bytes no one acknowledges for so long is lost; 0: the system's.
     bool sparse = false; ///< One VM sends an instance less than a request a second: instances are chosen by affinity.
 };
 
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -35,7 +35,7 @@
     each.field("listen.readyPath", values.listen.readyPath, presence::Optional);
     each.field("peers.advertise", values.peers.advertise, presence::Optional);
     each.field("peers.seeds", values.peers.seeds, presence::Optional);
-    each.field("peers.fleetSize", values.peers.fleetSize, number_range{1, 10'000});
+    each.field("peers.fleetSize", values.peers.fleetSize, number_range{0, 10'000});
     each.field("peers.privateNetwork", values.peers.privateNetwork, presence::Optional);
     each.field("secrets.fleetSecretFile", values.secrets.fleetSecretFile, presence::Optional);
     each.field("secrets.serviceTokenFile", values.secrets.serviceTokenFile, presence::Optional);
@@ -51,6 +51,7 @@
     each.field("entry.drainLimitMs", values.entry.drainLimitMs, milliseconds);
     each.field("entry.connectTimeoutMs", values.entry.connectTimeoutMs, milliseconds);
     each.field("entry.idleConnectionsPerInstance", values.entry.idleConnectionsPerInstance, number_range{1, 10'000});
+    each.field("entry.unackedTimeoutMs", values.entry.unackedTimeoutMs, number_range{0, 3'600'000});
     each.field("entry.sparse", values.entry.sparse, presence::Optional);
 }
 
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -20,7 +20,8 @@
     Health = 7, ///< Evidence about upstreams.
     Operators = 8, ///< Operators' requests forwarded between VMs.
     Registry = 9, ///< Changes of instances that all VMs must know at once.
-    Last = Registry, ///< Highest known number.
+    Ledger = 10, ///< Accounts' budgets, where nobody tells the size of the fleet.
+    Last = Ledger, ///< Highest known number.
 };
 
 /// One message between two VMs.
--- /dev/null
+++ b/src/wire/ledger_codec.cpp
@@ -0,0 +1,104 @@
+#include "wire/ledger_codec.h"
+
+#include "wire/cbor_fields.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <cmath>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t maxMessageBytes = std::size_t{256} << 10;
+constexpr std::size_t maxAccounts = 10'000;
+
+double finite(cbor_fields &fields)
+{
+    const double value = fields.real();
+    if (!std::isfinite(value)) {
+        throw coordination_error(result_code::MessageMalformed, "ledger: a number is not finite");
+    }
+    return value;
+}
+
+/// Levels and rates need no more than single precision on the wire.
+float shortened(double value)
+{
+    return static_cast<float>(value);
+}
+
+json fieldsOf(const ledger_report &report)
+{
+    json entries = json::array();
+    for (const ledger_entry &each : report.entries) {
+        entries.push_back(json::array({each.account.value, shortened(each.limit.ratePerSecond),
+                                       shortened(each.limit.burst), shortened(each.taken), shortened(each.level)}));
+    }
+    return json::array({0, report.configuration, std::move(entries)});
+}
+
+json fieldsOf(const ledger_statement &statement)
+{
+    json balances = json::array();
+    for (const ledger_balance &each : statement.balances) {
+        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.othersRate)}));
+    }
+    return json::array({1, 0, std::move(balances)});
+}
+
+ledger_report reportFrom(std::uint64_t configuration, const json &entries)
+{
+    ledger_report report{.configuration = configuration, .entries = {}};
+    for (const json &each : entries) {
+        cbor_fields fields(each, "ledger entry", 5);
+        ledger_entry entry;
+        entry.account.value = fields.whole<std::uint32_t>();
+        entry.limit.ratePerSecond = finite(fields);
+        entry.limit.burst = finite(fields);
+        entry.taken = finite(fields);
+        entry.level = finite(fields);
+        report.entries.push_back(entry);
+    }
+    return report;
+}
+
+ledger_statement statementFrom(const json &balances)
+{
+    ledger_statement statement;
+    for (const json &each : balances) {
+        cbor_fields fields(each, "ledger balance", 3);
+        ledger_balance balance;
+        balance.account.value = fields.whole<std::uint32_t>();
+        balance.level = finite(fields);
+        balance.othersRate = finite(fields);
+        statement.balances.push_back(balance);
+    }
+    return statement;
+}
+
+} // namespace
+
+std::vector<std::byte> encodeLedgerMessage(const ledger_message &message)
+{
+    return encodeCbor(std::visit([](const auto &each) { return fieldsOf(each); }, message));
+}
+
+ledger_message decodeLedgerMessage(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxMessageBytes);
+    cbor_fields fields(value, "ledger message", 3);
+    const std::uint64_t kind = fields.wholeUpTo(1);
+    const std::uint64_t configuration = fields.whole<std::uint64_t>();
+    const json &list = fields.array(maxAccounts);
+    if (kind == 0) {
+        return reportFrom(configuration, list);
+    }
+    return statementFrom(list);
+}
+
+} // namespace guavafront
