Loads gathered by hubs; sheds and short timeouts are no evidence; the ledger grants shares

Change: hubs (control VMs) gather loads every 200 ms and tell their entry VMs; a shed marks an instance as full for 0.3 s here; only an overdue try is evidence; the ledger gives each VM its share of the refill, is told early when spending is noticeable and forgives half a second of debt.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -8,6 +8,7 @@
 #include <guavafront/coordination/health/shared_evidence.h>
 #include <guavafront/coordination/limits/ledger.h>
 #include <guavafront/coordination/limits/limiter.h>
+#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 
@@ -105,6 +106,11 @@
     ledger_report report; ///< What was spent.
 };
 
+/// Tell this VM's hub of instances' loads.
+struct report_loads {
+    std::vector<instance_load> loads; ///< As this VM heard them.
+};
+
 /// Send time_passed at that time, or earlier; the last one of a step counts.
 struct wake_at {
     instant when; ///< Time to wake.
@@ -114,6 +120,6 @@
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
-                 publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report>;
+                 publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report, report_loads>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -7,6 +7,7 @@
 #include <guavafront/coordination/entry/request_head.h>
 #include <guavafront/coordination/limits/ledger.h>
 #include <guavafront/coordination/limits/limiter.h>
+#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/upstreams/upstream_selection.h>
@@ -130,6 +131,11 @@
     ledger_statement statement; ///< What it says.
 };
 
+/// A hub told of instances' loads.
+struct loads_heard {
+    std::vector<instance_load> loads; ///< As other VMs heard them.
+};
+
 /// Time moved on; sent when a wake_at has come.
 struct time_passed {
 };
@@ -141,6 +147,6 @@
                  health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
                  time_passed, limit_members_changed, limit_message_received, claim_message_received,
                  claims_view_changed, publications_lost, evidence_heard, ledger_owners_changed,
-                 ledger_statement_received>;
+                 ledger_statement_received, loads_heard>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/ledger.h
+++ b/include/guavafront/coordination/limits/ledger.h
@@ -34,7 +34,7 @@
 struct ledger_balance {
     account_id account; ///< The account.
     double level = 0; ///< Tokens left of the whole fleet's budget; below 0 when more was spent.
-    double othersRate = 0; ///< Tokens a second that the other VMs spend.
+    double share = 0; ///< Part of the fleet's spending that is the VM's, 0 to 1.
     bool operator==(const ledger_balance &) const = default; ///< Memberwise equality.
 };
 
@@ -70,7 +70,7 @@
 /// One account at a VM that spends.
 struct spent_account {
     double level = 0; ///< Tokens left of the fleet's budget when last told.
-    double othersRate = 0; ///< Tokens a second that the other VMs spend.
+    double share = 0; ///< Part of the fleet's spending that is this VM's, 0 to 1.
     instant at{}; ///< When the owner told.
     double taken = 0; ///< Spent here since.
     double unreported = 0; ///< Spent here and not reported yet.
@@ -83,6 +83,7 @@
 struct ledger_limits {
     duration nearPeriod = std::chrono::milliseconds(100); ///< Between reports of an account that is near its limit.
     duration farPeriod = std::chrono::milliseconds(800); ///< Between reports of any other.
+    duration freshness = std::chrono::milliseconds(1'000); ///< Older statements entitle to the VM's share alone.
     double nearShare = 0.5; ///< Of the burst; with less left an account is near its limit.
 };
 
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/health/shared_evidence.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/retries/retry_budget.h>
+#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/routing/affinity.h>
 #include <guavafront/coordination/routing/balancer.h>
 
@@ -75,6 +76,13 @@
 std::optional<affinity_choice> selectByAffinity(upstream_selection &selection, const registry &known,
                                                 std::string_view service, const choice_request &request, instant now);
 
+/// Takes loads that other VMs heard.
+void takeLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads, instant now);
+
+/// An instance refused a request for want of room: it counts as full until its next report.
+void noteFull(upstream_selection &selection, const registry &known, std::string_view service, instance_id instance,
+              instant now);
+
 /// The next request of its service goes to the instance: when it is dead, the failed connection proves it at once and
 /// the request, which has not run, goes elsewhere. At most once in a few seconds for an instance.
 void confirmNext(upstream_selection &selection, instance_id instance, instant now);
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -125,6 +125,11 @@
     noteSign(context.state.selection.troubles, event.evidence, context.now);
 }
 
+void handle(step_context &context, const loads_heard &event)
+{
+    takeLoads(context.state.selection, context.state.upstreams, event.loads, context.now);
+}
+
 void handle(step_context &context, const ledger_owners_changed &event)
 {
     context.state.budgets.owners = event.owners;
@@ -189,6 +194,7 @@
     expireRequests(context);
     updateLimits(context, limit_tick{});
     reportBudgets(context);
+    reportLoads(context);
     endTokenWaits(context);
     expireInstances(context);
     superviseUpstreams(context);
@@ -197,6 +203,9 @@
 instant nextWake(const entry &state)
 {
     instant next = std::min(nextLimitWake(state), nextExpiry(state.upstreams).value_or(instant::max()));
+    if (!state.heardLoads.loads.empty()) {
+        next = std::min(next, state.loadsReportedAt + loadReportPeriod);
+    }
     if (!state.upstreams.services.empty()) {
         next = std::min(next, state.nextSupervision);
     }
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -106,6 +106,20 @@
     return isQuarantined(state.held, fingerprintOf(request), state.current->defaults.quarantineDeaths);
 }
 
+void reportLoads(step_context &context)
+{
+    entry &state = context.state;
+    if (context.now < state.loadsReportedAt + loadReportPeriod) {
+        return;
+    }
+    std::vector<instance_load> heard = loadsSince(state.heardLoads, state.loadsReportedAt, context.now);
+    state.heardLoads.loads.clear();
+    state.loadsReportedAt = context.now;
+    if (!heard.empty()) {
+        context.effects.emplace_back(report_loads{std::move(heard)});
+    }
+}
+
 void tellFleet(step_context &context, const instance_evidence &evidence)
 {
     if (noteSign(context.state.selection.troubles, evidence, context.now)) {
@@ -116,6 +130,17 @@
 namespace
 {
 
+/// Whether the present try takes far longer than is usual at its service.
+bool isOverdue(const step_context &context, const exchange &request)
+{
+    constexpr float overdueFactor = 4;
+    constexpr float leastUs = 1'500'000;
+    const candidate_set *candidates =
+        findCandidates(context.state.selection, context.state.upstreams, request.service);
+    const float usualUs = candidates ? candidates->typicalLatencyUs : leastUs;
+    return static_cast<float>((context.now - request.triedAt).count()) > std::max(leastUs, usualUs * overdueFactor);
+}
+
 /// What a try's end says of its instance to the whole fleet.
 void tellOutcome(step_context &context, const exchange &request, const attempt_result &result, outcome_kind kind)
 {
@@ -130,7 +155,11 @@
         tellFleet(context, {instance, instance_sign::Erred});
         return;
     case outcome_kind::Shed:
-        tellFleet(context, {instance, result.wrongInstance ? instance_sign::Failed : instance_sign::Erred});
+        if (result.wrongInstance) {
+            tellFleet(context, {instance, instance_sign::Failed});
+        } else { // Load, or a fault that hurts no one while others have room.
+            noteFull(context.state.selection, context.state.upstreams, request.service, instance, context.now);
+        }
         return;
     case outcome_kind::ConnectFailed: // Only the way from here may be cut; each VM finds out at no harm.
         noteSign(context.state.selection.troubles, {instance, instance_sign::Failed}, context.now);
@@ -140,7 +169,7 @@
         tellFleet(context, {instance, instance_sign::Failed});
         return;
     case outcome_kind::TimedOut:
-        if (!request.overdueTold) {
+        if (!request.overdueTold && isOverdue(context, request)) {
             tellFleet(context, {instance, instance_sign::Erred});
         }
         return;
@@ -152,17 +181,9 @@
 /// Tries that take far longer than is usual at their service.
 void tellOverdue(step_context &context)
 {
-    constexpr float overdueFactor = 4;
-    constexpr float leastUs = 1'500'000;
     entry &state = context.state;
     for (auto &[id, request] : state.exchanges) {
-        if (request.stage != exchange_stage::Running || request.overdueTold) {
-            continue;
-        }
-        const candidate_set *candidates = findCandidates(state.selection, state.upstreams, request.service);
-        const float usualUs = candidates ? candidates->typicalLatencyUs : leastUs;
-        const float limitUs = std::max(leastUs, usualUs * overdueFactor);
-        if (static_cast<float>((context.now - request.triedAt).count()) > limitUs) {
+        if (request.stage == exchange_stage::Running && !request.overdueTold && isOverdue(context, request)) {
             request.overdueTold = true;
             noteSign(state.selection.troubles, {request.running, instance_sign::Failed}, context.now);
             context.effects.emplace_back(tell_fleet{{request.running, instance_sign::Erred}});
@@ -184,6 +205,10 @@
     concludeTry(state.selection, state.upstreams, request.service, news, context.now);
     if (state.selection.policy == balancing_policy::Affinity) {
         tellOutcome(context, request, result, news.kind);
+        if (result.reportedLoad) {
+            const instance_load heard{request.running, *result.reportedLoad, {}};
+            noteLoads(state.heardLoads, std::span(&heard, 1), context.now);
+        }
     }
     noteForQuarantine(context, request, result);
     if (news.kind == outcome_kind::TimedOut && news.reusedConnection) {
--- a/src/coordination/limits/ledger.cpp
+++ b/src/coordination/limits/ledger.cpp
@@ -10,9 +10,10 @@
 {
 
 constexpr duration spenderMemory = std::chrono::seconds(2); // A VM that is silent for longer spends nothing.
-constexpr double debtSeconds = 2; // More debt than this many seconds of the rate is forgiven.
+constexpr double debtSeconds = 0.5; // More debt than this many seconds of the rate is forgiven.
 constexpr duration accountMemory = std::chrono::seconds(30);
 constexpr double averageSeconds = 1; // Of a spender's rate.
+constexpr double firstTokens = 3; // Spent before the owner answers for the first time, some milliseconds later.
 constexpr duration learningTime = std::chrono::seconds(1); // All VMs that spend have reported by then.
 
 double secondsBetween(instant from, instant to)
@@ -20,9 +21,9 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
-double refilled(const rate_limit &limit, double level, double seconds, double spentPerSecond)
+double refilled(const rate_limit &limit, double level, double seconds)
 {
-    return std::min(limit.burst, level + (limit.ratePerSecond - spentPerSecond) * seconds);
+    return std::min(limit.burst, level + limit.ratePerSecond * seconds);
 }
 
 /// Highest random weight of an owner for an account (Thaler and Ravishankar, 1998).
@@ -43,15 +44,21 @@
 }
 
 /// What this VM believes to be left of the whole fleet's budget.
-double estimate(const rate_limit &limit, const spent_account &known, instant now)
+double estimate(const ledger &state, const rate_limit &limit, const spent_account &known, instant now)
 {
-    return refilled(limit, known.level, secondsBetween(known.at, now), known.othersRate) - known.taken;
+    const bool fresh = now - known.at < state.times.freshness;
+    const double told = fresh ? known.level : known.level * known.share;
+    const double refill = limit.ratePerSecond * known.share * secondsBetween(known.at, now);
+    return std::min(limit.burst, told + refill) - known.taken;
 }
 
 duration periodOf(const ledger &state, account_id account, const spent_account &known)
 {
     const rate_limit &limit = limitOf(state.limits, account);
-    const bool near = !known.told || known.level - known.taken < limit.burst * state.times.nearShare;
+    // When all VMs spend like this one, half of what is left is gone before they have reported.
+    const double noticeable = std::max(1.0, known.level / (2 * static_cast<double>(state.spenders)));
+    const bool near = !known.told || known.level - known.taken < limit.burst * state.times.nearShare
+                      || known.unreported > noticeable;
     return near ? state.times.nearPeriod : state.times.farPeriod;
 }
 
@@ -64,15 +71,19 @@
     spender.reportedAt = now;
 }
 
-double othersRate(const ledger_account &account, vm_id self, instant now)
+/// Part of the fleet's spending that is a VM's; a VM that spends little gets an equal part.
+double shareOf(const ledger_account &account, vm_id vm, instant now)
 {
     double sum = 0;
-    for (const auto &[vm, spender] : account.spenders) {
-        if (vm != self && now - spender.reportedAt < spenderMemory) {
+    double live = 0;
+    for (const auto &[other, spender] : account.spenders) {
+        if (now - spender.reportedAt < spenderMemory) {
             sum += spender.rate;
+            live += 1;
         }
     }
-    return sum;
+    const double equal = 1 / std::max(live, 1.0);
+    return sum > 0 ? std::max(account.spenders.at(vm).rate / sum, equal / 2) : equal;
 }
 
 ledger_balance bookEntry(ledger_account &account, vm_id from, const ledger_entry &entry, std::uint64_t configuration,
@@ -91,11 +102,11 @@
     if (now - account.since < learningTime) { // A former owner may have told of less.
         account.level = std::min(account.level, entry.level + entry.taken);
     }
-    account.level = refilled(account.limit, account.level, secondsBetween(account.at, now), 0) - entry.taken;
+    account.level = refilled(account.limit, account.level, secondsBetween(account.at, now)) - entry.taken;
     account.level = std::max(account.level, -debtSeconds * account.limit.ratePerSecond);
     account.at = now;
     updateSpender(account.spenders[from], entry.taken, now);
-    return {entry.account, account.level, othersRate(account, from, now)};
+    return {entry.account, account.level, shareOf(account, from, now)};
 }
 
 } // namespace
@@ -117,14 +128,14 @@
     const auto [place, isNew] = state.accounts.try_emplace(account);
     spent_account &known = place->second;
     if (isNew) { // Nothing was told yet: an equal part of the burst, so that all VMs together keep to it.
-        known.level = std::max(1.0, limit.burst / static_cast<double>(state.spenders));
-        known.othersRate = limit.ratePerSecond * (1 - 1 / static_cast<double>(state.spenders));
+        known.level = std::max(firstTokens, limit.burst / static_cast<double>(state.spenders));
+        known.share = 1 / static_cast<double>(state.spenders);
         known.at = now;
         known.reportedAt = now - state.times.farPeriod;
     }
     known.asked += 1;
-    const double left = estimate(limit, known, now);
-    if (left >= 1) {
+    const double left = estimate(state, limit, known, now);
+    if (left > 0) { // What is spent beyond the last token is paid back: the owner counts it.
         known.taken += 1;
         known.unreported += 1;
         return {.verdict = take_verdict::Granted};
@@ -150,7 +161,7 @@
             place = std::prev(reports.end());
         }
         const rate_limit &limit = limitOf(state.limits, account);
-        const double level = known.told ? estimate(limit, known, now) : limit.burst;
+        const double level = known.told ? estimate(state, limit, known, now) : limit.burst;
         place->second.entries.push_back({account, limit, known.unreported, level});
         known.unreported = 0;
         known.asked = 0;
@@ -183,7 +194,7 @@
         }
         spent_account &known = found->second;
         known.level = balance.level;
-        known.othersRate = balance.othersRate;
+        known.share = balance.share;
         known.at = now;
         known.taken = known.unreported; // What was reported is in the level.
         known.told = true;
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -39,7 +39,8 @@
     // One slow answer may be the request's doing.
     constexpr float trust = 0.3F;
     constexpr float usual = 1.5F;
-    return trust * std::max(0.0F, latency - usual * typical) + waiting + crowding;
+    const float full = now < member.fullUntil ? latency : 0;
+    return trust * std::max(0.0F, latency - usual * typical) + waiting + crowding + full;
 }
 
 struct ranked_member {
@@ -105,12 +106,27 @@
     return all > 0 ? open / all : 0;
 }
 
+/// Whether the open instances have little room left, as far as their loads are known.
+bool isCrowded(const std::vector<ranked_member> &ranked, instant now, const affinity_costs &costs)
+{
+    constexpr float crowded = 0.65F;
+    float requests = 0;
+    float slots = 0;
+    for (const ranked_member &each : ranked) {
+        if (each.standing == avoidance_standing::Open) {
+            requests += knownLoad(*each.member, now, costs);
+            slots += static_cast<float>(each.member->slots);
+        }
+    }
+    return requests > crowded * slots;
+}
+
 /// The first instance that the request may show sound again. One that may not be repeated is risked only where
 /// capacity is short or the trouble is long ago.
 const ranked_member *findTrial(const std::vector<ranked_member> &ranked, const avoidance &troubles,
                                const choice_request &request, instant now, const affinity_costs &costs)
 {
-    const bool isShort = openShare(ranked) < costs.shortage;
+    const bool isShort = openShare(ranked) < costs.shortage || isCrowded(ranked, now, costs);
     const auto found = std::ranges::find_if(ranked, [&](const ranked_member &each) {
         const bool longAgo = now - lastTrouble(troubles, each.member->instance) > costs.patience;
         return each.standing == avoidance_standing::Trial && (request.repeatable || (each.near && (isShort || longAgo)));
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -72,6 +72,9 @@
     }
 }
 
+/// About as long as a slot is taken.
+constexpr duration fullTime = std::chrono::milliseconds(300);
+
 /// Many VMs with little traffic each: their retries add up, so that each may save next to none.
 constexpr retry_budget sparseRetries{.tokens = 1.5F, .capacity = 1.5F};
 
@@ -174,6 +177,33 @@
     return chosen;
 }
 
+void takeLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads, instant now)
+{
+    for (const instance_load &each : loads) {
+        const auto service = known.serviceOf.find(each.instance);
+        if (service == known.serviceOf.end() || service->second >= selection.services.size()) {
+            continue;
+        }
+        candidate *member = findCandidate(selection.services[service->second].candidates, each.instance);
+        const instant at = now - each.age;
+        if (member && at > member->loadAt) {
+            member->reportedLoad = static_cast<float>(each.requests);
+            member->sentSinceLoad = 0;
+            member->loadAt = at;
+        }
+    }
+}
+
+void noteFull(upstream_selection &selection, const registry &known, std::string_view service, instance_id instance,
+              instant now)
+{
+    selected_service *selected = findService(selection, known, service);
+    candidate *member = selected ? findCandidate(selected->candidates, instance) : nullptr;
+    if (member) {
+        member->fullUntil = now + fullTime;
+    }
+}
+
 void confirmNext(upstream_selection &selection, instance_id instance, instant now)
 {
     constexpr duration confirmInterval = std::chrono::seconds(5);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -125,6 +125,14 @@
             wiring.entries.post(ledger_statement_received{std::get<ledger_statement>(decoded)});
         }
     });
+    subscribe(options, channel::Loads, wiring, [&settings, &wiring](vm_id from, const envelope &message) {
+        load_message decoded = decodeLoads(message.body);
+        if (decoded.stage == load_stage::Published) {
+            wiring.entries.post(loads_heard{std::move(decoded.loads)});
+        } else if (hasRole(settings, vm_role::Control)) {
+            wiring.hub.post(loads_received{from, std::move(decoded)});
+        }
+    });
     subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(instance_learned{from, decodeAnnouncement(message.body)});
     });
@@ -289,6 +297,17 @@
     return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne}, std::move(children));
 }
 
+child_spec hubChild(daemon_wiring &wiring)
+{
+    return {.name = "hub",
+            .body =
+                [&wiring](loop &owner) {
+                    const hub_task task(owner, wiring.hub, wiring.peers);
+                    owner.run();
+                },
+            .shutdownLimit = shortShutdown};
+}
+
 /// Hears instances on a VM that serves no callers.
 child_spec registryChild(vm_id self, daemon_wiring &wiring)
 {
@@ -364,6 +383,7 @@
                                      configurationChild(settings, secrets, self, wiring)};
     if (hasRole(settings, vm_role::Control)) {
         children.push_back(controlChild(settings, secrets, self, wiring));
+        children.push_back(hubChild(wiring));
     }
     if (hasRole(settings, vm_role::Entry)) {
         children.push_back(entryChild(settings, secrets, self, wiring, front));
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -2,6 +2,7 @@
 
 #include "daemon/configuration/configuration_message.h"
 #include "daemon/control/control_message.h"
+#include "daemon/hub/hub_task.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
 #include "daemon/operators/operators_message.h"
@@ -30,6 +31,7 @@
     mailbox<control_message> control{smallCapacity}; ///< To the control task.
     mailbox<operators_message> operators{largeCapacity}; ///< To the operators task.
     mailbox<entry_event> entries{largeCapacity}; ///< To the entry task.
+    mailbox<loads_received> hub{largeCapacity}; ///< To the hub task.
     mailbox<std::shared_ptr<const configuration>> announcements{smallCapacity}; ///< To the announcements task.
 };
 
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -6,6 +6,7 @@
 #include "wire/claims_codec.h"
 #include "wire/evidence_codec.h"
 #include "wire/ledger_codec.h"
+#include "wire/load_codec.h"
 
 #include "wire/limits_codec.h"
 #include <guavafront/coordination/core/coordination_error.h>
@@ -317,7 +318,13 @@
 
 void entry_task::perform(const tell_fleet &effect)
 {
-    m_peers.post(send_to_hubs{{.kind = channel::Health, .body = encodeEvidence(effect.evidence)}});
+    m_peers.post(send_to_hubs{.message = {.kind = channel::Health, .body = encodeEvidence(effect.evidence)}});
+}
+
+void entry_task::perform(const report_loads &effect)
+{
+    m_peers.post(send_to_hubs{
+        .count = 1, .message = {.kind = channel::Loads, .body = encodeLoads({load_stage::Reported, effect.loads})}});
 }
 
 void entry_task::perform(const send_ledger_report &effect)
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -80,6 +80,7 @@
     void perform(const publish_release &effect);
     void perform(const tell_fleet &effect);
     void perform(const send_ledger_report &effect);
+    void perform(const report_loads &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
--- /dev/null
+++ b/src/daemon/hub/hub_task.cpp
@@ -0,0 +1,58 @@
+#include "daemon/hub/hub_task.h"
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr duration publishPeriod = std::chrono::milliseconds(200); // A request runs for about twice as long.
+constexpr duration reporterMemory = std::chrono::seconds(5);
+
+} // namespace
+
+hub_task::hub_task(loop &owner, mailbox<loads_received> &inbox, mailbox<peers_message> &peers)
+    : m_peers(peers)
+    , m_timer(owner, [this] { publish(); })
+    , m_attachment(inbox, owner, [this](const loads_received &received) { receive(received); })
+{
+}
+
+void hub_task::receive(const loads_received &received)
+{
+    const instant now = loop::now();
+    noteLoads(m_board, received.message.loads, now);
+    if (received.message.stage == load_stage::Reported) {
+        noteLoads(m_own, received.message.loads, now);
+        m_reporters[received.from] = now;
+    }
+    if (!m_armed) {
+        m_armed = true;
+        m_timer.arm(publishPeriod);
+    }
+}
+
+void hub_task::publish()
+{
+    m_armed = false;
+    const instant now = loop::now();
+    const instant since = std::exchange(m_publishedAt, now);
+    if (const auto own = loadsSince(m_own, since, now); !own.empty()) {
+        m_peers.post(send_to_roles{
+            ControlRole, {.kind = channel::Loads, .body = encodeLoads({load_stage::Gathered, own})}});
+    }
+    std::erase_if(m_reporters, [now](const auto &each) { return each.second + reporterMemory < now; });
+    const auto all = loadsSince(m_board, since, now);
+    for (const auto &[vm, reportedAt] : m_reporters) {
+        if (!all.empty()) {
+            send(vm, load_stage::Published, all);
+        }
+    }
+}
+
+void hub_task::send(vm_id to, load_stage stage, const std::vector<instance_load> &loads)
+{
+    m_peers.post(send_to_vm{to, {.kind = channel::Loads, .body = encodeLoads({stage, loads})}});
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/hub/hub_task.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "daemon/peers/peers_message.h"
+#include "runtime/loop.h"
+#include "runtime/mailbox.h"
+#include "runtime/timer.h"
+#include "wire/load_codec.h"
+
+#include <guavafront/coordination/loads/load_board.h>
+
+#include <unordered_map>
+
+namespace guavafront
+{
+
+/// Loads that another VM sent.
+struct loads_received {
+    vm_id from; ///< Sender.
+    load_message message; ///< What it sent.
+};
+
+/// Gathers what entry VMs hear of instances' loads on a control VM, and tells its entry VMs a few times a second.
+class hub_task
+{
+public:
+    /// Takes loads from inbox.
+    hub_task(loop &owner, mailbox<loads_received> &inbox, mailbox<peers_message> &peers);
+
+private:
+    void receive(const loads_received &received);
+    void publish();
+    void send(vm_id to, load_stage stage, const std::vector<instance_load> &loads);
+
+    mailbox<peers_message> &m_peers; ///< Not owned.
+    load_board m_board; ///< Of the whole fleet.
+    load_board m_own; ///< Of this hub's entry VMs alone; the other hubs are told of these.
+    std::unordered_map<vm_id, instant> m_reporters; ///< Entry VMs that report here, with when they last did.
+    instant m_publishedAt{}; ///< Last time.
+    timer m_timer; ///< Next time; runs while there is something to tell.
+    bool m_armed = false; ///< The timer runs.
+    mailbox_attachment<loads_received> m_attachment; ///< To the inbox.
+};
+
+} // namespace guavafront
--- a/src/daemon/peers/peers_message.h
+++ b/src/daemon/peers/peers_message.h
@@ -35,6 +35,7 @@
 
 /// Sends to the nearest control VMs, which pass it on to all entry VMs.
 struct send_to_hubs {
+    std::size_t count = 2; ///< How many of them; the second one covers the loss of the first.
     envelope message; ///< Any channel but Control, Membership and Spread.
 };
 
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -25,8 +25,6 @@
 constexpr duration farewellTime = std::chrono::milliseconds(200);
 constexpr double shareStep = 0.05;
 constexpr std::uint8_t bodyVersion = 1;
-/// Control VMs that each message to the fleet goes through; the second one covers the loss of the first.
-constexpr std::size_t hubsTold = 2;
 
 random_source systemSeededRandom()
 {
@@ -148,7 +146,7 @@
     std::ranges::stable_partition(hubs, [this](const member_record &each) {
         return each.dataCentre == self().dataCentre && each.status == member_status::Alive;
     });
-    for (std::size_t index = 0; index < std::min(hubs.size(), hubsTold); ++index) {
+    for (std::size_t index = 0; index < std::min(hubs.size(), message.count); ++index) {
         m_links.send(hubs[index].id, hubs[index].address, message.message);
     }
     if (hubs.empty()) {
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -21,7 +21,8 @@
     Operators = 8, ///< Operators' requests forwarded between VMs.
     Registry = 9, ///< Changes of instances that all VMs must know at once.
     Ledger = 10, ///< Accounts' budgets, where nobody tells the size of the fleet.
-    Last = Ledger, ///< Highest known number.
+    Loads = 11, ///< Instances' loads, gathered and told by hubs.
+    Last = Loads, ///< Highest known number.
 };
 
 /// One message between two VMs.
--- a/src/wire/ledger_codec.cpp
+++ b/src/wire/ledger_codec.cpp
@@ -46,7 +46,7 @@
 {
     json balances = json::array();
     for (const ledger_balance &each : statement.balances) {
-        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.othersRate)}));
+        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.share)}));
     }
     return json::array({1, 0, std::move(balances)});
 }
@@ -75,7 +75,7 @@
         ledger_balance balance;
         balance.account.value = fields.whole<std::uint32_t>();
         balance.level = finite(fields);
-        balance.othersRate = finite(fields);
+        balance.share = finite(fields);
         statement.balances.push_back(balance);
     }
     return statement;
