Ledger: parts of the refill kept for VMs out of reach

Change: a VM that an owner doesn't answer for 0.4 s spends what it spent before, the owner keeps as much for it; VMs that are done say so.

--- a/include/guavafront/coordination/limits/ledger.h
+++ b/include/guavafront/coordination/limits/ledger.h
@@ -19,6 +19,7 @@
     account_id account; ///< The account.
     rate_limit limit; ///< As configured at the VM.
     double taken = 0; ///< Tokens spent since the last report.
+    bool closing = false; ///< The VM spends nothing any more until it reports again.
     double level = 0; ///< The VM's estimate of what is left, the burst when it was told nothing; a new owner begins with the lowest.
     bool operator==(const ledger_entry &) const = default; ///< Memberwise equality.
 };
@@ -34,7 +35,8 @@
 struct ledger_balance {
     account_id account; ///< The account.
     double level = 0; ///< Tokens left of the whole fleet's budget; below 0 when more was spent.
-    double share = 0; ///< Part of the fleet's spending that is the VM's, 0 to 1.
+    double share = 0; ///< Part of the refill that the VM may count on between statements, 0 to 1.
+    double reserve = 0; ///< Part of the refill that is kept for the VM while it doesn't reach the owner, 0 to 1.
     bool operator==(const ledger_balance &) const = default; ///< Memberwise equality.
 };
 
@@ -70,20 +72,24 @@
 /// One account at a VM that spends.
 struct spent_account {
     double level = 0; ///< Tokens left of the fleet's budget when last told.
-    double share = 0; ///< Part of the fleet's spending that is this VM's, 0 to 1.
+    double share = 0; ///< As told.
+    double reserve = 0; ///< As told.
     instant at{}; ///< When the owner told.
     double taken = 0; ///< Spent here since.
+    double takenStale = 0; ///< Spent here since the owner was out of touch.
     double unreported = 0; ///< Spent here and not reported yet.
     double asked = 0; ///< Requests since the last report.
     instant reportedAt{}; ///< Last report.
+    instant awaitedSince{}; ///< When the oldest report without an answer left; the beginning of time for none.
     bool told = false; ///< The owner has told at least once.
 };
 
 /// Times of the ledger.
 struct ledger_limits {
     duration nearPeriod = std::chrono::milliseconds(100); ///< Between reports of an account that is near its limit.
+    duration closeAfter = std::chrono::seconds(3); ///< A VM that is asked for nothing so long says that it is done.
     duration farPeriod = std::chrono::milliseconds(800); ///< Between reports of any other.
-    duration freshness = std::chrono::milliseconds(1'000); ///< Older statements entitle to the VM's share alone.
+    duration answerLimit = std::chrono::milliseconds(400); ///< An owner that owes an answer for longer is out of reach.
     double nearShare = 0.5; ///< Of the burst; with less left an account is near its limit.
 };
 
--- a/src/coordination/limits/ledger.cpp
+++ b/src/coordination/limits/ledger.cpp
@@ -9,7 +9,9 @@
 namespace
 {
 
-constexpr duration spenderMemory = std::chrono::seconds(2); // A VM that is silent for longer spends nothing.
+constexpr duration spenderMemory = std::chrono::seconds(2); // A VM that is silent for longer is out of reach.
+constexpr duration reserveMemory = std::chrono::seconds(15); // Its reserve is kept for so long.
+constexpr double reserveSeconds = 0.3; // Of its reserve that a VM out of reach may spend at once.
 constexpr double debtSeconds = 0.5; // More debt than this many seconds of the rate is forgiven.
 constexpr duration accountMemory = std::chrono::seconds(30);
 constexpr double averageSeconds = 1; // Of a spender's rate.
@@ -43,13 +45,23 @@
     return best;
 }
 
+/// Whether the owner answers; a VM that has nothing to report counts as in touch.
+bool inTouch(const ledger &state, const spent_account &known, instant now)
+{
+    return known.awaitedSince == instant{} || now - known.awaitedSince < state.times.answerLimit;
+}
+
 /// What this VM believes to be left of the whole fleet's budget.
 double estimate(const ledger &state, const rate_limit &limit, const spent_account &known, instant now)
 {
-    const bool fresh = now - known.at < state.times.freshness;
-    const double told = fresh ? known.level : known.level * known.share;
-    const double refill = limit.ratePerSecond * known.share * secondsBetween(known.at, now);
-    return std::min(limit.burst, told + refill) - known.taken;
+    const double seconds = secondsBetween(known.at, now);
+    if (inTouch(state, known, now)) {
+        return std::min(limit.burst, known.level + limit.ratePerSecond * known.share * seconds) - known.taken;
+    }
+    // The others may spend the rest meanwhile; a few seconds' worth may pile up.
+    const double part = limit.ratePerSecond * known.reserve;
+    const double outOfTouch = secondsBetween(known.awaitedSince, now);
+    return std::min(part * (outOfTouch + reserveSeconds), limit.burst) - known.takenStale;
 }
 
 duration periodOf(const ledger &state, account_id account, const spent_account &known)
@@ -71,8 +83,29 @@
     spender.reportedAt = now;
 }
 
-/// Part of the fleet's spending that is a VM's; a VM that spends little gets an equal part.
-double shareOf(const ledger_account &account, vm_id vm, instant now)
+/// Part of the refill that a spender out of reach goes on with: what it spent before, and a little for chance.
+double reserveOf(const ledger_account &account, const ledger_account::spender &spender)
+{
+    constexpr double spare = 0.1; // All VMs together.
+    const double usual = account.limit.ratePerSecond > 0 ? spender.rate / account.limit.ratePerSecond : 0;
+    constexpr double kept = 0.85; // Averages err; the sum must not exceed the refill.
+    return kept * std::min(1.0, usual) + spare / static_cast<double>(account.spenders.size());
+}
+
+/// Tokens a second that are kept for spenders out of reach.
+double reservedRate(const ledger_account &account, instant now)
+{
+    double parts = 0;
+    for (const auto &[vm, spender] : account.spenders) {
+        if (now - spender.reportedAt >= spenderMemory) {
+            parts += reserveOf(account, spender);
+        }
+    }
+    return account.limit.ratePerSecond * std::min(parts, 0.9);
+}
+
+/// Half by what each spends, half equal; all parts add up to one.
+double shareOf(const ledger_account &account, const ledger_account::spender &own, instant now)
 {
     double sum = 0;
     double live = 0;
@@ -83,7 +116,7 @@
         }
     }
     const double equal = 1 / std::max(live, 1.0);
-    return sum > 0 ? std::max(account.spenders.at(vm).rate / sum, equal / 2) : equal;
+    return sum > 0 ? (own.rate / sum + equal) / 2 : equal;
 }
 
 ledger_balance bookEntry(ledger_account &account, vm_id from, const ledger_entry &entry, std::uint64_t configuration,
@@ -102,11 +135,19 @@
     if (now - account.since < learningTime) { // A former owner may have told of less.
         account.level = std::min(account.level, entry.level + entry.taken);
     }
-    account.level = refilled(account.limit, account.level, secondsBetween(account.at, now)) - entry.taken;
+    std::erase_if(account.spenders,
+                  [now](const auto &each) { return each.second.reportedAt + reserveMemory < now; });
+    const double seconds = secondsBetween(account.at, now);
+    account.level = refilled(account.limit, account.level, seconds) - reservedRate(account, now) * seconds - entry.taken;
     account.level = std::max(account.level, -debtSeconds * account.limit.ratePerSecond);
     account.at = now;
-    updateSpender(account.spenders[from], entry.taken, now);
-    return {entry.account, account.level, shareOf(account, from, now)};
+    if (entry.closing) {
+        account.spenders.erase(from);
+        return {entry.account, account.level, 0, 0};
+    }
+    ledger_account::spender &spender = account.spenders[from];
+    updateSpender(spender, entry.taken, now);
+    return {entry.account, account.level, shareOf(account, spender, now), reserveOf(account, spender)};
 }
 
 } // namespace
@@ -130,14 +171,19 @@
     if (isNew) { // Nothing was told yet: an equal part of the burst, so that all VMs together keep to it.
         known.level = std::max(firstTokens, limit.burst / static_cast<double>(state.spenders));
         known.share = 1 / static_cast<double>(state.spenders);
+        known.reserve = known.share;
         known.at = now;
         known.reportedAt = now - state.times.farPeriod;
     }
     known.asked += 1;
     const double left = estimate(state, limit, known, now);
+    if (inTouch(state, known, now)) {
+        known.takenStale = 0;
+    }
     if (left > 0) { // What is spent beyond the last token is paid back: the owner counts it.
         known.taken += 1;
         known.unreported += 1;
+        known.takenStale += 1;
         return {.verdict = take_verdict::Granted};
     }
     const double seconds = (1 - left) / std::max(limit.ratePerSecond, 0.01);
@@ -152,7 +198,9 @@
     std::vector<std::pair<vm_id, ledger_report>> reports;
     for (auto &[account, known] : state.accounts) {
         const vm_id owner = ownerOf(state, account);
-        if (known.asked == 0 || owner.value == 0 || now < known.reportedAt + periodOf(state, account, known)) {
+        const bool closing = known.asked == 0 && known.told && now >= known.reportedAt + state.times.closeAfter;
+        const bool due = known.asked > 0 && now >= known.reportedAt + periodOf(state, account, known);
+        if (owner.value == 0 || (!due && !closing)) {
             continue;
         }
         auto place = std::ranges::find(reports, owner, &std::pair<vm_id, ledger_report>::first);
@@ -162,10 +210,16 @@
         }
         const rate_limit &limit = limitOf(state.limits, account);
         const double level = known.told ? estimate(state, limit, known, now) : limit.burst;
-        place->second.entries.push_back({account, limit, known.unreported, level});
+        place->second.entries.push_back({account, limit, known.unreported, closing, level});
+        if (known.awaitedSince == instant{}) {
+            known.awaitedSince = now;
+        }
         known.unreported = 0;
         known.asked = 0;
         known.reportedAt = now;
+        if (closing) {
+            known.reportedAt = instant{}; // Forgotten below; the next request begins anew.
+        }
     }
     std::erase_if(state.accounts, [now](const auto &each) {
         return each.second.asked == 0 && each.second.reportedAt + accountMemory < now;
@@ -177,8 +231,9 @@
 {
     std::optional<instant> next;
     for (const auto &[account, known] : state.accounts) {
-        if (known.asked > 0 && !state.owners.empty()) {
-            const instant due = known.reportedAt + periodOf(state, account, known);
+        if ((known.asked > 0 || known.told) && !state.owners.empty()) {
+            const instant due =
+                known.reportedAt + (known.asked > 0 ? periodOf(state, account, known) : state.times.closeAfter);
             next = next ? std::min(*next, due) : due;
         }
     }
@@ -195,9 +250,11 @@
         spent_account &known = found->second;
         known.level = balance.level;
         known.share = balance.share;
+        known.reserve = balance.reserve;
         known.at = now;
         known.taken = known.unreported; // What was reported is in the level.
         known.told = true;
+        known.awaitedSince = {};
     }
 }
 
--- a/src/wire/ledger_codec.cpp
+++ b/src/wire/ledger_codec.cpp
@@ -37,7 +37,8 @@
     json entries = json::array();
     for (const ledger_entry &each : report.entries) {
         entries.push_back(json::array({each.account.value, shortened(each.limit.ratePerSecond),
-                                       shortened(each.limit.burst), shortened(each.taken), shortened(each.level)}));
+                                       shortened(each.limit.burst), shortened(each.taken), each.closing,
+                                       shortened(each.level)}));
     }
     return json::array({0, report.configuration, std::move(entries)});
 }
@@ -46,7 +47,8 @@
 {
     json balances = json::array();
     for (const ledger_balance &each : statement.balances) {
-        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.share)}));
+        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.share),
+                                        shortened(each.reserve)}));
     }
     return json::array({1, 0, std::move(balances)});
 }
@@ -55,12 +57,13 @@
 {
     ledger_report report{.configuration = configuration, .entries = {}};
     for (const json &each : entries) {
-        cbor_fields fields(each, "ledger entry", 5);
+        cbor_fields fields(each, "ledger entry", 6);
         ledger_entry entry;
         entry.account.value = fields.whole<std::uint32_t>();
         entry.limit.ratePerSecond = finite(fields);
         entry.limit.burst = finite(fields);
         entry.taken = finite(fields);
+        entry.closing = fields.boolean();
         entry.level = finite(fields);
         report.entries.push_back(entry);
     }
@@ -71,11 +74,12 @@
 {
     ledger_statement statement;
     for (const json &each : balances) {
-        cbor_fields fields(each, "ledger balance", 3);
+        cbor_fields fields(each, "ledger balance", 4);
         ledger_balance balance;
         balance.account.value = fields.whole<std::uint32_t>();
         balance.level = finite(fields);
         balance.share = finite(fields);
+        balance.reserve = finite(fields);
         statement.balances.push_back(balance);
     }
     return statement;
