--- a/include/guavafront/coordination/avoidance/avoidance.h
+++ b/include/guavafront/coordination/avoidance/avoidance.h
@@ -26,10 +26,10 @@
 
 /// Times of the avoidance. Instances here go gray for some seconds at a time and come back by themselves.
 struct avoidance_limits {
-    duration firstHold = std::chrono::seconds(5); ///< Avoided so long after the first failure.
-    duration nextHold = std::chrono::milliseconds(2'500); ///< After a failed trial.
+    duration hold = std::chrono::milliseconds(1'500); ///< Avoided so long after a failure, also a failed trial's.
     duration trialLimit = std::chrono::milliseconds(1'500); ///< Another VM may try when a trial shows nothing so long.
-    duration errorMemory = std::chrono::seconds(3); ///< Two server errors within it count as a failure.
+    duration errorMemory = std::chrono::seconds(2); ///< So many server errors within it count as a failure.
+    std::uint32_t errorsInMemory = 3; ///< A healthy instance errs now and then.
     duration memory = std::chrono::seconds(20); ///< A quiet instance is forgotten after it.
 };
 
@@ -43,7 +43,9 @@
 /// What is known of one instance in trouble.
 struct avoided_instance {
     instant lastFailure{}; ///< Last sign of trouble.
-    instant lastError{}; ///< Last server error that wasn't counted yet.
+    instant lastError{}; ///< Last server error.
+    instant firstError{}; ///< First one of those that are counted.
+    std::uint32_t errors = 0; ///< Counted ones.
     instant heldUntil{}; ///< Avoided until then.
     instant trialUntil{}; ///< A trial runs until then at the latest.
     bool avoided = false; ///< Not shown sound since the last failure.
--- a/src/coordination/avoidance/avoidance.cpp
+++ b/src/coordination/avoidance/avoidance.cpp
@@ -13,9 +13,9 @@
     const bool wasAvoided = known.avoided;
     const bool duringHold = wasAvoided && now < known.heldUntil;
     known.lastFailure = now;
-    known.lastError = {};
+    known.errors = 0;
     if (!duringHold) { // Tries that were under way when the hold began don't lengthen it.
-        known.heldUntil = now + (wasAvoided ? state.limits.nextHold : state.limits.firstHold);
+        known.heldUntil = now + state.limits.hold;
         known.trialUntil = {};
     }
     known.avoided = true;
@@ -32,11 +32,14 @@
         return noteFailure(state, state.instances[evidence.instance], now);
     case instance_sign::Erred: {
         avoided_instance &known = state.instances[evidence.instance];
-        const bool second = known.lastError != instant{} && now - known.lastError < state.limits.errorMemory;
-        if (second || known.avoided) {
-            return noteFailure(state, known, now);
+        if (known.errors == 0 || now - known.firstError > state.limits.errorMemory) {
+            known.errors = 0;
+            known.firstError = now;
         }
         known.lastError = now;
+        if (++known.errors >= state.limits.errorsInMemory || known.avoided) {
+            return noteFailure(state, known, now);
+        }
         return true;
     }
     case instance_sign::TrialBegan:
@@ -49,7 +52,7 @@
             return false;
         }
         found->second.avoided = false;
-        found->second.lastError = {};
+        found->second.errors = 0;
         return true;
     }
     return false;
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -35,7 +35,8 @@
     const auto slots = static_cast<float>(std::max<std::uint16_t>(member.slots, 1));
     const float waiting = std::max(0.0F, load + 1 - slots) * latency / slots;
     // Nearly full instances are slower, and their load may have grown since it was told.
-    const float crowding = latency * 0.25F * std::max(0.0F, (load + 1) / slots - 0.5F);
+    constexpr float slope = 0.5F;
+    const float crowding = latency * slope * std::max(0.0F, (load + 1) / slots - 0.5F);
     // One slow answer may be the request's doing.
     constexpr float trust = 0.3F;
     constexpr float usual = 1.5F;
@@ -128,8 +129,9 @@
 {
     const bool isShort = openShare(ranked) < costs.shortage || isCrowded(ranked, now, costs);
     const auto found = std::ranges::find_if(ranked, [&](const ranked_member &each) {
-        const bool longAgo = now - lastTrouble(troubles, each.member->instance) > costs.patience;
-        return each.standing == avoidance_standing::Trial && (request.repeatable || (each.near && (isShort || longAgo)));
+        const duration quiet = now - lastTrouble(troubles, each.member->instance);
+        const bool longAgo = quiet > (isShort ? costs.hurry : costs.patience);
+        return each.standing == avoidance_standing::Trial && (request.repeatable || (each.near && longAgo));
     });
     return found == ranked.end() ? nullptr : &*found;
 }
