--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -9,8 +9,8 @@
 #include <guavafront/coordination/entry/entry_queues.h>
 #include <guavafront/coordination/entry/exchange.h>
 #include <guavafront/coordination/limits/ledger.h>
-#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/limits/limiter.h>
+#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/routing/route_table.h>
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -141,12 +141,11 @@
 };
 
 /// All that an entry's decisions react to.
-using entry_event =
-    std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
-                 instance_announced, instance_left, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
-                 health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
-                 time_passed, limit_members_changed, limit_message_received, claim_message_received,
-                 claims_view_changed, publications_lost, evidence_heard, ledger_owners_changed,
-                 ledger_statement_received, loads_heard>;
+using entry_event = std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
+                                 instance_announced, instance_left, instance_learned, instance_forgotten,
+                                 hearer_changed, fleet_changed, health_reported, health_report_lost, death_learned,
+                                 request_released, release_learned, stop_requested, time_passed, limit_members_changed,
+                                 limit_message_received, claim_message_received, claims_view_changed, publications_lost,
+                                 evidence_heard, ledger_owners_changed, ledger_statement_received, loads_heard>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/ledger.h
+++ b/include/guavafront/coordination/limits/ledger.h
@@ -20,7 +20,8 @@
     rate_limit limit; ///< As configured at the VM.
     double taken = 0; ///< Tokens spent since the last report.
     bool closing = false; ///< The VM spends nothing any more until it reports again.
-    double level = 0; ///< The VM's estimate of what is left, the burst when it was told nothing; a new owner begins with the lowest.
+    double level = 0; ///< The VM's estimate of what is left, the burst when it was told nothing; a new owner begins
+                      ///< with the lowest.
     bool operator==(const ledger_entry &) const = default; ///< Memberwise equality.
 };
 
--- a/include/guavafront/coordination/registry/announcement.h
+++ b/include/guavafront/coordination/registry/announcement.h
@@ -21,7 +21,8 @@
 struct announcement {
     instance_id instance; ///< Drawn by the instance at its start.
     std::string name; ///< Its own name, for logs and for upstreams that check who is meant; may be empty.
-    std::uint64_t born = 0; ///< Start of its process in Unix milliseconds; of two at one address the later one is there.
+    std::uint64_t born =
+        0; ///< Start of its process in Unix milliseconds; of two at one address the later one is there.
     std::uint64_t sequence = 0; ///< Goes up with each announcement of the instance.
     std::string service; ///< Service it belongs to.
     std::string ip; ///< IPv4 dotted or IPv6 without brackets.
--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -12,8 +12,10 @@
 /// Costs that the choice weighs against expected waiting.
 struct affinity_costs {
     duration far = std::chrono::milliseconds(40); ///< Of another data centre: its trip, and bytes over a costly link.
-    duration rank = std::chrono::milliseconds(12); ///< Of each place down this VM's order, so that connections are reused.
-    duration patience = std::chrono::seconds(12); ///< A request that may not be repeated tries an avoided instance then.
+    duration rank =
+        std::chrono::milliseconds(12); ///< Of each place down this VM's order, so that connections are reused.
+    duration patience =
+        std::chrono::seconds(12); ///< A request that may not be repeated tries an avoided instance then.
     duration hurry = std::chrono::seconds(4); ///< The same where capacity is short.
     double shortage = 0.55; ///< Capacity is short with a smaller share of the slots open.
     duration loadMemory = std::chrono::seconds(2); ///< A reported load counts for so long.
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -4,9 +4,9 @@
 #include <guavafront/coordination/health/ejection.h>
 #include <guavafront/coordination/health/service_health.h>
 #include <guavafront/coordination/health/shared_evidence.h>
+#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/retries/retry_budget.h>
-#include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/routing/affinity.h>
 #include <guavafront/coordination/routing/balancer.h>
 
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -98,8 +98,7 @@
     if (state.selection.policy != balancing_policy::Affinity) {
         return selectInstance(state.selection, state.upstreams, request.service, choice, context.random());
     }
-    const auto chosen =
-        selectByAffinity(state.selection, state.upstreams, request.service, choice, context.now);
+    const auto chosen = selectByAffinity(state.selection, state.upstreams, request.service, choice, context.now);
     if (!chosen) {
         return std::nullopt;
     }
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -135,8 +135,7 @@
 {
     constexpr float overdueFactor = 4;
     constexpr float leastUs = 1'500'000;
-    const candidate_set *candidates =
-        findCandidates(context.state.selection, context.state.upstreams, request.service);
+    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
     const float usualUs = candidates ? candidates->typicalLatencyUs : leastUs;
     return static_cast<float>((context.now - request.triedAt).count()) > std::max(leastUs, usualUs * overdueFactor);
 }
--- a/src/coordination/limits/ledger.cpp
+++ b/src/coordination/limits/ledger.cpp
@@ -69,8 +69,8 @@
     const rate_limit &limit = limitOf(state.limits, account);
     // When all VMs spend like this one, half of what is left is gone before they have reported.
     const double noticeable = std::max(1.0, known.level / (2 * static_cast<double>(state.spenders)));
-    const bool near = !known.told || known.level - known.taken < limit.burst * state.times.nearShare
-                      || known.unreported > noticeable;
+    const bool near =
+        !known.told || known.level - known.taken < limit.burst * state.times.nearShare || known.unreported > noticeable;
     return near ? state.times.nearPeriod : state.times.farPeriod;
 }
 
@@ -135,10 +135,10 @@
     if (now - account.since < learningTime) { // A former owner may have told of less.
         account.level = std::min(account.level, entry.level + entry.taken);
     }
-    std::erase_if(account.spenders,
-                  [now](const auto &each) { return each.second.reportedAt + reserveMemory < now; });
+    std::erase_if(account.spenders, [now](const auto &each) { return each.second.reportedAt + reserveMemory < now; });
     const double seconds = secondsBetween(account.at, now);
-    account.level = refilled(account.limit, account.level, seconds) - reservedRate(account, now) * seconds - entry.taken;
+    account.level =
+        refilled(account.limit, account.level, seconds) - reservedRate(account, now) * seconds - entry.taken;
     account.level = std::max(account.level, -debtSeconds * account.limit.ratePerSecond);
     account.at = now;
     if (entry.closing) {
@@ -156,8 +156,7 @@
 {
     ledger_statement statement;
     for (const ledger_entry &entry : report.entries) {
-        statement.balances.push_back(
-            bookEntry(state.accounts[entry.account], from, entry, report.configuration, now));
+        statement.balances.push_back(bookEntry(state.accounts[entry.account], from, entry, report.configuration, now));
     }
     std::erase_if(state.accounts, [now](const auto &each) { return each.second.at + accountMemory < now; });
     return statement;
@@ -189,8 +188,8 @@
     const double seconds = (1 - left) / std::max(limit.ratePerSecond, 0.01);
     constexpr double longestSeconds = 10;
     return {.verdict = take_verdict::Refused,
-            .retryAfter = std::chrono::duration_cast<duration>(
-                std::chrono::duration<double>(std::min(seconds, longestSeconds)))};
+            .retryAfter =
+                std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::min(seconds, longestSeconds)))};
 }
 
 std::vector<std::pair<vm_id, ledger_report>> dueReports(ledger &state, instant now)
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -149,9 +149,8 @@
         return affinity_choice{best->member->instance, false};
     }
     // All are in trouble: the one that was in trouble longest ago.
-    const auto longestAgo = std::ranges::min_element(ranked, {}, [&troubles](const ranked_member &each) {
-        return lastTrouble(troubles, each.member->instance);
-    });
+    const auto longestAgo = std::ranges::min_element(
+        ranked, {}, [&troubles](const ranked_member &each) { return lastTrouble(troubles, each.member->instance); });
     if (longestAgo == ranked.end()) {
         return std::nullopt;
     }
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -73,7 +73,7 @@
 };
 
 /// What the control task reacts to.
-using control_message = std::variant<change_submitted, status_requested, current_requested, replacement_submitted, replication_from_peer,
-                                     control_vms_seen, claims_members_seen, accepted_wanted>;
+using control_message = std::variant<change_submitted, status_requested, current_requested, replacement_submitted,
+                                     replication_from_peer, control_vms_seen, claims_members_seen, accepted_wanted>;
 
 } // namespace guavafront
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -116,15 +116,17 @@
             wiring.entries.post(evidence_heard{decodeEvidence(message.body)});
         }
     });
-    subscribe(options, channel::Ledger, wiring, [&wiring, budgets = std::make_shared<ledger_owner>()](vm_id from, const envelope &message) {
-        const ledger_message decoded = decodeLedgerMessage(message.body);
-        if (const auto *report = std::get_if<ledger_report>(&decoded)) {
-            const ledger_statement answer = book(*budgets, from, *report, loop::now());
-            wiring.peers.post(send_to_vm{from, {.kind = channel::Ledger, .body = encodeLedgerMessage(answer)}});
-        } else {
-            wiring.entries.post(ledger_statement_received{std::get<ledger_statement>(decoded)});
-        }
-    });
+    subscribe(
+        options, channel::Ledger, wiring,
+        [&wiring, budgets = std::make_shared<ledger_owner>()](vm_id from, const envelope &message) {
+            const ledger_message decoded = decodeLedgerMessage(message.body);
+            if (const auto *report = std::get_if<ledger_report>(&decoded)) {
+                const ledger_statement answer = book(*budgets, from, *report, loop::now());
+                wiring.peers.post(send_to_vm{from, {.kind = channel::Ledger, .body = encodeLedgerMessage(answer)}});
+            } else {
+                wiring.entries.post(ledger_statement_received{std::get<ledger_statement>(decoded)});
+            }
+        });
     subscribe(options, channel::Loads, wiring, [&settings, &wiring](vm_id from, const envelope &message) {
         load_message decoded = decodeLoads(message.body);
         if (decoded.stage == load_stage::Published) {
--- a/src/daemon/entry/caller_dialect.h
+++ b/src/daemon/entry/caller_dialect.h
@@ -28,7 +28,8 @@
     std::function<request_head(const http_request &)> headOf;
 
     /// Header fields that go upstream, without framing.
-    std::function<std::vector<http_header>(const http_request &, const start_attempt &, duration timeLeft)> upstreamHeaders;
+    std::function<std::vector<http_header>(const http_request &, const start_attempt &, duration timeLeft)>
+        upstreamHeaders;
 
     /// Path and query that go upstream.
     std::function<std::string(const http_request &)> upstreamTarget;
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -30,8 +30,8 @@
 constexpr std::string_view replayedHeader = "Idempotent-Replayed";
 std::string_view outcomeName(attempt_outcome outcome)
 {
-    constexpr std::array<std::string_view, 7> names{"answered",          "refused_not_run", "connect_failed", "closed_early",
-                                                    "answer_incomplete", "timed_out",       "cancelled"};
+    constexpr std::array<std::string_view, 7> names{
+        "answered", "refused_not_run", "connect_failed", "closed_early", "answer_incomplete", "timed_out", "cancelled"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/daemon/hub/hub_task.cpp
+++ b/src/daemon/hub/hub_task.cpp
@@ -38,8 +38,8 @@
     const instant now = loop::now();
     const instant since = std::exchange(m_publishedAt, now);
     if (const auto own = loadsSince(m_own, since, now); !own.empty()) {
-        m_peers.post(send_to_roles{
-            ControlRole, {.kind = channel::Loads, .body = encodeLoads({load_stage::Gathered, own})}});
+        m_peers.post(
+            send_to_roles{ControlRole, {.kind = channel::Loads, .body = encodeLoads({load_stage::Gathered, own})}});
     }
     std::erase_if(m_reporters, [now](const auto &each) { return each.second + reporterMemory < now; });
     const auto all = loadsSince(m_board, since, now);
--- a/src/daemon/metrics/metrics_task.h
+++ b/src/daemon/metrics/metrics_task.h
@@ -20,8 +20,7 @@
 {
 public:
     /// Listens and takes messages from inbox. Throws coordination_error (SettingInvalid).
-    metrics_task(loop &owner, metrics_task_options options, mailbox<metrics_message> &inbox,
-                 daemon_counters &counters);
+    metrics_task(loop &owner, metrics_task_options options, mailbox<metrics_message> &inbox, daemon_counters &counters);
 
 private:
     void receive(exchange_id id, const http_request &request);
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -140,10 +140,9 @@
 void peers_task::handle(const send_to_hubs &message)
 {
     std::vector<member_record> hubs = liveMembers(m_membership);
-    std::erase_if(hubs, [this](const member_record &each) {
-        return (each.roles & ControlRole) == 0 || each.id == self().id;
-    });
-    std::ranges::stable_partition(hubs, [this](const member_record &each) {
+    std::erase_if(
+        hubs, [this](const member_record &each) { return (each.roles & ControlRole) == 0 || each.id == self().id; });
+    std::stable_partition(hubs.begin(), hubs.end(), [this](const member_record &each) {
         return each.dataCentre == self().dataCentre && each.status == member_status::Alive;
     });
     for (std::size_t index = 0; index < std::min(hubs.size(), message.count); ++index) {
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -20,9 +20,8 @@
 registry_task::registry_task(loop &owner, vm_id self, mailbox<entry_event> &inbox, mailbox<peers_message> &peers)
     : m_peers(peers)
     , m_timer(owner, [this] { tick(); })
-    , m_attachment(inbox, owner, [this](const entry_event &event) {
-        std::visit([this](const auto &each) { handle(each); }, event);
-    })
+    , m_attachment(inbox, owner,
+                   [this](const entry_event &event) { std::visit([this](const auto &each) { handle(each); }, event); })
 {
     m_state.self = self;
     m_timer.arm(expiryPeriod);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http/server_connection.h"
 #include "http/http_message.h"
+#include "http/server_connection.h"
 #include "runtime/loop.h"
 #include "runtime/timer.h"
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -276,7 +276,8 @@
 
 void server_connection::write(const http_answer &reply, bool lastOne)
 {
-    std::string head = "HTTP/1.1 " + std::to_string(reply.status) + ' ' + std::string(statusText(reply.status)) + "\r\n";
+    std::string head =
+        "HTTP/1.1 " + std::to_string(reply.status) + ' ' + std::string(statusText(reply.status)) + "\r\n";
     for (const http_header &field : reply.headers) {
         head.append(field.name).append(": ").append(field.value).append("\r\n");
     }
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -24,7 +24,8 @@
     std::string address = "127.0.0.1"; ///< IP number.
     std::uint16_t port = 0; ///< Port.
     duration connectTimeout = std::chrono::seconds(1); ///< Time to establish the connection.
-    duration unackedTimeout{}; ///< A socket whose bytes aren't acknowledged for so long has gone silent; 0 for the system's.
+    duration
+        unackedTimeout{}; ///< A socket whose bytes aren't acknowledged for so long has gone silent; 0 for the system's.
     std::size_t headerLimitBytes = std::size_t{64} * 1024; ///< Status line and header fields of an answer.
     std::size_t bodyLimitBytes = std::size_t{8} * 1024 * 1024; ///< Body of an answer.
 };
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,5 +1,5 @@
-#include "platform/platform_command.h"
 #include "daemon/daemon.h"
+#include "platform/platform_command.h"
 #include "program/announce_command.h"
 #include "program/command_action.h"
 #include "program/load_command.h"
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -65,7 +65,8 @@
     std::uint32_t drainLimitMs = 30'000; ///< A planned stop waits this long for running requests.
     std::uint32_t connectTimeoutMs = 1'000; ///< Limit for a new connection to an upstream.
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
-    std::uint32_t unackedTimeoutMs = 0; ///< A connection whose bytes no one acknowledges for so long is lost; 0: the system's.
+    std::uint32_t unackedTimeoutMs =
+        0; ///< A connection whose bytes no one acknowledges for so long is lost; 0: the system's.
     bool sparse = false; ///< One VM sends an instance less than a request a second: instances are chosen by affinity.
 };
 
--- a/src/wire/announcement_json.cpp
+++ b/src/wire/announcement_json.cpp
@@ -70,8 +70,9 @@
 
 void refuseUnknownNames(const nlohmann::json &object)
 {
-    constexpr std::array<std::string_view, 10> names{"instance",    "sequence", "service", "ip",   "port",
-                                                     "data_centre", "slots",    "state",   "load", "lease_ms"};
+    constexpr std::array<std::string_view, 12> names{"instance",    "name",  "born", "sequence",
+                                                     "service",     "ip",    "port", "slots",
+                                                     "data_centre", "state", "load", "lease_ms"};
     for (const auto &[name, value] : object.items()) {
         if (std::ranges::find(names, name) == names.end()) {
             refuse(name + ": unknown field");
@@ -90,6 +91,8 @@
     const std::uint64_t leaseMs =
         number(object, "lease_ms", std::numeric_limits<std::uint32_t>::max(), static_cast<std::uint64_t>(defaultMs));
     return {.instance = parseInstance(text(object, "instance")),
+            .name = object.contains("name") ? text(object, "name") : std::string(),
+            .born = number(object, "born", std::numeric_limits<std::uint64_t>::max(), 0),
             .sequence = number(object, "sequence", std::numeric_limits<std::uint64_t>::max(), 0),
             .service = text(object, "service"),
             .ip = text(object, "ip"),
@@ -130,16 +133,22 @@
 std::string toJson(const announcement &value)
 {
     const auto leaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(value.lease).count();
-    const nlohmann::json object{{"instance", toHex(value.instance.value)},
-                                {"sequence", value.sequence},
-                                {"service", value.service},
-                                {"ip", value.ip},
-                                {"port", value.port},
-                                {"data_centre", value.dataCentre},
-                                {"slots", value.slots},
-                                {"state", stateName(value.state)},
-                                {"load", value.load},
-                                {"lease_ms", leaseMs}};
+    nlohmann::json object{{"instance", toHex(value.instance.value)},
+                          {"sequence", value.sequence},
+                          {"service", value.service},
+                          {"ip", value.ip},
+                          {"port", value.port},
+                          {"data_centre", value.dataCentre},
+                          {"slots", value.slots},
+                          {"state", stateName(value.state)},
+                          {"load", value.load},
+                          {"lease_ms", leaseMs}};
+    if (!value.name.empty()) {
+        object["name"] = value.name;
+    }
+    if (value.born > 0) {
+        object["born"] = value.born;
+    }
     return object.dump();
 }
 
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -183,9 +183,8 @@
 
 json toJson(const route &value)
 {
-    json fields = json::array({value.id.value, value.host, value.pathPrefix, value.service, value.kind,
-                               value.openToAll, value.ordered, static_cast<std::uint8_t>(value.repeats),
-                               value.timeoutMs});
+    json fields = json::array({value.id.value, value.host, value.pathPrefix, value.service, value.kind, value.openToAll,
+                               value.ordered, static_cast<std::uint8_t>(value.repeats), value.timeoutMs});
     const bool plain = value.split.empty() && value.targetLatencyMs == 0 && value.priority == 0;
     if (!plain || value.maxAttempts > 0) {
         json parts = json::array();
--- a/src/wire/ledger_codec.cpp
+++ b/src/wire/ledger_codec.cpp
@@ -36,9 +36,9 @@
 {
     json entries = json::array();
     for (const ledger_entry &each : report.entries) {
-        entries.push_back(json::array({each.account.value, shortened(each.limit.ratePerSecond),
-                                       shortened(each.limit.burst), shortened(each.taken), each.closing,
-                                       shortened(each.level)}));
+        entries.push_back(
+            json::array({each.account.value, shortened(each.limit.ratePerSecond), shortened(each.limit.burst),
+                         shortened(each.taken), each.closing, shortened(each.level)}));
     }
     return json::array({0, report.configuration, std::move(entries)});
 }
@@ -47,8 +47,8 @@
 {
     json balances = json::array();
     for (const ledger_balance &each : statement.balances) {
-        balances.push_back(json::array({each.account.value, shortened(each.level), shortened(each.share),
-                                        shortened(each.reserve)}));
+        balances.push_back(
+            json::array({each.account.value, shortened(each.level), shortened(each.share), shortened(each.reserve)}));
     }
     return json::array({1, 0, std::move(balances)});
 }
--- a/src/wire/registry_codec.cpp
+++ b/src/wire/registry_codec.cpp
@@ -44,9 +44,9 @@
 std::vector<std::byte> encodeAnnouncement(const announcement &value)
 {
     const auto leaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(value.lease).count();
-    const nlohmann::json fields{value.instance.value, value.sequence, value.service,          value.ip,   value.port,
-                                value.dataCentre,     value.slots,    stateName(value.state), value.load, leaseMs,
-                                value.name,           value.born};
+    const nlohmann::json fields{value.instance.value, value.sequence,   value.service, value.ip,
+                                value.port,           value.dataCentre, value.slots,   stateName(value.state),
+                                value.load,           leaseMs,          value.name,    value.born};
     const std::vector<std::uint8_t> encoded = nlohmann::json::to_cbor(fields);
     const auto bytes = std::as_bytes(std::span(encoded));
     return {bytes.begin(), bytes.end()};
--- a/tests/http/upstream_connection_test.cpp
+++ b/tests/http/upstream_connection_test.cpp
@@ -100,12 +100,16 @@
     upstream_outcome exchange(std::string_view method, duration timeout)
     {
         const std::vector<header_view> views = viewsOf(headers);
-        connection->send(
-            {.method = method, .target = "/listas?dia=1", .headers = views, .body = {}, .echoed = echoed, .timeout = timeout},
-            [this](upstream_outcome outcome) {
-                outcomes.push_back(std::move(outcome));
-                events.stop();
-            });
+        connection->send({.method = method,
+                          .target = "/listas?dia=1",
+                          .headers = views,
+                          .body = {},
+                          .echoed = echoed,
+                          .timeout = timeout},
+                         [this](upstream_outcome outcome) {
+                             outcomes.push_back(std::move(outcome));
+                             events.stop();
+                         });
         run();
         return outcomes.back();
     }
--- a/tests/limits/ledger_test.cpp
+++ b/tests/limits/ledger_test.cpp
@@ -97,8 +97,8 @@
     double grantedBetween(duration from, duration to) const
     {
         const instant start{std::chrono::seconds(100)};
-        return static_cast<double>(std::ranges::count_if(
-            grants, [&](instant at) { return at >= start + from && at < start + to; }));
+        return static_cast<double>(
+            std::ranges::count_if(grants, [&](instant at) { return at >= start + from && at < start + to; }));
     }
 };
 
--- /dev/null
+++ b/tests/platform/platform_announcement_test.cpp
@@ -0,0 +1,103 @@
+#include "platform/platform_announcement.h"
+
+#include <guavafront/coordination/core/coordination_error.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// A heartbeat and edits of it.
+struct platform_announcement_fixture {
+    std::string beat = R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"tjornin","Version":"v1","Slots":6,)"
+                       R"("State":"ready","WarmupLeftMs":1200,"Sequence":4,"born":1771761397068})";
+
+    std::string with(std::string_view from, std::string_view to) const
+    {
+        std::string edited = beat;
+        return edited.replace(edited.find(from), from.size(), to);
+    }
+
+    static bool isRefused(std::string_view body)
+    {
+        try {
+            announcementFromHeartbeat("i-1", body);
+            return false;
+        } catch (const coordination_error &fault) {
+            return fault.code() == result_code::AnnouncementRefused;
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(platform_announcement_test, platform_announcement_fixture)
+
+BOOST_AUTO_TEST_CASE(heartbeat_whole_translated)
+{
+    const announcement news = announcementFromHeartbeat("i-7f3a91c2", beat);
+    BOOST_TEST(news.name == "i-7f3a91c2");
+    BOOST_TEST(news.service == "huvo11a");
+    BOOST_TEST(news.ip == "10.128.0.9");
+    BOOST_TEST(news.port == 8080);
+    BOOST_TEST(news.slots == 6);
+    BOOST_TEST(news.sequence == 4U);
+    BOOST_TEST((news.state == instance_state::Serving));
+    BOOST_TEST((announcementFromHeartbeat("i-1", with("ready", "draining")).state == instance_state::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeat_bornAgainUnderItsId_anotherInstance)
+{
+    const announcement first = announcementFromHeartbeat("i-1", beat);
+    const announcement second = announcementFromHeartbeat("i-1", with("1771761397068", "1771761399999"));
+    BOOST_TEST((first.instance != second.instance));
+    BOOST_TEST(replacesAtAddress(second, first));
+    BOOST_TEST(!replacesAtAddress(first, second));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeat_ofAnotherWriter_namesNoInstance)
+{
+    BOOST_TEST(isRefused(""));
+    BOOST_TEST(isRefused("\xff\xfe"));
+    BOOST_TEST(isRefused("[1]"));
+    BOOST_TEST(isRefused(with(R"("Service":"huvo11a",)", "")));
+    BOOST_TEST(isRefused(with(R"("Slots":6)", R"("Slots":"6")")));
+    BOOST_TEST(isRefused(with(R"("Slots":6)", R"("Slots":0)")));
+    BOOST_TEST(isRefused(with("ready", "asleep")));
+    BOOST_TEST(isRefused(with("10.128.0.9:8080", "tjornin:8080")));
+    BOOST_TEST(isRefused(with(R"("Sequence":4)", R"("Sequence":-4)")));
+    BOOST_TEST(isRefused(with("1771761397068", "\"yesterday\"")));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeat_mutatedBytes_refusedOrWhole)
+{
+    std::mt19937 random(4);
+    std::uniform_int_distribution<std::size_t> where(0, beat.size() - 1);
+    std::uniform_int_distribution<int> letter(1, 255);
+    for (int round = 0; round < 2'000; ++round) {
+        std::string mutated = beat;
+        mutated[where(random)] = static_cast<char>(letter(random));
+        try {
+            BOOST_TEST(announcementFromHeartbeat("i-1", mutated).slots > 0);
+        } catch (const coordination_error &fault) {
+            BOOST_TEST((fault.code() == result_code::AnnouncementRefused));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(deregistration_withAndWithoutBody_read)
+{
+    BOOST_TEST(readDeregistration("i-1", "").born == 0U);
+    BOOST_TEST(readDeregistration("i-1", R"({"born":12})").born == 12U);
+    BOOST_CHECK_THROW(readDeregistration("", ""), coordination_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
