--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "daemon/announcements/announcements_task.h"
 #include "daemon/configuration/configuration_task.h"
 #include "daemon/control/control_task.h"
+#include "daemon/daemon_links.h"
 #include "daemon/entry/entry_task.h"
 #include "daemon/fleet/fleet_watch.h"
 #include "daemon/fleet/shared_state.h"
@@ -14,11 +15,6 @@
 #include "runtime/supervisor.h"
 #include "settings/settings_reader.h"
 #include "storage/replica_store.h"
-#include "wire/claims_codec.h"
-#include "wire/evidence_codec.h"
-#include "wire/ledger_codec.h"
-#include "wire/limits_codec.h"
-#include "wire/registry_codec.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
@@ -59,91 +55,6 @@
     return options;
 }
 
-std::uint8_t roleBit(vm_role role)
-{
-    return static_cast<std::uint8_t>(1U << static_cast<unsigned>(role));
-}
-
-std::uint8_t roleBits(const daemon_settings &settings)
-{
-    std::uint8_t bits = 0;
-    for (const vm_role role : settings.vm.roles) {
-        bits = static_cast<std::uint8_t>(bits | roleBit(role));
-    }
-    return bits;
-}
-
-/// Has a channel's messages decoded and posted; what can't be decoded is counted and dropped.
-template<class taker>
-void subscribe(peers_task_options &options, channel kind, daemon_wiring &wiring, taker take)
-{
-    options.subscribers[static_cast<std::size_t>(kind)] = [&wiring, take](const peer_identity &from, envelope message) {
-        try {
-            take(from.id, std::move(message));
-        } catch (const coordination_error &error) {
-            wiring.counters.countPeerMessage(error.code());
-        }
-    };
-}
-
-peers_task_options peersOptions(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
-                                daemon_wiring &wiring)
-{
-    peers_task_options options;
-    options.links.listenAddress = toText(settings.listen.peers);
-    const endpoint &reached = settings.peers.advertise.ip.empty() ? settings.listen.peers : settings.peers.advertise;
-    options.links.link.self = {
-        .id = self, .address = toText(reached), .dataCentre = settings.vm.dataCentre, .roles = roleBits(settings)};
-    options.links.link.secret = secrets.fleet;
-    for (const endpoint &seed : settings.peers.seeds) {
-        options.seeds.push_back(toText(seed));
-    }
-    options.watchers = watchersOf(std::make_shared<fleet_watch>(options.links.link.self, wiring), wiring);
-    subscribe(options, channel::Configuration, wiring, [&wiring](vm_id from, envelope message) {
-        wiring.configurations.post(configuration_from_peer{from, std::move(message)});
-    });
-    subscribe(options, channel::Replication, wiring, [&wiring](vm_id from, envelope message) {
-        wiring.control.post(replication_from_peer{from, std::move(message)});
-    });
-    subscribe(options, channel::Limits, wiring, [&wiring](vm_id from, const envelope &message) {
-        wiring.entries.post(limit_message_received{from, decodeLimitMessage(message.body)});
-    });
-    subscribe(options, channel::Health, wiring, [&settings, &wiring](vm_id from, envelope message) {
-        if (hasRole(settings, vm_role::Control)) {
-            wiring.peers.post(pass_on{from, EntryRole, message});
-        }
-        if (hasRole(settings, vm_role::Entry)) {
-            wiring.entries.post(evidence_heard{decodeEvidence(message.body)});
-        }
-    });
-    subscribe(
-        options, channel::Ledger, wiring,
-        [&wiring, budgets = std::make_shared<ledger_owner>()](vm_id from, const envelope &message) {
-            const ledger_message decoded = decodeLedgerMessage(message.body);
-            if (const auto *report = std::get_if<ledger_report>(&decoded)) {
-                const ledger_statement answer = book(*budgets, from, *report, loop::now());
-                wiring.peers.post(send_to_vm{from, {.kind = channel::Ledger, .body = encodeLedgerMessage(answer)}});
-            } else {
-                wiring.entries.post(ledger_statement_received{std::get<ledger_statement>(decoded)});
-            }
-        });
-    subscribe(options, channel::Loads, wiring, [&settings, &wiring](vm_id from, const envelope &message) {
-        load_message decoded = decodeLoads(message.body);
-        if (decoded.stage == load_stage::Published) {
-            wiring.entries.post(loads_heard{std::move(decoded.loads)});
-        } else if (hasRole(settings, vm_role::Control)) {
-            wiring.hub.post(loads_received{from, std::move(decoded)});
-        }
-    });
-    subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
-        wiring.entries.post(instance_learned{from, decodeAnnouncement(message.body)});
-    });
-    subscribe(options, channel::Claims, wiring, [&wiring](vm_id from, const envelope &message) {
-        wiring.entries.post(claim_message_received{from, decodeClaimMessage(message.body)});
-    });
-    return options;
-}
-
 entry_task_options entryOptions(const daemon_settings &settings, vm_id self, const front_end &front)
 {
     entry_task_options options;
