--- a/src/daemon/entry/caller_dialect.h
+++ b/src/daemon/entry/caller_dialect.h
@@ -53,7 +53,7 @@
     std::function<http_answer(const refusal &)> refusalAnswer;
 };
 
-/// guavafront's own interface, as in docs/OPERATING.md.
+/// guavafront's own interface, as in docs/OPERATIONS.md.
 caller_dialect ownDialect();
 
 /// SHA-256 of a caller's key; nothing for an empty one.
--- a/src/program/exit_status.h
+++ b/src/program/exit_status.h
@@ -5,7 +5,7 @@
 namespace guavafront
 {
 
-/// Exit statuses of the program; the table stands in docs/OPERATING.md.
+/// Exit statuses of the program; the table stands in docs/OPERATIONS.md.
 enum class exit_status : int {
     Done = 0, ///< The command did what it says.
     Refused = 1, ///< Refused or failed with a numbered code; nothing was changed.
