Serve nothing by a configuration that is known to be overtaken

Ruled out: a lost acknowledgement (the operator's reading at the end was right). Test: request_newerConfigurationAccepted_refusedUntilItIsThere fails without it.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -44,6 +44,8 @@
     key_table keys; ///< Of the configuration in force.
     std::unordered_map<account_id, const account *> accounts; ///< Into the configuration in force.
     freshness_changed freshness; ///< How old the configuration may be.
+    std::optional<instant> startedAt; ///< First step of this life.
+    std::optional<instant> overtakenSince; ///< Since when a newer configuration is known to be accepted.
     claims idempotency; ///< Claims of idempotency keys.
     registry upstreams; ///< Announced instances.
     upstream_selection selection; ///< Balancing, health and retries of this VM.
@@ -64,6 +66,10 @@
 /// Entry VM with the empty configuration.
 entry makeEntry(entry_identity identity, const entry_policy &settings = {});
 
+/// Whether the configuration in force is known to be overtaken, or not yet known to be the newest after a start; only
+/// with entry_policy::strictConfiguration.
+bool isOvertaken(const entry &state, instant now);
+
 /// Reacts to one event. The same state, event, time and random numbers give the same effects. Requests pass the stages
 /// of exchange_stage in order; each request ends with exactly one deliver_answer or refuse_request, unless its caller
 /// has left.
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -44,6 +44,7 @@
 /// What this VM knows of the freshness of its configuration.
 struct freshness_changed {
     instant confirmedAt; ///< When the control last confirmed, over any path, that nothing newer was accepted.
+    revision accepted; ///< Highest revision that the control is known to have accepted.
     bool isolated = false; ///< This VM hears less than most of the fleet.
 };
 
--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -20,6 +20,7 @@
     limit_settings limits; ///< Of the limiter.
     admission_settings admission; ///< Of the queues before each service.
     balancing_policy balancing = balancing_policy::ExpectedLatency; ///< How instances are chosen.
+    bool strictConfiguration = false; ///< Nothing is served by a configuration that is known to be overtaken.
     entry_bounds bounds; ///< Beyond them, the cheapest work is shed.
 };
 
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -140,9 +140,9 @@
         refuseAtOnce(context, head.id, result_code::KeyMisplaced, nullptr, nullptr);
         return;
     }
-    if (context.state.current->current.value == 0) {
+    if (context.state.current->current.value == 0 || isOvertaken(context.state, context.now)) {
         refuseAtOnce(context, head.id, result_code::ConfigurationStale, nullptr, nullptr);
-        return; // Nothing is known yet: whether the route is there can't be told.
+        return; // Whether the route is there can't be told.
     }
     const route *match = findRoute(context.state.routes, head.host, head.path);
     if (!match) {
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -215,8 +215,31 @@
     return state.deadlines.empty() ? next : std::min(next, state.deadlines.begin()->first);
 }
 
+/// Notes since when a newer configuration than the one in force is known to be accepted.
+void followAccepted(entry &state, instant now)
+{
+    state.startedAt = state.startedAt.value_or(now);
+    if (state.freshness.accepted > state.current->current) {
+        state.overtakenSince = state.overtakenSince.value_or(now);
+    } else {
+        state.overtakenSince.reset();
+    }
+}
+
 } // namespace
 
+bool isOvertaken(const entry &state, instant now)
+{
+    constexpr duration applyTime = std::chrono::milliseconds(1'500); // Changes are in force everywhere by then.
+    constexpr duration confirmTime = std::chrono::seconds(10); // The control may be away; then the held one serves.
+    if (!state.settings.strictConfiguration) {
+        return false;
+    }
+    const bool confirmed = state.freshness.confirmedAt != instant{};
+    const bool starting = !state.startedAt || now < *state.startedAt + confirmTime;
+    return (!confirmed && starting) || (state.overtakenSince && now > *state.overtakenSince + applyTime);
+}
+
 entry makeEntry(entry_identity identity, const entry_policy &settings)
 {
     entry state;
@@ -240,6 +263,7 @@
     if (!std::holds_alternative<request_arrived>(event) && !std::holds_alternative<attempt_ended>(event)) {
         checkAllAdmissions(context);
     }
+    followAccepted(state, now);
     drainQueues(context);
     effects.emplace_back(wake_at{nextWake(state)});
 }
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -136,7 +136,7 @@
         m_server.setLimits(limitsFrom(m_options.server, m_state.current->limits));
     }
     m_counters.setRevision(held);
-    if (!m_ready && held > 0) {
+    if (!m_ready && held > 0 && !isOvertaken(m_state, loop::now())) {
         m_ready = true;
         m_metrics.post(readiness_changed{true});
     }
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -115,6 +115,7 @@
     if (beacon.newest) {
         m_wiring.configurations.post(revision_heard{beacon.newest->accepted});
         m_freshness.confirmedAt = beacon.issuedAfter;
+        m_freshness.accepted = beacon.newest->accepted;
         tellOfFreshness();
     }
 }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -67,6 +67,7 @@
     std::uint32_t idleConnectionsPerInstance = 32; ///< Kept connections to one upstream instance.
     std::uint32_t unackedTimeoutMs =
         0; ///< A connection whose bytes no one acknowledges for so long is lost; 0: the system's.
+    bool strictConfiguration = false; ///< Nothing is served by a configuration that is known to be overtaken.
     bool sparse = false; ///< One VM sends an instance less than a request a second: instances are chosen by affinity.
 };
 
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -52,6 +52,7 @@
     each.field("entry.connectTimeoutMs", values.entry.connectTimeoutMs, milliseconds);
     each.field("entry.idleConnectionsPerInstance", values.entry.idleConnectionsPerInstance, number_range{1, 10'000});
     each.field("entry.unackedTimeoutMs", values.entry.unackedTimeoutMs, number_range{0, 3'600'000});
+    each.field("entry.strictConfiguration", values.entry.strictConfiguration, presence::Optional);
     each.field("entry.sparse", values.entry.sparse, presence::Optional);
 }
 
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -50,6 +50,26 @@
     BOOST_TEST(refused(result_code::KeyUnknown, execution::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(request_newerConfigurationAccepted_refusedUntilItIsThere)
+{
+    state.settings.strictConfiguration = true;
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::ConfigurationStale, execution::NotRun));
+    run(freshness_changed{.confirmedAt = now, .accepted = draft->current});
+    request("GET", "/bookings");
+    BOOST_TEST(find<start_attempt>());
+    run(freshness_changed{.confirmedAt = now, .accepted = {draft->current.value + 1}});
+    now += 1s;
+    request("GET", "/bookings");
+    BOOST_TEST(find<start_attempt>());
+    now += 1s;
+    request("GET", "/bookings");
+    BOOST_TEST(refused(result_code::ConfigurationStale, execution::NotRun));
+    apply();
+    request("GET", "/bookings"); // Both instances' slots are taken: it waits, but it isn't refused.
+    BOOST_TEST(!find<refuse_request>());
+}
+
 BOOST_AUTO_TEST_CASE(request_refusedBeforeAnyTry_namesServiceAndAccount)
 {
     pass(1h); // The instances' leases run out; the account keeps its tokens.
