--- a/include/guavafront/coordination/configuration/change.h
+++ b/include/guavafront/coordination/configuration/change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/configuration/configuration.h>
+#include <guavafront/coordination/configuration/configuration_difference.h>
 
 #include <cstddef>
 #include <span>
@@ -77,9 +78,9 @@
     bool operator==(const replace_all &) const = default; ///< Memberwise equality.
 };
 
-/// One operator's edit.
+/// One operator's edit. A configuration_difference is never one: it stands for a replace_all where VMs pass changes on.
 using change = std::variant<set_defaults, create_account, set_kind_order, grant_key, withdraw_key, put_route,
-                            remove_route, put_exception, remove_exception, replace_all>;
+                            remove_route, put_exception, remove_exception, replace_all, configuration_difference>;
 
 /// Changes that one request may hold.
 constexpr std::size_t maxChangesPerRequest = 1000;
--- a/include/guavafront/coordination/configuration/configuration_follower.h
+++ b/include/guavafront/coordination/configuration/configuration_follower.h
@@ -56,6 +56,7 @@
     duration offerInterval = std::chrono::seconds(2); ///< Between two comparisons with a random source.
     duration pullTimeout = std::chrono::milliseconds(800); ///< After which another source is asked.
     duration eagerInterval = std::chrono::milliseconds(500); ///< The same while a revision is new.
+    duration emptyInterval = std::chrono::milliseconds(200); ///< The same while nothing is held, as after a start.
     std::size_t eagerRounds = 20; ///< Comparisons after a new revision that follow at eagerInterval.
     std::size_t fanOut = 3; ///< Sources that each of them, and the first notice, goes to.
     std::size_t maxDeltas = 512; ///< Revisions that are kept, and sent, as deltas.
--- a/include/guavafront/coordination/membership/membership.h
+++ b/include/guavafront/coordination/membership/membership.h
@@ -22,6 +22,9 @@
     std::size_t rings = 4; ///< VMs that each VM probes, and that probe it.
     std::size_t helpers = 3; ///< VMs asked to ping one that didn't answer.
     duration probePeriod = std::chrono::seconds(1); ///< Between two pings to one VM.
+    duration joinPeriod = std::chrono::milliseconds(200); ///< Between two tries to reach the seeds while alone, and
+                                                          ///< between two pings to one VM soon after the start.
+    duration joinTime = std::chrono::seconds(3); ///< How long after the start the fleet is asked at joinPeriod.
     duration probeTimeout = std::chrono::milliseconds(400); ///< Until the helpers are asked.
     duration suspicionShortest = std::chrono::seconds(2); ///< Time to refute when several VMs accuse.
     duration suspicionLongest = std::chrono::seconds(6); ///< Time to refute when one VM accuses.
@@ -81,6 +84,7 @@
     std::size_t missing = 0; ///< Dead VMs whose address no live one has.
     std::size_t alive = 1; ///< VMs alive or suspect, this one included.
     bool changed = true; ///< Targets and counts must be worked out again.
+    std::optional<instant> startedAt; ///< First tick.
     std::optional<instant> lastTick; ///< To notice that the VM stood still.
     instant nextSync; ///< When to compare tables.
     instant nextReconnect; ///< When to try a dead VM or a seed.
--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -19,8 +19,10 @@
 /// Settings of one replica.
 struct replica_options {
     vm_id self; ///< Identity from the data folder.
-    duration electionTimeout = std::chrono::milliseconds(1'000); ///< Silence of a leader that is put up with, at least.
-    duration heartbeatInterval = std::chrono::milliseconds(200); ///< Between two messages of an idle leader.
+    duration electionTimeout = std::chrono::milliseconds(600); ///< Silence of a leader that is put up with, at least.
+    duration firstElectionTimeout =
+        std::chrono::milliseconds(120); ///< The same before a leader was ever heard: after a start none may be left.
+    duration heartbeatInterval = std::chrono::milliseconds(150); ///< Between two messages of an idle leader.
     std::size_t maxMessageBytes = std::size_t{128} << 10; ///< Payload of one append or chunk.
     std::size_t maxUncommittedRecords = 4'096; ///< More are refused.
     std::size_t snapshotAfterRecords = 4'096; ///< Applied records between two snapshots.
--- a/src/coordination/configuration/change.cpp
+++ b/src/coordination/configuration/change.cpp
@@ -198,6 +198,11 @@
     current.document = edit.value.document;
 }
 
+void apply(configuration &current, const configuration_difference &edit)
+{
+    applyDifference(current, edit);
+}
+
 } // namespace
 
 bool isNewer(const configuration &current, const replace_all &edit)
--- a/src/coordination/configuration/change_log.cpp
+++ b/src/coordination/configuration/change_log.cpp
@@ -20,6 +20,11 @@
     if (whole != nullptr && !isNewer(current, *whole)) {
         return {result_code::Ok, current.current, "a higher version is in force"};
     }
+    const bool ownForm = std::ranges::any_of(
+        changes, [](const change &edit) { return std::holds_alternative<configuration_difference>(edit); });
+    if (ownForm) {
+        return {result_code::ChangeInvalid, current.current, "a difference is no operator's edit"};
+    }
     if (whole == nullptr && proposal.request.expected != current.current) {
         return {result_code::RevisionConflict, current.current, "the change was based on another revision"};
     }
--- a/src/coordination/configuration/configuration_follower.cpp
+++ b/src/coordination/configuration/configuration_follower.cpp
@@ -88,10 +88,12 @@
         pullFrom(at, self.sources[at.random % self.sources.size()]);
     }
     if (at.now >= self.offerDue) {
+        const bool empty = self.current->current.value == 0;
         const bool eager = self.eagerLeft > 0;
         self.eagerLeft -= eager ? 1 : 0;
-        self.offerDue = at.now + (eager ? self.options.eagerInterval : self.options.offerInterval);
-        offerTo(at, eager ? self.options.fanOut : 1);
+        const duration usual = eager ? self.options.eagerInterval : self.options.offerInterval;
+        self.offerDue = at.now + (empty ? self.options.emptyInterval : usual);
+        offerTo(at, eager || empty ? self.options.fanOut : 1);
     }
 }
 
@@ -151,7 +153,8 @@
     const auto first = std::ranges::find_if(self.recent, [&event](const configuration_delta &delta) {
         return delta.at.value == event.held.at.value + 1 && delta.previous == event.held.digest;
     });
-    if (first != self.recent.end()) {
+    const bool holdsNothing = event.held.at.value == 0; // The whole is less than all that led to it.
+    if (first != self.recent.end() && !holdsNothing) {
         at.out.emplace_back(send_deltas{event.from, {first, self.recent.end()}});
         return;
     }
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -18,6 +18,7 @@
 {
     const duration elapsed = state.lastTick ? now - *state.lastTick : duration{};
     state.lastTick = now;
+    state.startedAt = state.startedAt.value_or(now);
     if (elapsed > state.options.probePeriod * standstillPeriods) {
         resumeAfterStandstill(state, now);
     }
--- a/src/coordination/membership/probing.cpp
+++ b/src/coordination/membership/probing.cpp
@@ -70,13 +70,20 @@
     state.missing = missingMembers(state).size();
 }
 
+/// Soon after the start there is much to learn, the control leader's beacon above all.
+duration pauseBetweenPings(const fleet_membership &state, instant now)
+{
+    const bool joining = !state.startedAt || now - *state.startedAt < state.options.joinTime;
+    return joining ? std::min(state.options.joinPeriod, state.options.probePeriod) : state.options.probePeriod;
+}
+
 void sendPing(fleet_membership &state, vm_id id, probe_target &target, instant now,
               std::vector<membership_effect> &effects)
 {
     target.nonce = ++state.lastNonce;
     target.sentAt = now;
     target.helpersAsked = false;
-    target.nextProbe = now + state.options.probePeriod;
+    target.nextProbe = now + pauseBetweenPings(state, now);
     effects.emplace_back(send_membership{id, state.members.at(id).record.address, membership_ping{target.nonce}});
 }
 
@@ -154,7 +161,7 @@
     for (const vm_id id : chooseSuccessors(state)) {
         const auto known = state.targets.find(id);
         const auto wait =
-            static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(state.options.probePeriod.count())));
+            static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(pauseBetweenPings(state, now).count())));
         chosen[id] = known != state.targets.end() ? known->second
                                                   : probe_target{.nextProbe = now + duration(wait), .lastHeard = now};
     }
--- a/src/coordination/membership/repair.cpp
+++ b/src/coordination/membership/repair.cpp
@@ -74,7 +74,7 @@
         for (const auto &[id, address] : addresses) {
             sendDigest(state, id, address, effects);
         }
-        state.nextReconnect = now + state.options.probePeriod;
+        state.nextReconnect = now + state.options.joinPeriod;
         return;
     }
     if (!addresses.empty()) {
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -71,7 +71,8 @@
 
 void resetElectionDeadline(replica_step &at)
 {
-    const duration timeout = at.self.options.electionTimeout;
+    const bool heardOne = at.self.leaderHeard != instant{};
+    const duration timeout = heardOne ? at.self.options.electionTimeout : at.self.options.firstElectionTimeout;
     const auto jitter = at.random % static_cast<std::uint64_t>(timeout.count());
     at.self.electionDeadline = at.now + timeout + duration(static_cast<duration::rep>(jitter));
 }
--- a/src/daemon/control/control_state.cpp
+++ b/src/daemon/control/control_state.cpp
@@ -5,6 +5,8 @@
 #include "wire/configuration_codec.h"
 #include "wire/configuration_history.h"
 
+#include <algorithm>
+
 namespace guavafront
 {
 
@@ -23,7 +25,16 @@
     if (next.epoch.value == state.claims.epoch.value + 1) {
         state.claims = std::move(next);
     }
-    return {{result_code::Ok, state.log.value.current, {}}, std::nullopt};
+    return {.answer = {result_code::Ok, state.log.value.current, {}}};
+}
+
+/// The changes as VMs pass them on: a whole new configuration as what differs from the one before.
+std::vector<change> changesToPassOn(const configuration &before, const configuration &after,
+                                    const std::vector<change> &changes)
+{
+    const bool whole =
+        std::ranges::any_of(changes, [](const change &edit) { return std::holds_alternative<replace_all>(edit); });
+    return whole ? std::vector<change>{differenceBetween(before, after)} : changes;
 }
 
 } // namespace
@@ -42,12 +53,16 @@
         return applyClaimsCommand(state, payload.subspan(1));
     }
     const change_proposal proposal = decodeProposal(payload);
-    const revision before = state.log.value.current;
-    applied_command applied{decide(state.log, proposal), std::nullopt};
-    const revision after = state.log.value.current;
-    if (after > before) {
-        const history_digest digest = nextDigest(secret, state.digest, after, proposal.request.changes);
-        applied.delta = configuration_delta{after, state.digest, digest, proposal.request.changes};
+    const configuration before = state.log.value;
+    applied_command applied{.answer = decide(state.log, proposal)};
+    const configuration &after = state.log.value;
+    if (after.current > before.current) {
+        const std::vector<change> changes = changesToPassOn(before, after, proposal.request.changes);
+        const history_digest digest = nextDigest(secret, state.digest, after.current, changes);
+        applied.accepted = true;
+        if (encodeChanges(changes).size() <= maxChangesBytes) {
+            applied.delta = configuration_delta{after.current, state.digest, digest, changes};
+        }
         state.digest = digest;
     }
     return applied;
--- a/src/daemon/control/control_state.h
+++ b/src/daemon/control/control_state.h
@@ -25,7 +25,8 @@
 /// What one command of the replicated log did.
 struct applied_command {
     change_answer answer; ///< Answer to the operator.
-    std::optional<configuration_delta> delta; ///< The revision it made, when it was accepted and is new.
+    bool accepted = false; ///< It made a revision.
+    std::optional<configuration_delta> delta; ///< How VMs get there; nothing where the whole is to be sent.
 };
 
 /// Command that makes a view of the VMs that keep claims the agreed one, unless another one came first.
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -48,6 +48,7 @@
         std::visit([this](const auto &each) { handle(each); }, message);
     })
 {
+    publish(); // What a snapshot on the disk holds was committed.
 }
 
 void control_task::handle(const change_submitted &message)
@@ -159,7 +160,9 @@
 
 void control_task::handle(const accepted_wanted & /*message*/)
 {
-    publish({});
+    m_publishDue = true;
+    m_publishWhole = true;
+    publish();
 }
 
 replica_host_events control_task::hostEvents()
@@ -179,7 +182,11 @@
                     settle(refused.ticket, {refused.code, m_accepted->current, addressOf(refused.leader)});
                 },
             .roleChanged = [this](const role_changed &role) { noteRole(role); },
-            .flushed = [this] { prove(); },
+            .flushed =
+                [this] {
+                    publish();
+                    prove();
+                },
             .failed =
                 [this] {
                     failAll();
@@ -192,9 +199,13 @@
     if (const auto *stored = std::get_if<command>(&record.content)) {
         applied_command applied = applyCommand(m_state, m_options.secret, stored->payload);
         answer = applied.answer;
-        if (applied.delta) {
+        if (applied.accepted) {
             m_accepted = std::make_shared<const configuration>(m_state.log.value);
-            publish({std::move(*applied.delta)});
+            m_publishDue = true;
+            m_publishWhole = m_publishWhole || !applied.delta;
+        }
+        if (applied.delta) {
+            m_unpublished.push_back(std::move(*applied.delta));
         }
         passOnClaimsView();
     }
@@ -205,7 +216,8 @@
 {
     m_state = decodeControlState(snapshot.state);
     m_accepted = std::make_shared<const configuration>(m_state.log.value);
-    publish({});
+    m_publishDue = true;
+    m_publishWhole = true;
     passOnClaimsView();
 }
 
@@ -269,9 +281,19 @@
     }
 }
 
-void control_task::publish(std::vector<configuration_delta> deltas)
+/// Tells the followers of the newest revision. After a restart a whole log is applied at once; they hear of its end.
+void control_task::publish()
 {
-    m_configurations.post(configuration_accepted{m_accepted, m_state.digest, std::move(deltas)});
+    if (!std::exchange(m_publishDue, false)) {
+        return;
+    }
+    auto served = std::make_shared<configuration>(*m_accepted);
+    served->document.clear(); // Only readings by the operator need it, and those the replicas answer.
+    std::vector<configuration_delta> deltas = std::exchange(m_unpublished, {});
+    if (std::exchange(m_publishWhole, false)) {
+        deltas.clear();
+    }
+    m_configurations.post(configuration_accepted{std::move(served), m_state.digest, std::move(deltas)});
 }
 
 void control_task::prove()
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -77,7 +77,7 @@
     void noteAppended(const proposal_appended &appended);
     void noteRole(const role_changed &role);
     void failAll();
-    void publish(std::vector<configuration_delta> deltas);
+    void publish();
     void prove();
     void answerReadings(instant confirmed);
     void giveUpReadings();
@@ -93,6 +93,9 @@
     mailbox<configuration_message> &m_configurations; ///< Not owned.
     control_state m_state; ///< The replicated state as of the last applied record.
     std::shared_ptr<const configuration> m_accepted; ///< Copy of its configuration; never null.
+    std::vector<configuration_delta> m_unpublished; ///< Of the revisions that the followers weren't told yet.
+    bool m_publishWhole = false; ///< The deltas don't lead to the newest revision.
+    bool m_publishDue = false; ///< There is a newer revision than the followers were told.
     std::unordered_map<std::uint64_t, pending_proposal> m_pending; ///< By ticket.
     std::unordered_map<std::uint64_t, std::uint64_t> m_ticketAt; ///< Ticket by log index.
     std::uint64_t m_lastTicket = 0; ///< Last ticket given.
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -3,6 +3,7 @@
 #include "wire/cbor_fields.h"
 #include "wire/configuration_codec.h"
 #include "wire/deflate.h"
+#include "wire/difference_json.h"
 
 #include <guavafront/coordination/configuration/validation.h>
 #include <guavafront/coordination/core/coordination_error.h>
@@ -282,6 +283,22 @@
     return result;
 }
 
+json toJson(const caller_limits &value)
+{
+    return json::array({value.headerBytes, value.bodyBytes, value.headerTimeoutMs, value.idleTimeoutMs});
+}
+
+caller_limits limitsFromJson(const json &value)
+{
+    cbor_fields fields(value, "caller limits", 4);
+    caller_limits limits;
+    limits.headerBytes = fields.whole<std::uint32_t>();
+    limits.bodyBytes = fields.whole<std::uint32_t>();
+    limits.headerTimeoutMs = fields.whole<std::uint32_t>();
+    limits.idleTimeoutMs = fields.whole<std::uint32_t>();
+    return limits;
+}
+
 json toJson(const change &edit)
 {
     return json::array({edit.index(), std::visit([](const auto &value) { return fieldsOf(value); }, edit)});
--- a/src/wire/change_json.h
+++ b/src/wire/change_json.h
@@ -14,11 +14,13 @@
 nlohmann::json toJson(const account_key &value); ///< As above.
 nlohmann::json toJson(const route &value); ///< As above.
 nlohmann::json toJson(const setting_exception &value); ///< As above.
+nlohmann::json toJson(const caller_limits &value); ///< As above.
 fleet_defaults defaultsFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
 account accountFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
 account_key keyFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
 route routeFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
 setting_exception exceptionFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
+caller_limits limitsFromJson(const nlohmann::json &value); ///< Reads what toJson() wrote.
 
 /// Array form of one change: its tag, then its fields.
 nlohmann::json toJson(const change &edit);
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -45,27 +45,14 @@
     json fields = json::array({configurationFormatVersion, value.current.value, toJson(value.defaults),
                                listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
                                listToJson(value.exceptions), value.lastAccount.value, value.lastRoute.value});
-    const caller_limits &limits = value.limits;
     if (value.externalVersion > 0) {
-        fields.push_back(
-            json::array({limits.headerBytes, limits.bodyBytes, limits.headerTimeoutMs, limits.idleTimeoutMs}));
+        fields.push_back(toJson(value.limits));
         fields.push_back(value.externalVersion);
         fields.push_back(value.document);
     }
     return fields;
 }
 
-caller_limits limitsFromJson(const json &encoded)
-{
-    cbor_fields fields(encoded, "caller limits", 4);
-    caller_limits limits;
-    limits.headerBytes = fields.whole<std::uint32_t>();
-    limits.bodyBytes = fields.whole<std::uint32_t>();
-    limits.headerTimeoutMs = fields.whole<std::uint32_t>();
-    limits.idleTimeoutMs = fields.whole<std::uint32_t>();
-    return limits;
-}
-
 configuration configurationFromJson(const json &encoded)
 {
     constexpr std::size_t ownFields = 9;
--- /dev/null
+++ b/src/wire/difference_json.cpp
@@ -0,0 +1,120 @@
+#include "wire/difference_json.h"
+
+#include "wire/change_json.h"
+#include "wire/configuration_codec.h"
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// The encoded size bounds all lists.
+constexpr std::size_t mostItems = maxChangesBytes;
+
+template<class item>
+json listOf(const std::vector<item> &items)
+{
+    json list = json::array();
+    for (const item &each : items) {
+        list.push_back(toJson(each));
+    }
+    return list;
+}
+
+template<class identifier>
+json numbersOf(const std::vector<identifier> &identifiers)
+{
+    json list = json::array();
+    for (const identifier each : identifiers) {
+        list.push_back(each.value);
+    }
+    return list;
+}
+
+/// An array of one item, or of none.
+template<class item>
+json optionalOf(const std::optional<item> &value)
+{
+    return value ? json::array({toJson(*value)}) : json::array();
+}
+
+template<class identifier>
+std::vector<identifier> readNumbers(cbor_fields &fields)
+{
+    std::vector<identifier> identifiers;
+    const json &list = fields.array(mostItems);
+    cbor_fields numbers(list, "identifiers", list.size());
+    while (identifiers.size() < list.size()) {
+        identifiers.push_back({numbers.whole<std::uint32_t>()});
+    }
+    return identifiers;
+}
+
+std::vector<std::string> readTexts(cbor_fields &fields)
+{
+    std::vector<std::string> texts;
+    const json &list = fields.array(mostItems);
+    cbor_fields entries(list, "labels", list.size());
+    while (texts.size() < list.size()) {
+        texts.push_back(entries.text(mostItems));
+    }
+    return texts;
+}
+
+template<class reader>
+auto readList(cbor_fields &fields, reader readItem)
+{
+    std::vector<decltype(readItem(json()))> items;
+    for (const json &each : fields.array(mostItems)) {
+        items.push_back(readItem(each));
+    }
+    return items;
+}
+
+/// What an array of one item or of none holds.
+template<class item>
+std::optional<item> firstOf(std::vector<item> items)
+{
+    return items.empty() ? std::nullopt : std::optional<item>(std::move(items.front()));
+}
+
+} // namespace
+
+json fieldsOf(const configuration_difference &difference)
+{
+    json exceptions = json::array();
+    if (difference.exceptions) {
+        exceptions.push_back(listOf(*difference.exceptions));
+    }
+    return json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
+                        numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
+                        listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
+                        difference.lastAccount.value, difference.lastRoute.value, difference.externalVersion});
+}
+
+void read(cbor_fields &fields, configuration_difference &difference)
+{
+    difference.defaults = firstOf(readList(fields, defaultsFromJson));
+    difference.limits = firstOf(readList(fields, limitsFromJson));
+    difference.exceptions = firstOf(readList(fields, [](const json &list) {
+        const json wrapped = json::array({list});
+        cbor_fields inner(wrapped, "exceptions", 1);
+        return readList(inner, exceptionFromJson);
+    }));
+    difference.removedAccounts = readNumbers<account_id>(fields);
+    difference.accounts = readList(fields, accountFromJson);
+    difference.removedKeys = readTexts(fields);
+    difference.keys = readList(fields, keyFromJson);
+    difference.removedRoutes = readNumbers<route_id>(fields);
+    difference.routes = readList(fields, routeFromJson);
+    difference.lastAccount.value = fields.whole<std::uint32_t>();
+    difference.lastRoute.value = fields.whole<std::uint32_t>();
+    difference.externalVersion = fields.whole<std::uint64_t>();
+}
+
+} // namespace guavafront
--- a/src/wire/operator_json.cpp
+++ b/src/wire/operator_json.cpp
@@ -263,6 +263,11 @@
     return {{"change", "set_defaults"}, {"values", defaultsJson(edit.values)}};
 }
 
+json changeJson(const configuration_difference &edit)
+{
+    return {{"change", "difference"}, {"version", edit.externalVersion}};
+}
+
 json changeJson(const replace_all &edit)
 {
     return {{"change", "replace_all"}, {"version", edit.value.externalVersion}};
--- a/tests/configuration/configuration_follower_test.cpp
+++ b/tests/configuration/configuration_follower_test.cpp
@@ -102,6 +102,7 @@
     std::uint64_t lossPercent = 0; ///< Messages lost.
     std::set<std::pair<vm_id, vm_id>> cuts; ///< From and to: nothing passes.
     std::uint64_t snapshotParts = 0; ///< Parts sent.
+    std::uint64_t deltasSent = 0; ///< Revisions sent as deltas.
 
 private:
     struct scheduled {
@@ -140,6 +141,7 @@
 
     void perform(vm_id id, const send_deltas &effect)
     {
+        deltasSent += effect.deltas.size();
         send(id, effect.to, deltas_received{id, effect.deltas});
     }
 
@@ -232,6 +234,21 @@
     BOOST_TEST(network.upToDate() == vms);
 }
 
+BOOST_AUTO_TEST_CASE(restartOfAllButOne_hundredsOfRevisions_wholeSentSoon)
+{
+    follower_network network(8, vms);
+    for (int i = 0; i < 300; ++i) {
+        network.accept();
+    }
+    for (std::uint64_t id = 2; id <= vms; ++id) {
+        network.restart({id});
+    }
+    network.deltasSent = 0;
+    network.runFor(milliseconds(600));
+    BOOST_TEST(network.upToDate() == vms);
+    BOOST_TEST(network.deltasSent == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(received_olderRevision_neverReverts)
 {
     follower_network network(5, 3);
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace guavafront
 {
 
@@ -64,6 +66,27 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(start_seedsListenLater_joinedSoonAfterwards)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        memory_fleet fleet;
+        fleet.random = {seed};
+        for (std::size_t slot = memory_fleet::seedCount; slot < fleetSize; ++slot) {
+            fleet.start(slot);
+        }
+        fleet.run(std::chrono::milliseconds(350));
+        for (std::size_t slot = 0; slot < memory_fleet::seedCount; ++slot) {
+            fleet.start(slot);
+        }
+        const auto allHearTheFleet = [&fleet] {
+            return std::ranges::all_of(fleet.vms, [&fleet](const auto &each) {
+                return each.second.state.targets.size() == fleet.options.rings;
+            });
+        };
+        BOOST_TEST(fleet.runUntil(allHearTheFleet, std::chrono::milliseconds(600)), "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fleet_sameSeed_sameRun)
 {
     memory_fleet first;
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -282,6 +282,18 @@
     BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk);
 }
 
+BOOST_AUTO_TEST_CASE(election_noLeaderHeardSinceTheStart_askedForSoon)
+{
+    BOOST_TEST((self.electionDeadline - now <= milliseconds(300)));
+    now = self.electionDeadline;
+    run(timer_fired{});
+    BOOST_CHECK(self.role == replica_role::PreCandidate);
+    BOOST_TEST((self.electionDeadline - now <= milliseconds(300))); // The others may start a moment later.
+    receive(2, 1, append_request{{0}, {0}, {0}, {}});
+    BOOST_CHECK(self.role == replica_role::Follower);
+    BOOST_TEST((self.electionDeadline - now >= options.electionTimeout));
+}
+
 BOOST_AUTO_TEST_CASE(learner_emptyDisk_joinsFirstLeaderAndNeverCampaigns)
 {
     disk = {};
