Restarted VMs ask hubs for the instances that they missed

They heard only what was announced after their start; the spread compares tables with one peer at the start and then every 10 to 30 s, and that peer had often just started itself. Ruled out: lost announcements (the VMs that weren't restarted knew all). Change: an entry VM sends two hubs a summary of what it knows, every 0.25 s for 3 s after its start and every 10 s later; a hub with another summary tells it all instances with their hearers.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -12,6 +12,7 @@
 #include <guavafront/coordination/limits/limiter.h>
 #include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
+#include <guavafront/coordination/registry/catch_up.h>
 #include <guavafront/coordination/registry/registry.h>
 #include <guavafront/coordination/routing/route_table.h>
 #include <guavafront/coordination/upstreams/upstream_selection.h>
@@ -48,6 +49,7 @@
     std::optional<instant> overtakenSince; ///< Since when a newer configuration is known to be accepted.
     claims idempotency; ///< Claims of idempotency keys.
     registry upstreams; ///< Announced instances.
+    catch_up questions; ///< When hubs are asked what instances are missing; only with balancing_policy::Affinity.
     upstream_selection selection; ///< Balancing, health and retries of this VM.
     quarantine held; ///< Requests that upstreams died of.
     instant nextSupervision{}; ///< When health is looked at again.
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -11,6 +11,7 @@
 #include <guavafront/coordination/loads/load_board.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
+#include <guavafront/coordination/registry/catch_up.h>
 
 #include <cstdint>
 #include <string>
@@ -111,6 +112,17 @@
     std::vector<instance_load> loads; ///< As this VM heard them.
 };
 
+/// Ask hubs what instances this VM lacks.
+struct ask_for_instances {
+    std::uint64_t fingerprint = 0; ///< Of those that it knows.
+};
+
+/// Tell a VM of the known instances.
+struct tell_instances {
+    vm_id to; ///< The VM.
+    std::vector<told_instance> told; ///< All of them.
+};
+
 /// Send time_passed at that time, or earlier; the last one of a step counts.
 struct wake_at {
     instant when; ///< Time to wake.
@@ -120,6 +132,7 @@
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
-                 publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report, report_loads>;
+                 publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report, report_loads,
+                 ask_for_instances, tell_instances>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -137,16 +137,23 @@
     std::vector<instance_load> loads; ///< As other VMs heard them.
 };
 
+/// A VM asked what instances it lacks.
+struct instances_asked {
+    vm_id from; ///< The VM.
+    std::uint64_t fingerprint = 0; ///< Of those that it knows.
+};
+
 /// Time moved on; sent when a wake_at has come.
 struct time_passed {
 };
 
 /// All that an entry's decisions react to.
-using entry_event = std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
-                                 instance_announced, instance_left, instance_learned, instance_forgotten,
-                                 hearer_changed, fleet_changed, health_reported, health_report_lost, death_learned,
-                                 request_released, release_learned, stop_requested, time_passed, limit_members_changed,
-                                 limit_message_received, claim_message_received, claims_view_changed, publications_lost,
-                                 evidence_heard, ledger_owners_changed, ledger_statement_received, loads_heard>;
+using entry_event =
+    std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
+                 instance_announced, instance_left, instance_learned, instance_forgotten, hearer_changed, fleet_changed,
+                 health_reported, health_report_lost, death_learned, request_released, release_learned, stop_requested,
+                 time_passed, limit_members_changed, limit_message_received, claim_message_received,
+                 claims_view_changed, publications_lost, evidence_heard, ledger_owners_changed,
+                 ledger_statement_received, loads_heard, instances_asked>;
 
 } // namespace guavafront
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -140,6 +140,11 @@
     onStatement(context.state.budgets, event.statement, context.now);
 }
 
+void handle(step_context &context, const instances_asked &event)
+{
+    tellInstances(context, event);
+}
+
 void handle(step_context &context, const death_learned &event)
 {
     learnDeath(context.state.held, event.death, context.now);
@@ -197,6 +202,7 @@
     reportLoads(context);
     endTokenWaits(context);
     expireInstances(context);
+    askForInstances(context);
     superviseUpstreams(context);
 }
 
@@ -206,6 +212,9 @@
     if (!state.heardLoads.loads.empty()) {
         next = std::min(next, state.loadsReportedAt + loadReportPeriod);
     }
+    if (state.selection.policy == balancing_policy::Affinity) {
+        next = std::min(next, nextQuestion(state.questions));
+    }
     if (!state.upstreams.services.empty()) {
         next = std::min(next, state.nextSupervision);
     }
--- a/src/coordination/entry/entry_step.h
+++ b/src/coordination/entry/entry_step.h
@@ -68,6 +68,10 @@
 void updateUpstreams(step_context &context, const hearer_changed &event);
 /// Tells the other VMs again of this VM, its own instances and its view of upstreams' health.
 void publishAgain(step_context &context);
+/// Asks hubs, from time to time, what instances this VM lacks.
+void askForInstances(step_context &context);
+/// Tells a VM that asked what it lacks.
+void tellInstances(step_context &context, const instances_asked &event);
 /// Leases that have run out.
 void expireInstances(step_context &context);
 
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -43,6 +43,21 @@
     }
 }
 
+void askForInstances(step_context &context)
+{
+    entry &state = context.state;
+    if (state.selection.policy == balancing_policy::Affinity && takeQuestion(state.questions, context.now)) {
+        context.effects.emplace_back(ask_for_instances{fingerprintOf(state.upstreams)});
+    }
+}
+
+void tellInstances(step_context &context, const instances_asked &event)
+{
+    if (auto told = instancesToTell(context.state.upstreams, event.fingerprint); !told.empty()) {
+        context.effects.emplace_back(tell_instances{event.from, std::move(told)});
+    }
+}
+
 void publishAgain(step_context &context)
 {
     const entry &state = context.state;
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon_links.h"
 
 #include "daemon/fleet/fleet_watch.h"
+#include "wire/catch_up_codec.h"
 #include "wire/claims_codec.h"
 #include "wire/evidence_codec.h"
 #include "wire/ledger_codec.h"
@@ -101,6 +102,16 @@
     subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(instance_learned{from, decodeAnnouncement(message.body)});
     });
+    subscribe(options, channel::CatchUp, wiring, [&wiring](vm_id from, const envelope &message) {
+        const catch_up_message decoded = decodeCatchUp(message.body);
+        if (const auto *question = std::get_if<instances_question>(&decoded)) {
+            wiring.entries.post(instances_asked{from, question->fingerprint});
+            return;
+        }
+        for (const told_instance &each : std::get<instances_list>(decoded).told) {
+            wiring.entries.post(instance_learned{each.hearer, each.news});
+        }
+    });
     subscribe(options, channel::Claims, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(claim_message_received{from, decodeClaimMessage(message.body)});
     });
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -1,8 +1,10 @@
 #include "daemon/entry/entry_task.h"
 
 #include "daemon/fleet/shared_state.h"
+#include "daemon/registry/instance_teller.h"
 #include "http/http_message.h"
 #include "wire/answer_codec.h"
+#include "wire/catch_up_codec.h"
 #include "wire/claims_codec.h"
 #include "wire/evidence_codec.h"
 #include "wire/ledger_codec.h"
@@ -327,6 +329,17 @@
         .count = 1, .message = {.kind = channel::Loads, .body = encodeLoads({load_stage::Reported, effect.loads})}});
 }
 
+void entry_task::perform(const ask_for_instances &effect)
+{
+    m_peers.post(send_to_hubs{
+        .message = {.kind = channel::CatchUp, .body = encodeCatchUp(instances_question{effect.fingerprint})}});
+}
+
+void entry_task::perform(const tell_instances &effect)
+{
+    tellOfInstances(m_peers, effect.to, effect.told);
+}
+
 void entry_task::perform(const send_ledger_report &effect)
 {
     m_peers.post(send_to_vm{effect.to, {.kind = channel::Ledger, .body = encodeLedgerMessage(effect.report)}});
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -81,6 +81,8 @@
     void perform(const tell_fleet &effect);
     void perform(const send_ledger_report &effect);
     void perform(const report_loads &effect);
+    void perform(const ask_for_instances &effect);
+    void perform(const tell_instances &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
--- /dev/null
+++ b/src/daemon/registry/instance_teller.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "daemon/peers/peers_message.h"
+#include "runtime/mailbox.h"
+
+#include <guavafront/coordination/registry/catch_up.h>
+
+#include <span>
+
+namespace guavafront
+{
+
+/// Sends a VM the instances that it has missed, in as many messages as needed.
+void tellOfInstances(mailbox<peers_message> &peers, vm_id to, std::span<const told_instance> told);
+
+} // namespace guavafront
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -1,6 +1,7 @@
 #include "daemon/registry/registry_task.h"
 
 #include "daemon/fleet/shared_state.h"
+#include "daemon/registry/instance_teller.h"
 #include "wire/registry_codec.h"
 
 #include <glog/logging.h>
@@ -81,6 +82,11 @@
     }
 }
 
+void registry_task::handle(const instances_asked &event)
+{
+    tellOfInstances(m_peers, event.from, instancesToTell(m_state, event.fingerprint));
+}
+
 void registry_task::tick()
 {
     for (const instance_id instance : expire(m_state, loop::now())) {
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -25,6 +25,7 @@
     void handle(const instance_forgotten &event);
     void handle(const hearer_changed &event);
     void handle(const publications_lost &event);
+    void handle(const instances_asked &event);
     template<class other>
     void handle(const other & /*event*/)
     {
--- /dev/null
+++ b/src/wire/catch_up_codec.cpp
@@ -0,0 +1,67 @@
+#include "wire/catch_up_codec.h"
+
+#include "wire/cbor_fields.h"
+#include "wire/registry_codec.h"
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t maxMessageBytes = std::size_t{128} << 10;
+constexpr std::size_t maxInstanceBytes = 1'024;
+
+json toJson(const instances_question &message)
+{
+    return json::array({message.fingerprint});
+}
+
+json toJson(const instances_list &message)
+{
+    json list = json::array();
+    for (const told_instance &each : message.told) {
+        list.push_back(json::array({each.hearer.value, cborBytes(encodeAnnouncement(each.news))}));
+    }
+    return list;
+}
+
+told_instance instanceFrom(const json &encoded)
+{
+    cbor_fields fields(encoded, "told instance", 2);
+    told_instance told;
+    told.hearer.value = fields.whole<std::uint64_t>();
+    told.news = decodeAnnouncement(fields.bytes(maxInstanceBytes));
+    return told;
+}
+
+} // namespace
+
+std::vector<std::byte> encodeCatchUp(const catch_up_message &message)
+{
+    return encodeCbor(
+        json::array({message.index(), std::visit([](const auto &each) { return toJson(each); }, message)}));
+}
+
+catch_up_message decodeCatchUp(std::span<const std::byte> encoded)
+{
+    const json value = parseCbor(encoded, maxMessageBytes);
+    cbor_fields fields(value, "catch-up", 2);
+    const std::uint64_t kind = fields.wholeUpTo(std::variant_size_v<catch_up_message> - 1);
+    const json &content = fields.array(mostToldInstances);
+    if (kind == 0) {
+        cbor_fields question(content, "instances question", 1);
+        return instances_question{question.whole<std::uint64_t>()};
+    }
+    instances_list list;
+    for (const json &each : content) {
+        list.told.push_back(instanceFrom(each));
+    }
+    return list;
+}
+
+} // namespace guavafront
--- a/src/wire/envelope.h
+++ b/src/wire/envelope.h
@@ -22,7 +22,8 @@
     Registry = 9, ///< Changes of instances that all VMs must know at once.
     Ledger = 10, ///< Accounts' budgets, where nobody tells the size of the fleet.
     Loads = 11, ///< Instances' loads, gathered and told by hubs.
-    Last = Loads, ///< Highest known number.
+    CatchUp = 12, ///< Instances that a VM has missed.
+    Last = CatchUp, ///< Highest known number.
 };
 
 /// One message between two VMs.
