Say when to come back with each refusal of a request that didn't run

A repeatable request on a kept connection was given up after 2 s, which at full instances (queue of four rounds) breaks off work and sends it twice. Change: Retry-After of one to two usual answer times (0.2 to 1.6 s) where nothing ran; 1.2 to 1.6 s, drawn, from a VM that starts; 3 s until a kept connection counts as silent. Ruled out: more retries by the fleet, whose budget (a fifth and 62) is nearly used while 16 of 19 instances shed.

--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr duration retryAfterPassing = std::chrono::seconds(1);
+/// A VM that starts with others needs an elected leader and the configuration first.
+constexpr duration retryAfterStart = std::chrono::milliseconds(1'200);
+constexpr duration retrySpread = std::chrono::milliseconds(400);
 
 /// Idempotent methods of RFC 9110 section 9.2.2.
 bool isIdempotentMethod(std::string_view method)
@@ -65,7 +68,12 @@
 void refuseAtOnce(step_context &context, exchange_id id, result_code code, const route *match, const account *owner)
 {
     const bool passes = code == result_code::ConfigurationStale || code == result_code::EntryOverloaded;
-    const duration retryAfter = passes ? retryAfterPassing : duration::zero();
+    const bool starting = code == result_code::ConfigurationStale && context.state.current->current.value == 0;
+    duration retryAfter = passes ? retryAfterPassing : duration::zero();
+    if (starting) { // All callers are refused at once; they shouldn't all come back at once.
+        const std::uint64_t spread = context.random() % static_cast<std::uint64_t>(retrySpread.count());
+        retryAfter = retryAfterStart + duration(static_cast<std::int64_t>(spread));
+    }
     context.effects.emplace_back(refuse_request{id,
                                                 {code, execution::NotRun, retryAfter},
                                                 match ? match->service : std::string(),
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr std::uint16_t firstServerError = 500;
-constexpr duration sparseSilence = std::chrono::seconds(2);
+constexpr duration sparseSilence = std::chrono::seconds(3);
 constexpr duration retryAfterNoUpstream = std::chrono::seconds(1);
 /// A try ends this much before its request, so that its connection's end is told before the request's.
 constexpr duration attemptMargin = std::chrono::milliseconds(2);
@@ -68,6 +68,17 @@
     }
 }
 
+/// When a request that didn't run is worth sending again: about when a slot is free, not all callers at once.
+duration retryAfterNotRun(const step_context &context, const exchange &request)
+{
+    constexpr duration least = std::chrono::milliseconds(200);
+    constexpr duration most = std::chrono::milliseconds(800);
+    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
+    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
+    const duration pause = std::clamp(usual, least, most);
+    return pause + duration(static_cast<std::int64_t>(context.random() % static_cast<std::uint64_t>(pause.count())));
+}
+
 stage_verdict refuseSelect(step_context &context, exchange &request, result_code code, duration retryAfter)
 {
     const execution ran = request.sent ? execution::Unknown : execution::NotRun;
@@ -167,7 +178,11 @@
         return;
     }
     const result_code code = request.sent && provedNotRun ? result_code::OutcomeUnknown : codeOf(result.outcome);
-    refuse(context, request, code, request.sent ? execution::Unknown : execution::NotRun, {});
+    if (request.sent) {
+        refuse(context, request, code, execution::Unknown, {});
+    } else {
+        refuse(context, request, code, execution::NotRun, retryAfterNotRun(context, request));
+    }
 }
 
 } // namespace guavafront
