Hubs sum what VMs sent to instances and tell it each 0.1 s

Change: an entry VM tells its hub what it has at each instance when that changes, 0.1 s apart, and again each second; hubs sum it over their VMs, tell each other the sums and their VMs the totals, 0.1 s apart. An instance's own word still counts at the VM that heard it. Tests: load_board_test (sums, silent VMs, changes only). The board keeps no ages any more: loads_olderNews_dropped and loads_toldAlready_notToldAgain are replaced by four cases on the sums.

--- a/include/guavafront/coordination/loads/load_board.h
+++ b/include/guavafront/coordination/loads/load_board.h
@@ -4,6 +4,7 @@
 #include <guavafront/coordination/core/time.h>
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -11,30 +12,31 @@
 namespace guavafront
 {
 
-/// Load of one instance in its own words.
+/// Requests that an instance has.
 struct instance_load {
     instance_id instance; ///< The instance.
     std::uint32_t requests = 0; ///< That run and wait there.
-    duration age{}; ///< Since it said so.
+    duration age{}; ///< Since that was so.
     bool operator==(const instance_load &) const = default; ///< Memberwise equality.
 };
 
-/// Newest loads that any VM was told, gathered where many VMs report.
+/// Sums, where many VMs report, what each of them has sent to an instance and what wasn't answered yet. Unlike an
+/// instance's own word, which comes with its answers, it counts requests as soon as they are sent.
 struct load_board {
-    struct known_load {
-        std::uint32_t requests = 0; ///< That ran and waited there.
-        instant at{}; ///< When it said so.
-        instant changedAt{}; ///< When that was learned here.
+    struct told_load {
+        std::uint32_t requests = 0; ///< Of the VM that told.
+        instant at{}; ///< When it last told.
     };
 
-    duration memory = std::chrono::seconds(3); ///< Older loads say nothing.
-    std::unordered_map<instance_id, known_load> loads; ///< By instance.
+    duration memory = std::chrono::seconds(3); ///< What a VM said counts for so long; it repeats what is left of it.
+    std::unordered_map<instance_id, std::unordered_map<vm_id, told_load>> loads; ///< By instance and by VM.
+    std::set<instance_id> changed; ///< Instances whose sum changed since it was last asked for.
 };
 
-/// Takes loads; those older than what is known are dropped.
-void noteLoads(load_board &board, std::span<const instance_load> loads, instant now);
+/// Takes what a VM has at the instances named; it replaces what it said of them before.
+void noteLoads(load_board &board, vm_id teller, std::span<const instance_load> loads, instant now);
 
-/// Loads that were learned after a time, with their ages; forgets the oldest.
-std::vector<instance_load> loadsSince(load_board &board, instant since, instant now);
+/// Sums of the instances that changed since the last call.
+std::vector<instance_load> changedLoads(load_board &board, instant now);
 
 } // namespace guavafront
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -114,6 +114,7 @@
         return std::nullopt;
     }
     request.onTrial = chosen->trial;
+    state.sentLoads.changed = true;
     if (chosen->trial) {
         tellFleet(context, {chosen->instance, instance_sign::TrialBegan});
     }
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -209,9 +209,7 @@
 instant nextWake(const entry &state)
 {
     instant next = std::min(nextLimitWake(state), nextExpiry(state.upstreams).value_or(instant::max()));
-    if (!state.heardLoads.loads.empty()) {
-        next = std::min(next, state.loadsReportedAt + loadReportPeriod);
-    }
+    next = std::min(next, nextLoadReport(state.sentLoads));
     if (state.selection.policy == balancing_policy::Affinity) {
         next = std::min(next, nextQuestion(state.questions));
     }
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -109,14 +109,17 @@
 void reportLoads(step_context &context)
 {
     entry &state = context.state;
-    if (context.now < state.loadsReportedAt + loadReportPeriod) {
+    if (context.now < nextLoadReport(state.sentLoads)) {
         return;
     }
-    std::vector<instance_load> heard = loadsSince(state.heardLoads, state.loadsReportedAt, context.now);
-    state.heardLoads.loads.clear();
-    state.loadsReportedAt = context.now;
-    if (!heard.empty()) {
-        context.effects.emplace_back(report_loads{std::move(heard)});
+    state.sentLoads.changed = false;
+    state.sentLoads.reportedAt = context.now;
+    std::vector<instance_load> report;
+    for (const selected_service &service : state.selection.services) {
+        collectLoads(state.sentLoads, service.candidates.items, context.now, report);
+    }
+    if (!report.empty()) {
+        context.effects.emplace_back(report_loads{std::move(report)});
     }
 }
 
@@ -204,10 +207,7 @@
     concludeTry(state.selection, state.upstreams, request.service, news, context.now);
     if (state.selection.policy == balancing_policy::Affinity) {
         tellOutcome(context, request, result, news.kind);
-        if (result.reportedLoad) {
-            const instance_load heard{request.running, *result.reportedLoad, {}};
-            noteLoads(state.heardLoads, std::span(&heard, 1), context.now);
-        }
+        state.sentLoads.changed = true;
     }
     noteForQuarantine(context, request, result);
     if (news.kind == outcome_kind::TimedOut && news.reusedConnection) {
--- a/src/coordination/entry/try_evidence.h
+++ b/src/coordination/entry/try_evidence.h
@@ -30,10 +30,7 @@
 /// Follows a change of the registry.
 void followUpstreams(step_context &context);
 
-/// Between two reports of loads; a request runs for about twice as long.
-constexpr duration loadReportPeriod = std::chrono::milliseconds(200);
-
-/// Reports the loads that were heard since the last time, when due.
+/// Tells the hub of this VM's requests at instances, when due.
 void reportLoads(step_context &context);
 
 /// Notes a sign here and, when it is news, has the other VMs told.
--- a/src/coordination/loads/load_board.cpp
+++ b/src/coordination/loads/load_board.cpp
@@ -3,27 +3,53 @@
 namespace guavafront
 {
 
-void noteLoads(load_board &board, std::span<const instance_load> loads, instant now)
+namespace
+{
+
+/// Drops what VMs said that are silent since; their instances change by it.
+void forgetOld(load_board &board, instant now)
+{
+    for (auto &[instance, tellers] : board.loads) {
+        const auto isOld = [&board, now](const auto &told) {
+            return told.second.at + board.memory < now;
+        };
+        if (std::erase_if(tellers, isOld) > 0) {
+            board.changed.insert(instance);
+        }
+    }
+}
+
+} // namespace
+
+void noteLoads(load_board &board, vm_id teller, std::span<const instance_load> loads, instant now)
 {
     for (const instance_load &each : loads) {
-        const instant at = now - each.age;
-        load_board::known_load &known = board.loads[each.instance];
-        if (at > known.at) {
-            known = {.requests = each.requests, .at = at, .changedAt = now};
+        auto &tellers = board.loads[each.instance];
+        load_board::told_load &told = tellers[teller];
+        if (told.requests != each.requests) {
+            board.changed.insert(each.instance);
+        }
+        told = {.requests = each.requests, .at = now};
+        if (each.requests == 0) {
+            tellers.erase(teller);
         }
     }
 }
 
-std::vector<instance_load> loadsSince(load_board &board, instant since, instant now)
+std::vector<instance_load> changedLoads(load_board &board, instant now)
 {
-    std::erase_if(board.loads, [&board, now](const auto &each) { return each.second.at + board.memory < now; });
-    std::vector<instance_load> recent;
-    for (const auto &[instance, known] : board.loads) {
-        if (known.changedAt > since) {
-            recent.push_back({instance, known.requests, now - known.at});
+    forgetOld(board, now);
+    std::vector<instance_load> changed;
+    for (const instance_id instance : board.changed) {
+        std::uint32_t requests = 0;
+        for (const auto &[teller, told] : board.loads[instance]) {
+            requests += told.requests;
         }
+        changed.push_back({.instance = instance, .requests = requests, .age = {}});
     }
-    return recent;
+    board.changed.clear();
+    std::erase_if(board.loads, [](const auto &each) { return each.second.empty(); });
+    return changed;
 }
 
 } // namespace guavafront
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -177,6 +177,9 @@
     return chosen;
 }
 
+/// Two reports on the way, from a VM to its hub and from there to the others.
+constexpr duration toldLoadLag = std::chrono::milliseconds(100);
+
 void takeLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads, instant now)
 {
     for (const instance_load &each : loads) {
@@ -185,7 +188,7 @@
             continue;
         }
         candidate *member = findCandidate(selection.services[service->second].candidates, each.instance);
-        const instant at = now - each.age;
+        const instant at = now - each.age - toldLoadLag;
         if (member && at > member->loadAt) {
             member->reportedLoad = static_cast<float>(each.requests);
             member->sentSinceLoad = 0;
--- a/src/daemon/hub/hub_task.cpp
+++ b/src/daemon/hub/hub_task.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr duration publishPeriod = std::chrono::milliseconds(200); // A request runs for about twice as long.
+constexpr duration publishPeriod = std::chrono::milliseconds(100); // A request runs several times as long.
 constexpr duration reporterMemory = std::chrono::seconds(5);
 
 } // namespace
@@ -21,9 +21,9 @@
 void hub_task::receive(const loads_received &received)
 {
     const instant now = loop::now();
-    noteLoads(m_board, received.message.loads, now);
+    noteLoads(m_board, received.from, received.message.loads, now);
     if (received.message.stage == load_stage::Reported) {
-        noteLoads(m_own, received.message.loads, now);
+        noteLoads(m_own, received.from, received.message.loads, now);
         m_reporters[received.from] = now;
     }
     if (!m_armed) {
@@ -36,13 +36,12 @@
 {
     m_armed = false;
     const instant now = loop::now();
-    const instant since = std::exchange(m_publishedAt, now);
-    if (const auto own = loadsSince(m_own, since, now); !own.empty()) {
+    if (const auto own = changedLoads(m_own, now); !own.empty()) {
         m_peers.post(
             send_to_roles{ControlRole, {.kind = channel::Loads, .body = encodeLoads({load_stage::Gathered, own})}});
     }
     std::erase_if(m_reporters, [now](const auto &each) { return each.second + reporterMemory < now; });
-    const auto all = loadsSince(m_board, since, now);
+    const auto all = changedLoads(m_board, now);
     for (const auto &[vm, reportedAt] : m_reporters) {
         if (!all.empty()) {
             send(vm, load_stage::Published, all);
--- a/src/daemon/hub/hub_task.h
+++ b/src/daemon/hub/hub_task.h
@@ -19,7 +19,7 @@
     load_message message; ///< What it sent.
 };
 
-/// Gathers what entry VMs hear of instances' loads on a control VM, and tells its entry VMs a few times a second.
+/// Sums what entry VMs have at instances on a control VM, and tells its entry VMs some times a second.
 class hub_task
 {
 public:
@@ -33,9 +33,8 @@
 
     mailbox<peers_message> &m_peers; ///< Not owned.
     load_board m_board; ///< Of the whole fleet.
-    load_board m_own; ///< Of this hub's entry VMs alone; the other hubs are told of these.
+    load_board m_own; ///< Of this hub's entry VMs alone; the other hubs are told of these sums.
     std::unordered_map<vm_id, instant> m_reporters; ///< Entry VMs that report here, with when they last did.
-    instant m_publishedAt{}; ///< Last time.
     timer m_timer; ///< Next time; runs while there is something to tell.
     bool m_armed = false; ///< The timer runs.
     mailbox_attachment<loads_received> m_attachment; ///< To the inbox.
--- a/tests/loads/load_board_test.cpp
+++ b/tests/loads/load_board_test.cpp
@@ -3,11 +3,13 @@
 #include "wire/load_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
-#include <guavafront/coordination/loads/load_board.h>
+#include <guavafront/coordination/loads/own_loads.h>
 
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <optional>
+#include <vector>
 
 namespace guavafront
 {
@@ -17,15 +19,22 @@
 
 using namespace std::chrono_literals;
 
-/// A board and a clock.
+/// A board to which two VMs tell what they have at instance 1, and a clock.
 struct load_board_fixture {
     load_board board;
     instant now{100s};
 
-    void note(std::uint32_t requests, duration age)
+    void note(std::uint64_t teller, std::uint32_t requests)
     {
-        const std::array loads{instance_load{{1}, requests, age}};
-        noteLoads(board, loads, now);
+        const std::array loads{instance_load{{1}, requests, {}}};
+        noteLoads(board, {teller}, loads, now);
+    }
+
+    /// The sum of instance 1 that is told now; nothing when it isn't.
+    std::optional<std::uint32_t> told()
+    {
+        const auto changed = changedLoads(board, now);
+        return changed.empty() ? std::nullopt : std::optional(changed.front().requests);
     }
 };
 
@@ -33,22 +42,55 @@
 
 BOOST_FIXTURE_TEST_SUITE(load_board_test, load_board_fixture)
 
-BOOST_AUTO_TEST_CASE(loads_olderNews_dropped)
+BOOST_AUTO_TEST_CASE(loads_twoVmsSent_summedAtOnceAndReplaced)
+{
+    note(1, 3);
+    note(2, 2);
+    BOOST_TEST((told() == 5U));
+    note(1, 1);
+    BOOST_TEST((told() == 3U));
+    note(1, 0);
+    note(2, 0);
+    BOOST_TEST((told() == 0U));
+    BOOST_TEST(board.loads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(loads_unchanged_notToldAgain)
+{
+    note(1, 3);
+    BOOST_TEST(told().has_value());
+    note(1, 3);
+    BOOST_TEST(!told().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(loads_vmSilent_forgottenAndTold)
 {
-    note(3, 10ms);
-    note(9, 500ms);
-    const auto known = loadsSince(board, {}, now);
-    BOOST_REQUIRE(known.size() == 1U);
-    BOOST_TEST(known.front().requests == 3U);
-    BOOST_TEST((known.front().age == duration(10ms)));
+    note(1, 3);
+    note(2, 1);
+    told();
+    now += 2s;
+    note(2, 1);
+    now += 2s;
+    BOOST_TEST((told() == 1U));
 }
 
-BOOST_AUTO_TEST_CASE(loads_toldAlready_notToldAgain)
+BOOST_AUTO_TEST_CASE(ownLoads_sentAndEnded_changesOnlyAndLastingOnesAgain)
 {
-    note(3, 0ms);
-    BOOST_TEST(loadsSince(board, now, now).empty());
-    now += 4s;
-    BOOST_TEST(loadsSince(board, {}, now).empty());
+    own_loads own;
+    std::vector<candidate> members{{.instance = {1}, .outstanding = 2}, {.instance = {2}}};
+    const auto report = [&] {
+        std::vector<instance_load> loads;
+        collectLoads(own, members, now, loads);
+        return loads;
+    };
+    BOOST_TEST((report() == std::vector<instance_load>{{{1}, 2, {}}}));
+    BOOST_TEST(report().empty());
+    now += 1s;
+    BOOST_TEST((report() == std::vector<instance_load>{{{1}, 2, {}}}));
+    members.front().outstanding = 0;
+    BOOST_TEST((report() == std::vector<instance_load>{{{1}, 0, {}}}));
+    BOOST_TEST(own.told.empty());
+    BOOST_TEST((nextLoadReport(own) == instant::max()));
 }
 
 BOOST_AUTO_TEST_CASE(messages_roundTripAndCut_sameOrRefused)
@@ -58,10 +100,10 @@
     BOOST_TEST((decodeLoads(encoded) == loads));
     const instance_evidence sign{{9}, instance_sign::TrialBegan};
     BOOST_TEST((decodeEvidence(encodeEvidence(sign)) == sign));
-    const ledger_message report = ledger_report{.configuration = 3, .entries = {{{2}, {98, 98}, 1.5, true, 4.25}}};
+    const ledger_message report = ledger_report{.configuration = 3, .entries = {{{2}, {98, 98}, 1.5, true, 4.25, 3}}};
     const auto encodedReport = encodeLedgerMessage(report);
     BOOST_TEST((decodeLedgerMessage(encodedReport) == report));
-    const ledger_message statement = ledger_statement{.balances = {{{2}, -3.5, 0.25, 0.125}}};
+    const ledger_message statement = ledger_statement{.balances = {{{2}, -3.5, 0.25, 0.125, 2}}};
     BOOST_TEST((decodeLedgerMessage(encodeLedgerMessage(statement)) == statement));
     for (std::size_t length = 0; length < encoded.size(); ++length) {
         BOOST_CHECK_THROW(decodeLoads(std::span(encoded).first(length)), coordination_error);
