A control VM that is gone for good doesn't count for the quorum for ever

Ruled out: fewer voters (a quorum must stand on any three of five). Change: a VM that comes back at its address with a new identity takes its predecessor's place (the replacement that operators could ask for already); the leader removes a voter that it hasn't heard for 20 s and that the membership doesn't hold alive, while three remain. Freezes and cuts last some seconds; a voter that was removed and comes back joins again. The steps stay one at a time with a healthy quorum before and after. Tests: removal_voterGoneForGood_removedWhileThreeRemain (refused before: fewer than 15 voters would remain), voter_care_test.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -28,6 +28,9 @@
     std::size_t snapshotAfterRecords = 4'096; ///< Applied records between two snapshots.
     std::size_t keptRecords = 1'024; ///< Records kept before the snapshot for slow followers.
     std::size_t targetVoters = 3; ///< Caught-up learners become voters while there are fewer; none is only removed.
+    duration absentVoterLimit = std::chrono::seconds(20); ///< A voter that is silent for longer counts as gone for
+                                                          ///< good: cuts and freezes of VMs last some seconds.
+    std::size_t leastVoters = 3; ///< So many stay where voters that are gone for good are removed.
 };
 
 /// What a replica finds on its disk at the start.
@@ -122,7 +125,8 @@
     vm_id replaces; ///< Member that it replaces; 0 for none.
 };
 
-/// An operator wants a member removed. A voter is removed only when targetVoters remain; otherwise it is replaced.
+/// A member is to be removed. A voter is removed only when targetVoters remain, or leastVoters where it is gone for
+/// good; otherwise it is replaced.
 struct removal_proposed {
     std::uint64_t ticket = 0; ///< The host's number for it.
     vm_id id; ///< The member.
--- a/src/coordination/replication/members.cpp
+++ b/src/coordination/replication/members.cpp
@@ -35,6 +35,15 @@
     return settled && isQuorum(self.members, healthy) && isQuorum(changed, healthy);
 }
 
+/// Voters that must remain when the member is removed. One that is gone for good holds up a quorum and adds nothing.
+std::size_t votersToKeep(const replica_step &at, vm_id leaving)
+{
+    const replica_options &options = at.self.options;
+    const auto peer = std::ranges::find(at.self.peers, leaving, &peer_progress::id);
+    const bool gone = peer != at.self.peers.end() && at.now - peer->heard >= options.absentVoterLimit;
+    return gone ? std::min(options.leastVoters, options.targetVoters) : options.targetVoters;
+}
+
 void refuse(replica_step &at, std::uint64_t ticket, result_code code)
 {
     at.late.emplace_back(proposal_refused{ticket, code, at.self.leader});
@@ -120,7 +129,7 @@
         const membership changed = withoutMember(self.members, proposed.id);
         // A voter may die unnoticed just before; with fewer voters than wanted that could stop the log for good.
         const bool keepsVoters =
-            !isVoter(self.members, proposed.id) || voterCount(changed) >= self.options.targetVoters;
+            !isVoter(self.members, proposed.id) || voterCount(changed) >= votersToKeep(at, proposed.id);
         if (keepsVoters && isSafe(at, changed)) {
             appendMembership(at, proposed.ticket, changed);
         } else {
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -3,6 +3,7 @@
 #include "wire/configuration_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
+#include <guavafront/coordination/replication/voter_care.h>
 
 #include <glog/logging.h>
 
@@ -308,6 +309,7 @@
         m_options.proved({m_host.state().currentTerm, m_host.state().round, m_accepted->current, *asOf});
     }
     admitWaiting();
+    removeGone();
     proposeClaimsView();
 }
 
@@ -343,7 +345,20 @@
     }
     const std::vector<vm_id> waiting = waitingVms();
     if (!waiting.empty() && isCurrent(replica, loop::now())) {
-        m_host.post(learner_proposed{addPending({}), waiting.front(), {}});
+        m_host.post(learner_proposed{addPending({}), waiting.front(),
+                                     predecessorOf(replica, {m_seen, m_addresses}, waiting.front())});
+    }
+}
+
+/// Has a voter removed that is gone for good; one that can't be is tried again later.
+void control_task::removeGone()
+{
+    const instant now = loop::now();
+    const std::optional<vm_id> gone = goneVoter(m_host.state(), {m_seen, m_addresses}, now);
+    if (gone && now >= m_removalDue) {
+        LOG(WARNING) << "control: voter VM " << std::hex << gone->value << " is silent for long and is to be removed";
+        m_removalDue = now + m_host.state().options.absentVoterLimit;
+        m_host.post(removal_proposed{addPending({}), *gone});
     }
 }
 
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -84,6 +84,7 @@
     control_status statusWith(bool leads) const;
     std::string addressOf(vm_id vm) const;
     void admitWaiting();
+    void removeGone();
     void proposeClaimsView();
     void passOnClaimsView();
     std::vector<vm_id> waitingVms() const;
@@ -106,6 +107,7 @@
     instant m_claimsProposed; ///< When this VM last proposed a view of them.
     view_epoch m_claimsPassedOn; ///< Highest view that was passed on.
     instant m_lastProof; ///< Time of the last proof.
+    instant m_removalDue; ///< No voter is removed before.
     timer m_readingLimit; ///< Ends questions that no quorum confirms.
     replica_host m_host; ///< The replica.
     mailbox_attachment<control_message> m_attachment; ///< To the inbox.
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -270,6 +270,43 @@
     BOOST_TEST(find<proposal_appended>() != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(removal_voterGoneForGood_removedWhileThreeRemain)
+{
+    disk.log.snapshot.members.members.push_back({{4}, voting_role::Voter, {}});
+    options.targetVoters = 15; // All control VMs are to vote.
+    restart();
+    now = self.electionDeadline;
+    run(timer_fired{});
+    receive(2, self.currentTerm.value + 1, vote_answer{true, true});
+    receive(3, self.currentTerm.value + 1, vote_answer{true, true});
+    sync();
+    receive(2, self.currentTerm.value, vote_answer{false, true});
+    receive(3, self.currentTerm.value, vote_answer{false, true});
+    sync();
+    const auto hearTwoAndThree = [this] {
+        receive(2, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
+        receive(3, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
+    };
+    hearTwoAndThree();
+    run(removal_proposed{1, {4}});
+    BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk); // It may be back in a moment.
+    for (duration silent{}; silent < options.absentVoterLimit; silent += milliseconds(200)) {
+        now += milliseconds(200);
+        hearTwoAndThree();
+    }
+    run(removal_proposed{2, {4}});
+    BOOST_TEST(find<proposal_appended>() != nullptr);
+    BOOST_TEST(findMember(self.members, {4}) == nullptr);
+    sync();
+    hearTwoAndThree();
+    for (duration silent{}; silent < options.absentVoterLimit; silent += milliseconds(200)) {
+        now += milliseconds(200);
+        receive(2, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
+    }
+    run(removal_proposed{3, {3}});
+    BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk); // Three must remain.
+}
+
 BOOST_AUTO_TEST_CASE(membership_earlierChangeUncommitted_refused)
 {
     elect();
--- /dev/null
+++ b/tests/replication/voter_care_test.cpp
@@ -0,0 +1,71 @@
+#include <guavafront/coordination/replication/voter_care.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Leader 1 of the voters 1 to 4, of which 4 is not live any more.
+struct voter_care_fixture {
+    replica self;
+    std::vector<vm_id> live{{2}, {3}, {9}};
+    std::unordered_map<vm_id, std::string> addresses{{{2}, "10.0.0.2:7000"},
+                                                     {{3}, "10.0.0.3:7000"},
+                                                     {{4}, "10.0.0.4:7000"},
+                                                     {{9}, "10.0.0.4:7000"}};
+    instant now{100s};
+
+    voter_care_fixture()
+    {
+        self.options.self = {1};
+        self.role = replica_role::Leader;
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            self.members.members.push_back({{id}, voting_role::Voter, {}});
+            if (id > 1) {
+                self.peers.push_back({.id = {id}, .heard = now});
+            }
+        }
+    }
+
+    control_vms_view seen() const
+    {
+        return {live, addresses};
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(voter_care_test, voter_care_fixture)
+
+BOOST_AUTO_TEST_CASE(freshVm_atTheAddressOfOneThatIsGone_takesItsPlace)
+{
+    BOOST_TEST((predecessorOf(self, seen(), {9}) == vm_id{4}));
+    live.push_back({4}); // Two VMs at one address for a moment: nobody's place is taken.
+    BOOST_TEST((predecessorOf(self, seen(), {9}) == vm_id{}));
+}
+
+BOOST_AUTO_TEST_CASE(freshVm_atAnotherAddress_joinsBesideAll)
+{
+    addresses[{9}] = "10.0.0.9:7000";
+    BOOST_TEST((predecessorOf(self, seen(), {9}) == vm_id{}));
+}
+
+BOOST_AUTO_TEST_CASE(voter_silentForLongAndNotLive_gone)
+{
+    now += self.options.absentVoterLimit - 1s;
+    BOOST_TEST(!goneVoter(self, seen(), now).has_value());
+    now += 2s;
+    self.peers[0].heard = now;
+    BOOST_TEST((goneVoter(self, seen(), now) == vm_id{4})); // 3 is silent too, but the membership holds it alive.
+    self.role = replica_role::Follower;
+    BOOST_TEST(!goneVoter(self, seen(), now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
