--- a/src/wire/operator_json.cpp
+++ b/src/wire/operator_json.cpp
@@ -1,5 +1,7 @@
 #include "wire/operator_json.h"
 
+#include "wire/operator_change_json.h"
+
 #include <guavafront/coordination/configuration/setting.h>
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -19,7 +21,6 @@
 using json = nlohmann::ordered_json;
 
 constexpr std::size_t hexDigitsPerWord = 16;
-constexpr std::array<std::string_view, 3> repeatNames{"by_method", "always", "never"};
 
 [[noreturn]] void reject(std::string_view member, std::string_view text)
 {
@@ -148,14 +149,6 @@
     return hash;
 }
 
-std::string hexOf(const key_hash &hash)
-{
-    std::string hex(hash.size() * 2 + 1, '\0');
-    sodium_bin2hex(hex.data(), hex.size(), reinterpret_cast<const unsigned char *>(hash.data()), hash.size());
-    hex.pop_back();
-    return hex;
-}
-
 route readRoute(object_reader &reader)
 {
     route value;
@@ -166,36 +159,15 @@
     value.openToAll = reader.flagOr("open_to_all", false);
     value.ordered = reader.flagOr("ordered", false);
     const std::string repeats = reader.textOr("repeats", "by_method");
-    const auto found = std::ranges::find(repeatNames, repeats);
-    if (found == repeatNames.end()) {
+    const auto found = std::ranges::find(operatorRepeatNames, repeats);
+    if (found == operatorRepeatNames.end()) {
         reject(reader.pathOf("repeats"), "must be by_method, always or never");
     }
-    value.repeats = static_cast<repeatability>(found - repeatNames.begin());
+    value.repeats = static_cast<repeatability>(found - operatorRepeatNames.begin());
     value.timeoutMs = narrow(reader, "timeout_ms");
     return value;
 }
 
-json routeJson(const route &value)
-{
-    return {{"host", value.host},
-            {"path_prefix", value.pathPrefix},
-            {"service", value.service},
-            {"kind", value.kind},
-            {"open_to_all", value.openToAll},
-            {"ordered", value.ordered},
-            {"repeats", repeatNames.at(static_cast<std::size_t>(value.repeats))},
-            {"timeout_ms", value.timeoutMs}};
-}
-
-json defaultsJson(const fleet_defaults &values)
-{
-    json object = json::object();
-    for (const setting_descriptor &setting : settingTable()) {
-        object[std::string(setting.name)] = setting.read(values);
-    }
-    return object;
-}
-
 fleet_defaults readDefaults(const json &object, const std::string &path)
 {
     fleet_defaults values;
@@ -258,73 +230,6 @@
     reject(reader.pathOf("change"), "names no change");
 }
 
-json changeJson(const set_defaults &edit)
-{
-    return {{"change", "set_defaults"}, {"values", defaultsJson(edit.values)}};
-}
-
-json changeJson(const configuration_difference &edit)
-{
-    return {{"change", "difference"}, {"version", edit.externalVersion}};
-}
-
-json changeJson(const replace_all &edit)
-{
-    return {{"change", "replace_all"}, {"version", edit.value.externalVersion}};
-}
-
-json changeJson(const create_account &edit)
-{
-    return {{"change", "create_account"}, {"account", edit.name}};
-}
-
-json changeJson(const set_kind_order &edit)
-{
-    return {{"change", "set_kind_order"}, {"account", edit.accountName}, {"kinds", edit.kinds}};
-}
-
-json changeJson(const grant_key &edit)
-{
-    return {{"change", "grant_key"},
-            {"label", edit.label},
-            {"account", edit.accountName},
-            {"key_sha256", hexOf(edit.hash)}};
-}
-
-json changeJson(const withdraw_key &edit)
-{
-    return {{"change", "withdraw_key"}, {"label", edit.label}};
-}
-
-json changeJson(const put_route &edit)
-{
-    json object = routeJson(edit.value);
-    object["change"] = "put_route";
-    return object;
-}
-
-json changeJson(const remove_route &edit)
-{
-    return {{"change", "remove_route"}, {"host", edit.host}, {"path_prefix", edit.pathPrefix}};
-}
-
-json exceptionJson(const setting_exception &value)
-{
-    return {{"subject", value.subject}, {"setting", value.setting}, {"value", value.value}, {"reason", value.reason}};
-}
-
-json changeJson(const put_exception &edit)
-{
-    json object = exceptionJson(edit.value);
-    object["change"] = "put_exception";
-    return object;
-}
-
-json changeJson(const remove_exception &edit)
-{
-    return {{"change", "remove_exception"}, {"subject", edit.subject}, {"setting", edit.setting}};
-}
-
 std::uint64_t parseHexWord(std::string_view digits)
 {
     std::uint64_t word = 0;
@@ -381,7 +286,7 @@
 {
     json changes = json::array();
     for (const change &edit : request.changes) {
-        changes.push_back(std::visit([](const auto &each) { return changeJson(each); }, edit));
+        changes.push_back(changeJson(edit));
     }
     return json{{"request_id", toHex(request.id)},
                 {"expected_revision", request.expected.value},
--- a/tests/configuration/configuration_difference_test.cpp
+++ b/tests/configuration/configuration_difference_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
 #include <random>
 #include <string>
 
@@ -77,10 +78,8 @@
 BOOST_AUTO_TEST_CASE(difference_oneOfManyRoutesChanged_small)
 {
     std::mt19937_64 random(5);
-    std::vector<int> numbers;
-    for (int number = 0; number < 400; ++number) {
-        numbers.push_back(number);
-    }
+    std::vector<int> numbers(400);
+    std::iota(numbers.begin(), numbers.end(), 0);
     configuration next = wholeOf(1, numbers, random);
     const configuration before = applyChanges({}, std::vector<change>{replace_all{next}});
     next.externalVersion = 2;
