Prefer instances to which a connection is kept

Ruled out: fewer instances for each VM (the order of preference keeps to few already). Change: an instance without a kept, free connection costs 25 ms more in the choice; one counts as kept for 8 s after an answer, as instances close after 10 s.

--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -14,6 +14,7 @@
     duration far = std::chrono::milliseconds(40); ///< Of another data centre: its trip, and bytes over a costly link.
     duration rank =
         std::chrono::milliseconds(12); ///< Of each place down this VM's order, so that connections are reused.
+    duration connect = std::chrono::milliseconds(25); ///< Of a new connection, which instances pay with a slot.
     duration patience =
         std::chrono::seconds(12); ///< A request that may not be repeated tries an avoided instance then.
     duration hurry = std::chrono::seconds(4); ///< The same where capacity is short.
--- a/include/guavafront/coordination/routing/candidate_set.h
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -30,6 +30,7 @@
     std::uint16_t outstanding = 0; ///< Requests of this VM that it runs now.
     std::uint16_t sentSinceLoad = 0; ///< Requests of this VM since it last told its load.
     float reportedLoad = 0; ///< Requests that ran and waited there when it last told.
+    instant keptUntil{}; ///< A connection to it is likely kept open until then.
     instant fullUntil{}; ///< It refused a request for want of room lately.
     instant loadAt{}; ///< When it last told; the beginning of time before.
 };
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -81,6 +81,8 @@
         }
         float cost = expectedDelayUs(set, *each.member, now, costs) + place * static_cast<float>(costs.rank.count());
         cost += each.near ? 0 : static_cast<float>(costs.far.count());
+        const bool kept = each.member->outstanding == 0 && now < each.member->keptUntil;
+        cost += kept ? 0 : static_cast<float>(costs.connect.count());
         place += 1;
         if (!best || cost < bestCost) {
             best = &each;
--- a/src/coordination/routing/candidate_set.cpp
+++ b/src/coordination/routing/candidate_set.cpp
@@ -15,6 +15,7 @@
 constexpr float minSampleShare = 0.2F; ///< A sample's least share, so that busy instances are followed as well.
 constexpr duration staleAfter = std::chrono::seconds(1); ///< Without an answer for longer an average drifts.
 constexpr float driftPerCall = 0.02F; ///< Share of the way to the typical latency.
+constexpr duration connectionMemory = std::chrono::seconds(8); ///< Instances close connections that idle for 10 s.
 constexpr float typicalSampleShare = 0.01F; ///< A sample's share in the average over all.
 
 std::uint64_t orderOf(const candidate &member)
@@ -124,6 +125,7 @@
     const float before = member.latencyUs > 0 ? member.latencyUs : sampleUs;
     member.latencyUs = before + (sampleUs - before) * share;
     member.lastAnswer = now;
+    member.keptUntil = now + connectionMemory;
     constexpr std::uint32_t memorySamples = 100;
     set.samples = std::min(set.samples + 1, memorySamples);
     // The value assumed at first counts as one more sample.
--- a/tests/avoidance/avoidance_test.cpp
+++ b/tests/avoidance/avoidance_test.cpp
@@ -114,6 +114,16 @@
     BOOST_TEST((choose()->instance != first));
 }
 
+BOOST_AUTO_TEST_CASE(choice_connectionKeptAtTheNext_taken)
+{
+    const instance_id first = choose()->instance;
+    const auto next = chooseByAffinity(set, troubles, {7}, {.tried = std::span(&first, 1)}, now);
+    findCandidate(set, next->instance)->keptUntil = now + 1s;
+    BOOST_TEST((choose()->instance == next->instance));
+    now += 2s;
+    BOOST_TEST((choose()->instance == first));
+}
+
 BOOST_AUTO_TEST_CASE(choice_onTrial_repeatableSoonOtherOnlyLater)
 {
     const instance_id first = choose()->instance;
