Look removed items of a difference up in order

Cause: applying a difference that removes thousands of routes compared each route with each removed one; all lists are ordered.

--- a/include/guavafront/coordination/configuration/configuration_difference.h
+++ b/include/guavafront/coordination/configuration/configuration_difference.h
@@ -16,11 +16,11 @@
     std::optional<fleet_defaults> defaults; ///< New values; nothing where they stay.
     std::optional<caller_limits> limits; ///< New bounds; nothing where they stay.
     std::optional<std::vector<setting_exception>> exceptions; ///< The whole new list; nothing where it stays.
-    std::vector<account_id> removedAccounts; ///< Accounts that are gone.
+    std::vector<account_id> removedAccounts; ///< Accounts that are gone, ordered.
     std::vector<account> accounts; ///< New and changed ones, ordered by id.
-    std::vector<std::string> removedKeys; ///< Labels of keys that are gone.
+    std::vector<std::string> removedKeys; ///< Labels of keys that are gone, ordered.
     std::vector<account_key> keys; ///< New and changed ones, ordered by label.
-    std::vector<route_id> removedRoutes; ///< Routes that are gone.
+    std::vector<route_id> removedRoutes; ///< Routes that are gone, ordered.
     std::vector<route> routes; ///< New and changed ones, ordered by id.
     account_id lastAccount; ///< Highest account id ever given.
     route_id lastRoute; ///< Highest route id ever given.
--- a/src/coordination/configuration/configuration_difference.cpp
+++ b/src/coordination/configuration/configuration_difference.cpp
@@ -31,12 +31,12 @@
     }
 }
 
-/// Takes items out and puts others in; the list stays ordered by the key.
+/// Takes items out and puts others in, all lists ordered by the key.
 template<class item, class key>
 void merge(std::vector<item> &list, key item::*keyOf, const std::vector<key> &removed, const std::vector<item> &put)
 {
     const auto replaced = [&](const item &each) {
-        return std::ranges::find(removed, each.*keyOf) != removed.end()
+        return std::ranges::binary_search(removed, each.*keyOf)
                || std::ranges::binary_search(put, each.*keyOf, {}, keyOf);
     };
     std::erase_if(list, replaced);
