Show how many instances of a service are open, on trial and avoided

Change: with affinity an entry VM counts its services' instances by standing once a second and, where that changed, writes a line 'standing' and sets guavafront_instances{service,standing}; 'try' lines say whether the try was a trial. The name of an outcome stood twice and stands once now.

--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -53,6 +53,7 @@
     upstream_selection selection; ///< Balancing, health and retries of this VM.
     quarantine held; ///< Requests that upstreams died of.
     instant nextSupervision{}; ///< When health is looked at again.
+    instant nextShow{}; ///< When operators are shown the services' standings again.
     std::unordered_map<exchange_id, exchange> exchanges; ///< Requests under way.
     std::set<std::pair<instant, exchange_id>> deadlines; ///< Of the requests under way.
     std::optional<limiter> limits; ///< Holds the accounts to their rates; started with the first step.
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -12,6 +12,7 @@
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/catch_up.h>
+#include <guavafront/coordination/upstreams/service_standing.h>
 
 #include <cstdint>
 #include <string>
@@ -31,6 +32,7 @@
     std::string service; ///< Service that the instance belongs to.
     std::string accountName; ///< Client account to name upstream; empty on a route open to all.
     instant deadline; ///< Give up then.
+    bool trial = false; ///< Shows whether an avoided instance is sound again.
     duration silenceLimit{}; ///< On a kept connection give up after so long without an answer; 0 for the deadline.
 };
 
@@ -128,11 +130,17 @@
     instant when; ///< Time to wake.
 };
 
+/// Show operators how many instances of a service are avoided.
+struct show_standing {
+    std::string service; ///< Name.
+    service_standing standing; ///< As this VM holds it.
+};
+
 /// All that an entry's decisions want done.
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, tell_fleet, send_ledger_report, report_loads,
-                 ask_for_instances, tell_instances>;
+                 ask_for_instances, tell_instances, show_standing>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -9,6 +9,7 @@
 #include <guavafront/coordination/retries/retry_budget.h>
 #include <guavafront/coordination/routing/affinity.h>
 #include <guavafront/coordination/routing/balancer.h>
+#include <guavafront/coordination/upstreams/service_standing.h>
 
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
     std::uint32_t floorPercent = 100; ///< Share of the capacity that ejection leaves.
     std::uint32_t totalSlots = 0; ///< Of all serving instances, the whole service's capacity.
     std::uint32_t largestSlots = 0; ///< Of one serving instance.
+    service_standing told; ///< As last told to operators.
     std::uint64_t generation = 0; ///< Of the registry's list that this follows.
 };
 
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -147,6 +147,7 @@
                                                .service = request.service,
                                                .accountName = request.accountName,
                                                .deadline = request.deadline - attemptMargin,
+                                               .trial = request.onTrial,
                                                .silenceLimit = silenceLimitFor(context, request)});
     return stage_verdict::Continue;
 }
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/configuration/setting.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace guavafront
 {
@@ -11,6 +12,7 @@
 {
 
 constexpr duration supervisionInterval = std::chrono::milliseconds(250);
+constexpr duration showInterval = std::chrono::seconds(1);
 constexpr std::uint16_t firstServerError = 500;
 
 outcome_kind kindOf(const attempt_result &result)
@@ -180,6 +182,23 @@
     }
 }
 
+/// Shows services of which more or fewer instances are avoided than was last shown.
+void showStandings(step_context &context)
+{
+    entry &state = context.state;
+    if (context.now < state.nextShow) {
+        return;
+    }
+    state.nextShow = context.now + showInterval;
+    for (std::size_t index = 0; index < state.selection.services.size(); ++index) {
+        const service_instances &group = state.upstreams.services[index];
+        const service_standing standing = countStandings(state.selection.troubles, group.instances, context.now);
+        if (standing != std::exchange(state.selection.services[index].told, standing)) {
+            context.effects.emplace_back(show_standing{group.service, standing});
+        }
+    }
+}
+
 /// Tries that take far longer than is usual at their service.
 void tellOverdue(step_context &context)
 {
@@ -239,6 +258,7 @@
     if (state.selection.policy == balancing_policy::Affinity) {
         tellOverdue(context);
         forgetQuiet(state.selection.troubles, context.now);
+        showStandings(context);
         return; // The fleet's evidence is told at once; no reports are needed.
     }
     if (const auto report = supervise(state.selection, state.upstreams, context.now)) {
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -16,7 +16,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 #include <utility>
 
@@ -30,12 +29,6 @@
 /// Bounds the log under load to some tens of kilobytes a second.
 constexpr std::uint32_t logLinesPerSecond = 200;
 constexpr std::string_view replayedHeader = "Idempotent-Replayed";
-std::string_view outcomeName(attempt_outcome outcome)
-{
-    constexpr std::array<std::string_view, 7> names{
-        "answered", "refused_not_run", "connect_failed", "closed_early", "answer_incomplete", "timed_out", "cancelled"};
-    return names[static_cast<std::size_t>(outcome)];
-}
 
 attempt_outcome outcomeOf(const caller_dialect &dialect, const upstream_outcome &outcome)
 {
@@ -152,6 +145,7 @@
     caller.accountName = effect.accountName;
     caller.service = effect.service;
     caller.instanceName = effect.instanceName;
+    caller.trial = effect.trial;
     const duration timeLeft = std::max(effect.deadline - loop::now(), duration(1));
     const std::vector<http_header> headers = m_options.dialect.upstreamHeaders(caller.request, effect, timeLeft);
     const std::string target = m_options.dialect.upstreamTarget(caller.request);
@@ -194,9 +188,10 @@
                     {{"id", requestIdOf(found->second)},
                      {"service", found->second.service},
                      {"instance", found->second.instanceName},
-                     {"outcome", outcomeName(result.outcome)},
+                     {"outcome", attemptOutcomeName(result.outcome)},
                      {"status", std::int64_t{result.status}},
                      {"new_connection", std::int64_t{newConnection}},
+                     {"trial", std::int64_t{found->second.trial}},
                      {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
         found->second.answer = outcome.answer;
     }
@@ -345,6 +340,17 @@
     m_peers.post(send_to_vm{effect.to, {.kind = channel::Ledger, .body = encodeLedgerMessage(effect.report)}});
 }
 
+void entry_task::perform(const show_standing &effect)
+{
+    m_counters.setInstances(effect.service, effect.standing);
+    m_log.write("standing", loop::now(),
+                {{"service", effect.service},
+                 {"serving", std::int64_t{effect.standing.serving}},
+                 {"open", std::int64_t{effect.standing.open}},
+                 {"trial", std::int64_t{effect.standing.trial}},
+                 {"avoided", std::int64_t{effect.standing.avoided}}});
+}
+
 void entry_task::perform(const publish_release &effect)
 {
     m_peers.post(publicationOf(effect));
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -58,6 +58,7 @@
         http_answer answer; ///< Of the last try that was answered.
         instant arrived; ///< When it came.
         std::string instanceName; ///< Of the last try; its identity when it announced no name.
+        bool trial = false; ///< The last try shows whether its instance is sound again.
     };
 
     void receive(exchange_id id, const http_request &request);
@@ -83,6 +84,7 @@
     void perform(const report_loads &effect);
     void perform(const ask_for_instances &effect);
     void perform(const tell_instances &effect);
+    void perform(const show_standing &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -63,6 +63,10 @@
           counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
     , m_peerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
                                    "Other VMs' messages that could not be decoded, by reason."))
+    , m_instances(prometheus::BuildGauge()
+                      .Name("guavafront_instances")
+                      .Help("Serving instances by service and standing: open, trial or avoided.")
+                      .Register(m_registry))
     , m_revision(prometheus::BuildGauge()
                      .Name("guavafront_configuration_revision")
                      .Help("Revision of the configuration in force on this VM.")
@@ -92,6 +96,16 @@
         .Increment();
 }
 
+void daemon_counters::setInstances(std::string_view service, const service_standing &standing)
+{
+    const auto set = [this, service](const char *name, std::uint32_t count) {
+        m_instances.Add({{"service", std::string(service)}, {"standing", name}}).Set(count);
+    };
+    set("open", standing.open);
+    set("trial", standing.trial);
+    set("avoided", standing.avoided);
+}
+
 void daemon_counters::setRevision(std::uint64_t value)
 {
     m_revision.Set(static_cast<double>(value));
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/result_code.h>
 #include <guavafront/coordination/entry/attempt_result.h>
+#include <guavafront/coordination/upstreams/service_standing.h>
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -33,6 +34,9 @@
     /// End of a try at an upstream.
     void countAttempt(std::string_view service, attempt_outcome outcome);
 
+    /// How many instances of a service are avoided, as this VM holds it.
+    void setInstances(std::string_view service, const service_standing &standing);
+
     /// Revision in force on this VM.
     void setRevision(std::uint64_t value);
 
@@ -57,6 +61,7 @@
     prometheus::Family<prometheus::Counter> &m_announcements; ///< By result.
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< By result.
     prometheus::Family<prometheus::Counter> &m_peerMessages; ///< Dropped, by reason.
+    prometheus::Family<prometheus::Gauge> &m_instances; ///< By service and standing.
     prometheus::Gauge &m_revision; ///< In force.
 };
 
