--- /dev/null
+++ b/bench/model/avoidance_run.cpp
@@ -0,0 +1,370 @@
+#include "model/avoidance_run.h"
+
+#include "model/event_queue.h"
+
+#include <guavafront/coordination/entry/entry.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <string>
+#include <type_traits>
+#include <variant>
+
+namespace guavafront::bench
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant start{seconds(1'000)};
+constexpr duration windowLength = seconds(2);
+constexpr duration windowStep = milliseconds(250);
+constexpr duration inDataCentre = std::chrono::microseconds(100);
+constexpr duration betweenDataCentres = milliseconds(5);
+constexpr duration toTheFleet = milliseconds(10); ///< From a VM over its hub to all others.
+constexpr duration restAfterFailure = seconds(2);
+constexpr duration restAfterSpell = seconds(6);
+
+/// A stretch in which one instance is gray.
+struct gray_time {
+    instant from{}; ///< Start.
+    instant to{}; ///< End.
+    instant soundAt{}; ///< When it counts as sound again; its start where only the requests that failed count.
+    double fails = 0; ///< Share of its requests that fail.
+};
+
+struct instance_model {
+    std::string dataCentre; ///< Where it stands.
+    std::vector<gray_time> gray; ///< Its spells.
+    std::uint32_t running = 0; ///< Requests in slots.
+    std::deque<std::size_t> waiting; ///< Requests in its queue, oldest first.
+    std::vector<instant> received; ///< When requests reached it.
+    std::vector<instant> failed; ///< When it broke one off.
+};
+
+struct vm_model {
+    entry state; ///< Its decisions.
+    instant wake = instant::max(); ///< Time of its next step without an event.
+};
+
+struct request_model {
+    std::size_t vm = 0; ///< Entry VM.
+    std::size_t instance = 0; ///< Of the present try.
+    instant arrived{}; ///< When it came.
+    instant triedAt{}; ///< When the present try began.
+    bool served = false; ///< It got an instance's answer.
+};
+
+class avoidance_model
+{
+public:
+    explicit avoidance_model(const avoidance_options &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        for (std::size_t place = 0; place < options.instances.size(); ++place) {
+            m_instances.insert(m_instances.end(), options.instances[place], {.dataCentre = nameOf(place)});
+        }
+        drawNoise();
+        for (const gray_spell &each : options.spells) {
+            drawSpell(each);
+        }
+        makeVms();
+    }
+
+    avoidance_result run()
+    {
+        m_events.at(start, [this] { arrive(); });
+        m_events.runUntil(start + m_options.length + seconds(10)); // All are answered by then.
+        return summary();
+    }
+
+private:
+    static std::string nameOf(std::size_t place)
+    {
+        return std::string(1, static_cast<char>('a' + place));
+    }
+
+    double uniform()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+
+    duration exponential(duration mean)
+    {
+        const double drawn = std::exponential_distribution<double>(1)(m_random);
+        return duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * drawn));
+    }
+
+    void drawNoise()
+    {
+        const double soundPerGray = (1 - m_options.noiseShare) / m_options.noiseShare;
+        const duration soundLength(
+            static_cast<std::int64_t>(soundPerGray * static_cast<double>(m_options.noiseLength.count())));
+        for (instance_model &each : m_instances) {
+            // The lengths have no memory, so that a run may begin in the middle of one.
+            instant from = start + (uniform() < m_options.noiseShare ? duration{} : exponential(soundLength));
+            while (from < start + m_options.length) {
+                const instant to = from + exponential(m_options.noiseLength);
+                each.gray.push_back({from, to, from, m_options.noiseFails});
+                from = to + exponential(soundLength);
+            }
+        }
+    }
+
+    void drawSpell(const gray_spell &spell)
+    {
+        std::vector<std::size_t> order(m_instances.size());
+        std::ranges::generate(order, [next = std::size_t{0}]() mutable { return next++; });
+        std::ranges::shuffle(order, m_random);
+        order.resize(static_cast<std::size_t>(std::lround(spell.share * static_cast<double>(order.size()))));
+        for (const std::size_t index : order) {
+            const instant to = start + spell.to;
+            m_instances[index].gray.push_back({start + spell.from, to, to + restAfterSpell, spell.fails});
+        }
+    }
+
+    void makeVms()
+    {
+        auto draft = std::make_shared<configuration>();
+        draft->current.value = 1;
+        draft->routes = {{.id = {1}, .pathPrefix = "/flags", .service = "flags", .kind = "flag", .openToAll = true}};
+        const std::shared_ptr<const configuration> current = draft;
+        entry_policy policy{.balancing = balancing_policy::Affinity};
+        policy.limits.bySize = false;
+        std::uint64_t id = 0;
+        for (std::size_t place = 0; place < m_options.vms.size(); ++place) {
+            for (std::uint32_t index = 0; index < m_options.vms[place]; ++index) {
+                m_vms.push_back({makeEntry({.self = {++id * 7'919}, .dataCentre = nameOf(place)}, policy)});
+            }
+        }
+        m_events.runUntil(start);
+        for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+            perform(vm, configuration_changed{current});
+            for (std::size_t index = 0; index < m_instances.size(); ++index) {
+                perform(vm, instance_learned{{1}, announcementOf(index)});
+            }
+        }
+    }
+
+    announcement announcementOf(std::size_t index) const
+    {
+        return {.instance = {index + 1},
+                .sequence = 1,
+                .service = "flags",
+                .dataCentre = m_instances[index].dataCentre,
+                .slots = m_options.slots,
+                .lease = std::chrono::hours(1)};
+    }
+
+    instant now() const
+    {
+        return std::max(m_events.now(), start);
+    }
+
+    void perform(std::size_t vm, const entry_event &event)
+    {
+        std::vector<entry_effect> effects;
+        step(m_vms[vm].state, event, now(), m_random, effects);
+        for (const entry_effect &each : effects) {
+            std::visit(
+                [this, vm](const auto &effect) {
+                    if constexpr (requires { take(vm, effect); }) {
+                        take(vm, effect);
+                    }
+                },
+                each);
+        }
+    }
+
+    void take(std::size_t vm, const wake_at &effect)
+    {
+        m_vms[vm].wake = effect.when;
+        m_events.at(effect.when, [this, vm, when = effect.when] {
+            if (m_vms[vm].wake == when) {
+                m_vms[vm].wake = instant::max();
+                perform(vm, time_passed{});
+            }
+        });
+    }
+
+    void take(std::size_t vm, const tell_fleet &effect)
+    {
+        m_events.after(toTheFleet, [this, vm, told = effect.evidence] {
+            for (std::size_t other = 0; other < m_vms.size(); ++other) {
+                if (other != vm) {
+                    perform(other, evidence_heard{told});
+                }
+            }
+        });
+    }
+
+    void take(std::size_t /*vm*/, const start_attempt &effect)
+    {
+        const std::size_t index = effect.id.value;
+        request_model &request = m_requests[index];
+        request.instance = effect.instance.value - 1;
+        request.triedAt = now();
+        m_events.after(tripTo(request), [this, index] { reach(index); });
+    }
+
+    void take(std::size_t /*vm*/, const deliver_answer &effect)
+    {
+        m_requests[effect.id.value].served = true;
+    }
+
+    duration tripTo(const request_model &request) const
+    {
+        const bool near = m_vms[request.vm].state.identity.dataCentre == m_instances[request.instance].dataCentre;
+        return near ? inDataCentre : betweenDataCentres;
+    }
+
+    void arrive()
+    {
+        const duration since = now() - start;
+        if (since >= m_options.length) {
+            return;
+        }
+        const bool burst = since >= m_options.burstFrom && since < m_options.burstTo;
+        const double rate = m_options.perSecond * (burst ? m_options.burst : 1);
+        const std::size_t vm = m_random() % m_vms.size();
+        const exchange_id id{m_requests.size()};
+        m_requests.push_back({.vm = vm, .arrived = now()});
+        const std::string_view method = m_options.repeatable ? "GET" : "POST";
+        perform(vm, request_arrived{{.id = id,
+                                     .method = method,
+                                     .host = "any.example",
+                                     .path = "/flags",
+                                     .digest = {.high = 0, .low = id.value}}});
+        m_events.after(exponential(duration(static_cast<std::int64_t>(1'000'000 / rate))), [this] { arrive(); });
+    }
+
+    void reach(std::size_t index)
+    {
+        instance_model &at = m_instances[m_requests[index].instance];
+        at.received.push_back(now());
+        const auto spell = std::ranges::find_if(
+            at.gray, [this](const gray_time &each) { return each.from <= now() && now() < each.to; });
+        if (spell != at.gray.end() && uniform() < spell->fails) {
+            at.failed.push_back(now());
+            end(index, attempt_outcome::ClosedEarly);
+        } else if (at.running < m_options.slots) {
+            begin(index);
+        } else if (at.waiting.size() < m_options.queue) {
+            at.waiting.push_back(index);
+        } else {
+            end(index, attempt_outcome::RefusedNotRun);
+        }
+    }
+
+    void begin(std::size_t index)
+    {
+        constexpr double spread = 0.3;
+        ++m_instances[m_requests[index].instance].running;
+        const double mean = std::log(static_cast<double>(m_options.work.count())) - spread * spread / 2;
+        const double work = std::lognormal_distribution<double>(mean, spread)(m_random);
+        m_events.after(duration(static_cast<std::int64_t>(work)), [this, index] { finish(index); });
+    }
+
+    void finish(std::size_t index)
+    {
+        instance_model &at = m_instances[m_requests[index].instance];
+        --at.running;
+        if (!at.waiting.empty()) {
+            const std::size_t next = at.waiting.front();
+            at.waiting.pop_front();
+            begin(next);
+        }
+        end(index, attempt_outcome::Answered);
+    }
+
+    /// The end of a try, as its VM will see it.
+    void end(std::size_t index, attempt_outcome outcome)
+    {
+        constexpr std::uint16_t ok = 200;
+        const request_model &request = m_requests[index];
+        const instance_model &at = m_instances[request.instance];
+        attempt_result result{.outcome = outcome, .bytesMayHaveLeft = true};
+        result.status = outcome == attempt_outcome::Answered ? ok : std::uint16_t{0};
+        result.reportedLoad = static_cast<std::uint32_t>(at.running + at.waiting.size() + 1);
+        m_events.after(tripTo(request), [this, index, result]() mutable {
+            const request_model &ended = m_requests[index];
+            result.latency = now() - ended.triedAt;
+            perform(ended.vm, attempt_ended{{index}, result, {}});
+        });
+    }
+
+    static bool isSound(const instance_model &instance, instant from, instant to)
+    {
+        const bool disturbed = std::ranges::any_of(
+            instance.gray, [&](const gray_time &each) { return each.from < to && from < each.soundAt; });
+        return !disturbed && std::ranges::none_of(instance.failed, [&](instant at) {
+            return from - restAfterFailure < at && at < to;
+        });
+    }
+
+    avoidance_window windowAt(instant from) const
+    {
+        const instant to = from + windowLength;
+        const auto inside = [from, to](instant at) {
+            return from <= at && at < to;
+        };
+        avoidance_window window{.from = from - start};
+        for (const instance_model &each : m_instances) {
+            const bool sound = isSound(each, from, to);
+            window.sound += sound ? 1U : 0U;
+            window.used += sound && std::ranges::any_of(each.received, inside) ? 1U : 0U;
+        }
+        for (const request_model &each : m_requests) {
+            window.requests += inside(each.arrived) ? 1U : 0U;
+            window.unserved += inside(each.arrived) && !each.served ? 1U : 0U;
+        }
+        return window;
+    }
+
+    avoidance_result summary() const
+    {
+        avoidance_result result{.requests = m_requests.size()};
+        for (instant from = start + seconds(1); from + windowLength <= start + m_options.length; from += windowStep) {
+            result.windows.push_back(windowAt(from));
+        }
+        result.unserved = static_cast<std::uint64_t>(
+            std::ranges::count_if(m_requests, [](const request_model &each) { return !each.served; }));
+        return result;
+    }
+
+    avoidance_options m_options; ///< As given.
+    std::mt19937_64 m_random; ///< Of everything random.
+    event_queue m_events; ///< Virtual time.
+    std::vector<instance_model> m_instances; ///< Those of the service.
+    std::vector<vm_model> m_vms; ///< Entry VMs.
+    std::deque<request_model> m_requests; ///< All that came.
+};
+
+} // namespace
+
+double usedShare(const avoidance_window &window)
+{
+    return window.sound > 0 ? static_cast<double>(window.used) / window.sound : 1;
+}
+
+avoidance_window leastUsed(const avoidance_result &result, duration from)
+{
+    avoidance_window least{.from = from};
+    for (const avoidance_window &each : result.windows) {
+        least = each.from >= from && usedShare(each) < usedShare(least) ? each : least;
+    }
+    return least;
+}
+
+avoidance_result run(const avoidance_options &options)
+{
+    return avoidance_model(options).run();
+}
+
+} // namespace guavafront::bench
--- /dev/null
+++ b/tests/avoidance_floor/avoidance_floor_test.cpp
@@ -0,0 +1,71 @@
+#include "model/avoidance_run.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// 44 entry VMs before 42 instances that are gray in three tenths of their time; requests that may not be repeated.
+struct avoidance_floor_fixture {
+    static constexpr double floorShare = 0.7; ///< Of the sound instances, that get requests in each two seconds.
+    static constexpr std::uint64_t seeds = 12;
+
+    bench::avoidance_options options;
+
+    /// Checks each two seconds of runs with several seeds.
+    void requireFloor()
+    {
+        for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+            const bench::avoidance_window least = leastUsed(run(options), 1s);
+            BOOST_TEST(usedShare(least) >= floorShare, "seed " << options.seed << ": " << least.used << " of "
+                                                               << least.sound << " sound instances used from "
+                                                               << least.from / 1ms << " ms on");
+        }
+    }
+};
+
+} // namespace
+
+// Guards against the rule FLOOR: avoidance took more than three tenths of the sound instances out.
+BOOST_FIXTURE_TEST_SUITE(avoidance_floor_test, avoidance_floor_fixture)
+
+BOOST_AUTO_TEST_CASE(avoidance_instancesGrayByTurns_floorOfTheSoundUsed)
+{
+    requireFloor();
+}
+
+BOOST_AUTO_TEST_CASE(avoidance_thirdWasGray_floorOfTheSoundUsed)
+{
+    options.spells = {{.from = 4s, .to = 7s, .share = 0.3, .fails = 0.9}};
+    requireFloor();
+}
+
+BOOST_AUTO_TEST_CASE(avoidance_thirdWasGrayThenManyUsers_floorOfTheSoundUsed)
+{
+    options.spells = {{.from = 4s, .to = 7s, .share = 0.3, .fails = 0.9}};
+    options.burst = 2.5;
+    options.burstFrom = 12s;
+    options.burstTo = 17s;
+    requireFloor();
+}
+
+BOOST_AUTO_TEST_CASE(avoidance_fewAnswersLostEverywhere_floorOfTheSoundUsed)
+{
+    options.spells = {{.from = 1s, .to = 4s, .share = 1, .fails = 0.06}};
+    requireFloor();
+}
+
+BOOST_AUTO_TEST_CASE(avoidance_nearlyHalfGrayForLong_floorOfTheSoundUsed)
+{
+    options.spells = {{.from = 6s, .to = 16s, .share = 0.45, .fails = 0.9}};
+    requireFloor();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
