A wait behind earlier requests is load and no fault

Cause: a try counts as overdue after 1.5 s or four times the usual answer, counted from its sending. An instance with 6 slots and 24 requests in its queue answers the last one after 1.75 s without any fault. Its overdue answers took it out for the whole fleet, which moved its load to the next sound one: load taken for a failure, a cascade. Change: at its choice a request keeps how long it is likely to wait for a slot there, by the load that the hubs tell; an answer is overdue that much later, twice the limit at most, since slow instances gather requests, too. Why it works: the sums count a request as soon as any VM has sent it, so the excuse grows with the queue itself.

--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -49,6 +49,7 @@
     instant deadline; ///< It ends at the latest then.
     instance_id running; ///< Instance of the present try.
     instant triedAt{}; ///< When the present try began.
+    duration expectedWait{}; ///< Likely wait for a slot at the instance of the present try.
     bool onTrial = false; ///< The present try shows whether an avoided instance is sound again.
     bool overdueTold = false; ///< The fleet was told that the present try's answer is overdue.
     std::vector<instance_id> tried; ///< Instances of all tries so far.
--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -28,6 +28,9 @@
     bool trial = false; ///< The request shows whether it is sound again; the fleet is to be told.
 };
 
+/// How long the newest request at a member is likely to wait there for a slot, by the load known of it.
+duration expectedWait(const candidate_set &set, const candidate &member, instant now, const affinity_costs &costs = {});
+
 /// Chooses the instance with the least expected delay for a VM that sends each instance little: instances have an order
 /// of preference that differs from VM to VM, near ones first, so that few connections are kept in use and the VMs
 /// together spread over all; known load and speed, and trouble that any VM saw, go before the order. An instance on
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -74,9 +74,15 @@
                                           std::string_view service, const choice_request &request,
                                           std::uint64_t random);
 
+/// An instance with balancing_policy::Affinity.
+struct selected_instance {
+    affinity_choice choice; ///< What was chosen.
+    duration expectedWait{}; ///< How long the request is likely to wait there for a slot.
+};
+
 /// The same with balancing_policy::Affinity.
-std::optional<affinity_choice> selectByAffinity(upstream_selection &selection, const registry &known,
-                                                std::string_view service, const choice_request &request, instant now);
+std::optional<selected_instance> selectByAffinity(upstream_selection &selection, const registry &known,
+                                                  std::string_view service, const choice_request &request, instant now);
 
 /// Takes loads that other VMs heard.
 void takeLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads, instant now);
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -113,12 +113,13 @@
     if (!chosen) {
         return std::nullopt;
     }
-    request.onTrial = chosen->trial;
+    request.onTrial = chosen->choice.trial;
+    request.expectedWait = chosen->expectedWait;
     state.sentLoads.changed = true;
-    if (chosen->trial) {
-        tellFleet(context, {chosen->instance, instance_sign::TrialBegan});
+    if (chosen->choice.trial) {
+        tellFleet(context, {chosen->choice.instance, instance_sign::TrialBegan});
     }
-    return chosen->instance;
+    return chosen->choice.instance;
 }
 
 } // namespace
--- a/src/coordination/entry/try_evidence.cpp
+++ b/src/coordination/entry/try_evidence.cpp
@@ -135,14 +135,16 @@
 namespace
 {
 
-/// Whether the present try takes far longer than is usual at its service.
+/// Whether the present try takes far longer than is usual at its service. The wait behind earlier requests is load and
+/// no fault; it excuses as much again at most, since a slow instance gathers requests, too.
 bool isOverdue(const step_context &context, const exchange &request)
 {
-    constexpr float overdueFactor = 4;
-    constexpr float leastUs = 1'500'000;
+    constexpr std::int64_t overdueFactor = 4;
+    constexpr duration least = std::chrono::milliseconds(1'500);
     const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
-    const float usualUs = candidates ? candidates->typicalLatencyUs : leastUs;
-    return static_cast<float>((context.now - request.triedAt).count()) > std::max(leastUs, usualUs * overdueFactor);
+    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
+    const duration limit = std::max(least, usual * overdueFactor);
+    return context.now - request.triedAt > limit + std::min(request.expectedWait, limit);
 }
 
 /// What a try's end says of its instance to the whole fleet.
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -140,6 +140,13 @@
 
 } // namespace
 
+duration expectedWait(const candidate_set &set, const candidate &member, instant now, const affinity_costs &costs)
+{
+    const auto slots = static_cast<float>(std::max<std::uint16_t>(member.slots, 1));
+    const float waiting = std::max(0.0F, knownLoad(member, now, costs) - slots);
+    return duration(static_cast<std::int64_t>(waiting * set.typicalLatencyUs / slots));
+}
+
 std::optional<affinity_choice> chooseByAffinity(const candidate_set &set, const avoidance &troubles, vm_id self,
                                                 const choice_request &request, instant now, const affinity_costs &costs)
 {
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -163,18 +163,20 @@
     return chosen;
 }
 
-std::optional<affinity_choice> selectByAffinity(upstream_selection &selection, const registry &known,
-                                                std::string_view service, const choice_request &request, instant now)
+std::optional<selected_instance> selectByAffinity(upstream_selection &selection, const registry &known,
+                                                  std::string_view service, const choice_request &request, instant now)
 {
     selected_service *selected = findService(selection, known, service);
     if (!selected) {
         return std::nullopt;
     }
     const auto chosen = chooseByAffinity(selected->candidates, selection.troubles, selection.self, request, now);
-    if (chosen) {
-        onRequestSent(*findCandidate(selected->candidates, chosen->instance));
+    if (!chosen) {
+        return std::nullopt;
     }
-    return chosen;
+    candidate &member = *findCandidate(selected->candidates, chosen->instance);
+    onRequestSent(member);
+    return selected_instance{*chosen, expectedWait(selected->candidates, member, now)};
 }
 
 /// Two reports on the way, from a VM to its hub and from there to the others.
