--- a/bench/model/avoidance_run.cpp
+++ b/bench/model/avoidance_run.cpp
@@ -206,6 +206,7 @@
 
     void take(std::size_t vm, const tell_fleet &effect)
     {
+        ++m_told;
         m_events.after(toTheFleet, [this, vm, told = effect.evidence] {
             for (std::size_t other = 0; other < m_vms.size(); ++other) {
                 if (other != vm) {
@@ -403,7 +404,7 @@
 
     avoidance_result summary() const
     {
-        avoidance_result result{.requests = m_requests.size()};
+        avoidance_result result{.requests = m_requests.size(), .told = m_told};
         for (instant from = start + seconds(1); from + windowLength <= start + m_options.length; from += windowStep) {
             result.windows.push_back(windowAt(from));
         }
@@ -419,6 +420,7 @@
     std::vector<vm_model> m_vms; ///< Entry VMs.
     load_board m_board; ///< What the VMs have sent to instances.
     std::deque<request_model> m_requests; ///< All that came.
+    std::uint64_t m_told = 0; ///< Signs told to the fleet.
 };
 
 } // namespace
