Bytes that are no answer end the try soon, wherever they stand

Cause: the bounds counted field names and values and the decoded body. A reason phrase, spaces, empty lines, a chunk's size or extensions, trailers, interim answers and answers to earlier requests were read for ever. Change: the parser counts all bytes that are no body against the bound of the head and, for chunks, 32 a byte of body; at most 16 answers are skipped before the own one. Why it works: each byte read counts against one bound or the other, and each message that is skipped counts.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message_check.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -15,6 +16,8 @@
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 constexpr std::size_t fieldOverheadBytes = 4; // Colon, space and line end.
+constexpr std::size_t framingSlackBytes = 1'024; // First line's other parts, spaces and empty lines.
+constexpr std::size_t framingPerBodyByte = 32; // Size, extensions and line ends of a chunk of one byte.
 
 std::string trimmed(std::string_view value)
 {
@@ -49,6 +52,7 @@
     m_whole = false;
     m_valueSeen = false;
     m_headerBytes = 0;
+    m_framingBytes = 0;
 }
 
 void message_parser::setLimits(const message_limits &limits)
@@ -80,20 +84,33 @@
             ++skipped;
         }
     }
+    countFraming(skipped);
     if (skipped == bytes.size() || m_whole || m_fault != message_fault::None) {
         return skipped;
     }
     m_begun = true;
     const std::span<const std::byte> rest = bytes.subspan(skipped);
+    const std::size_t bodyBefore = m_message.body.size();
     const std::size_t taken =
         http_parser_execute(&m_parser, &callbacks(), reinterpret_cast<const char *>(rest.data()), rest.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error != HPE_OK && error != HPE_PAUSED && m_fault == message_fault::None) {
         m_fault = message_fault::Malformed;
     }
+    countFraming(taken - std::min(taken, m_message.body.size() - bodyBefore));
     return skipped + taken;
 }
 
+/// Bounds what is read and not kept, as a reason phrase, a chunk's extensions or trailers.
+void message_parser::countFraming(std::size_t length)
+{
+    m_framingBytes += length;
+    const std::size_t limit = m_limits.headerBytes + framingSlackBytes + framingPerBodyByte * m_message.body.size();
+    if (m_framingBytes > limit && m_fault == message_fault::None && !m_whole) {
+        m_fault = message_fault::HeaderTooLarge;
+    }
+}
+
 void message_parser::takeEnd()
 {
     if (m_begun && !m_whole && m_fault == message_fault::None) {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -90,6 +90,7 @@
     static const http_parser_settings &callbacks();
     int headersComplete();
     int stop(message_fault fault);
+    void countFraming(std::size_t length);
     int countHeader(std::size_t length);
     bool inTrailers() const;
 
@@ -100,6 +101,7 @@
     received_message m_message; ///< What has come.
     message_fault m_fault = message_fault::None; ///< What is wrong.
     std::size_t m_headerBytes = 0; ///< Of the first line and the fields so far.
+    std::size_t m_framingBytes = 0; ///< Read and no part of the body.
     bool m_answersHead = false; ///< See reset().
     bool m_begun = false; ///< See begun().
     bool m_headersWhole = false; ///< See headersWhole().
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -22,6 +22,7 @@
 
 constexpr int firstFinalStatus = 200;
 constexpr int protocolChange = 101;
+constexpr std::uint32_t mostSkippedAnswers = 16; ///< Interim answers and those to earlier requests, before the own one.
 
 /// Whether the peer has neither closed nor sent bytes that nobody has read.
 bool quiet(int descriptor)
@@ -81,6 +82,7 @@
     m_running = {};
     const bool isNew = m_phase == phase::New;
     m_carriedEarlier = !isNew;
+    m_skippedAnswers = 0;
     m_phase = phase::Running;
     m_onOutcome = std::move(onOutcome);
     m_answersHead = request.method == "HEAD";
@@ -253,7 +255,7 @@
         return;
     }
     if (message.status < firstFinalStatus) {
-        m_parser.reset(m_answersHead);
+        skipAnswer();
         return;
     }
     if (isUnnamed()) {
@@ -262,8 +264,8 @@
     }
     if (isForeign()) {
         m_foreignSeen = true;
-        m_parser.reset(m_answersHead);
         m_running.firstByteAt.reset();
+        skipAnswer();
         return;
     }
     m_running.answer = {
@@ -272,6 +274,15 @@
     end(upstream_result::Answered);
 }
 
+/// The answer in the parser isn't the one that is awaited.
+void upstream_connection::skipAnswer()
+{
+    m_parser.reset(m_answersHead);
+    if (++m_skippedAnswers > mostSkippedAnswers) {
+        end(upstream_result::AnswerIncomplete);
+    }
+}
+
 void upstream_connection::end(upstream_result result)
 {
     if (!requestRunning()) {
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -91,6 +91,7 @@
     void write(const upstream_request &request);
     void read();
     void takeAnswer();
+    void skipAnswer();
     void socketEvent(short events);
     void ended(bool inOrder);
     void end(upstream_result result);
@@ -115,6 +116,7 @@
     phase m_phase = phase::New; ///< What the connection does.
     bool m_foreignSeen = false; ///< An answer to an earlier request came; the connection isn't used again.
     bool m_carriedEarlier = false; ///< The connection carried other requests before the running one.
+    std::uint32_t m_skippedAnswers = 0; ///< Before the one that the running request awaits.
     bool m_answersHead = false; ///< The running request is a HEAD.
     http_header m_echoed; ///< Of the running request.
     std::function<void(upstream_outcome)> m_onOutcome; ///< Owner of the running request.
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -90,6 +90,18 @@
         bufferevent_setcb(m_socket, nullptr, writtenCallback, nullptr, this);
     }
 
+    /// Writes the same bytes again and again until the other end closes.
+    void writeForEver(std::string_view repeated)
+    {
+        constexpr std::size_t atOnce = 65'536;
+        m_repeated.clear();
+        while (m_repeated.size() < atOnce) {
+            m_repeated.append(repeated);
+        }
+        bufferevent_setcb(m_socket, readCallback, repeatCallback, eventCallback, this);
+        write(m_repeated);
+    }
+
     std::string received; ///< All bytes so far.
     bool ended = false; ///< The other end closed.
     std::function<void()> onChange = [] {
@@ -111,6 +123,14 @@
         static_cast<raw_peer *>(self)->close();
     }
 
+    static void repeatCallback(bufferevent * /*socket*/, void *self)
+    {
+        auto *peer = static_cast<raw_peer *>(self);
+        if (!peer->ended) {
+            peer->write(peer->m_repeated);
+        }
+    }
+
     static void eventCallback(bufferevent * /*socket*/, short what, void *self)
     {
         auto *peer = static_cast<raw_peer *>(self);
@@ -122,6 +142,7 @@
 
     loop &m_loop; ///< Not owned.
     bufferevent *m_socket; ///< Owned.
+    std::string m_repeated; ///< What writeForEver() writes.
 };
 
 /// Listener on a free port that hands out raw peers.
--- a/tests/http/upstream_connection_test.cpp
+++ b/tests/http/upstream_connection_test.cpp
@@ -58,6 +58,36 @@
     script{"silent", "", false, upstream_result::TimedOut},
 };
 
+/// Bytes that are no answer and don't end.
+struct endless_answer {
+    const char *name; ///< For the report.
+    const char *begin; ///< Written once.
+    const char *repeated; ///< Written for ever afterwards.
+};
+
+std::ostream &operator<<(std::ostream &out, const endless_answer &each)
+{
+    return out << each.name;
+}
+
+constexpr std::array endlessAnswers{
+    endless_answer{"emptyLines", "", "\r\n"},
+    endless_answer{"reasonPhrase", "HTTP/1.1 200 O", "K"},
+    endless_answer{"fieldName", "HTTP/1.1 200 OK\r\nX", "x"},
+    endless_answer{"fieldValue", "HTTP/1.1 200 OK\r\nX: x", "x"},
+    endless_answer{"spacesBeforeFieldValue", "HTTP/1.1 200 OK\r\nX:", " "},
+    endless_answer{"fields", "HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+    endless_answer{"countedBody", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+    endless_answer{"unframedBody", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    endless_answer{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+    endless_answer{"chunkSize", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    endless_answer{"chunkExtension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x", "x"},
+    endless_answer{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+    endless_answer{"interimAnswers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    endless_answer{"othersAnswers", "", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n"},
+    endless_answer{"noHttp", "", "x"},
+};
+
 /// A scripted upstream and a connection to it.
 struct upstream_connection_fixture : loop_fixture {
     std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -214,6 +244,28 @@
     }
 }
 
+// Guards against bytes that are no answer and never end: each kind repeats for ever after its beginning.
+BOOST_DATA_TEST_CASE_F(upstream_connection_fixture, exchange_bytesWithoutEnd_endedLongBeforeTheDeadline,
+                       boost::unit_test::data::make(endlessAnswers), each)
+{
+    reply.clear();
+    closes = false;
+    onAccept = [&each](raw_peer &peer) {
+        peer.onChange = [&each, &peer] {
+            if (peer.received.find("\r\n\r\n") != std::string::npos) {
+                peer.received.clear();
+                peer.write(each.begin);
+                peer.writeForEver(each.repeated);
+            }
+        };
+    };
+    connect(upstream.port);
+    echoed = {"Request-Id", "b"};
+    const upstream_outcome outcome = exchange("GET", ample);
+    BOOST_TEST(static_cast<int>(outcome.result) == static_cast<int>(upstream_result::AnswerIncomplete));
+    BOOST_TEST(!connection->usable());
+}
+
 BOOST_AUTO_TEST_CASE(exchange_nobodyListens_connectFailedAndNothingLeft)
 {
     std::uint16_t port = 0;
