Answers that aren't whole yet share a bounded memory

Cause: the bound on a body held for each connection alone. Change: the pool's connections count what they have received of bodies that aren't whole against 64 MB together; the body that goes over it ends its try as incomplete. It can strike an innocent answer while another one without end fills the memory; ending the largest first is not built. Test: bodyOverTheSharedMemory, which doesn't compile before. Not run: a whole VM under such bodies.

--- a/src/daemon/entry/upstream_pool.cpp
+++ b/src/daemon/entry/upstream_pool.cpp
@@ -10,6 +10,7 @@
 upstream_pool::upstream_pool(loop &owner, upstream_pool_options options)
     : m_loop(owner)
     , m_options(options)
+    , m_memory{.limitBytes = options.answerMemoryBytes}
 {
 }
 
@@ -73,6 +74,7 @@
     options.connectTimeout = m_options.connectTimeout;
     options.unackedTimeout = m_options.unackedTimeout;
     options.bodyLimitBytes = m_options.bodyLimitBytes;
+    options.memory = &m_memory;
     return std::make_unique<upstream_connection>(m_loop, options,
                                                  [this, instance = target.instance] { dropUnusable(instance); });
 }
--- a/src/daemon/entry/upstream_pool.h
+++ b/src/daemon/entry/upstream_pool.h
@@ -19,6 +19,7 @@
 struct upstream_pool_options {
     duration connectTimeout = std::chrono::seconds(1); ///< Limit for a new connection.
     std::size_t bodyLimitBytes = std::size_t{1024} * 1024; ///< Body of one answer.
+    std::size_t answerMemoryBytes = std::size_t{64} * 1024 * 1024; ///< Bodies of all answers that aren't whole yet.
     duration unackedTimeout{}; ///< A connection whose bytes aren't acknowledged for so long is lost; 0: the system's.
     std::size_t idlePerInstance = 32; ///< Idle connections kept for each instance.
 };
@@ -69,6 +70,7 @@
 
     loop &m_loop; ///< Not owned.
     upstream_pool_options m_options; ///< As constructed.
+    answer_memory m_memory; ///< Of all connections, which it outlives.
     std::unordered_map<instance_id, connection_list> m_idle; ///< Most recently used last.
     std::unordered_map<exchange_id, running_request> m_running; ///< By request.
 };
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -60,6 +60,7 @@
 
 upstream_connection::~upstream_connection()
 {
+    holdBody(0);
     close();
 }
 
@@ -239,7 +240,7 @@
             m_running.firstByteAt = loop::now();
         }
         evbuffer_drain(input, m_parser.take({bytes, available}));
-        if (m_parser.fault() != message_fault::None) {
+        if (m_parser.fault() != message_fault::None || !holdBody(m_parser.message().body.size())) {
             end(upstream_result::AnswerIncomplete);
         } else if (m_parser.whole()) {
             takeAnswer();
@@ -247,6 +248,16 @@
     }
 }
 
+/// Takes so much of the shared memory in place of what was held; whether there is as much.
+bool upstream_connection::holdBody(std::size_t bytes)
+{
+    if (m_options.memory) {
+        m_options.memory->heldBytes += bytes - m_heldBytes;
+        m_heldBytes = bytes;
+    }
+    return !m_options.memory || m_options.memory->heldBytes <= m_options.memory->limitBytes;
+}
+
 void upstream_connection::takeAnswer()
 {
     received_message &message = m_parser.message();
@@ -290,6 +301,7 @@
     }
     m_connectTimer.cancel();
     m_answerTimer.cancel();
+    holdBody(0);
     m_running.result = result;
     const bool left = m_running.mayHaveLeft;
     if (result != upstream_result::Answered) {
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -19,6 +19,12 @@
 namespace guavafront
 {
 
+/// Memory that several connections share for the answers they are receiving.
+struct answer_memory {
+    std::size_t heldBytes = 0; ///< Of bodies that aren't whole yet.
+    std::size_t limitBytes = std::size_t{8} * 1024 * 1024; ///< The body that goes over it ends its request.
+};
+
 /// Where an upstream listens and what is put up with.
 struct upstream_connection_options {
     std::string address = "127.0.0.1"; ///< IP number.
@@ -28,6 +34,7 @@
         unackedTimeout{}; ///< A socket whose bytes aren't acknowledged for so long has gone silent; 0 for the system's.
     std::size_t headerLimitBytes = std::size_t{64} * 1024; ///< Status line and header fields of an answer.
     std::size_t bodyLimitBytes = std::size_t{8} * 1024 * 1024; ///< Body of an answer.
+    answer_memory *memory = nullptr; ///< Shared with other connections; not owned, outlives them. Unbounded without.
 };
 
 /// Request to an upstream as views; they need to live only during the call that takes it.
@@ -97,6 +104,7 @@
     void end(upstream_result result);
     void deliver();
     void close();
+    bool holdBody(std::size_t bytes);
     bool isForeign() const;
     bool isUnnamed() const;
     bool requestRunning() const;
@@ -116,6 +124,7 @@
     phase m_phase = phase::New; ///< What the connection does.
     bool m_foreignSeen = false; ///< An answer to an earlier request came; the connection isn't used again.
     bool m_carriedEarlier = false; ///< The connection carried other requests before the running one.
+    std::size_t m_heldBytes = 0; ///< Of this connection, in the shared memory.
     std::uint32_t m_skippedAnswers = 0; ///< Before the one that the running request awaits.
     bool m_answersHead = false; ///< The running request is a HEAD.
     http_header m_echoed; ///< Of the running request.
--- a/tests/http/upstream_connection_test.cpp
+++ b/tests/http/upstream_connection_test.cpp
@@ -104,6 +104,7 @@
     std::unique_ptr<upstream_connection> connection;
     std::vector<upstream_outcome> outcomes;
     std::vector<http_header> headers{{"Host", "rutas.example"}};
+    answer_memory memory;
     http_header echoed;
 
     void answerOnce(raw_peer &peer) const
@@ -121,10 +122,11 @@
 
     void connect(std::uint16_t port)
     {
-        connection = std::make_unique<upstream_connection>(events, upstream_connection_options{.port = port}, [this] {
-            ++closedNotices;
-            events.stop();
-        });
+        connection = std::make_unique<upstream_connection>(
+            events, upstream_connection_options{.port = port, .memory = &memory}, [this] {
+                ++closedNotices;
+                events.stop();
+            });
     }
 
     upstream_outcome exchange(std::string_view method, duration timeout)
@@ -266,6 +268,20 @@
     BOOST_TEST(!connection->usable());
 }
 
+BOOST_AUTO_TEST_CASE(exchange_bodyOverTheSharedMemory_endedAndMemoryFree)
+{
+    memory.limitBytes = 1'000;
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'x');
+    connect(upstream.port);
+    memory.heldBytes = 400; // Another connection's.
+    BOOST_TEST(static_cast<int>(exchange("GET", ample).result) == static_cast<int>(upstream_result::AnswerIncomplete));
+    BOOST_TEST(memory.heldBytes == 400U);
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + std::string(500, 'x');
+    connect(upstream.port);
+    BOOST_TEST(static_cast<int>(exchange("GET", ample).result) == static_cast<int>(upstream_result::Answered));
+    BOOST_TEST(memory.heldBytes == 400U);
+}
+
 BOOST_AUTO_TEST_CASE(exchange_nobodyListens_connectFailedAndNothingLeft)
 {
     std::uint16_t port = 0;
