A queue at an instance is no silent connection

What callers would see: reads (requests that may be repeated) are given up on a kept connection and sent to a second instance while the first has them in its queue: work done twice where room is short, the connections to a sound instance dropped, its answer lost. Change: the limit grows by the likely wait for a slot, to twice at most. Test: expected_wait_test, silence_behindFullQueue failed before; its other cases guard the overdue answers at one VM: told without a queue, not told behind one, told when far beyond it. The policy for busy fleets compares instances with each other and not with a fixed time (health/); not examined under queues.

--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -54,7 +54,9 @@
     }
     const duration usual(static_cast<std::int64_t>(candidates->typicalLatencyUs));
     if (context.state.selection.policy == balancing_policy::Affinity) {
-        return std::max(silenceTimeout(usual), sparseSilence); // Few answers were seen; a short limit would be a guess.
+        // Few answers were seen; a short limit would be a guess. A queue there is no silence.
+        const duration limit = std::max(silenceTimeout(usual), sparseSilence);
+        return limit + std::min(request.expectedWait, limit);
     }
     return silenceTimeout(usual);
 }
--- /dev/null
+++ b/tests/entry/expected_wait_test.cpp
@@ -0,0 +1,83 @@
+#include "entry/entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavafront
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// An entry VM that chooses by affinity and knows two instances of flagsja with 4 slots each.
+struct expected_wait_fixture : entry_fixture {
+    expected_wait_fixture()
+    {
+        state = makeEntry({.self = {1}, .dataCentre = "gdl-a"},
+                          {.limits = {.fleetSize = 1}, .balancing = balancing_policy::Affinity});
+        apply();
+        announceInstance(3, "flagsja");
+        announceInstance(4, "flagsja");
+        pass(1s);
+    }
+
+    /// The hubs' word of both instances' load.
+    void hearLoads(std::uint32_t requests)
+    {
+        run(loads_heard{{{.instance = {3}, .requests = requests}, {.instance = {4}, .requests = requests}}});
+    }
+
+    /// Whether the fleet is told of trouble within a time after now.
+    bool isTroubleTold(duration span)
+    {
+        const instant end = now + span;
+        bool told = false;
+        while (now < end) {
+            now += 100ms;
+            run(time_passed{});
+            const auto *sign = find<tell_fleet>();
+            told = told || (sign && sign->evidence.sign != instance_sign::TrialBegan);
+        }
+        return told;
+    }
+};
+
+constexpr std::uint32_t fullQueue = 2'000; ///< So many that even short answers make a long wait.
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(expected_wait_test, expected_wait_fixture)
+
+BOOST_AUTO_TEST_CASE(answer_lateWithoutQueue_toldAsTrouble)
+{
+    request("POST", "/flags");
+    BOOST_TEST(isTroubleTold(2s));
+}
+
+BOOST_AUTO_TEST_CASE(answer_lateBehindFullQueue_noTroubleTold)
+{
+    hearLoads(fullQueue);
+    request("POST", "/flags");
+    BOOST_TEST(!isTroubleTold(2500ms));
+}
+
+BOOST_AUTO_TEST_CASE(answer_lateFarBeyondItsQueue_toldAsTrouble)
+{
+    hearLoads(fullQueue);
+    request("POST", "/flags");
+    BOOST_TEST(isTroubleTold(4s));
+}
+
+BOOST_AUTO_TEST_CASE(silence_behindFullQueue_longerLimit)
+{
+    request("GET", "/flags");
+    const duration usual = find<start_attempt>()->silenceLimit;
+    hearLoads(fullQueue);
+    request("GET", "/flags");
+    BOOST_TEST((find<start_attempt>()->silenceLimit > usual + 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
