--- a/bench/model/avoidance_run.cpp
+++ b/bench/model/avoidance_run.cpp
@@ -1,6 +1,7 @@
 #include "model/avoidance_run.h"
 
 #include "model/event_queue.h"
+#include "model/gray_instance.h"
 
 #include <guavafront/coordination/entry/entry.h>
 #include <guavafront/coordination/loads/load_board.h>
@@ -28,26 +29,6 @@
 constexpr duration inDataCentre = std::chrono::microseconds(100);
 constexpr duration betweenDataCentres = milliseconds(5);
 constexpr duration toTheFleet = milliseconds(10); ///< From a VM over its hub to all others.
-constexpr duration restAfterNoise = seconds(2);
-constexpr duration restAfterSpell = seconds(6);
-
-/// A stretch in which one instance is gray.
-struct gray_time {
-    instant from{}; ///< Start.
-    instant to{}; ///< End.
-    instant soundAt{}; ///< When it counts as sound again.
-    double fails = 0; ///< Share of the requests that it breaks off.
-    double mute = 0; ///< Share of the requests that it runs without an answer.
-    double slower = 1; ///< Factor on the time that a request takes.
-};
-
-struct instance_model {
-    std::string dataCentre; ///< Where it stands.
-    std::vector<gray_time> gray; ///< Its spells.
-    std::uint32_t running = 0; ///< Requests in slots.
-    std::deque<std::size_t> waiting; ///< Requests in its queue, oldest first.
-    std::vector<instant> received; ///< When requests reached it.
-};
 
 struct vm_model {
     entry state; ///< Its decisions.
@@ -74,9 +55,9 @@
         for (std::size_t place = 0; place < options.instances.size(); ++place) {
             m_instances.insert(m_instances.end(), options.instances[place], {.dataCentre = nameOf(place)});
         }
-        drawNoise();
+        drawNoise(m_instances, options, start, m_random);
         for (const gray_spell &each : options.spells) {
-            drawSpell(each);
+            drawSpell(m_instances, each, start, m_random);
         }
         makeVms();
     }
@@ -95,51 +76,6 @@
         return std::string(1, static_cast<char>('a' + place));
     }
 
-    double uniform()
-    {
-        return std::uniform_real_distribution<double>(0, 1)(m_random);
-    }
-
-    duration exponential(duration mean)
-    {
-        const double drawn = std::exponential_distribution<double>(1)(m_random);
-        return duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * drawn));
-    }
-
-    void drawNoise()
-    {
-        const double soundPerGray = (1 - m_options.noiseShare) / m_options.noiseShare;
-        const duration soundLength(
-            static_cast<std::int64_t>(soundPerGray * static_cast<double>(m_options.noiseLength.count())));
-        for (instance_model &each : m_instances) {
-            // The lengths have no memory, so that a run may begin in the middle of one.
-            instant from = start + (uniform() < m_options.noiseShare ? duration{} : exponential(soundLength));
-            while (from < start + m_options.length) {
-                const instant to = from + exponential(m_options.noiseLength);
-                each.gray.push_back(
-                    {.from = from, .to = to, .soundAt = to + restAfterNoise, .fails = m_options.noiseFails});
-                from = to + exponential(soundLength);
-            }
-        }
-    }
-
-    void drawSpell(const gray_spell &spell)
-    {
-        std::vector<std::size_t> order(m_instances.size());
-        std::ranges::generate(order, [next = std::size_t{0}]() mutable { return next++; });
-        std::ranges::shuffle(order, m_random);
-        order.resize(static_cast<std::size_t>(std::lround(spell.share * static_cast<double>(order.size()))));
-        for (const std::size_t index : order) {
-            const instant to = start + spell.to;
-            m_instances[index].gray.push_back({.from = start + spell.from,
-                                               .to = to,
-                                               .soundAt = to + restAfterSpell,
-                                               .fails = spell.fails,
-                                               .mute = spell.mute,
-                                               .slower = spell.slower});
-        }
-    }
-
     void makeVms()
     {
         auto draft = std::make_shared<configuration>();
@@ -286,7 +222,8 @@
                                      .path = "/flags",
                                      .digest = {.high = 0, .low = id.value},
                                      .timeLimit = m_options.patience}});
-        m_events.after(exponential(duration(static_cast<std::int64_t>(1'000'000 / rate))), [this] { arrive(); });
+        m_events.after(exponential(duration(static_cast<std::int64_t>(1'000'000 / rate)), m_random),
+                       [this] { arrive(); });
     }
 
     void reach(std::size_t index, std::uint32_t attempt)
@@ -294,9 +231,9 @@
         if (m_requests[index].tries != attempt) {
             return;
         }
-        instance_model &at = m_instances[m_requests[index].instance];
+        gray_instance &at = m_instances[m_requests[index].instance];
         at.received.push_back(now());
-        if (happens(at, &gray_time::fails)) {
+        if (strikes(at, &gray_time::fails, now(), m_random)) {
             end(index, attempt_outcome::ClosedEarly);
         } else if (at.running < m_options.slots) {
             begin(index);
@@ -307,39 +244,22 @@
         }
     }
 
-    /// Whether a trouble that strikes a share of the requests strikes the next one.
-    bool happens(const instance_model &at, double gray_time::*share)
-    {
-        return std::ranges::any_of(at.gray, [this, share](const gray_time &each) {
-            return each.from <= now() && now() < each.to && uniform() < each.*share;
-        });
-    }
-
-    double slownessOf(const instance_model &at) const
-    {
-        double factor = 1;
-        for (const gray_time &each : at.gray) {
-            factor *= each.from <= now() && now() < each.to ? each.slower : 1;
-        }
-        return factor;
-    }
-
     void begin(std::size_t index)
     {
         constexpr double spread = 0.3;
         request_model &request = m_requests[index];
-        instance_model &at = m_instances[request.instance];
+        gray_instance &at = m_instances[request.instance];
         ++at.running;
         request.running = true;
         const double mean = std::log(static_cast<double>(m_options.work.count())) - spread * spread / 2;
-        const double work = std::lognormal_distribution<double>(mean, spread)(m_random) * slownessOf(at);
+        const double work = std::lognormal_distribution<double>(mean, spread)(m_random) * slownessOf(at, now());
         m_events.after(duration(static_cast<std::int64_t>(work)),
                        [this, index, attempt = request.tries] { finish(index, attempt); });
     }
 
     void leaveSlot(request_model &request)
     {
-        instance_model &at = m_instances[request.instance];
+        gray_instance &at = m_instances[request.instance];
         request.running = false;
         --at.running;
         if (!at.waiting.empty()) {
@@ -356,7 +276,7 @@
             return;
         }
         leaveSlot(request);
-        if (!happens(m_instances[request.instance], &gray_time::mute)) {
+        if (!strikes(m_instances[request.instance], &gray_time::mute, now(), m_random)) {
             end(index, attempt_outcome::Answered);
         }
     }
@@ -366,7 +286,7 @@
     {
         constexpr std::uint16_t ok = 200;
         const request_model &request = m_requests[index];
-        const instance_model &at = m_instances[request.instance];
+        const gray_instance &at = m_instances[request.instance];
         attempt_result result{.outcome = outcome, .bytesMayHaveLeft = true};
         result.status = outcome == attempt_outcome::Answered ? ok : std::uint16_t{0};
         result.reportedLoad = static_cast<std::uint32_t>(at.running + at.waiting.size() + 1);
@@ -377,12 +297,6 @@
         });
     }
 
-    static bool isSound(const instance_model &instance, instant from, instant to)
-    {
-        return std::ranges::none_of(instance.gray,
-                                    [&](const gray_time &each) { return each.from < to && from < each.soundAt; });
-    }
-
     avoidance_window windowAt(instant from) const
     {
         const instant to = from + windowLength;
@@ -390,7 +304,7 @@
             return from <= at && at < to;
         };
         avoidance_window window{.from = from - start};
-        for (const instance_model &each : m_instances) {
+        for (const gray_instance &each : m_instances) {
             const bool sound = isSound(each, from, to);
             window.sound += sound ? 1U : 0U;
             window.used += sound && std::ranges::any_of(each.received, inside) ? 1U : 0U;
@@ -416,7 +330,7 @@
     avoidance_options m_options; ///< As given.
     std::mt19937_64 m_random; ///< Of everything random.
     event_queue m_events; ///< Virtual time.
-    std::vector<instance_model> m_instances; ///< Those of the service.
+    std::vector<gray_instance> m_instances; ///< Those of the service.
     std::vector<vm_model> m_vms; ///< Entry VMs.
     load_board m_board; ///< What the VMs have sent to instances.
     std::deque<request_model> m_requests; ///< All that came.
