Deliver what binds over a second link when the first goes silent

Cause: a link that heard nothing for 2 s sent a ping and was closed after 6 s; whatever was written into it meanwhile was lost, and only the repairs of the spread map and of the configuration's offers, which come every few seconds, made up for it. The class: a connection is trusted to deliver until its end is noticed.

Each end counts the messages of a link and asks by a WebSocket ping, which every build answers, which have arrived. An overdue answer opens another link; over it both ends say what they received on the old one and send the rest again, in order and once. The decisions (coordination/links) are apart from the bytes. A build that doesn't know this gets links as before.

Tests: link_silence_test (relay on loopback between two link tables) failed in 7 of 7 cases on and passes; link_resumption_test plays 500 schedules of links that end at any moment; its first version failed in 217 of them, since messages that were sent again could overtake others.

--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -24,6 +24,7 @@
     , m_random(static_cast<std::uint32_t>(m_options.link.self.id.value))
     , m_destroyTimer(owner, [this] { m_ended.clear(); })
     , m_idleCheck(owner, [this] { closeIdle(); })
+    , m_recoveryTimer(owner, [this] { runRecoveries(); })
     , m_listener(owner, m_options.listenAddress, [this](bufferevent *socket) { accept(socket); })
 {
     if (m_options.link.self.address.empty() || m_options.link.self.address.ends_with(":0")) {
@@ -114,7 +115,11 @@
 
 void link_table::transmit(peer_link &link, const envelope &message)
 {
-    if (!link.send(message)) {
+    detached_link *earlier = awaitedResumption(m_detached, link.peer().id);
+    if (earlier && message.body.size() <= m_options.link.limits.messageBytes) {
+        // The messages of the ended link go first.
+        keepSent(earlier->delivery, encodeEnvelope(message), delivery_urgency::AtOnce, loop::now());
+    } else if (!link.send(message)) {
         ++m_counters.messagesDropped;
         return;
     }
@@ -158,9 +163,11 @@
                                     m_counters.bytesReceived += message.body.size();
                                     m_events.received((*slot)->peer(), std::move(message));
                                 },
-                            .closed =
-                                [this, slot, address](link_end reason) {
-                                    handleClosed(**slot, reason, address);
+                            .closed = [this, slot, address](link_end reason) { handleClosed(**slot, reason, address); },
+                            .silent = [this, slot] { startRecovery((*slot)->peer().id, (*slot)->peer().address); },
+                            .resumption =
+                                [this, slot](const link_resumption &statement) {
+                                    handleResumption(**slot, statement);
                                 }};
     auto link = std::make_unique<peer_link>(m_loop, m_options.link, role, socket, std::move(events));
     *slot = link.get();
@@ -172,6 +179,8 @@
     ++m_counters.ready;
     const peer_identity peer = link.peer();
     m_ready[peer.id].push_back(&link);
+    replaceSilentLinks(link);
+    offerResumptions(link);
     std::deque<pending_message> pending;
     if (const auto connection = m_outgoing.find(address); connection != m_outgoing.end()) {
         pending = std::exchange(connection->second.pending, {});
@@ -212,10 +221,17 @@
     }
     const vm_id peer = link.peer().id;
     const auto ready = m_ready.find(peer);
-    if (ready == m_ready.end() || std::erase(ready->second, &link) == 0 || !ready->second.empty()) {
+    if (ready == m_ready.end() || std::erase(ready->second, &link) == 0) {
+        return;
+    }
+    const bool isLast = ready->second.empty();
+    if (isLast) {
+        m_ready.erase(ready);
+    }
+    detachLink(link, reason);
+    if (!isLast) {
         return;
     }
-    m_ready.erase(ready);
     if (reason == link_end::Silent || reason == link_end::TooSlow || reason == link_end::Malformed) {
         LOG(WARNING) << "link to VM " << std::hex << peer.value << std::dec << " ended: " << linkEndName(reason);
     }
@@ -245,6 +261,7 @@
     for (peer_link *each : idle) {
         each->close();
     }
+    forgetExpired();
     std::erase_if(m_outgoing, [this, now](const auto &entry) {
         return !entry.second.link && now - entry.second.notBefore > m_options.backoffLongest;
     });
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,6 +29,8 @@
     std::size_t pendingMessages = 64; ///< Messages that may wait for one link; beyond, the oldest is dropped.
     duration backoffFirst = std::chrono::milliseconds(100); ///< Wait after the first failed attempt to connect.
     duration backoffLongest = std::chrono::seconds(5); ///< Longest wait between attempts to connect.
+    duration recoveryFirst = std::chrono::milliseconds(400); ///< Wait after the first attempt to replace a link.
+    duration recoveryLongest = std::chrono::seconds(2); ///< Longest wait between attempts to replace a link.
     duration idleLimit = std::chrono::seconds(60); ///< A ready link that has been unused for longer is closed.
 };
 
@@ -43,6 +46,8 @@
     std::uint64_t messagesReceived = 0; ///< Envelopes received from links.
     std::uint64_t bytesReceived = 0; ///< Size of the received envelopes' bodies in bytes.
     std::uint64_t messagesDropped = 0; ///< Envelopes dropped because no link to their VM took them.
+    std::uint64_t messagesResent = 0; ///< Envelopes sent again because they hadn't arrived when their link ended.
+    std::uint64_t recoveries = 0; ///< Times that a link went silent, or ended with messages that hadn't arrived.
 };
 
 /// Callbacks from the link table to its owner, on the loop's thread.
@@ -71,6 +76,9 @@
     /// Closes all ready links to a VM.
     void disconnect(vm_id peer);
 
+    /// Checks that the link to the VM works. If it doesn't, another one replaces it.
+    void verify(vm_id peer);
+
     /// Returns whether a link to the VM is ready.
     bool isConnected(vm_id peer) const;
 
@@ -96,6 +104,13 @@
         std::deque<pending_message> pending; ///< Messages to send once the link is ready.
     };
 
+    /// Attempts to open a link in place of one that went silent or has ended with messages that hadn't arrived.
+    struct recovery {
+        std::string address; ///< "IP:port" on which the peer accepts links.
+        duration pause{}; ///< Wait after the next attempt.
+        instant nextAttempt; ///< Time of the next attempt.
+    };
+
     peer_link *readyLink(vm_id peer) const;
     void transmit(peer_link &link, const envelope &message);
     void open(const std::string &address, outgoing_connection &target);
@@ -105,6 +120,15 @@
     void handleClosed(peer_link &link, link_end reason, const std::string &address);
     void backOff(const std::string &address);
     void closeIdle();
+    void detachLink(peer_link &link, link_end reason);
+    void replaceSilentLinks(const peer_link &replacement);
+    void offerResumptions(peer_link &link);
+    void handleResumption(peer_link &link, const link_resumption &statement);
+    void resend(peer_link &link, std::span<const kept_message> messages);
+    void startRecovery(vm_id peer, const std::string &address);
+    bool needsRecovery(vm_id peer) const;
+    void runRecoveries();
+    void forgetExpired();
 
     loop &m_loop; ///< Loop that runs all links; not owned.
     link_table_options m_options; ///< Settings; the bound port replaces port 0 in the own address.
@@ -117,6 +141,9 @@
     std::vector<std::unique_ptr<peer_link>> m_ended; ///< Ended links, which can't be destroyed in their own callbacks.
     timer m_destroyTimer; ///< Destroys the links in m_ended.
     timer m_idleCheck; ///< Runs closeIdle().
+    detached_links m_detached; ///< Links that ended recently.
+    std::unordered_map<vm_id, recovery> m_recoveries; ///< Links that are being replaced, by peer.
+    timer m_recoveryTimer; ///< Runs runRecoveries().
     link_counters m_counters; ///< Counters since the start of the link table.
     listener m_listener; ///< Accepts connections of peers.
 };
--- a/src/daemon/peers/peers_counters.cpp
+++ b/src/daemon/peers/peers_counters.cpp
@@ -40,6 +40,10 @@
           addCounter(registry, "guavafront_peer_received_bytes_total", "Bodies of messages from other VMs."))
     , m_messagesDropped(
           addCounter(registry, "guavafront_peer_messages_dropped_total", "Messages with no way to their VM."))
+    , m_messagesResent(addCounter(registry, "guavafront_peer_messages_resent_total",
+                                  "Messages sent again because they hadn't arrived when their link ended."))
+    , m_linkRecoveries(addCounter(registry, "guavafront_link_recoveries_total",
+                                  "Links that went silent, or ended with messages that hadn't arrived."))
     , m_unhandledMessages(addCounter(registry, "guavafront_peer_messages_unclaimed_total",
                                      "Messages that no task of this VM takes, and refused publications."))
 {
@@ -65,6 +69,8 @@
     advanceCounter(m_messagesReceived, latest.links.messagesReceived, m_lastSet.links.messagesReceived);
     advanceCounter(m_bytesReceived, latest.links.bytesReceived, m_lastSet.links.bytesReceived);
     advanceCounter(m_messagesDropped, latest.links.messagesDropped, m_lastSet.links.messagesDropped);
+    advanceCounter(m_messagesResent, latest.links.messagesResent, m_lastSet.links.messagesResent);
+    advanceCounter(m_linkRecoveries, latest.links.recoveries, m_lastSet.links.recoveries);
     advanceCounter(m_unhandledMessages, latest.unhandledMessages, m_lastSet.unhandledMessages);
     for (std::size_t i = 0; i < m_ended.size(); ++i) {
         advanceCounter(*m_ended[i], latest.links.ended[i], m_lastSet.links.ended[i]);
--- a/src/daemon/peers/peers_counters.h
+++ b/src/daemon/peers/peers_counters.h
@@ -34,6 +34,8 @@
     prometheus::Counter &m_messagesReceived; ///< Messages received from other VMs.
     prometheus::Counter &m_bytesReceived; ///< Size of the received messages' bodies in bytes.
     prometheus::Counter &m_messagesDropped; ///< Messages dropped because no link to the VM came about.
+    prometheus::Counter &m_messagesResent; ///< Messages sent again over another link than the one they were lost on.
+    prometheus::Counter &m_linkRecoveries; ///< Links that went silent, or ended with messages that hadn't arrived.
     prometheus::Counter &m_unhandledMessages; ///< Messages without a subscriber, and refused publications.
     std::array<prometheus::Counter *, static_cast<std::size_t>(link_end::Count)> m_ended{}; ///< Ended links, by reason.
     peers_statistics m_lastSet; ///< Statistics already added to the counters.
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -254,6 +254,9 @@
     membership_message message = effect.message;
     if (auto *ack = std::get_if<membership_ack>(&message)) {
         ack->leaderBeacon = relayedBeacon(m_beacon, loop::now());
+    } else if (const auto *request = std::get_if<membership_ping_request>(&message)) {
+        // A VM that doesn't answer may be well, and its link silent.
+        m_links.verify(request->target);
     }
     m_links.send(effect.to, effect.address,
                  {.kind = channel::Membership, .version = bodyVersion, .body = encodeMembership(message)});
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -1,13 +1,18 @@
 #include "wire/peer_link.h"
 
+#include "wire/resumption_codec.h"
+
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
+#include <charconv>
+#include <string>
 #include <utility>
 
 namespace guavafront
@@ -35,13 +40,29 @@
     }
 }
 
+/// Version of the control envelope that carries a statement on an ended link.
+constexpr std::uint8_t resumptionVersion = 2;
+/// Time between two reports that a link is silent.
+constexpr duration silentReportPeriod = std::chrono::milliseconds(400);
+
+/// Whether messages of the channel are sent again when their link ends. The others are periodic and worthless later.
+bool isResent(channel kind)
+{
+    return kind != channel::Membership && kind != channel::Loads && kind != channel::Health;
+}
+
+delivery_urgency urgencyOf(channel kind)
+{
+    return kind == channel::Spread ? delivery_urgency::Relaxed : delivery_urgency::AtOnce;
+}
+
 } // namespace
 
 std::string_view linkEndName(link_end reason)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(link_end::Count)> names{
-        "by_owner", "connect_failed", "peer_closed", "handshake_timeout", "unauthenticated",
-        "silent",   "too_slow",       "too_large",   "malformed",         "unknown_channel"};
+        "by_owner", "connect_failed", "peer_closed", "handshake_timeout", "unauthenticated", "silent",
+        "too_slow", "too_large",      "malformed",   "unknown_channel",   "replaced"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -52,7 +73,7 @@
     , m_role(role)
     , m_socket(socket)
     , m_events(std::move(events))
-    , m_timer(owner, [this] { checkSilence(); })
+    , m_timer(owner, [this] { handleTimer(); })
     , m_lastReceived(loop::now())
     , m_lastUsed(m_lastReceived)
 {
@@ -60,21 +81,24 @@
                                                  : beginAsResponder(options.self, makeNonce());
     m_session = std::make_unique<websocket_session>(
         role, options.limits.messageBytes + envelopeOverheadBytes,
-        websocket_events{.write = [this](std::string_view bytes) { write(bytes); },
-                         .opened =
-                             [this] {
-                                 if (m_role == websocket_role::Client) {
-                                     sendControl(makeHello(m_handshake));
-                                 }
-                             },
-                         .received = [this](std::string_view bytes) { handleMessage(bytes); },
-                         .failed =
-                             [this](bool tooLarge) {
-                                 close(tooLarge ? link_end::TooLarge : link_end::PeerClosed);
-                             }});
+        websocket_events{
+            .write = [this](std::string_view bytes) { write(bytes); },
+            .opened =
+                [this] {
+                    if (m_role == websocket_role::Client) {
+                        sendControl(makeHello(m_handshake));
+                    }
+                },
+            .received = [this](std::string_view bytes) { handleMessage(bytes); },
+            .failed = [this](bool tooLarge) { close(tooLarge ? link_end::TooLarge : link_end::PeerClosed); },
+            .answered =
+                [this](std::string_view payload) {
+                    handleAnswer(payload);
+                }});
     bufferevent_setcb(m_socket, readCallback, nullptr, eventCallback, this);
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
     m_timer.arm(options.limits.handshakeLimit);
+    m_armedFor = instant::max();
     if (role == websocket_role::Server) {
         handleConnected();
     }
@@ -93,8 +117,17 @@
         return false;
     }
     m_lastUsed = loop::now();
-    const byte_buffer bytes = encodeEnvelope(message);
-    return m_session->send(asText(bytes)) && !m_closed;
+    byte_buffer bytes = encodeEnvelope(message);
+    const std::string_view text = asText(bytes);
+    if (!isResumable() || !isResent(message.kind)) {
+        return m_session->send(text) && !m_closed;
+    }
+    // Moving the bytes leaves them where they are; a link that ends while it sends takes the message along.
+    keepSent(m_delivery, std::move(bytes), urgencyOf(message.kind), loop::now());
+    if (m_session->send(text) && !m_closed) {
+        checkDelivery();
+    }
+    return true;
 }
 
 void peer_link::close(link_end reason)
@@ -128,6 +161,42 @@
     return m_lastUsed;
 }
 
+void peer_link::verify()
+{
+    if (isResumable()) {
+        requestAnswer(m_delivery, loop::now());
+        checkDelivery();
+    }
+}
+
+bool peer_link::isSilent() const
+{
+    return !m_closed && guavafront::isSilent(m_delivery, loop::now());
+}
+
+bool peer_link::isResumable() const
+{
+    return m_resumable;
+}
+
+const link_identity &peer_link::identity() const
+{
+    return isInitiator() ? m_handshake.ownNonce : m_handshake.peerNonce;
+}
+
+link_delivery peer_link::takeDelivery()
+{
+    assert(m_closed);
+    return std::exchange(m_delivery, {});
+}
+
+void peer_link::sendResumption(const link_resumption &statement)
+{
+    const byte_buffer bytes =
+        encodeEnvelope({.kind = channel::Control, .version = resumptionVersion, .body = encodeResumption(statement)});
+    m_session->send(asText(bytes));
+}
+
 void peer_link::readCallback(bufferevent * /*socket*/, void *self)
 {
     auto *link = static_cast<peer_link *>(self);
@@ -176,6 +245,7 @@
             handleControl(message);
             return;
         }
+        m_delivery.lastReceived += isResent(message.kind) ? 1 : 0;
         m_lastUsed = m_lastReceived;
         m_events.received(std::move(message));
     } catch (const coordination_error &error) {
@@ -189,6 +259,10 @@
         throw coordination_error(result_code::LinkUnauthenticated,
                                  "message received before the handshake was complete");
     }
+    if (ready() && message.version == resumptionVersion) {
+        m_events.resumption(decodeResumption(message.body));
+        return;
+    }
     const std::optional<handshake_message> reply =
         advance(m_handshake, m_options.secret, decodeHandshake(message.body));
     if (reply) {
@@ -201,7 +275,9 @@
 
 void peer_link::finishHandshake()
 {
-    m_timer.arm(m_options.limits.keepalivePeriod);
+    m_resumable = m_session->peerResumesLinks();
+    m_nextKeepalive = loop::now() + m_options.limits.keepalivePeriod;
+    armTimer();
     m_events.ready(m_handshake.peer);
 }
 
@@ -222,21 +298,64 @@
     }
 }
 
-void peer_link::checkSilence()
+void peer_link::handleAnswer(std::string_view payload)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(payload.data(), payload.data() + payload.size(), number);
+    if (error == std::errc() && end == payload.data() + payload.size()) {
+        guavafront::handleAnswer(m_delivery, number, loop::now());
+        armTimer();
+    }
+}
+
+void peer_link::handleTimer()
 {
     if (!ready()) {
         close(link_end::HandshakeTimeout);
         return;
     }
-    const duration silence = loop::now() - m_lastReceived;
-    if (silence >= m_options.limits.silenceLimit) {
-        close(link_end::Silent);
+    m_armedFor = instant::max();
+    const instant now = loop::now();
+    if (now >= m_nextKeepalive) {
+        const duration silence = now - m_lastReceived;
+        if (silence >= m_options.limits.silenceLimit) {
+            close(link_end::Silent);
+            return;
+        }
+        m_nextKeepalive = now + m_options.limits.keepalivePeriod;
+        if (silence >= m_options.limits.keepalivePeriod && isResumable()) {
+            requestAnswer(m_delivery, now);
+        } else if (silence >= m_options.limits.keepalivePeriod) {
+            m_session->ping();
+        }
+    }
+    checkDelivery();
+}
+
+/// Sends the question that is due, or reports that the answer is overdue.
+void peer_link::checkDelivery()
+{
+    if (const std::optional<std::uint64_t> number = takeQuestion(m_delivery, loop::now())) {
+        m_session->ping(std::to_string(*number));
+    } else if (isSilent()) {
+        m_events.silent();
+    }
+    armTimer();
+}
+
+void peer_link::armTimer()
+{
+    if (m_closed) {
         return;
     }
-    if (silence >= m_options.limits.keepalivePeriod) {
-        m_session->ping();
+    const instant now = loop::now();
+    const instant delivery = isSilent() ? now + silentReportPeriod : nextDeliveryCheck(m_delivery);
+    const instant due = std::max(now, std::min(m_nextKeepalive, delivery));
+    if (due == m_armedFor) {
+        return;
     }
-    m_timer.arm(m_options.limits.keepalivePeriod);
+    m_armedFor = due;
+    m_timer.arm(due - now);
 }
 
 } // namespace guavafront
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -6,6 +6,7 @@
 #include "wire/websocket/websocket_session.h"
 
 #include <guavafront/coordination/core/result_code.h>
+#include <guavafront/coordination/links/link_resumption.h>
 
 #include <cstddef>
 #include <functional>
@@ -39,6 +40,7 @@
     TooLarge, ///< A message exceeded messageBytes.
     Malformed, ///< A message could not be decoded.
     UnknownChannel, ///< A message had a channel or type that this version doesn't know.
+    Replaced, ///< The link had gone silent, and another one to the same VM became ready.
     Count, ///< Number of reasons.
 };
 
@@ -57,6 +59,8 @@
     std::function<void(const peer_identity &)> ready; ///< The peer has proved the fleet secret.
     std::function<void(envelope)> received; ///< A message arrived. Never called before ready, nor for Control messages.
     std::function<void(link_end)> closed; ///< The link has ended. Called once, and no other callback follows.
+    std::function<void()> silent; ///< The peer's answer to a question is overdue. Called again while it stays away.
+    std::function<void(const link_resumption &)> resumption; ///< The peer states what it received on an ended link.
 };
 
 /// One authenticated connection between two VMs. Owned by one task and used only on the thread of its loop.
@@ -90,6 +94,24 @@
     /// Time at which an envelope was last sent or received.
     instant lastUsed() const;
 
+    /// Asks the peer to show that the link works in both directions.
+    void verify();
+
+    /// Whether the peer's answer to a question is overdue.
+    bool isSilent() const;
+
+    /// Whether both ends can resume the link after its end.
+    bool isResumable() const;
+
+    /// Identity of the link, the same at both ends.
+    const link_identity &identity() const;
+
+    /// Takes the messages that may not have arrived, after the link's end.
+    link_delivery takeDelivery();
+
+    /// Sends a statement on an ended link. The peer must be able to resume links.
+    void sendResumption(const link_resumption &statement);
+
 private:
     static void readCallback(bufferevent *socket, void *self);
     static void eventCallback(bufferevent *socket, short what, void *self);
@@ -101,7 +123,10 @@
     void finishHandshake();
     void sendControl(const handshake_message &message);
     void write(std::string_view bytes);
-    void checkSilence();
+    void handleAnswer(std::string_view payload);
+    void handleTimer();
+    void checkDelivery();
+    void armTimer();
 
     loop &m_loop; ///< Loop whose thread runs the link; not owned.
     const peer_link_options &m_options; ///< Identity, secret and limits; not owned.
@@ -110,7 +135,11 @@
     peer_link_events m_events; ///< Callbacks to the owner.
     handshake m_handshake; ///< State of the handshake.
     std::unique_ptr<websocket_session> m_session; ///< WebSocket session on the connection.
-    timer m_timer; ///< Fires at the end of handshakeLimit, then every keepalivePeriod.
+    timer m_timer; ///< Fires at the end of handshakeLimit, then when a question or check is due.
+    bool m_resumable = false; ///< Whether both ends can resume the link; known once it is ready.
+    link_delivery m_delivery; ///< Messages that may not have arrived; used if the link is resumable.
+    instant m_nextKeepalive; ///< Time of the next check for silence.
+    instant m_armedFor; ///< Time for which m_timer is armed.
     instant m_lastReceived; ///< Time of the last bytes from the peer.
     instant m_lastUsed; ///< Time of the last envelope sent or received, apart from the handshake.
     bool m_connected = false; ///< Whether the connection is established.
--- a/src/wire/websocket/websocket_session.cpp
+++ b/src/wire/websocket/websocket_session.cpp
@@ -44,6 +44,9 @@
 using message_ptr = connection_type::message_ptr;
 
 constexpr const char *sessionUri = "ws://peer/guavafront";
+/// Header in which both ends of the upgrade name what their version of the program can do.
+constexpr const char *abilityHeader = "Guavafront-Link";
+constexpr const char *resumesLinks = "resume";
 
 } // namespace
 
@@ -61,9 +64,14 @@
         if (role == websocket_role::Client) {
             client = std::make_unique<client_endpoint>();
             connection = client->get_connection(sessionUri, error);
+            connection->append_header(abilityHeader, resumesLinks);
         } else {
             server = std::make_unique<server_endpoint>();
             connection = server->get_connection();
+            connection->set_validate_handler([this](auto &&) {
+                connection->append_header(abilityHeader, resumesLinks);
+                return true;
+            });
         }
     }
 
@@ -92,6 +100,11 @@
                 events.received(message->get_payload());
             }
         });
+        connection->set_pong_handler([this](auto &&, const std::string &payload) {
+            if (!ended && events.answered) {
+                events.answered(payload);
+            }
+        });
         connection->set_close_handler([this](auto &&) { reportFailure(); });
         connection->set_fail_handler([this](auto &&) { reportFailure(); });
     }
@@ -138,10 +151,18 @@
     return !m_implementation->connection->send(message.data(), message.size(), websocketpp::frame::opcode::binary);
 }
 
-void websocket_session::ping()
+void websocket_session::ping(std::string_view payload)
 {
     websocketpp::lib::error_code ignored;
-    m_implementation->connection->ping("", ignored);
+    m_implementation->connection->ping(std::string(payload), ignored);
+}
+
+bool websocket_session::peerResumesLinks() const
+{
+    const connection_type::ptr &connection = m_implementation->connection;
+    const std::string &abilities = m_implementation->client ? connection->get_response_header(abilityHeader)
+                                                            : connection->get_request_header(abilityHeader);
+    return abilities == resumesLinks;
 }
 
 } // namespace guavafront
--- a/src/wire/websocket/websocket_session.h
+++ b/src/wire/websocket/websocket_session.h
@@ -21,6 +21,7 @@
     std::function<void()> opened; ///< The upgrade is complete; messages may be sent.
     std::function<void(std::string_view)> received; ///< A complete binary message arrived.
     std::function<void(bool)> failed; ///< The session has ended; true when a message exceeded the size limit.
+    std::function<void(std::string_view)> answered; ///< The peer answered a ping with this payload.
 };
 
 /// WebSocket protocol without a socket: the owner passes received bytes in and writes the produced bytes to its socket.
@@ -43,8 +44,11 @@
     /// Sends one binary message. Returns false when the session isn't open.
     bool send(std::string_view message);
 
-    /// Sends a ping. The peer's pong is processed by receive() and causes no callback.
-    void ping();
+    /// Sends a ping with a payload of at most 125 bytes. The peer's pong repeats the payload (RFC 6455 5.5.3).
+    void ping(std::string_view payload = {});
+
+    /// Whether the peer takes statements on links that have ended. Known once the session is open.
+    bool peerResumesLinks() const;
 
 private:
     struct implementation;
