Bound the memory of messages by one limit that follows from the VM's

The platform ends a process over its limit, with the requests of everybody else.

Cause: incomplete answers were bounded at 64 MB whatever the VM has, counted by size and not by what the growing buffer takes; requests that are being received, copies of answers and answers that callers don't read weren't bounded at all beside 64 MB for each.

One limit for the messages of a task, a sixteenth of the VM's memory, is shared by the connections to callers and to instances and counts buffers by their capacity. Over it the connection that holds most gives up, so that an endless message can't take the place of others. A single message may take half of it: a longer request gets 413 by its length alone. Answers are moved, not copied, from the instance's connection.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -46,13 +46,24 @@
     return id;
 }
 
-http_server_options serverOptions(const endpoint &address, const entry_settings &limits)
+http_server_options serverOptions(const endpoint &address, const daemon_settings &settings)
 {
+    const entry_settings &limits = settings.entry;
     http_server_options options;
     options.address = address.ip;
     options.port = address.port;
     options.headerLimitBytes = limits.maxHeaderBytes;
     options.bodyLimitBytes = limits.maxBodyBytes;
+    options.ownMemoryBytes = messageMemoryBytes(settings);
+    return options;
+}
+
+/// Options of a server whose requests are small, so that it takes no memory from callers and operators.
+http_server_options smallServerOptions(const endpoint &address, const daemon_settings &settings)
+{
+    constexpr std::size_t memoryBytes = std::size_t{1} << 20;
+    http_server_options options = serverOptions(address, settings);
+    options.ownMemoryBytes = memoryBytes;
     return options;
 }
 
@@ -63,11 +74,12 @@
     options.vmName = settings.vm.name;
     options.identity = {.self = self, .dataCentre = settings.vm.dataCentre};
     randombytes_buf(&options.identity.life, sizeof options.identity.life); // Differs for each start of the task.
-    options.server = serverOptions(settings.listen.callers, settings.entry);
+    options.server = serverOptions(settings.listen.callers, settings);
     options.server.connectionLimit = settings.entry.maxConnections;
     options.server.idleTimeout = std::chrono::milliseconds(settings.entry.idleTimeoutMs);
     options.pool.connectTimeout = std::chrono::milliseconds(settings.entry.connectTimeoutMs);
     options.pool.unackedTimeout = std::chrono::milliseconds(settings.entry.unackedTimeoutMs);
+    options.messageMemoryBytes = messageMemoryBytes(settings);
     options.pool.bodyLimitBytes = settings.entry.maxBodyBytes;
     options.pool.idlePerInstance = settings.entry.idleConnectionsPerInstance;
     options.balancerGrace = std::chrono::milliseconds(settings.entry.balancerGraceMs);
@@ -87,7 +99,7 @@
             .body =
                 [&settings, &wiring, readyAtStart](loop &owner) {
                     const metrics_task task(owner,
-                                            {.server = serverOptions(settings.listen.metrics, settings.entry),
+                                            {.server = smallServerOptions(settings.listen.metrics, settings),
                                              .readyPath = settings.listen.readyPath,
                                              .ready = readyAtStart},
                                             wiring.metrics, wiring.counters);
@@ -197,7 +209,7 @@
                              [&settings, &secrets, &wiring](loop &owner) {
                                  const operators_task task(
                                      owner,
-                                     {.server = serverOptions(settings.listen.operators, settings.entry),
+                                     {.server = serverOptions(settings.listen.operators, settings),
                                       .tokens = secrets.operators,
                                       .publishRelease = releasePublisher(settings, wiring)},
                                      wiring.operators,
@@ -259,7 +271,7 @@
                                  [&settings, &secrets, &wiring](loop &owner) {
                                      const announcements_task task(
                                          owner,
-                                         {.server = serverOptions(settings.listen.announcements, settings.entry),
+                                         {.server = smallServerOptions(settings.listen.announcements, settings),
                                           .serviceToken = secrets.serviceToken},
                                          wiring.announcements, wiring.entries, wiring.counters);
                                      owner.run();
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -54,7 +54,15 @@
                         .bodyBytes = limits.bodyBytes > 0 ? limits.bodyBytes : settings.bodyLimitBytes},
             .idleTimeout = millisecondsOr(limits.idleTimeoutMs, settings.idleTimeout),
             .headerTimeout = millisecondsOr(limits.headerTimeoutMs, settings.headerTimeout),
-            .receiveTimeout = settings.receiveTimeout};
+            .receiveTimeout = settings.receiveTimeout,
+            .memory = settings.memory};
+}
+
+template<class options>
+options withMemory(options given, message_memory &memory)
+{
+    given.memory = &memory;
+    return given;
 }
 
 } // namespace
@@ -71,13 +79,14 @@
     , m_log(m_options.vmName, logLinesPerSecond)
     , m_state(makeEntry(m_options.identity, m_options.policy))
     , m_random(m_options.seed)
-    , m_pool(owner, m_options.pool)
+    , m_memory(m_options.messageMemoryBytes)
+    , m_pool(owner, withMemory(m_options.pool, m_memory))
     , m_stepTimer(owner, [this] { run(time_passed{}); })
     , m_balancerGrace(owner, [this] { closeListener(); })
     , m_intakeEnd(owner, [this] { closeIntake(); })
     , m_drainLimit(owner, [this] { endRuns(); })
     , m_lastAnswers(owner, [this] { finishStop(); })
-    , m_server(owner, m_options.server,
+    , m_server(owner, withMemory(m_options.server, m_memory),
                {.onRequest = [this](exchange_id id, const http_request &request) { receive(id, request); },
                 .onCallerGone =
                     [this](exchange_id id) {
@@ -121,7 +130,7 @@
     const std::uint64_t held = m_state.activeConfiguration->atRevision.value;
     if (std::holds_alternative<configuration_changed>(event)) {
         m_configurations.post(configuration_applied{{held}}); // All further requests are served by this revision.
-        m_server.setLimits(limitsFrom(m_options.server, m_state.activeConfiguration->limits));
+        m_server.setLimits(limitsFrom(withMemory(m_options.server, m_memory), m_state.activeConfiguration->limits));
     }
     m_counters.setRevision(held);
     if (!m_ready && held > 0 && !isConfigurationOutdated(m_state, loop::now())) {
@@ -153,12 +162,12 @@
          .body = caller.request.body,
          .echoed = m_options.dialect.echoedField(caller.request),
          .timeout = timeLeft},
-        [this, id = effect.id](const upstream_outcome &outcome, bool newConnection) {
-            attemptEnded(id, outcome, newConnection);
+        [this, id = effect.id](upstream_outcome outcome, bool newConnection) {
+            attemptEnded(id, std::move(outcome), newConnection);
         });
 }
 
-void entry_task::attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection)
+void entry_task::attemptEnded(exchange_id id, upstream_outcome outcome, bool newConnection)
 {
     const instant started = m_attemptStarts[id];
     m_attemptStarts.erase(id);
@@ -188,9 +197,12 @@
                      {"new_connection", std::int64_t{newConnection}},
                      {"trial", std::int64_t{found->second.trial}},
                      {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
-        found->second.answer = outcome.answer;
     }
-    run(attempt_ended{id, result, answerForResends(id, outcome)});
+    std::vector<std::byte> forResends = answerForResends(id, outcome);
+    if (const auto found = m_requests.find(id); found != m_requests.end()) {
+        found->second.answer = std::move(outcome.answer);
+    }
+    run(attempt_ended{id, result, std::move(forResends)});
 }
 
 std::vector<std::byte> entry_task::answerForResends(exchange_id id, const upstream_outcome &outcome) const
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -28,6 +28,8 @@
     entry_policy policy; ///< Policy of the decisions about requests.
     http_server_options server; ///< HTTP server for callers.
     upstream_pool_options pool; ///< Connections to upstream instances.
+    /// Memory for the requests that are being received and the answers that are being received or sent.
+    std::size_t messageMemoryBytes = std::size_t{64} * 1024 * 1024;
     caller_dialect dialect = nativeDialect(); ///< HTTP conventions of callers and upstreams.
     duration balancerGrace = std::chrono::seconds(5); ///< Time from reporting "not ready" to the end of listening.
     duration drainLimit = std::chrono::seconds(30); ///< Longest wait of a planned stop for running requests.
@@ -89,7 +91,7 @@
     void perform(const report_standing &effect);
     void perform(const report_notice &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
-    void attemptEnded(exchange_id id, const upstream_outcome &outcome, bool newConnection);
+    void attemptEnded(exchange_id id, upstream_outcome outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
     void recordRequestEnd(const caller_request &request, result_code code, std::uint16_t status);
     void beginStop();
@@ -113,6 +115,7 @@
     std::mt19937_64 m_random; ///< Random numbers for decisions.
     std::unordered_map<exchange_id, caller_request> m_requests; ///< Requests whose callers are waiting for an answer.
     std::unordered_map<exchange_id, instant> m_attemptStarts; ///< Start of each request's running attempt.
+    message_memory m_memory; ///< Shared by the connections to callers and to upstream instances.
     upstream_pool m_pool; ///< Connections to upstream instances.
     timer m_stepTimer; ///< Sends time_passed at the time that the decisions asked for.
     timer m_balancerGrace; ///< Ends listening once the load balancer has had time to react.
--- a/src/daemon/entry/upstream_pool.cpp
+++ b/src/daemon/entry/upstream_pool.cpp
@@ -10,12 +10,11 @@
 upstream_pool::upstream_pool(loop &owner, upstream_pool_options options)
     : m_loop(owner)
     , m_options(options)
-    , m_answerMemory{.limitBytes = options.answerMemoryBytes}
 {
 }
 
 void upstream_pool::send(exchange_id id, const upstream_target &target, const upstream_request &request,
-                         std::function<void(const upstream_outcome &, bool)> onEnd)
+                         std::function<void(upstream_outcome, bool)> onEnd)
 {
     running_request running{
         .instance = target.instance, .connection = takeIdle(target.instance), .onEnd = std::move(onEnd)};
@@ -29,7 +28,7 @@
     }
     const auto [place, isNew] = m_running.emplace(id, std::move(running));
     assert(isNew);
-    place->second.connection->send(limited, [this, id](const upstream_outcome &outcome) { end(id, outcome); });
+    place->second.connection->send(limited, [this, id](upstream_outcome outcome) { end(id, std::move(outcome)); });
 }
 
 void upstream_pool::cancel(exchange_id id)
@@ -74,12 +73,12 @@
     options.connectTimeout = m_options.connectTimeout;
     options.unackedTimeout = m_options.unackedTimeout;
     options.bodyLimitBytes = m_options.bodyLimitBytes;
-    options.memory = &m_answerMemory;
+    options.memory = m_options.memory;
     return std::make_unique<upstream_connection>(m_loop, options,
                                                  [this, instance = target.instance] { dropUnusable(instance); });
 }
 
-void upstream_pool::end(exchange_id id, const upstream_outcome &outcome)
+void upstream_pool::end(exchange_id id, upstream_outcome outcome)
 {
     const auto found = m_running.find(id);
     assert(found != m_running.end());
@@ -91,7 +90,7 @@
             idle.push_back(std::move(ended.connection));
         }
     }
-    ended.onEnd(outcome, ended.newConnection);
+    ended.onEnd(std::move(outcome), ended.newConnection);
 }
 
 void upstream_pool::dropUnusable(instance_id instance)
--- a/src/daemon/entry/upstream_pool.h
+++ b/src/daemon/entry/upstream_pool.h
@@ -19,8 +19,7 @@
 struct upstream_pool_options {
     duration connectTimeout = std::chrono::seconds(1); ///< Time to establish a new connection.
     std::size_t bodyLimitBytes = std::size_t{1024} * 1024; ///< Largest body of one answer.
-    /// Memory for the bodies of all answers that are still being received.
-    std::size_t answerMemoryBytes = std::size_t{64} * 1024 * 1024;
+    message_memory *memory = nullptr; ///< Memory for answers that are being received; null for no limit, not owned.
     /// A connection whose sent bytes stay unacknowledged for this long counts as lost; 0 for the system's default.
     duration unackedTimeout{};
     std::size_t idlePerInstance = 32; ///< Largest number of idle connections to each instance.
@@ -45,7 +44,7 @@
     /// Sends a request over an idle connection, or over a new one if there is none. onEnd gets the outcome and whether
     /// the connection was opened for this request. No other request with the same id may be running.
     void send(exchange_id id, const upstream_target &target, const upstream_request &request,
-              std::function<void(const upstream_outcome &outcome, bool newConnection)> onEnd);
+              std::function<void(upstream_outcome outcome, bool newConnection)> onEnd);
 
     /// Cancels a request: closes its connection and doesn't call its onEnd. Does nothing when no such request is
     /// running.
@@ -64,17 +63,16 @@
         instance_id instance; ///< Instance that the request was sent to.
         bool newConnection = false; ///< The connection was opened for this request.
         std::unique_ptr<upstream_connection> connection; ///< Connection that carries the request.
-        std::function<void(const upstream_outcome &, bool)> onEnd; ///< Called with the outcome.
+        std::function<void(upstream_outcome, bool)> onEnd; ///< Called with the outcome.
     };
 
     std::unique_ptr<upstream_connection> takeIdle(instance_id instance);
     std::unique_ptr<upstream_connection> open(const upstream_target &target);
-    void end(exchange_id id, const upstream_outcome &outcome);
+    void end(exchange_id id, upstream_outcome outcome);
     void dropUnusable(instance_id instance);
 
     loop &m_loop; ///< Loop that runs the connections; not owned.
     upstream_pool_options m_options; ///< Settings given to the constructor.
-    answer_memory m_answerMemory; ///< Shared by all connections, so it must outlive them.
     std::unordered_map<instance_id, connection_list> m_idle; ///< Idle connections, the most recently used last.
     std::unordered_map<exchange_id, running_request> m_running; ///< Running requests, by id.
 };
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -49,12 +49,13 @@
     return ntohs(reinterpret_cast<const sockaddr_in &>(storage).sin_port);
 }
 
-connection_limits limitsOf(const http_server_options &options)
+connection_limits limitsOf(const http_server_options &options, message_memory &ownMemory)
 {
     return {.message = {.headerBytes = options.headerLimitBytes, .bodyBytes = options.bodyLimitBytes},
             .idleTimeout = options.idleTimeout,
             .headerTimeout = options.headerTimeout,
-            .receiveTimeout = options.receiveTimeout};
+            .receiveTimeout = options.receiveTimeout,
+            .memory = options.memory ? options.memory : &ownMemory};
 }
 
 } // namespace
@@ -73,7 +74,8 @@
     : m_loop(owner)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
-    , m_limits(limitsOf(m_options))
+    , m_ownMemory(m_options.ownMemoryBytes)
+    , m_limits(limitsOf(m_options, m_ownMemory))
     , m_destroyEvent(event_new(owner.base(), -1, 0, destroyCallback, this))
     , m_idleGrace(owner, [this] { closeIdle(); })
 {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -29,6 +29,10 @@
     bool reusePort = false; ///< Allows several servers to listen on the same port (SO_REUSEPORT).
     std::size_t headerLimitBytes = std::size_t{32} * 1024; ///< Largest request line with header fields.
     std::size_t bodyLimitBytes = std::size_t{1024} * 1024; ///< Largest request body.
+    /// Memory limit shared with other connections. Not owned, must outlive the server; null for a limit of the server's
+    /// own.
+    message_memory *memory = nullptr;
+    std::size_t ownMemoryBytes = std::size_t{16} * 1024 * 1024; ///< Limit of the server's own, if memory is null.
     std::size_t connectionLimit = 10'000; ///< Open connections; further callers wait in the listen queue.
     duration idleTimeout = std::chrono::seconds(60); ///< Time after which a connection without a request is closed.
     duration headerTimeout = std::chrono::seconds(30); ///< Time from the first byte of a request to its last field.
@@ -109,6 +113,7 @@
     loop &m_loop; ///< Not owned.
     const http_server_options m_options;
     const http_handler m_handler;
+    message_memory m_ownMemory; ///< Used if the options name no other.
     connection_limits m_limits; ///< Current limits; connections hold a reference to them.
     std::unique_ptr<evconnlistener, listener_deleter> m_listener; ///< Null once stop() was called.
     std::unique_ptr<event, event_deleter> m_destroyEvent; ///< Runs destroyEnded() outside the connections' callbacks.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -34,6 +34,7 @@
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 constexpr int statusNotImplemented = 501;
+constexpr int statusUnavailable = 503;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
@@ -42,6 +43,15 @@
     return target.substr(0, target.find('?'));
 }
 
+message_limits messageLimitsOf(const connection_limits &limits)
+{
+    message_limits result = limits.message;
+    if (limits.memory) {
+        result.bodyBytes = std::min(result.bodyBytes, limits.memory->messageLimitBytes());
+    }
+    return result;
+}
+
 } // namespace
 
 server_connection::server_connection(loop &owner, int descriptor, const connection_limits &limits,
@@ -50,7 +60,9 @@
     , m_limits(limits)
     , m_callbacks(std::move(callbacks))
     , m_socket(bufferevent_socket_new(owner.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
-    , m_parser(HTTP_REQUEST, limits.message, [this](const received_message &head) { return handleHeaders(head); })
+    , m_parser(HTTP_REQUEST, messageLimitsOf(limits),
+               [this](const received_message &head) { return handleHeaders(head); })
+    , m_memory(limits.memory, [this] { giveUpMessage(); })
     , m_timer(owner, [this] { handleTimeout(); })
 {
     const int on = 1;
@@ -193,7 +205,12 @@
         refuseFaultyRequest();
         return false;
     }
+    const std::size_t heldBytes = m_parser.message().body.capacity() + unsentBytes();
+    if (!m_memory.hold(heldBytes)) {
+        return false;
+    }
     if (m_parser.complete()) {
+        m_memory.hold(heldBytes, false); // A request that runs can't be given up any more.
         m_phase = phase::Running;
         m_fields = viewsOf(m_parser.message().headers);
         m_timer.cancel();
@@ -298,15 +315,37 @@
         bufferevent_write(m_socket, reply.body.data(), reply.body.size());
     }
     m_parser.reset();
-    m_parser.setLimits(m_limits.message);
+    m_memory.hold(unsentBytes());
+    m_parser.setLimits(messageLimitsOf(m_limits));
     m_continueSent = false;
     m_closing = m_closing || closeAfterwards;
     m_phase = phase::Reading;
     m_timer.arm(m_limits.idleTimeout);
 }
 
+std::size_t server_connection::unsentBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_socket));
+}
+
+/// Makes room for the messages of other connections: refuses the request that is being received, or closes the
+/// connection to a caller that doesn't read its answers.
+void server_connection::giveUpMessage()
+{
+    if (m_phase == phase::Reading && m_parser.started()) {
+        m_callbacks.onMalformed();
+        write({.status = statusUnavailable, .headers = {{"Retry-After", "1"}}, .body = {}}, true);
+    } else {
+        end();
+    }
+    m_memory.hold(0);
+}
+
 void server_connection::handleFlushed()
 {
+    if (m_phase == phase::Reading && !m_parser.started()) {
+        m_memory.hold(0);
+    }
     if (m_closing && m_phase == phase::Reading && !m_parser.started()) {
         linger();
     }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/message_memory.h"
 #include "http/message_parser.h"
 #include "runtime/loop.h"
 #include "runtime/timer.h"
@@ -21,6 +22,8 @@
     duration idleTimeout{}; ///< Time after which a connection without a request is closed.
     duration headerTimeout{}; ///< Time from the first byte of a request to the end of its header section.
     duration receiveTimeout{}; ///< Time from the first byte of a request to its last.
+    /// Memory limit shared with other connections; null for none. Not owned, must outlive the connections.
+    message_memory *memory = nullptr;
 };
 
 class server_connection;
@@ -97,12 +100,15 @@
     void handleTimeout();
     void armReadTimer();
     void handleFlushed();
+    void giveUpMessage();
+    std::size_t unsentBytes() const;
 
     loop &m_loop; ///< Not owned.
     const connection_limits &m_limits; ///< Not owned.
     connection_callbacks m_callbacks;
     bufferevent *m_socket; ///< Owned.
     message_parser m_parser; ///< Parser of requests.
+    memory_share m_memory; ///< Memory of the request that is being received and of the answers that aren't sent.
     timer m_timer; ///< Limits the time for idling, receiving, sending and lingering.
     phase m_phase = phase::Reading; ///< Current state of the connection.
     bool m_processing = false; ///< Whether process() is on the call stack.
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cassert>
 #include <cerrno>
 #include <utility>
@@ -39,6 +40,12 @@
     return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0;
 }
 
+std::size_t bodyLimitOf(const upstream_connection_options &options)
+{
+    return options.memory ? std::min(options.bodyLimitBytes, options.memory->messageLimitBytes())
+                          : options.bodyLimitBytes;
+}
+
 } // namespace
 
 void upstream_connection::event_deleter::operator()(event *owned) const
@@ -51,16 +58,16 @@
     : m_loop(owner)
     , m_options(std::move(options))
     , m_onClosed(std::move(onClosed))
-    , m_parser(HTTP_RESPONSE, {.headerBytes = m_options.headerLimitBytes, .bodyBytes = m_options.bodyLimitBytes}, {})
+    , m_parser(HTTP_RESPONSE, {.headerBytes = m_options.headerLimitBytes, .bodyBytes = bodyLimitOf(m_options)}, {})
     , m_deliver(event_new(owner.base(), -1, 0, deliverCallback, this))
     , m_connectTimer(owner, [this] { end(upstream_result::ConnectFailed); })
     , m_answerTimer(owner, [this] { end(upstream_result::TimedOut); })
+    , m_memory(m_options.memory, [this] { end(upstream_result::AnswerIncomplete); })
 {
 }
 
 upstream_connection::~upstream_connection()
 {
-    reserveBodyMemory(0);
     close();
 }
 
@@ -243,7 +250,8 @@
             m_runningOutcome.firstByteAt = loop::now();
         }
         evbuffer_drain(input, m_parser.consume({bytes, available}));
-        if (m_parser.fault() != message_fault::None || !reserveBodyMemory(m_parser.message().body.size())) {
+        // The limit may end this request, or another one that holds more.
+        if (m_parser.fault() != message_fault::None || !m_memory.hold(m_parser.message().body.capacity())) {
             end(upstream_result::AnswerIncomplete);
         } else if (m_parser.complete()) {
             handleAnswer();
@@ -251,17 +259,6 @@
     }
 }
 
-/// Sets how many bytes of the shared answer_memory this connection holds. Returns whether the total is within the
-/// limit; always true without answer_memory.
-bool upstream_connection::reserveBodyMemory(std::size_t bytes)
-{
-    if (m_options.memory) {
-        m_options.memory->heldBytes += bytes - m_reservedBytes;
-        m_reservedBytes = bytes;
-    }
-    return !m_options.memory || m_options.memory->heldBytes <= m_options.memory->limitBytes;
-}
-
 void upstream_connection::handleAnswer()
 {
     received_message &message = m_parser.message();
@@ -305,11 +302,12 @@
     }
     m_connectTimer.cancel();
     m_answerTimer.cancel();
-    reserveBodyMemory(0);
+    m_memory.hold(0);
     m_runningOutcome.result = result;
     const bool left = m_runningOutcome.mayHaveBeenSent;
     if (result != upstream_result::Answered) {
         m_runningOutcome.reusable = false;
+        m_parser.reset();
         close();
     }
     m_outcome = std::move(m_runningOutcome);
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/message_memory.h"
 #include "http/message_parser.h"
 #include "runtime/loop.h"
 #include "runtime/timer.h"
@@ -19,13 +20,6 @@
 namespace guavafront
 {
 
-/// Memory limit that several connections share for the bodies of the answers that they are receiving.
-struct answer_memory {
-    std::size_t heldBytes = 0; ///< Bytes held for incomplete bodies.
-    std::size_t limitBytes =
-        std::size_t{8} * 1024 * 1024; ///< A body that exceeds it makes its answer AnswerIncomplete.
-};
-
 /// Address, timeouts and size limits of an upstream_connection.
 struct upstream_connection_options {
     std::string address = "127.0.0.1"; ///< IP address of the upstream instance.
@@ -40,7 +34,7 @@
     std::size_t bodyLimitBytes = std::size_t{8} * 1024 * 1024; ///< Largest body of an answer.
 
     /// Memory limit shared with other connections; null for none. Not owned, must outlive the connections.
-    answer_memory *memory = nullptr;
+    message_memory *memory = nullptr;
 };
 
 /// Request to an upstream. Its views need to be valid only during upstream_connection::send().
@@ -117,7 +111,6 @@
     void end(upstream_result result);
     void deliver();
     void close();
-    bool reserveBodyMemory(std::size_t bytes);
     bool answersEarlierRequest() const;
     bool lacksEchoedField() const;
     bool requestRunning() const;
@@ -138,7 +131,7 @@
     phase m_phase = phase::New; ///< Current state of the connection.
     bool m_earlierAnswerSeen = false; ///< An answer to an earlier request was received; the connection isn't reused.
     bool m_reused = false; ///< The connection carried another request before the running one.
-    std::size_t m_reservedBytes = 0; ///< Part of answer_memory::heldBytes that this connection holds.
+    memory_share m_memory; ///< Memory of the answer that is being received.
     std::uint32_t m_skippedAnswers = 0; ///< Answers discarded since the running request was sent.
     bool m_isHeadRequest = false; ///< Whether the running request is a HEAD request.
     http_header m_echoed; ///< upstream_request::echoed of the running request.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -2,6 +2,7 @@
 
 #include "settings/endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     std::string name; ///< Name shown to operators; unique in the fleet.
     std::string dataCentre; ///< Data centre in which the VM runs.
     std::vector<vm_role> roles; ///< Roles of the VM; at least one.
+    /// Memory of the VM in MiB, from which the limit on messages that are being received or sent follows. 0 when it is
+    /// unknown.
+    std::uint32_t memoryMb = 0;
     std::string dataFolder; ///< Folder for the durable state of a control VM; empty on other VMs.
 };
 
@@ -91,6 +95,10 @@
     entry_settings entry; ///< Limits, timeouts and modes of an entry VM.
 };
 
+/// Returns how many bytes one task may hold for messages that are being received or sent. A message may take up several
+/// times its size while it is received, copied and sent, and the rest of the program needs memory, too.
+std::size_t messageMemoryBytes(const daemon_settings &settings);
+
 /// Returns whether the VM has the role.
 bool hasRole(const daemon_settings &settings, vm_role role);
 
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -26,6 +26,7 @@
     visitor.field("vm.name", values.vm.name, presence::Required);
     visitor.field("vm.dataCentre", values.vm.dataCentre, presence::Required);
     visitor.field("vm.roles", values.vm.roles, presence::Required);
+    visitor.field("vm.memoryMb", values.vm.memoryMb, number_range{0, 1'048'576});
     visitor.field("vm.dataFolder", values.vm.dataFolder, presence::Optional);
     visitor.field("listen.callers", values.listen.callers, presence::Optional);
     visitor.field("listen.peers", values.listen.peers, presence::Required);
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -275,6 +275,15 @@
 
 } // namespace
 
+std::size_t messageMemoryBytes(const daemon_settings &settings)
+{
+    constexpr std::size_t bytesPerMb = std::size_t{1} << 20;
+    constexpr std::size_t shareOfMemory = 16;
+    constexpr std::size_t ifUnknown = 64 * bytesPerMb;
+    const std::size_t whole = settings.vm.memoryMb > 0 ? settings.vm.memoryMb * bytesPerMb / shareOfMemory : ifUnknown;
+    return whole / std::max<std::size_t>(1, settings.vm.roles.size()); // Each role has one task that holds messages.
+}
+
 bool hasRole(const daemon_settings &settings, vm_role role)
 {
     return std::ranges::find(settings.vm.roles, role) != settings.vm.roles.end();
--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -99,6 +99,7 @@
                             {"Serves", {control ? "control_plane" : "edge"}},
                             {"Listen", {{"Ready", address(readyPort)}}},
                             {"Seeds", seeds},
+                            {"Limits", {{"MemoryMb", memoryMb}}},
                             {"Bounds", {{"GraceS", graceSeconds}}},
                             {"Bootstrap", true}};
     if (control) {
@@ -154,6 +155,18 @@
     }
 }
 
+std::string platform_processes::reserveInstance(const std::string &id)
+{
+    m_hosts.try_emplace(id, static_cast<int>(m_hosts.size()) + 1);
+    return ipOf(id);
+}
+
+void platform_processes::announceReserved(const std::string &id, std::uint16_t port)
+{
+    m_instancePorts[id] = port;
+    fleet_processes::waitUntil(id + " is registered", [this, &id] { return sendHeartbeat(id, {}) == statusOk; });
+}
+
 void platform_processes::startInstance(const std::string &id, const std::vector<std::string> &extraOptions,
                                        const heartbeat &first)
 {
@@ -251,6 +264,11 @@
     return {ipOf(entry), clientsPort};
 }
 
+endpoint platform_processes::controlEndpoint(const std::string &control) const
+{
+    return {ipOf(control), controlPort};
+}
+
 double platform_processes::metricSum(const std::string &vm, std::string_view name, std::string_view label) const
 {
     std::istringstream page(bodyOf(httpCall({ipOf(vm), readyPort}, {.method = "GET", .target = "/metrics"})));
--- a/tests/fleet/platform_processes.h
+++ b/tests/fleet/platform_processes.h
@@ -41,6 +41,8 @@
 class platform_processes
 {
 public:
+    static constexpr std::size_t memoryMb = 160; ///< Memory of a VM by its settings, in MiB.
+
     /// Starts the control VMs "control-1" and so on and the entry VMs "entry-1" and so on, without a configuration.
     platform_processes(std::size_t controls, std::size_t entries);
     ~platform_processes();
@@ -58,6 +60,12 @@
     void startInstance(const std::string &id, const std::vector<std::string> &extraOptions = {},
                        const heartbeat &first = {});
 
+    /// Returns the IP number for an instance that the test itself plays.
+    std::string reserveInstance(const std::string &id);
+
+    /// Announces such an instance of the service "rutas", which listens on the port.
+    void announceReserved(const std::string &id, std::uint16_t port);
+
     /// Sends a heartbeat of an instance to a control VM and returns the status of the answer, 0 for none.
     int sendHeartbeat(const std::string &id, const heartbeat &beat) const;
 
@@ -84,6 +92,9 @@
     /// Address at which an entry VM listens for clients.
     endpoint clientEndpoint(const std::string &entry) const;
 
+    /// Address at which a control VM listens for operators and instances.
+    endpoint controlEndpoint(const std::string &control) const;
+
     /// Sum of all series of a counter or gauge whose line contains the text, on a VM's metrics page.
     double metricSum(const std::string &vm, std::string_view name, std::string_view label = {}) const;
 
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -174,6 +174,52 @@
     BOOST_TEST(seen.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(memory_requestWithoutEnd_refusedAndOthersServed)
+{
+    options.ownMemoryBytes = 100'000;
+    start();
+    raw_peer endless(events, -1);
+    endless.connectTo(server->port());
+    endless.write("POST /long HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int chunk = 0; chunk < 100; ++chunk) {
+        endless.write("3e8\r\n" + std::string(1'000, 'x') + "\r\n");
+    }
+    endless.onChange = [this] {
+        events.stop();
+    };
+    run();
+    BOOST_TEST(endless.received.starts_with("HTTP/1.1 413"));
+    endless.onChange = [] {
+    };
+    caller->write("GET /short HTTP/1.1\r\nHost: x\r\n\r\n");
+    runUntilCallerGets("ok");
+    BOOST_REQUIRE(seen.size() == 1U);
+    BOOST_TEST(seen[0].text == "GET x /short ");
+}
+
+BOOST_AUTO_TEST_CASE(memory_manyLongRequests_oneThatHoldsMostRefusedAsNotRun)
+{
+    options.ownMemoryBytes = 100'000;
+    start();
+    const std::string head = "POST /long HTTP/1.1\r\nHost: x\r\nContent-Length: 45000\r\n\r\n";
+    std::vector<std::unique_ptr<raw_peer>> others;
+    std::string refusal;
+    for (int index = 0; index < 4; ++index) {
+        others.push_back(std::make_unique<raw_peer>(events, -1));
+        raw_peer &other = *others.back();
+        other.connectTo(server->port());
+        other.write(head + std::string(40'000, 'x'));
+        other.onChange = [this, &other, &refusal] {
+            refusal += other.received;
+            events.stop();
+        };
+    }
+    run();
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+    BOOST_TEST(seen.empty());
+}
+
 BOOST_AUTO_TEST_CASE(answer_callerWentAway_noticedAndNotSent)
 {
     answerAtOnce = false;
--- a/tests/http/upstream_connection_test.cpp
+++ b/tests/http/upstream_connection_test.cpp
@@ -104,7 +104,8 @@
     std::unique_ptr<upstream_connection> connection;
     std::vector<upstream_outcome> outcomes;
     std::vector<http_header> headers{{"Host", "rutas.example"}};
-    answer_memory memory;
+    static constexpr std::size_t memoryLimit = std::size_t{8} << 20;
+    message_memory memory{memoryLimit};
     http_header echoed;
 
     void answerOnce(raw_peer &peer) const
@@ -272,17 +273,34 @@
 
 BOOST_AUTO_TEST_CASE(exchange_bodyOverSharedMemory_endedAndMemoryReleased)
 {
-    memory.limitBytes = 1'000;
+    memory_share other(&memory, [] {});
+    other.hold(memoryLimit - 600, false); // Bytes that another connection holds and can't give up.
     reply = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'x');
     connect(upstream.port);
-    memory.heldBytes = 400; // Bytes held by another connection.
     BOOST_TEST(static_cast<int>(exchange("GET", longTimeout).result)
                == static_cast<int>(upstream_result::AnswerIncomplete));
-    BOOST_TEST(memory.heldBytes == 400U);
+    BOOST_TEST(memory.heldBytes() == memoryLimit - 600);
     reply = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + std::string(500, 'x');
     connect(upstream.port);
     BOOST_TEST(static_cast<int>(exchange("GET", longTimeout).result) == static_cast<int>(upstream_result::Answered));
-    BOOST_TEST(memory.heldBytes == 400U);
+    BOOST_TEST(memory.heldBytes() == memoryLimit - 600);
+}
+
+BOOST_AUTO_TEST_CASE(exchange_otherConnectionHoldsMost_thatOneGivesUp)
+{
+    bool evicted = false;
+    memory_share *given = nullptr;
+    memory_share other(&memory, [&evicted, &given] {
+        evicted = true;
+        given->hold(0);
+    });
+    given = &other;
+    other.hold(memoryLimit - 600);
+    reply = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'x');
+    connect(upstream.port);
+    BOOST_TEST(static_cast<int>(exchange("GET", longTimeout).result) == static_cast<int>(upstream_result::Answered));
+    BOOST_TEST(evicted);
+    BOOST_TEST(memory.heldBytes() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(exchange_nobodyListens_connectFailedAndNothingSent)
