Keep the deregistration of an instance that isn't known yet

An instance that never says draining deregisters at a control VM that has just restarted. The VM answers 200, which binds (DRAIN), but its registry is still empty, so the departure was dropped and nobody was told: all VMs went on sending to the instance until its lease of 60 s ended.

Cause: deregister() finds the instance by the announcements that it holds and forgot the rest. Now the departure is kept for 60 s by name and start of the process, and published when the VM learns of the instance, from its peers or from a late heartbeat. A later process under the same name isn't touched.

Tests: deregister_registrarJustRestarted and deregister_unknownThenBornAgain; the first states what the old code did as its first check (nothing returned), after which the old registry held the instance as serving.

--- a/include/guavafront/coordination/registry/registry.h
+++ b/include/guavafront/coordination/registry/registry.h
@@ -29,6 +29,13 @@
     std::uint64_t generation = 0; ///< Incremented by each change other than a lease renewal or a load report.
 };
 
+/// Deregistration of an instance that this VM doesn't know yet, as after its own restart.
+struct early_departure {
+    std::string name; ///< Name of the instance.
+    std::uint64_t processStartMs = 0; ///< Start of its process in Unix milliseconds.
+    instant expires{}; ///< Time at which the deregistration is forgotten.
+};
+
 /// All announced instances of the fleet. Each instance announces itself to one VM, its registrar. The registrar keeps
 /// the instance's lease and publishes the instance to the other VMs.
 struct registry {
@@ -38,6 +45,7 @@
     std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>> serviceIndexByName;
     /// Index into services for each known instance.
     std::unordered_map<instance_id, std::uint32_t> serviceIndexByInstance;
+    std::vector<early_departure> earlyDepartures; ///< Deregistrations of unknown instances, oldest first.
 };
 
 /// Effect of an announcement, or of another VM's message about one, on the registry.
@@ -54,10 +62,15 @@
 
 /// Marks an instance as leaving at its own request; none of its later announcements counts. The instance is found by
 /// its name and, unless it is 0, the start of its process in Unix milliseconds. Returns the announcement to publish, or
-/// nothing when the instance isn't known or is leaving already.
+/// nothing when the instance isn't known or is leaving already. The deregistration of an unknown instance is kept for
+/// takeEarlyDeparture().
 std::optional<announcement> deregister(registry &state, std::string_view name, std::uint64_t processStartMs,
                                        instant now);
 
+/// Marks an instance as leaving that was deregistered before this VM knew it. To be called after each announcement.
+/// Returns the announcement to publish, or nothing when the instance wasn't deregistered.
+std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now);
+
 /// Applies an announcement that another VM published. The highest sequence number wins; at the same sequence number
 /// the present registrar stays.
 registry_change learn(registry &state, vm_id registrar, const announcement &received, instant now);
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -77,9 +77,18 @@
     context.state.freshness = event;
 }
 
+void publishEarlyDeparture(step_context &context, const announcement &received)
+{
+    if (const auto last = takeEarlyDeparture(context.state.upstreams, received, context.now)) {
+        syncSelection(context);
+        context.effects.emplace_back(publish_instance{*last});
+    }
+}
+
 void handle(step_context &context, const instance_announced &event)
 {
     updateUpstreams(context, event);
+    publishEarlyDeparture(context, event.announced);
 }
 
 void handle(step_context &context, const instance_left &event)
@@ -93,6 +102,7 @@
 void handle(step_context &context, const instance_reported &event)
 {
     updateUpstreams(context, event);
+    publishEarlyDeparture(context, event.announced);
 }
 
 void handle(step_context &context, const instance_withdrawn &event)
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace guavafront
 {
@@ -138,6 +139,18 @@
     return false;
 }
 
+/// An instance that has left is announced for at most a lease by VMs that haven't heard of it.
+constexpr duration earlyDepartureRetention = std::chrono::seconds(60);
+constexpr std::size_t maxEarlyDepartures = 1'024;
+
+void keepEarlyDeparture(registry &state, early_departure departure)
+{
+    if (state.earlyDepartures.size() >= maxEarlyDepartures) {
+        state.earlyDepartures.erase(state.earlyDepartures.begin());
+    }
+    state.earlyDepartures.push_back(std::move(departure));
+}
+
 } // namespace
 
 registry_change announce(registry &state, const announcement &received, instant now)
@@ -163,6 +176,9 @@
             }
         }
     }
+    if (!known && processStartMs != 0) {
+        keepEarlyDeparture(state, {std::string(name), processStartMs, now + earlyDepartureRetention});
+    }
     if (!known || known->last.state == instance_state::Leaving) {
         return std::nullopt;
     }
@@ -173,6 +189,15 @@
     return last;
 }
 
+std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now)
+{
+    std::erase_if(state.earlyDepartures, [now](const early_departure &each) { return each.expires <= now; });
+    const std::size_t matching = std::erase_if(state.earlyDepartures, [&received](const early_departure &each) {
+        return each.name == received.name && each.processStartMs == received.processStartMs;
+    });
+    return matching == 0 ? std::nullopt : deregister(state, received.name, received.processStartMs, now);
+}
+
 registry_change learn(registry &state, vm_id registrar, const announcement &received, instant now)
 {
     const registered_instance *known = findInstance(state, received.instance);
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -35,6 +35,7 @@
     if (announce(m_state, event.announced, loop::now()) == registry_change::Changed) {
         publish(event.announced);
     }
+    publishEarlyDeparture(event.announced);
 }
 
 void registry_task::handle(const instance_left &event)
@@ -57,6 +58,14 @@
     if (learn(m_state, event.registrar, event.announced, loop::now()) == registry_change::HandedOver) {
         m_peers.post(publicationOf(withdraw_instance{event.announced.instance}));
     }
+    publishEarlyDeparture(event.announced);
+}
+
+void registry_task::publishEarlyDeparture(const announcement &received)
+{
+    if (const auto last = takeEarlyDeparture(m_state, received, loop::now())) {
+        publish(*last);
+    }
 }
 
 void registry_task::handle(const instance_withdrawn &event)
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -33,6 +33,7 @@
     }
 
     void publish(const announcement &published);
+    void publishEarlyDeparture(const announcement &received);
     void tick();
 
     mailbox<peers_message> &m_peers; ///< Inbox of the peers task; not owned.
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -53,6 +53,31 @@
     BOOST_TEST((findInstance(state, {7})->last.state == instance_state::Leaving));
 }
 
+BOOST_AUTO_TEST_CASE(deregister_registrarJustRestarted_leavingOnceItIsKnown)
+{
+    registry restarted{.self = {3}};
+    others.name = "i-8";
+    others.processStartMs = 1'000;
+    BOOST_TEST(!deregister(restarted, "i-8", 1'000, instant(1s)).has_value());
+    learn(restarted, {2}, others, instant(2s));
+    const auto published = takeEarlyDeparture(restarted, others, instant(2s));
+    BOOST_REQUIRE(published.has_value());
+    BOOST_TEST((published->state == instance_state::Leaving));
+    BOOST_TEST((findInstance(restarted, {8})->last.state == instance_state::Leaving));
+    BOOST_TEST(!takeEarlyDeparture(restarted, others, instant(2s)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(deregister_unknownThenBornAgain_newProcessServes)
+{
+    registry restarted{.self = {3}};
+    others.name = "i-8";
+    others.processStartMs = 2'000;
+    deregister(restarted, "i-8", 1'000, instant(1s));
+    learn(restarted, {2}, others, instant(2s));
+    BOOST_TEST(!takeEarlyDeparture(restarted, others, instant(2s)).has_value());
+    BOOST_TEST((findInstance(restarted, {8})->last.state == instance_state::Serving));
+}
+
 BOOST_AUTO_TEST_CASE(expire_silentOwnInstance_withdrawn)
 {
     BOOST_TEST((expire(state, instant(3s)) == std::vector<instance_id>{{7}}));
