Keep back only what a former owner's statements reserve

Cause: a new owner took 0.9 of the refill as the former owner's sum of reserves and counted only its present spenders against it. VMs with few requests leave the budget and come back without a reserve, so at each change of owner more was kept back.

Now a statement tells the sum of the reserves, VMs repeat it, and a new owner keeps back that sum less the reserves with which VMs report to it for the first time. An owner tells the sum only to VMs that tell their own reserve, so that entry VMs of the former build can read it.

--- a/include/guavafront/coordination/limits/ledger.h
+++ b/include/guavafront/coordination/limits/ledger.h
@@ -31,6 +31,7 @@
     /// Tokens that the VM spent since it first used the account, except granted ones; 0 if the VM doesn't tell. Unlike
     /// `spent` it includes what was in reports that were lost.
     std::uint64_t totalSpent = 0;
+    double reservedTotal = 0; ///< ledger_balance::reservedTotal of the VM's latest statement.
     bool operator==(const ledger_entry &) const = default;
 };
 
@@ -48,6 +49,8 @@
     double share = 0; ///< Part of the refill that the VM may spend between statements, 0 to 1.
     double reserve = 0; ///< Part of the refill that is reserved for the VM while it can't reach the owner, 0 to 1.
     std::uint32_t granted = 0; ///< Tokens for waiting requests; already subtracted from the level.
+    double reservedTotal = 0; ///< Sum of the reserves that all VMs may hold, from which the next owner learns what VMs
+                              ///< that it doesn't hear may spend; 0 for a VM that doesn't tell its own reserve.
     bool operator==(const ledger_balance &) const = default;
 };
 
@@ -76,7 +79,9 @@
     double level = 0; ///< Tokens left at levelAt.
     instant levelAt{}; ///< When the level was computed.
     instant firstReportAt{}; ///< When the first report arrived.
-    bool inherited = false; ///< Another owner stated reserves before, possibly to VMs that this owner doesn't know.
+    double inheritedTotal = 0; ///< Mean ledger_entry::reservedTotal by a former owner's statements.
+    int inheritedReports = 0; ///< Number of reports in that mean.
+    double inheritedKnown = 0; ///< Sum of the reserves by a former owner's statements of the VMs that have reported.
     std::unordered_map<vm_id, spender> spenders; ///< VMs that reported lately.
 };
 
@@ -93,6 +98,7 @@
     double level = 0; ///< Tokens left of the fleet's budget in the latest statement.
     double share = 0; ///< ledger_balance::share of the latest statement.
     double reserve = 0; ///< ledger_balance::reserve of the latest statement.
+    double reservedTotal = 0; ///< ledger_balance::reservedTotal of the latest statement.
     instant statementAt{}; ///< When the latest statement arrived.
     double spentSinceStatement = 0; ///< Tokens spent at this VM that the level doesn't include.
     double spentWithoutOwner = 0; ///< Tokens spent at this VM since unansweredSince.
--- a/src/coordination/limits/ledger.cpp
+++ b/src/coordination/limits/ledger.cpp
@@ -147,7 +147,7 @@
         const double level = estimate.hasStatement ? estimate.level - estimate.spentSinceStatement : limit.burst;
         place->second.entries.push_back({account, limit, estimate.unreportedSpent, closing, level,
                                          estimate.unreportedWaiting, estimate.hasStatement ? estimate.reserve : 0,
-                                         estimate.totalSpent});
+                                         estimate.totalSpent, estimate.reservedTotal});
         if (estimate.unansweredSince == instant{}) {
             estimate.unansweredSince = now;
             estimate.spentWithoutOwner = 0;
@@ -191,6 +191,7 @@
         estimate.level = balance.level;
         estimate.share = balance.share;
         estimate.reserve = balance.reserve;
+        estimate.reservedTotal = balance.reservedTotal;
         estimate.statementAt = now;
         estimate.spentSinceStatement = estimate.unreportedSpent; // The level already includes what was reported.
         estimate.hasStatement = true;
--- a/src/coordination/limits/ledger_owner.cpp
+++ b/src/coordination/limits/ledger_owner.cpp
@@ -98,13 +98,31 @@
     return sum;
 }
 
-/// Returns the part of the refill that a former owner may have reserved for VMs that haven't reported to this one.
+/// Returns the sum of the reserves in the latest statements.
+double statedReserves(const ledger_account &account)
+{
+    double sum = 0;
+    for (const auto &[vm, spender] : account.spenders) {
+        sum += spender.reserve;
+    }
+    return sum;
+}
+
+/// Returns the part of the refill that VMs which haven't reported to this owner may spend by a former owner's word.
 double inheritedReserve(const ledger_account &account, instant now)
 {
-    if (!account.inherited || now - account.firstReportAt >= reserveLifetime) {
-        return 0;
+    const bool isOver = now - account.firstReportAt >= reserveLifetime;
+    return isOver ? 0 : std::clamp(account.inheritedTotal - account.inheritedKnown, 0.0, maxReservedPart);
+}
+
+/// Takes note of what the first report of a VM says of a former owner's reserves.
+void recordInheritedReserve(ledger_account &account, const ledger_entry &entry, instant now)
+{
+    if (now - account.firstReportAt < takeoverPeriod && entry.reservedTotal > 0) {
+        ++account.inheritedReports;
+        account.inheritedTotal += (entry.reservedTotal - account.inheritedTotal) / account.inheritedReports;
     }
-    return std::max(0.0, maxReservedPart - reservedForOthers(account, vm_id{}));
+    account.inheritedKnown += entry.reserve;
 }
 
 /// Determines a spender's reserve for the next statement. All reserves in force together never exceed maxReservedPart,
@@ -209,9 +227,11 @@
     }
     if (now - account.firstReportAt < takeoverPeriod) { // A former owner may have stated a lower level.
         account.level = std::min(account.level, entry.level + entry.spent);
-        account.inherited = account.inherited || (entry.reserve > 0 && !account.spenders.contains(from));
     }
     forgetSilentSpenders(account, now);
+    if (!account.spenders.contains(from)) {
+        recordInheritedReserve(account, entry, now);
+    }
     const double reserved = reservedTokens(account, from, now);
     refill(account, reserved, now);
     const double spent = spentSince(account, from, entry);
@@ -229,7 +249,9 @@
     const double available = availableTokens(account, reserved);
     const double share = shareOf(account, spender, now);
     spender.statedTokens = std::max(available, 0.0) * share;
-    return {entry.account, available, share, spender.reserve, granted};
+    const bool tellsReserve = entry.totalSpent > 0;
+    const double total = tellsReserve ? statedReserves(account) : 0;
+    return {entry.account, available, share, spender.reserve, granted, total};
 }
 
 } // namespace
--- a/src/wire/ledger_codec.cpp
+++ b/src/wire/ledger_codec.cpp
@@ -16,8 +16,10 @@
 
 constexpr std::size_t maxMessageBytes = std::size_t{256} << 10;
 constexpr std::size_t maxAccounts = 10'000;
-constexpr std::size_t entryFields = 9; // Of an entry of a report.
+constexpr std::size_t entryFields = 10; // Of an entry of a report.
 constexpr std::size_t oldEntryFields = 7; // Builds before the reserve was reported.
+constexpr std::size_t balanceFields = 6; // Of a balance of a statement.
+constexpr std::size_t oldBalanceFields = 5; // For VMs that don't report their reserve.
 
 double readFinite(cbor_fields &fields)
 {
@@ -38,10 +40,10 @@
 {
     json entries = json::array();
     for (const ledger_entry &each : report.entries) {
-        entries.push_back(json::array({each.account.value, toSinglePrecision(each.limit.ratePerSecond),
-                                       toSinglePrecision(each.limit.burst), toSinglePrecision(each.spent), each.closing,
-                                       toSinglePrecision(each.level), each.waitingRequests,
-                                       toSinglePrecision(each.reserve), each.totalSpent}));
+        entries.push_back(json::array(
+            {each.account.value, toSinglePrecision(each.limit.ratePerSecond), toSinglePrecision(each.limit.burst),
+             toSinglePrecision(each.spent), each.closing, toSinglePrecision(each.level), each.waitingRequests,
+             toSinglePrecision(each.reserve), each.totalSpent, toSinglePrecision(each.reservedTotal)}));
     }
     return json::array({0, report.configuration, std::move(entries)});
 }
@@ -50,8 +52,12 @@
 {
     json balances = json::array();
     for (const ledger_balance &each : statement.balances) {
-        balances.push_back(json::array({each.account.value, toSinglePrecision(each.level),
-                                        toSinglePrecision(each.share), toSinglePrecision(each.reserve), each.granted}));
+        json balance = json::array({each.account.value, toSinglePrecision(each.level), toSinglePrecision(each.share),
+                                    toSinglePrecision(each.reserve), each.granted});
+        if (each.reservedTotal > 0) {
+            balance.push_back(toSinglePrecision(each.reservedTotal));
+        }
+        balances.push_back(std::move(balance));
     }
     return json::array({1, 0, std::move(balances)});
 }
@@ -73,6 +79,7 @@
         if (isComplete) {
             entry.reserve = readFinite(fields);
             entry.totalSpent = fields.integer<std::uint64_t>();
+            entry.reservedTotal = readFinite(fields);
         }
         report.entries.push_back(entry);
     }
@@ -83,13 +90,15 @@
 {
     ledger_statement statement;
     for (const json &each : balances) {
-        cbor_fields fields(each, "ledger balance", 5);
+        const bool hasTotal = each.size() != oldBalanceFields;
+        cbor_fields fields(each, "ledger balance", hasTotal ? balanceFields : oldBalanceFields);
         ledger_balance balance;
         balance.account.value = fields.integer<std::uint32_t>();
         balance.level = readFinite(fields);
         balance.share = readFinite(fields);
         balance.reserve = readFinite(fields);
         balance.granted = fields.integer<std::uint32_t>();
+        balance.reservedTotal = hasTotal ? readFinite(fields) : 0;
         statement.balances.push_back(balance);
     }
     return statement;
