Acknowledge an instance's departure once a majority of control VMs holds it

Cause: the registrar answered 200 when the message lay in the mailbox of its own registry task. If it was killed, frozen or cut off before the last of some 290 sends had left, nobody else knew the word, and nothing told it again. The class: acknowledged before it is held.

Ruled out: that a later heartbeat or the repairs bring the word in time (late requests go on to the end of the watch).

Change: coordination/departures decides. A departure is sent to the other control VMs, and the call is answered 200 once a majority of the voting ones holds it, 503 after 0.8 s or at once when too few are in reach; the instance then calls the next daemon. Each control VM that hears of a departure passes it on to the VMs that have it as one of two homes, gathered over 20 ms, and tells all departures of the last minute to a VM that gets it as a new home (it came back, or a home was lost). The departure names the instance as it names itself, so that a VM applies it whether or not it knows the instance. VMs of earlier builds drop the message (Registry channel, version 2).

The registrar logs each departure with its holders and the time, entry VMs log the decision `departure`; guavafront_departures_total counts.

daemon.cpp: the control VM's tasks are in control_tree.cpp now.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -145,11 +145,17 @@
     duration pause{}; ///< Time in which it wants no request from this VM; 0 when it said that it leaves.
 };
 
+/// Report to operators that other VMs passed on that an instance takes no more requests.
+struct report_departure {
+    departure what; ///< The departure.
+};
+
 /// Everything that the entry's decisions can ask the front end to do.
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
-                 report_loads, request_known_instances, send_known_instances, report_standing, report_notice>;
+                 report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
+                 report_departure>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -10,6 +10,7 @@
 #include <guavafront/coordination/loads/load_totals.h>
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
+#include <guavafront/coordination/registry/departure.h>
 #include <guavafront/coordination/upstreams/upstream_selection.h>
 
 #include <memory>
@@ -70,6 +71,11 @@
     instance_id instance; ///< Instance that was withdrawn.
 };
 
+/// Another VM, or another task of this one, was told that an instance takes no more requests.
+struct departure_reported {
+    departure what; ///< The departure.
+};
+
 /// A VM that receives announcements became unreachable or reachable again.
 struct vm_reachability_changed {
     vm_id vm; ///< VM that changed.
@@ -162,6 +168,7 @@
                  fleet_changed, health_reported, health_report_lost, death_reported, request_released, release_reported,
                  stop_requested, intake_closed, runs_ended, time_passed, limit_members_changed, limit_message_received,
                  claim_message_received, claims_view_changed, publications_lost, evidence_received,
-                 ledger_owners_changed, ledger_statement_received, hub_loads_received, known_instances_requested>;
+                 ledger_owners_changed, ledger_statement_received, hub_loads_received, known_instances_requested,
+                 departure_reported>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/registry/registry.h
+++ b/include/guavafront/coordination/registry/registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/registry/announcement.h>
+#include <guavafront/coordination/registry/departure.h>
 #include <guavafront/coordination/routing/route_table.h>
 
 #include <cstdint>
@@ -29,11 +30,11 @@
     std::uint64_t generation = 0; ///< Incremented by each change other than a lease renewal or a load report.
 };
 
-/// Deregistration of an instance that this VM doesn't know yet, as after its own restart.
+/// Departure of an instance that this VM doesn't know yet, as after its own restart.
 struct early_departure {
-    std::string name; ///< Name of the instance.
-    std::uint64_t processStartMs = 0; ///< Start of its process in Unix milliseconds.
-    instant expires{}; ///< Time at which the deregistration is forgotten.
+    departure what; ///< The departure.
+    bool toldHere = false; ///< The instance told this VM; otherwise another VM passed it on.
+    instant expires{}; ///< Time at which the departure is forgotten.
 };
 
 /// All announced instances of the fleet. Each instance announces itself to one VM, its registrar. The registrar keeps
@@ -45,7 +46,7 @@
     std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>> serviceIndexByName;
     /// Index into services for each known instance.
     std::unordered_map<instance_id, std::uint32_t> serviceIndexByInstance;
-    std::vector<early_departure> earlyDepartures; ///< Deregistrations of unknown instances, oldest first.
+    std::vector<early_departure> earlyDepartures; ///< Departures of unknown instances, oldest first.
 };
 
 /// Effect of an announcement, or of another VM's message about one, on the registry.
@@ -67,8 +68,17 @@
 std::optional<announcement> deregister(registry &state, std::string_view name, std::uint64_t processStartMs,
                                        instant now);
 
-/// Marks an instance as leaving that was deregistered before this VM knew it. To be called after each announcement.
-/// Returns the announcement to publish, or nothing when the instance wasn't deregistered.
+/// Effect of a departure on the registry.
+struct departure_result {
+    bool changed = false; ///< The instance took requests before.
+    std::optional<announcement> toPublish; ///< Set if it changed and this VM is its registrar.
+};
+
+/// Applies a departure that another VM passed on. That of an unknown instance is kept for takeEarlyDeparture().
+departure_result depart(registry &state, const departure &told, instant now);
+
+/// Applies the departure of an instance that came before this VM knew it. To be called after each announcement. Returns
+/// the announcement to publish, or nothing when there is none.
 std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now);
 
 /// Applies an announcement that another VM published. The highest sequence number wins; at the same sequence number
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -79,8 +79,9 @@
 
 void publishEarlyDeparture(step_context &context, const announcement &received)
 {
-    if (const auto last = takeEarlyDeparture(context.state.upstreams, received, context.now)) {
-        syncSelection(context);
+    const auto last = takeEarlyDeparture(context.state.upstreams, received, context.now);
+    syncSelection(context);
+    if (last) {
         context.effects.emplace_back(publish_instance{*last});
     }
 }
@@ -99,6 +100,11 @@
     }
 }
 
+void handle(step_context &context, const departure_reported &event)
+{
+    updateUpstreams(context, event);
+}
+
 void handle(step_context &context, const instance_reported &event)
 {
     updateUpstreams(context, event);
--- a/src/coordination/entry/entry_step.h
+++ b/src/coordination/entry/entry_step.h
@@ -66,6 +66,8 @@
 void updateUpstreams(step_context &context, const instance_announced &event);
 /// Adds or renews an instance of another VM. Withdraws it here when the other VM now receives its announcements.
 void updateUpstreams(step_context &context, const instance_reported &event);
+/// Stops new requests to an instance that departs.
+void updateUpstreams(step_context &context, const departure_reported &event);
 /// Removes an instance that another VM has withdrawn.
 void updateUpstreams(step_context &context, const instance_withdrawn &event);
 /// Handles the loss or return of a VM that receives announcements.
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -28,6 +28,18 @@
     syncSelection(context);
 }
 
+void updateUpstreams(step_context &context, const departure_reported &event)
+{
+    const departure_result result = depart(context.state.upstreams, event.what, context.now);
+    if (result.toPublish) {
+        context.effects.emplace_back(publish_instance{*result.toPublish});
+    }
+    if (result.changed) {
+        syncSelection(context);
+        context.effects.emplace_back(report_departure{event.what});
+    }
+}
+
 void updateUpstreams(step_context &context, const instance_withdrawn &event)
 {
     forget(context.state.upstreams, event.registrar, event.instance);
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -143,12 +143,43 @@
 constexpr duration earlyDepartureRetention = std::chrono::seconds(60);
 constexpr std::size_t maxEarlyDepartures = 1'024;
 
-void keepEarlyDeparture(registry &state, early_departure departure)
+/// Keeps the departure in place of an earlier one of the same process.
+void keepEarlyDeparture(registry &state, early_departure kept)
 {
+    std::erase_if(state.earlyDepartures, [&kept](const early_departure &each) {
+        return each.what.name == kept.what.name && each.what.processStartMs == kept.what.processStartMs
+               && each.what.state <= kept.what.state;
+    });
     if (state.earlyDepartures.size() >= maxEarlyDepartures) {
         state.earlyDepartures.erase(state.earlyDepartures.begin());
     }
-    state.earlyDepartures.push_back(std::move(departure));
+    state.earlyDepartures.push_back(std::move(kept));
+}
+
+/// The instance with this name and start of its process, the newest of that name if the start is 0; null when it is
+/// unknown.
+registered_instance *findNamed(registry &state, std::string_view name, std::uint64_t processStartMs)
+{
+    registered_instance *newest = nullptr;
+    for (service_instances &group : state.services) {
+        for (registered_instance &entry : group.instances) {
+            const bool matches =
+                entry.last.name == name && (processStartMs == 0 || entry.last.processStartMs == processStartMs);
+            if (matches && (!newest || newest->last.processStartMs < entry.last.processStartMs)) {
+                newest = &entry;
+            }
+        }
+    }
+    return newest;
+}
+
+/// Whether the departure says more than what is known of the instance.
+bool isNews(const announcement &known, const departure &told)
+{
+    if (told.state == instance_state::Leaving) {
+        return known.state != instance_state::Leaving;
+    }
+    return known.state < told.state && known.sequence <= told.sequence;
 }
 
 } // namespace
@@ -166,18 +197,10 @@
 std::optional<announcement> deregister(registry &state, std::string_view name, std::uint64_t processStartMs,
                                        instant now)
 {
-    const registered_instance *known = nullptr;
-    for (const service_instances &group : state.services) {
-        for (const registered_instance &entry : group.instances) {
-            const bool matches =
-                entry.last.name == name && (processStartMs == 0 || entry.last.processStartMs == processStartMs);
-            if (matches && (!known || known->last.processStartMs < entry.last.processStartMs)) {
-                known = &entry;
-            }
-        }
-    }
+    const registered_instance *known = findNamed(state, name, processStartMs);
     if (!known && processStartMs != 0) {
-        keepEarlyDeparture(state, {std::string(name), processStartMs, now + earlyDepartureRetention});
+        const departure left{.name = std::string(name), .processStartMs = processStartMs};
+        keepEarlyDeparture(state, {.what = left, .toldHere = true, .expires = now + earlyDepartureRetention});
     }
     if (!known || known->last.state == instance_state::Leaving) {
         return std::nullopt;
@@ -189,13 +212,38 @@
     return last;
 }
 
+departure_result depart(registry &state, const departure &told, instant now)
+{
+    registered_instance *known = findNamed(state, told.name, told.processStartMs);
+    if (!known) {
+        if (told.processStartMs != 0) {
+            keepEarlyDeparture(state, {.what = told, .expires = now + earlyDepartureRetention});
+        }
+        return {};
+    }
+    if (!isNews(known->last, told)) {
+        return {};
+    }
+    known->last.state = told.state;
+    known->last.sequence =
+        told.state == instance_state::Leaving ? std::numeric_limits<std::uint64_t>::max() : told.sequence;
+    ++state.services[state.serviceIndexByInstance.at(known->last.instance)].generation;
+    return {true, known->registrar == state.self ? std::optional(known->last) : std::nullopt};
+}
+
 std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now)
 {
     std::erase_if(state.earlyDepartures, [now](const early_departure &each) { return each.expires <= now; });
-    const std::size_t matching = std::erase_if(state.earlyDepartures, [&received](const early_departure &each) {
-        return each.name == received.name && each.processStartMs == received.processStartMs;
+    const auto found = std::ranges::find_if(state.earlyDepartures, [&received](const early_departure &each) {
+        return each.what.name == received.name && each.what.processStartMs == received.processStartMs;
     });
-    return matching == 0 ? std::nullopt : deregister(state, received.name, received.processStartMs, now);
+    if (found == state.earlyDepartures.end()) {
+        return std::nullopt;
+    }
+    const early_departure taken = *found;
+    state.earlyDepartures.erase(found);
+    return taken.toldHere ? deregister(state, received.name, received.processStartMs, now)
+                          : depart(state, taken.what, now).toPublish;
 }
 
 registry_change learn(registry &state, vm_id registrar, const announcement &received, instant now)
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -75,9 +75,13 @@
 struct accepted_configuration_requested {
 };
 
+/// The departures task has started and asks who votes.
+struct members_requested {
+};
+
 /// Every message that the control task handles.
 using control_message = std::variant<change_submitted, status_requested, confirmed_status_requested,
                                      replacement_submitted, replication_from_peer, live_control_vms_changed,
-                                     live_claims_members_changed, accepted_configuration_requested>;
+                                     live_claims_members_changed, accepted_configuration_requested, members_requested>;
 
 } // namespace guavafront
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -36,6 +36,7 @@
     std::function<void(vm_id, envelope)> send; ///< Sends to another VM; the message may be lost.
     std::function<void(const leadership_proof &)> onLeadershipProof; ///< Called with each new proof; may be empty.
     std::function<void(const claims_view &)> onClaimsViewAgreed; ///< Called with each agreed view; may be empty.
+    std::function<void(const membership &)> onMembersChanged; ///< Called with each membership; may be empty.
 };
 
 /// Runs this VM's replica of the control cluster's log. Changes of operators are proposed to the log; configurations
@@ -75,6 +76,7 @@
     void handle(const live_control_vms_changed &message);
     void handle(const live_claims_members_changed &message);
     void handle(const accepted_configuration_requested &message);
+    void handle(const members_requested &message);
 
     replica_host_callbacks hostCallbacks();
     void apply(const log_record &record);
@@ -92,6 +94,7 @@
     std::string addressOf(vm_id vm) const;
     void admitWaitingVm();
     void removeLostMember();
+    void reportMembership() const;
     void logMembership();
     void proposeClaimsView();
     void publishClaimsView();
--- a/src/daemon/control/control_task_members.cpp
+++ b/src/daemon/control/control_task_members.cpp
@@ -48,7 +48,19 @@
     }
 }
 
-/// Logs who takes part in the log, so that operators see which VMs a quorum is counted from.
+void control_task::handle(const members_requested & /*message*/)
+{
+    reportMembership();
+}
+
+void control_task::reportMembership() const
+{
+    if (m_options.onMembersChanged) {
+        m_options.onMembersChanged(m_host.state().members);
+    }
+}
+
+/// Reports and logs who takes part in the log, so that operators see which VMs a quorum is counted from.
 void control_task::logMembership()
 {
     const membership &members = m_host.state().members;
@@ -56,6 +68,7 @@
         return;
     }
     m_loggedMembers = members;
+    reportMembership();
     std::ostringstream text;
     for (const member &each : members.members) {
         text << (each.role == voting_role::Voter ? " voter " : " learner ") << std::hex << each.id.value;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,13 +2,12 @@
 
 #include "daemon/announcements/announcements_task.h"
 #include "daemon/configuration/configuration_task.h"
-#include "daemon/control/control_task.h"
+#include "daemon/control_tree.h"
 #include "daemon/daemon_links.h"
 #include "daemon/entry/entry_task.h"
 #include "daemon/fleet/fleet_watch.h"
 #include "daemon/fleet/shared_state.h"
 #include "daemon/metrics/metrics_task.h"
-#include "daemon/operators/operators_task.h"
 #include "daemon/peers/peers_task.h"
 #include "daemon/registry/registry_task.h"
 #include "runtime/signal_watch.h"
@@ -16,6 +15,8 @@
 #include "settings/settings_reader.h"
 #include "storage/replica_store.h"
 
+#include <guavafront/coordination/core/coordination_error.h>
+
 #include <glog/logging.h>
 #include <sodium.h>
 #include <xxhash.h>
@@ -119,46 +120,6 @@
             .shutdownLimit = taskShutdownLimit};
 }
 
-/// Returns a function that sends a message to one VM through the peers task.
-std::function<void(vm_id, envelope)> vmSender(daemon_wiring &wiring)
-{
-    return [&wiring](vm_id to, envelope message) {
-        wiring.peers.post(send_to_vm{to, std::move(message)});
-    };
-}
-
-/// Returns a function that has the leader's proofs spread to all VMs as beacons.
-std::function<void(const leadership_proof &)> beaconIssuer(daemon_wiring &wiring)
-{
-    return [&wiring](const leadership_proof &proof) {
-        wiring.peers.post(issue_beacon{proof.leaderTerm, proof.round, proof.accepted, proof.asOf});
-    };
-}
-
-/// Returns a function that publishes agreed views of the VMs that keep claims. A VM isn't notified of what it publishes
-/// itself, so the view is also posted to the entry task of this VM.
-std::function<void(const claims_view &)> claimsPublisher(const daemon_settings &settings, daemon_wiring &wiring)
-{
-    return [&wiring, isEntry = hasRole(settings, vm_role::Entry)](const claims_view &agreed) {
-        wiring.peers.post(publicationOf(agreed));
-        if (isEntry) {
-            wiring.entries.post(claims_view_changed{agreed});
-        }
-    };
-}
-
-/// Returns a function that publishes an operator's release of a quarantined request. A VM isn't notified of what it
-/// publishes itself, so the release is also posted to the entry task of this VM.
-std::function<void(const publish_release &)> releasePublisher(const daemon_settings &settings, daemon_wiring &wiring)
-{
-    return [&wiring, isEntry = hasRole(settings, vm_role::Entry)](const publish_release &released) {
-        wiring.peers.post(publicationOf(released));
-        if (isEntry) {
-            wiring.entries.post(release_reported{released.request, released.forgiven});
-        }
-    };
-}
-
 child_spec configurationChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                               daemon_wiring &wiring)
 {
@@ -186,57 +147,6 @@
             .shutdownLimit = taskShutdownLimit};
 }
 
-child_spec controlChild(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
-                        daemon_wiring &wiring)
-{
-    child_spec control{.name = "control",
-                       .body =
-                           [&settings, &secrets, self, &wiring](loop &owner) {
-                               const control_task task(owner,
-                                                       {.dataFolder = settings.vm.dataFolder,
-                                                        .freshIdentity = self,
-                                                        .secret = secrets.fleet,
-                                                        .replica = {.targetVoters = settings.control.voters},
-                                                        .send = vmSender(wiring),
-                                                        .onLeadershipProof = beaconIssuer(wiring),
-                                                        .onClaimsViewAgreed = claimsPublisher(settings, wiring)},
-                                                       wiring.control, wiring.configurations);
-                               owner.run();
-                           },
-                       .shutdownLimit = taskShutdownLimit};
-    child_spec operators{.name = "operators",
-                         .body =
-                             [&settings, &secrets, &wiring](loop &owner) {
-                                 const operators_task task(
-                                     owner,
-                                     {.server = serverOptions(settings.listen.operators, settings),
-                                      .tokens = secrets.operators,
-                                      .publishRelease = releasePublisher(settings, wiring)},
-                                     wiring.operators,
-                                     {.control = wiring.control, .configurations = wiring.configurations},
-                                     wiring.counters);
-                                 wiring.peers.post(resend_state{});
-                                 owner.run();
-                             },
-                         .shutdownLimit = taskShutdownLimit};
-    std::vector<child_spec> children{std::move(control)};
-    if (!settings.listen.operators.ip.empty()) {
-        children.push_back(std::move(operators));
-    }
-    return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne}, std::move(children));
-}
-
-child_spec hubChild(daemon_wiring &wiring)
-{
-    return {.name = "hub",
-            .body =
-                [&wiring](loop &owner) {
-                    const hub_task task(owner, wiring.hub, wiring.peers);
-                    owner.run();
-                },
-            .shutdownLimit = taskShutdownLimit};
-}
-
 /// Task that receives announcements of instances on a VM without the entry role.
 child_spec registryChild(vm_id self, daemon_wiring &wiring)
 {
@@ -313,8 +223,9 @@
     std::vector<child_spec> children{metricsChild(settings, wiring), peersChild(settings, secrets, self, wiring),
                                      configurationChild(settings, secrets, self, wiring)};
     if (hasRole(settings, vm_role::Control)) {
-        children.push_back(controlChild(settings, secrets, self, wiring));
-        children.push_back(hubChild(wiring));
+        std::vector<child_spec> control = controlChildren({.settings = settings, .secrets = secrets, .self = self},
+                                                          serverOptions(settings.listen.operators, settings), wiring);
+        std::ranges::move(control, std::back_inserter(children));
     }
     if (hasRole(settings, vm_role::Entry)) {
         children.push_back(entryChild(settings, secrets, self, wiring, front));
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -3,6 +3,7 @@
 #include "daemon/fleet/fleet_watch.h"
 #include "wire/catch_up_codec.h"
 #include "wire/claims_codec.h"
+#include "wire/departure_codec.h"
 #include "wire/evidence_codec.h"
 #include "wire/ledger_codec.h"
 #include "wire/limits_codec.h"
@@ -100,8 +101,20 @@
             wiring.hub.post(loads_received{from, std::move(decoded)});
         }
     });
-    subscribe(options, channel::Registry, wiring, [&wiring](vm_id from, const envelope &message) {
-        wiring.entries.post(instance_reported{from, decodeAnnouncement(message.body)});
+    const bool isControl = hasRole(settings, vm_role::Control);
+    subscribe(options, channel::Registry, wiring, [isControl, &wiring](vm_id from, const envelope &message) {
+        if (message.version != departureVersion) {
+            wiring.entries.post(instance_reported{from, decodeAnnouncement(message.body)});
+            return;
+        }
+        departure_message decoded = decodeDepartures(message.body);
+        if (isControl) {
+            wiring.departures.post(departure_message_received{from, std::move(decoded)});
+        } else if (const auto *passedOn = std::get_if<departures_passed_on>(&decoded)) {
+            for (const departure &each : passedOn->departures) {
+                wiring.entries.post(departure_reported{each});
+            }
+        }
     });
     subscribe(options, channel::CatchUp, wiring, [&wiring](vm_id from, const envelope &message) {
         const catch_up_message decoded = decodeCatchUp(message.body);
--- /dev/null
+++ b/src/daemon/departures/departures_task.cpp
@@ -0,0 +1,99 @@
+#include "daemon/departures/departures_task.h"
+
+#include "wire/departure_codec.h"
+
+#include <glog/logging.h>
+#include <sodium.h>
+
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+std::string_view stateText(const departure &what)
+{
+    return what.state == instance_state::Leaving ? "leaves" : "drains";
+}
+
+} // namespace
+
+departures_task::departures_task(loop &owner, const departures_task_options &options,
+                                 mailbox<departures_inbox_message> &inbox, mailbox<peers_message> &peers,
+                                 mailbox<entry_event> &registry, daemon_counters &counters)
+    : m_peers(peers)
+    , m_registry(registry)
+    , m_counters(counters)
+    , m_timer(owner, [this] { run(departure_time_passed{}); })
+    , m_attachment(inbox, owner, [this](const departures_inbox_message &message) {
+        std::visit([this](const auto &each) { handle(each); }, message);
+    })
+{
+    m_state.self = options.self;
+    m_state.dataCentre = options.dataCentre;
+    randombytes_buf(&m_state.lastNumber, sizeof m_state.lastNumber);
+    m_peers.post(resend_state{});
+}
+
+departures_task::~departures_task()
+{
+    for (const auto &[ticket, answer] : m_calls) {
+        answer(false);
+    }
+}
+
+void departures_task::handle(const departure_submitted &message)
+{
+    m_calls[++m_lastTicket] = message.answer;
+    run(departure_told{m_lastTicket, message.what});
+}
+
+void departures_task::handle(const departure_event &event)
+{
+    run(event);
+}
+
+void departures_task::run(const departure_event &event)
+{
+    std::vector<departure_effect> effects;
+    const instant now = loop::now();
+    step(m_state, event, now, effects);
+    for (const departure_effect &each : effects) {
+        std::visit([this](const auto &effect) { perform(effect); }, each);
+    }
+    if (const instant next = nextWake(m_state); next != instant::max()) {
+        m_timer.arm(std::max(duration::zero(), next - now));
+    }
+}
+
+void departures_task::perform(const answer_departure &effect)
+{
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(effect.waited).count();
+    LOG(INFO) << "departure of " << effect.what.name << " (start " << effect.what.processStartMs << ", "
+              << stateText(effect.what) << ") " << (effect.held ? "acknowledged" : "refused") << ": " << effect.holders
+              << " control VMs hold it, " << holdersNeeded(m_state) << " are needed, after " << waitedMs << " ms";
+    m_counters.countDeparture(effect.held);
+    const auto found = m_calls.find(effect.ticket);
+    if (found != m_calls.end()) {
+        const std::function<void(bool)> answer = std::move(found->second);
+        m_calls.erase(found);
+        answer(effect.held);
+    }
+}
+
+void departures_task::perform(const apply_departure &effect)
+{
+    if (!m_registry.post(departure_reported{effect.what})) {
+        LOG(ERROR) << "departure of " << effect.what.name << " is lost on this VM: the registry is behind";
+    }
+}
+
+void departures_task::perform(const send_departures &effect)
+{
+    m_peers.post(send_to_vms{
+        effect.to, {.kind = channel::Registry, .version = departureVersion, .body = encodeDepartures(effect.message)}});
+}
+
+} // namespace guavafront
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -59,6 +59,20 @@
     return entries;
 }
 
+/// Returns the other VMs that control VMs pass news on to, ordered by id.
+std::vector<fleet_vm> otherFleetVms(const fleet_view &view, vm_id self)
+{
+    std::vector<fleet_vm> seen;
+    for (const member_record &each : view.live) {
+        if ((each.roles & (EntryRole | ControlRole)) != 0 && each.id != self) {
+            seen.push_back(
+                {.id = each.id, .dataCentre = each.dataCentre, .isControl = (each.roles & ControlRole) != 0});
+        }
+    }
+    std::ranges::sort(seen, {}, &fleet_vm::id);
+    return seen;
+}
+
 /// Returns the entry VMs whose confirmation of a configuration a control VM waits for.
 entry_vm_view entryVmViewOf(const fleet_view &view)
 {
@@ -84,6 +98,7 @@
             seen.addresses.push_back(std::ranges::find(view.live, vm, &member_record::id)->address);
         }
         m_wiring.control.post(std::move(seen));
+        m_wiring.departures.post(departure_vms_changed{otherFleetVms(view, m_self.id)});
         others.entries = entryVmViewOf(view);
     }
     m_wiring.configurations.post(std::move(others));
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -62,6 +62,9 @@
     , m_notices(counterFamily(m_registry, "guavafront_instance_notices_total",
                               "Instances' words on themselves in answers, by service and notice."))
     , m_announcements(counterFamily(m_registry, "guavafront_announcements_total", "Announcements by result."))
+    , m_departures(counterFamily(m_registry, "guavafront_departures_total",
+                                 "Departures that instances told this VM: acknowledged, or refused because too few "
+                                 "control VMs held them."))
     , m_operatorRequests(
           counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
     , m_droppedPeerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
@@ -126,6 +129,11 @@
     m_announcements.Add({{"result", std::string(describe(code).name)}}).Increment();
 }
 
+void daemon_counters::countDeparture(bool acknowledged)
+{
+    m_departures.Add({{"result", acknowledged ? "acknowledged" : "refused"}}).Increment();
+}
+
 void daemon_counters::countDroppedPeerMessage(result_code code)
 {
     m_droppedPeerMessages.Add({{"result", std::string(describe(code).name)}}).Increment();
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -50,6 +50,9 @@
     /// Counts a message of another VM that was dropped because it couldn't be decoded.
     void countDroppedPeerMessage(result_code code);
 
+    /// Counts the departure of an instance that was acknowledged, or refused because too few control VMs held it.
+    void countDeparture(bool acknowledged);
+
     /// Counts an operator's request.
     void countOperatorRequest(result_code code);
 
@@ -64,6 +67,7 @@
     prometheus::Family<prometheus::Counter> &m_attempts; ///< Attempts by service and outcome.
     prometheus::Family<prometheus::Counter> &m_notices; ///< Instances' words on themselves by service and notice.
     prometheus::Family<prometheus::Counter> &m_announcements; ///< Announcements by result.
+    prometheus::Family<prometheus::Counter> &m_departures; ///< Departures by result.
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< Operators' requests by result.
     prometheus::Family<prometheus::Counter> &m_droppedPeerMessages; ///< Dropped messages of other VMs by reason.
     prometheus::Family<prometheus::Gauge> &m_instances; ///< Serving instances by service and standing.
--- a/src/daemon/peers/peers_message.h
+++ b/src/daemon/peers/peers_message.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <variant>
+#include <vector>
 
 namespace guavafront
 {
@@ -17,6 +18,12 @@
     envelope message; ///< Any channel but Control, Membership and Spread.
 };
 
+/// Sends a message to several VMs, as send_to_vm does to one.
+struct send_to_vms {
+    std::vector<vm_id> to; ///< VMs that get the message.
+    envelope message; ///< Any channel but Control, Membership and Spread.
+};
+
 /// Sends a message to every seed of the settings.
 struct send_to_seeds {
     envelope message; ///< Message to send.
@@ -62,6 +69,7 @@
 
 /// Requests of other tasks to the peers task.
 using peers_message = std::variant<send_to_vm, send_to_seeds, send_to_linked, send_to_roles, spread_publish,
-                                   spread_withdraw, issue_beacon, resend_state, send_to_hubs, relay_to_roles>;
+                                   spread_withdraw, issue_beacon, resend_state, send_to_hubs, relay_to_roles,
+                                   send_to_vms>;
 
 } // namespace guavafront
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -99,6 +99,13 @@
     sendTo(message.to, message.message);
 }
 
+void peers_task::handle(const send_to_vms &message)
+{
+    for (const vm_id to : message.to) {
+        sendTo(to, message.message);
+    }
+}
+
 void peers_task::handle(const send_to_seeds &message)
 {
     for (const std::string &seed : m_options.seeds) {
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -28,6 +28,7 @@
 private:
     void dispatch(peers_message message);
     void handle(const send_to_vm &message);
+    void handle(const send_to_vms &message);
     void handle(const send_to_seeds &message);
     void handle(const send_to_linked &message);
     void handle(const send_to_roles &message);
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -45,11 +45,14 @@
     }
 }
 
-/// Sends the announcement to all VMs at once, and also publishes it in the spread map, which repairs losses.
+/// Sends the announcement to all VMs at once, and also publishes it in the spread map, which repairs losses. Departures
+/// are sent by the departures task.
 void registry_task::publish(const announcement &published)
 {
-    m_peers.post(
-        send_to_roles{EntryRole | ControlRole, {.kind = channel::Registry, .body = encodeAnnouncement(published)}});
+    if (published.state < instance_state::Draining) {
+        m_peers.post(
+            send_to_roles{EntryRole | ControlRole, {.kind = channel::Registry, .body = encodeAnnouncement(published)}});
+    }
     m_peers.post(publicationOf(publish_instance{published}));
 }
 
@@ -61,6 +64,13 @@
     publishEarlyDeparture(event.announced);
 }
 
+void registry_task::handle(const departure_reported &event)
+{
+    if (const auto last = depart(m_state, event.what, loop::now()).toPublish) {
+        m_peers.post(publicationOf(publish_instance{*last}));
+    }
+}
+
 void registry_task::publishEarlyDeparture(const announcement &received)
 {
     if (const auto last = takeEarlyDeparture(m_state, received, loop::now())) {
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -23,6 +23,7 @@
     void handle(const instance_announced &event);
     void handle(const instance_left &event);
     void handle(const instance_reported &event);
+    void handle(const departure_reported &event);
     void handle(const instance_withdrawn &event);
     void handle(const vm_reachability_changed &event);
     void handle(const publications_lost &event);
--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -184,7 +184,7 @@
     fleet_processes::waitUntil(id + " is registered", [&] { return sendHeartbeat(id, first) == statusOk; });
 }
 
-int platform_processes::sendHeartbeat(const std::string &id, const heartbeat &beat) const
+std::string platform_processes::bodyOfHeartbeat(const std::string &id, const heartbeat &beat) const
 {
     const nlohmann::json body{
         {"Service", "rutas"},  {"Address", ipOf(id) + ':' + std::to_string(m_instancePorts.at(id))},
@@ -192,24 +192,40 @@
         {"Slots", beat.slots}, {"State", beat.state},
         {"WarmupLeftMs", 0},   {"Sequence", beat.sequence},
         {"born", beat.born}};
-    return callControl("instances.heartbeat", id, body.dump());
+    return body.dump();
 }
 
-int platform_processes::callControl(std::string_view call, std::string_view of, std::string_view body) const
+int platform_processes::sendHeartbeat(const std::string &id, const heartbeat &beat) const
+{
+    return callControl("instances.heartbeat", id, bodyOfHeartbeat(id, beat));
+}
+
+int platform_processes::sendHeartbeatTo(const std::string &control, const std::string &id, const heartbeat &beat) const
+{
+    return callControlAt(control, "instances.heartbeat", id, bodyOfHeartbeat(id, beat));
+}
+
+int platform_processes::callControlAt(const std::string &control, std::string_view call, std::string_view of,
+                                      std::string_view body) const
 {
     std::string target = "/api/rpc?call=" + std::string(call);
     if (!of.empty()) {
         target += "&of=" + std::string(of);
     }
+    try {
+        return httpCall({ipOf(control), controlPort},
+                        {.method = "POST", .target = target, .body = body, .timeout = operatorPatience})
+            .status;
+    } catch (const coordination_error &) {
+        return 0; // The control VM isn't running, or doesn't answer.
+    }
+}
+
+int platform_processes::callControl(std::string_view call, std::string_view of, std::string_view body) const
+{
     int status = 0;
     for (const std::string &control : m_controls) {
-        try {
-            status = httpCall({ipOf(control), controlPort},
-                              {.method = "POST", .target = target, .body = body, .timeout = operatorPatience})
-                         .status;
-        } catch (const coordination_error &) {
-            status = 0; // This control VM isn't running.
-        }
+        status = callControlAt(control, call, of, body);
         // A control VM that isn't the leader redirects or fails.
         if (status != 0 && status != statusRedirect && status < firstServerError) {
             break;
--- a/tests/fleet/platform_processes.h
+++ b/tests/fleet/platform_processes.h
@@ -70,6 +70,14 @@
     /// Sends a heartbeat of an instance to a control VM and returns the status of the answer, 0 for none.
     int sendHeartbeat(const std::string &id, const heartbeat &beat) const;
 
+    /// Sends a heartbeat of an instance to one control VM and returns the status of the answer, 0 for none.
+    int sendHeartbeatTo(const std::string &control, const std::string &id, const heartbeat &beat) const;
+
+    /// Posts any body to one control VM as the call with this name, for the instance `of` unless that is empty. Returns
+    /// the status of the answer, 0 for none.
+    int callControlAt(const std::string &control, std::string_view call, std::string_view of,
+                      std::string_view body) const;
+
     /// Posts any body to a control VM as the call with this name, for the instance `of` unless that is empty. Returns
     /// the status of the answer, 0 for none.
     int callControl(std::string_view call, std::string_view of, std::string_view body) const;
@@ -107,6 +115,7 @@
 
 private:
     std::string ipOf(const std::string &name) const;
+    std::string bodyOfHeartbeat(const std::string &id, const heartbeat &beat) const;
 
     std::filesystem::path m_folder; ///< Temporary folder; removed by the destructor.
     std::vector<std::string> m_controls; ///< Names of the control VMs.
