Relay evidence on instances through homes instead of from each hub to all VMs

Cause, suspected: control VMs short of processor time. Read in the code: each piece of evidence went to two hubs, and each of them sent it alone to every entry VM: 2 x 278 messages a report, four in five of them to another data centre. The class: what is told to all is told by each to all.

Change: a hub tells the other hubs at once what an entry VM reports, and each hub publishes what it has gathered over 25 ms to the entry VMs that have it as a home. The two copies of a report take different homes, both in the entry VM's data centre where it has two hubs, so that the loss of a hub loses no report and an entry VM gets as many copies as before. An observer is named in its report and skips its own.

--- a/src/daemon/control_tree.cpp
+++ b/src/daemon/control_tree.cpp
@@ -109,12 +109,13 @@
     return supervisorChild({.name = "control", .strategy = restart_strategy::RestForOne}, std::move(children));
 }
 
-child_spec hubChild(daemon_wiring &wiring)
+child_spec hubChild(const daemon_settings &settings, vm_id self, daemon_wiring &wiring)
 {
     return {.name = "hub",
             .body =
-                [&wiring](loop &owner) {
-                    const hub_task task(owner, wiring.hub, wiring.peers);
+                [&settings, self, &wiring](loop &owner) {
+                    const fleet_vm own{.id = self, .dataCentre = settings.vm.dataCentre, .isControl = true};
+                    const hub_task task(owner, own, wiring.hub, wiring.peers);
                     owner.run();
                 },
             .shutdownLimit = taskShutdownLimit};
@@ -145,7 +146,7 @@
 std::vector<child_spec> controlChildren(const control_tree_options &options, const http_server_options &operatorsServer,
                                         daemon_wiring &wiring)
 {
-    return {controlChild(options, operatorsServer, wiring), hubChild(wiring),
+    return {controlChild(options, operatorsServer, wiring), hubChild(options.settings, options.self, wiring),
             departuresChild(options.settings, options.self, wiring)};
 }
 
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -74,12 +74,17 @@
     subscribe(options, channel::Limits, wiring, [&wiring](vm_id from, const envelope &message) {
         wiring.entries.post(limit_message_received{from, decodeLimitMessage(message.body)});
     });
-    subscribe(options, channel::Health, wiring, [&settings, &wiring](vm_id from, envelope message) {
-        if (hasRole(settings, vm_role::Control)) {
-            wiring.peers.post(relay_to_roles{from, EntryRole, message});
-        }
+    subscribe(options, channel::Health, wiring, [&settings, self, &wiring](vm_id /*from*/, const envelope &message) {
+        evidence_message decoded = decodeEvidence(message.body, message.version);
         if (hasRole(settings, vm_role::Entry)) {
-            wiring.entries.post(evidence_received{decodeEvidence(message.body)});
+            for (const observed_report &each : decoded.reports) {
+                if (each.observer != self) {
+                    wiring.entries.post(evidence_received{each.report});
+                }
+            }
+        }
+        if (hasRole(settings, vm_role::Control)) {
+            wiring.hub.post(evidence_from_peer{std::move(decoded)});
         }
     });
     subscribe(
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -3,7 +3,7 @@
 #include "daemon/configuration/configuration_message.h"
 #include "daemon/control/control_message.h"
 #include "daemon/departures/departures_message.h"
-#include "daemon/hub/hub_task.h"
+#include "daemon/hub/hub_message.h"
 #include "daemon/metrics/daemon_counters.h"
 #include "daemon/metrics/metrics_message.h"
 #include "daemon/operators/operators_message.h"
@@ -34,7 +34,7 @@
     mailbox<operators_message> operators{largeCapacity}; ///< Inbox of the operators task.
     mailbox<entry_event> entries{largeCapacity}; ///< Inbox of the entry task or, without it, the registry task.
     mailbox<departures_inbox_message> departures{largeCapacity}; ///< Inbox of the departures task.
-    mailbox<loads_received> hub{largeCapacity}; ///< Inbox of the hub task.
+    mailbox<hub_message> hub{largeCapacity}; ///< Inbox of the hub task.
     mailbox<std::shared_ptr<const configuration>> announcements{smallCapacity}; ///< Inbox of the announcements task.
 };
 
--- a/src/daemon/entry/entry_task_messages.cpp
+++ b/src/daemon/entry/entry_task_messages.cpp
@@ -53,7 +53,11 @@
 
 void entry_task::perform(const broadcast_evidence &effect)
 {
-    m_peers.post(send_to_hubs{.message = {.kind = channel::Health, .body = encodeEvidence(effect.evidence)}});
+    const auto copyOf = [this, &effect](std::uint8_t copy) {
+        const evidence_message message{.copy = copy, .reports = {{m_state.identity.self, effect.evidence}}};
+        return envelope{.kind = channel::Health, .version = evidenceVersion, .body = encodeEvidence(message)};
+    };
+    m_peers.post(send_to_hubs{.message = copyOf(0), .secondMessage = copyOf(1)});
 }
 
 void entry_task::perform(const report_loads &effect)
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -98,7 +98,9 @@
             seen.addresses.push_back(std::ranges::find(view.live, vm, &member_record::id)->address);
         }
         m_wiring.control.post(std::move(seen));
-        m_wiring.departures.post(departure_vms_changed{otherFleetVms(view, m_self.id)});
+        std::vector<fleet_vm> vms = otherFleetVms(view, m_self.id);
+        m_wiring.hub.post(hub_fleet_changed{vms});
+        m_wiring.departures.post(departure_vms_changed{std::move(vms)});
         others.entries = entryVmViewOf(view);
     }
     m_wiring.configurations.post(std::move(others));
--- a/src/daemon/hub/hub_task.h
+++ b/src/daemon/hub/hub_task.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "daemon/hub/hub_message.h"
 #include "daemon/peers/peers_message.h"
 #include "runtime/loop.h"
 #include "runtime/mailbox.h"
 #include "runtime/timer.h"
-#include "wire/load_codec.h"
 
 #include <guavafront/coordination/loads/load_totals.h>
 
@@ -13,33 +13,33 @@
 namespace guavafront
 {
 
-/// Event: another VM sent loads of upstream instances.
-struct loads_received {
-    vm_id from; ///< VM that sent the loads.
-    load_message message; ///< Loads and the stage of their distribution.
-};
-
-/// Load hub of a control VM. It sums the unanswered requests that entry VMs report for each upstream instance and
-/// publishes the sums to the entry VMs that report to it, several times a second.
+/// Hub of a control VM. It sums the unanswered requests that entry VMs report for each upstream instance and publishes
+/// the sums to the entry VMs that report to it, several times a second. It relays evidence on instances to the other
+/// hubs and to the entry VMs that have it as a home.
 class hub_task
 {
 public:
-    /// Handles the loads that arrive in inbox. All arguments must outlive the task.
-    hub_task(loop &owner, mailbox<loads_received> &inbox, mailbox<peers_message> &peers);
+    /// Handles the messages that arrive in inbox; self is this VM. All arguments must outlive the task.
+    hub_task(loop &owner, const fleet_vm &self, mailbox<hub_message> &inbox, mailbox<peers_message> &peers);
 
 private:
-    void receive(const loads_received &received);
-    void publish();
-    void send(vm_id to, load_stage stage, const std::vector<instance_load> &loads);
+    void handle(const loads_received &message);
+    void handle(const evidence_from_peer &message);
+    void handle(const hub_fleet_changed &message);
+    void publishLoads();
+    void publishEvidence();
+    void send(const send_evidence &effect);
 
     mailbox<peers_message> &m_peers; ///< Mailbox of the peers task, which sends to other VMs; not owned.
     load_totals m_fleetLoads; ///< Sums over all VMs of the fleet, as reported here or gathered by other hubs.
     load_totals m_ownLoads; ///< Sums over the entry VMs that report to this hub; sent to the other hubs.
     std::unordered_map<vm_id, instant>
         m_reporters; ///< Time of the last report of each entry VM that reports to this hub.
-    timer m_publishTimer; ///< Runs publish(); armed by the first loads received after the last publication.
-    bool m_publishTimerArmed = false; ///< m_publishTimer is armed.
-    mailbox_attachment<loads_received> m_attachment; ///< Delivers received loads to receive().
+    evidence_relay m_evidence; ///< State of the relay of evidence.
+    timer m_loadsTimer; ///< Runs publishLoads(); armed by the first loads received after the last publication.
+    bool m_loadsTimerArmed = false; ///< m_loadsTimer is armed.
+    timer m_evidenceTimer; ///< Runs publishEvidence().
+    mailbox_attachment<hub_message> m_attachment; ///< Delivers messages to handle().
 };
 
 } // namespace guavafront
--- a/src/daemon/peers/peers_message.h
+++ b/src/daemon/peers/peers_message.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/spread/spread_table.h>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -40,18 +41,12 @@
     envelope message; ///< Any channel but Control, Membership and Spread.
 };
 
-/// Sends a message to the nearest control VMs, which act as hubs and relay it to all entry VMs. This VM's own data
-/// centre comes first. Without live hubs, the message goes to every VM with a ready link.
+/// Sends a message to the nearest control VMs, which act as hubs. This VM's own data centre comes first. Without live
+/// hubs, the message goes to every VM with a ready link.
 struct send_to_hubs {
     std::size_t count = 2; ///< Number of hubs; the second one covers the loss of the first.
     envelope message; ///< Any channel but Control, Membership and Spread.
-};
-
-/// Relays a message to every other live VM that has at least one of the roles, except the VM that sent it.
-struct relay_to_roles {
-    vm_id from; ///< VM that sent the message, which doesn't get it back.
-    std::uint8_t roles = EntryRole; ///< Roles as bits of member_role.
-    envelope message; ///< Message as it was received.
+    std::optional<envelope> secondMessage; ///< For the hubs after the first; without it they get the same message.
 };
 
 /// Issues a beacon: the control leader runs on this VM and a quorum has confirmed its leadership.
@@ -69,7 +64,6 @@
 
 /// Requests of other tasks to the peers task.
 using peers_message = std::variant<send_to_vm, send_to_seeds, send_to_linked, send_to_roles, spread_publish,
-                                   spread_withdraw, issue_beacon, resend_state, send_to_hubs, relay_to_roles,
-                                   send_to_vms>;
+                                   spread_withdraw, issue_beacon, resend_state, send_to_hubs, send_to_vms>;
 
 } // namespace guavafront
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -157,22 +157,14 @@
         return each.dataCentre == self().dataCentre && each.status == member_status::Alive;
     });
     for (std::size_t index = 0; index < std::min(hubs.size(), message.count); ++index) {
-        m_links.send(hubs[index].id, hubs[index].address, message.message);
+        const bool isSecond = index > 0 && message.secondMessage;
+        m_links.send(hubs[index].id, hubs[index].address, isSecond ? *message.secondMessage : message.message);
     }
     if (hubs.empty()) {
         handle(send_to_linked{message.message});
     }
 }
 
-void peers_task::handle(const relay_to_roles &message)
-{
-    for (const member_record &each : liveMembers(m_membership)) {
-        if ((each.roles & message.roles) != 0 && each.id != self().id && each.id != message.from) {
-            m_links.send(each.id, each.address, message.message);
-        }
-    }
-}
-
 void peers_task::handle(const resend_state & /*message*/)
 {
     publishView(true);
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -36,7 +36,6 @@
     void handle(const spread_withdraw &message);
     void handle(const issue_beacon &message);
     void handle(const send_to_hubs &message);
-    void handle(const relay_to_roles &message);
     void handle(const resend_state &message);
     void recordSeedIdentity(const peer_identity &peer);
     void sendTo(vm_id to, const envelope &message);
--- a/tests/loads/load_totals_test.cpp
+++ b/tests/loads/load_totals_test.cpp
@@ -99,7 +99,8 @@
     const auto encoded = encodeLoads(loads);
     BOOST_TEST((decodeLoads(encoded) == loads));
     const instance_report trial{{9}, instance_report_kind::TrialStarted};
-    BOOST_TEST((decodeEvidence(encodeEvidence(trial)) == trial));
+    const evidence_message message{.copy = 1, .reports = {{{7}, trial}, {{8}, trial}}};
+    BOOST_TEST((decodeEvidence(encodeEvidence(message), evidenceVersion) == message));
     const ledger_message report = ledger_report{.configuration = 3, .entries = {{{2}, {98, 98}, 1.5, true, 4.25, 3}}};
     const auto encodedReport = encodeLedgerMessage(report);
     BOOST_TEST((decodeLedgerMessage(encodedReport) == report));
