--- a/src/coordination/homes/homes.cpp
+++ b/src/coordination/homes/homes.cpp
@@ -1,5 +1,7 @@
 #include <guavafront/coordination/homes/homes.h>
 
+#include "coordination/routing/rendezvous.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -9,27 +11,13 @@
 namespace guavafront
 {
 
-namespace
-{
-
-/// Rendezvous hash of two VMs (Thaler and Ravishankar, 1998), mixed with the finalizer of SplitMix64.
-std::uint64_t homeHash(vm_id receiver, vm_id control)
-{
-    std::uint64_t mixed = receiver.value ^ (control.value * 0x9e3779b97f4a7c15);
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
-    return mixed ^ (mixed >> 31);
-}
-
-} // namespace
-
 std::vector<vm_id> homesOf(const fleet_vm &receiver, std::span<const fleet_vm> controls, const home_rule &rule)
 {
     std::vector<std::pair<std::uint64_t, const fleet_vm *>> ranked;
     ranked.reserve(controls.size());
     for (const fleet_vm &each : controls) {
         if (each.id != receiver.id) {
-            ranked.emplace_back(homeHash(receiver.id, each.id), &each);
+            ranked.emplace_back(rendezvousHash(receiver.id.value, each.id.value), &each);
         }
     }
     std::ranges::sort(ranked, std::ranges::greater{}, [](const auto &each) { return each.first; });
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -1,5 +1,7 @@
 #include <guavafront/coordination/routing/affinity.h>
 
+#include "coordination/routing/rendezvous.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -9,16 +11,6 @@
 namespace
 {
 
-/// Rendezvous hash of VM and instance (Thaler and Ravishankar, 1998); the VM prefers instances with a higher one. Mixes
-/// with the finalizer of SplitMix64.
-std::uint64_t preferenceHash(vm_id self, instance_id instance)
-{
-    std::uint64_t mixed = self.value ^ (instance.value * 0x9e3779b97f4a7c15);
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb;
-    return mixed ^ (mixed >> 31);
-}
-
 /// Estimated requests at the instance: the last reported load, while it is valid, plus what this VM has sent since, but
 /// at least this VM's own requests.
 float estimatedLoad(const candidate &member, instant now, const affinity_parameters &parameters)
@@ -51,7 +43,7 @@
 struct ranked_member {
     const candidate *member = nullptr; ///< The member.
     bool near = false; ///< Whether it is in this VM's data centre.
-    std::uint64_t preference = 0; ///< Result of preferenceHash().
+    std::uint64_t preference = 0; ///< Result of rendezvousHash().
     avoidance_status status = avoidance_status::Open; ///< Its status in the avoidance.
 };
 
@@ -64,7 +56,7 @@
     for (std::size_t index = 0; index < set.members.size(); ++index) {
         const candidate &member = set.members[index];
         if (std::ranges::find(request.excluded, member.instance) == request.excluded.end()) {
-            ranked.push_back({&member, index < set.nearCount, preferenceHash(self, member.instance),
+            ranked.push_back({&member, index < set.nearCount, rendezvousHash(self.value, member.instance.value),
                               avoidanceStatusOf(avoidedInstances, member.instance, now)});
         }
     }
@@ -148,7 +140,7 @@
                       const affinity_parameters &parameters)
 {
     const auto moment = static_cast<std::uint64_t>(lastFailure.time_since_epoch() / std::chrono::seconds(1));
-    const std::uint64_t hash = preferenceHash({self.value + moment}, member.member->instance);
+    const std::uint64_t hash = rendezvousHash(self.value + moment, member.member->instance.value);
     return duration(static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(parameters.trialSpread.count())));
 }
 
