Judge the loss of a service without trials, and try sooner only while it is high

Change: an avoided instance is tried after 1.5 to 2 s also while more than a fifth of the service's last requests at the VM, and two at least, weren't served, whatever is open. Trials don't count as losses. The other waits begin at 7.5 and 3.5 s, since the spread adds up to 0.5 s.

--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -17,12 +17,13 @@
     duration rankCost = std::chrono::milliseconds(12);
     /// Cost of a new connection, which takes one of the instance's slots.
     duration connectCost = std::chrono::milliseconds(25);
-    /// Time since the last failure after which also a request that may not be repeated serves as a trial.
-    duration unrepeatableTrialDelay = std::chrono::seconds(8);
+    /// Least time since the last failure after which also a request that may not be repeated serves as a trial; see
+    /// trialSpread.
+    duration unrepeatableTrialDelay = std::chrono::milliseconds(7'500);
     /// The same while capacity is scarce.
-    duration unrepeatableTrialDelayWhenScarce = std::chrono::seconds(4);
-    /// The same while capacity is scarce and many requests aren't served. A lost trial adds little then, and each
-    /// instance that is won back serves many requests.
+    duration unrepeatableTrialDelayWhenScarce = std::chrono::milliseconds(3'500);
+    /// The same while the loss of the service's requests is severe, or notable while open instances have less than
+    /// scarceOpenShare. A lost trial adds little then, and each instance that is won back serves many requests.
     duration unrepeatableTrialDelayUnderLoss = std::chrono::milliseconds(1'500);
     /// VMs become ready to try an instance at times that differ by this at most, so that few of them try it before they
     /// have heard of the first trial.
--- a/include/guavafront/coordination/routing/balancer.h
+++ b/include/guavafront/coordination/routing/balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/routing/candidate_set.h>
+#include <guavafront/coordination/upstreams/recent_losses.h>
 
 #include <cstdint>
 #include <optional>
@@ -27,7 +28,7 @@
     /// Instances that aren't chosen: those of the request's earlier attempts and those that want no request now.
     std::span<const instance_id> excluded;
     bool repeatable = false; ///< The request may run twice, so that instances in doubt may be chosen.
-    bool underLoss = false; ///< Many of the service's last requests at this VM weren't served.
+    service_loss loss = service_loss::Small; ///< How much of the service's last requests at this VM wasn't served.
 };
 
 /// Chooses an instance with a free slot for this VM's next request; nothing when there is none. random is one draw of
--- a/include/guavafront/coordination/upstreams/recent_losses.h
+++ b/include/guavafront/coordination/upstreams/recent_losses.h
@@ -7,6 +7,13 @@
 namespace guavafront
 {
 
+/// How many of a service's last requests weren't served.
+enum class service_loss : std::uint8_t {
+    Small, ///< At most a tenth.
+    Notable, ///< More than a tenth.
+    Severe, ///< More than a fifth, and several requests.
+};
+
 /// Ends of requests within two seconds.
 struct request_ends {
     std::uint32_t all = 0; ///< Requests that ended.
@@ -23,7 +30,7 @@
 /// Counts the end of a request.
 void recordEnd(recent_losses &state, bool served, instant now);
 
-/// Whether more than a tenth of the requests weren't served.
-bool isUnderLoss(const recent_losses &state, instant now);
+/// How many of the last requests weren't served.
+service_loss lossOf(const recent_losses &state, instant now);
 
 } // namespace guavafront
--- a/src/coordination/entry/stages.cpp
+++ b/src/coordination/entry/stages.cpp
@@ -21,6 +21,15 @@
     state.exchanges.erase(request.id);
 }
 
+/// Counts the end of a request for the loss of its service. Trials don't count, so that lost ones cause no more of
+/// them.
+void recordEnd(step_context &context, const exchange &request, bool served)
+{
+    if (!request.isTrial) {
+        recordRequestEnd(context.state.selection, context.state.upstreams, request.service, served, context.now);
+    }
+}
+
 stage_verdict runStage(step_context &context, exchange &request)
 {
     switch (request.stage) {
@@ -53,7 +62,7 @@
 {
     assert(ran == execution::Unknown || !request.mayHaveRun);
     if (!request.callerLeft) {
-        recordRequestEnd(context.state.selection, context.state.upstreams, request.service, false, context.now);
+        recordEnd(context, request, false);
         context.effects.emplace_back(
             refuse_request{request.id, {code, ran, retryAfter}, request.service, request.accountName});
     }
@@ -64,7 +73,7 @@
 void deliver(step_context &context, exchange &request, bool succeeded)
 {
     if (!request.callerLeft) {
-        recordRequestEnd(context.state.selection, context.state.upstreams, request.service, succeeded, context.now);
+        recordEnd(context, request, succeeded);
         context.effects.emplace_back(deliver_answer{request.id});
     }
     forgetRequest(context, request);
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -128,7 +128,7 @@
                            const affinity_parameters &parameters)
 {
     const bool fewOpen = openShare(ranked) < parameters.scarceOpenShare;
-    if (fewOpen && request.underLoss) {
+    if (request.loss == service_loss::Severe || (fewOpen && request.loss == service_loss::Notable)) {
         return parameters.unrepeatableTrialDelayUnderLoss;
     }
     const bool isScarce = fewOpen || isCrowded(ranked, now, parameters);
--- a/src/coordination/upstreams/recent_losses.cpp
+++ b/src/coordination/upstreams/recent_losses.cpp
@@ -29,12 +29,17 @@
     state.present.unserved += served ? 0 : 1;
 }
 
-bool isUnderLoss(const recent_losses &state, instant now)
+service_loss lossOf(const recent_losses &state, instant now)
 {
-    constexpr std::uint32_t lossDivisor = 10;
+    constexpr std::uint32_t notableDivisor = 10;
+    constexpr std::uint32_t severeDivisor = 5;
     const recent_losses moved = movedTo(state, now);
     const std::uint32_t all = moved.present.all + moved.before.all;
-    return (moved.present.unserved + moved.before.unserved) * lossDivisor > all;
+    const std::uint32_t unserved = moved.present.unserved + moved.before.unserved;
+    if (unserved > 1 && unserved * severeDivisor > all) {
+        return service_loss::Severe;
+    }
+    return unserved * notableDivisor > all ? service_loss::Notable : service_loss::Small;
 }
 
 } // namespace guavafront
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -183,7 +183,7 @@
         return std::nullopt;
     }
     choice_request informed = request;
-    informed.underLoss = isUnderLoss(selected->losses, now);
+    informed.loss = lossOf(selected->losses, now);
     const auto chosen =
         chooseByAffinity(selected->candidates, selection.avoidedInstances, selection.self, informed, now);
     if (!chosen) {
--- a/tests/avoidance/avoidance_test.cpp
+++ b/tests/avoidance/avoidance_test.cpp
@@ -148,6 +148,45 @@
     BOOST_TEST(chosen->trial);
 }
 
+BOOST_AUTO_TEST_CASE(unrepeatableRequest_severeLoss_longestWaitingNearInstanceTriedWithinTwoSeconds)
+{
+    record(2, instance_report_kind::Failed);
+    now += 300ms;
+    record(1, instance_report_kind::Failed);
+    record(5, instance_report_kind::Failed);
+    now += 2s;
+    const choice_request lossy{.loss = service_loss::Severe};
+    for (std::uint64_t vm = 1; vm <= 20; ++vm) {
+        const auto chosen = chooseByAffinity(set, avoidedInstances, {vm}, lossy, now);
+        BOOST_TEST((chosen->trial && (chosen->instance == instance_id{1} || chosen->instance == instance_id{2})));
+        BOOST_TEST(!choose(false, {vm})->trial);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unrepeatableRequest_notableLoss_triedEarlyOnlyWhileFewAreOpen)
+{
+    const choice_request lossy{.loss = service_loss::Notable};
+    record(1, instance_report_kind::Failed);
+    now += 2100ms;
+    BOOST_TEST(!chooseByAffinity(set, avoidedInstances, self, lossy, now)->trial);
+    for (const std::uint64_t id : {2U, 3U, 5U}) {
+        record(id, instance_report_kind::Failed);
+    }
+    BOOST_TEST(chooseByAffinity(set, avoidedInstances, self, lossy, now)->trial);
+}
+
+BOOST_AUTO_TEST_CASE(unrepeatableRequests_ofManyVms_readyAtDifferentTimes)
+{
+    record(1, instance_report_kind::Failed);
+    now += 1750ms;
+    std::size_t ready = 0;
+    for (std::uint64_t vm = 1; vm <= 100; ++vm) {
+        ready += chooseByAffinity(set, avoidedInstances, {vm}, {.loss = service_loss::Severe}, now)->trial ? 1 : 0;
+    }
+    BOOST_TEST(ready > 25U);
+    BOOST_TEST(ready < 75U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
