Publish evidence at once while it is rare; judge a loss from three requests on

Suspected: at a VM with one or two requests of a service a second, one or two losses made the loss notable or severe, so that avoided instances were tried early without need; and each first failure was told 25 ms later to all. The two aren't told apart.

Change: a loss counts from three unserved requests on. A hub publishes evidence at once if it published none in the last 25 ms.

--- a/include/guavafront/coordination/evidence/evidence_relay.h
+++ b/include/guavafront/coordination/evidence/evidence_relay.h
@@ -44,11 +44,12 @@
     fleet_vm self; ///< This VM.
     /// A home of each entry VM for each copy, in its own data centre as far as there are any.
     home_rule rule{.homes = evidenceCopies, .nearHomes = evidenceCopies};
-    /// Time in which evidence is gathered before it is published.
+    /// Least time between two publications. Evidence that comes meanwhile is gathered.
     duration gatherTime = std::chrono::milliseconds(25);
     std::vector<vm_id> hubs; ///< Other live control VMs.
     std::array<std::vector<vm_id>, evidenceCopies> receivers; ///< Entry VMs that get each copy from this VM.
     std::array<std::vector<observed_report>, evidenceCopies> unpublished; ///< Reports of each copy to publish.
+    instant publishedAt{}; ///< Time of the last publication.
     instant publishAt = instant::max(); ///< When they are published; the end of time while there are none.
 };
 
--- a/include/guavafront/coordination/upstreams/recent_losses.h
+++ b/include/guavafront/coordination/upstreams/recent_losses.h
@@ -9,9 +9,9 @@
 
 /// How many of a service's last requests weren't served.
 enum class service_loss : std::uint8_t {
-    Small, ///< At most a tenth.
+    Small, ///< At most a tenth, or only a few requests.
     Notable, ///< More than a tenth.
-    Severe, ///< More than a fifth, and several requests.
+    Severe, ///< More than a fifth.
 };
 
 /// Ends of requests within two seconds.
--- a/src/coordination/evidence/evidence_relay.cpp
+++ b/src/coordination/evidence/evidence_relay.cpp
@@ -28,7 +28,7 @@
 {
     const std::size_t copy = std::min<std::size_t>(message.copy, evidenceCopies - 1);
     std::ranges::copy(message.reports, std::back_inserter(state.unpublished[copy]));
-    state.publishAt = std::min(state.publishAt, now + state.gatherTime);
+    state.publishAt = std::min(state.publishAt, std::max(now, state.publishedAt + state.gatherTime));
     send_evidence relayed;
     if (message.stage == evidence_stage::Reported) {
         relayed.to = state.hubs;
@@ -45,6 +45,7 @@
         return due;
     }
     state.publishAt = instant::max();
+    state.publishedAt = now;
     for (std::size_t copy = 0; copy < evidenceCopies; ++copy) {
         const std::vector<observed_report> reports = std::exchange(state.unpublished[copy], {});
         std::span<const observed_report> left = reports;
--- a/src/coordination/upstreams/recent_losses.cpp
+++ b/src/coordination/upstreams/recent_losses.cpp
@@ -31,15 +31,16 @@
 
 service_loss lossOf(const recent_losses &state, instant now)
 {
+    constexpr std::uint32_t fewestUnserved = 3; // Fewer may be chance at a VM that sees few requests.
     constexpr std::uint32_t notableDivisor = 10;
     constexpr std::uint32_t severeDivisor = 5;
     const recent_losses moved = movedTo(state, now);
     const std::uint32_t all = moved.present.all + moved.before.all;
     const std::uint32_t unserved = moved.present.unserved + moved.before.unserved;
-    if (unserved > 1 && unserved * severeDivisor > all) {
-        return service_loss::Severe;
+    if (unserved < fewestUnserved || unserved * notableDivisor <= all) {
+        return service_loss::Small;
     }
-    return unserved * notableDivisor > all ? service_loss::Notable : service_loss::Small;
+    return unserved * severeDivisor > all ? service_loss::Severe : service_loss::Notable;
 }
 
 } // namespace guavafront
