Decide which waiting control VM joins in a free function

The admission of a control VM that isn't a member of the log was decided inside the control task, so that neither a schedule of the decisions nor a model could use it. vmToAdmit() and waitingVms() stand beside memberToReplace() and memberToRemove() now; no decision changes.

--- a/include/guavafront/coordination/replication/absent_voters.h
+++ b/include/guavafront/coordination/replication/absent_voters.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace guavafront
 {
@@ -22,6 +23,21 @@
 /// member's disk is lost, since the VM at its address has a new identity. Returns 0 when there is no such member.
 vm_id memberToReplace(const replica &self, const control_vms_view &view, vm_id joining);
 
+/// A control VM that joins the replicated log as a learner.
+struct admission {
+    vm_id id; ///< Identity of the VM.
+    vm_id replaces; ///< Member that is removed once the VM votes; 0 for none.
+    bool operator==(const admission &) const = default; ///< Memberwise equality.
+};
+
+/// Returns the live control VMs that aren't members of the log, without this one.
+std::vector<vm_id> waitingVms(const replica &self, const control_vms_view &view);
+
+/// Returns the admission that the leader should propose: a waiting VM joins while there are fewer members than
+/// replica_options::targetVoters. Returns none on VMs that don't lead or have no quorum at this time, and while the
+/// latest change of membership or a record of the leader's own term isn't committed.
+std::optional<admission> vmToAdmit(const replica &self, const control_vms_view &view, instant now);
+
 /// Returns a member that the leader should remove because it is presumed lost: it isn't live and has been silent for
 /// replica_options::lostMemberLimit. Learners are removed at once. A voter is removed if the remaining voters can then
 /// bear the loss of one more than before, which holds for an even number of voters or several lost ones; otherwise only
--- a/src/coordination/replication/absent_voters.cpp
+++ b/src/coordination/replication/absent_voters.cpp
@@ -1,6 +1,7 @@
 #include <guavafront/coordination/replication/absent_voters.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace guavafront
 {
@@ -34,6 +35,29 @@
     return found == self.members.members.end() ? vm_id{} : found->id;
 }
 
+std::vector<vm_id> waitingVms(const replica &self, const control_vms_view &view)
+{
+    std::vector<vm_id> waiting;
+    std::ranges::copy_if(view.live, std::back_inserter(waiting), [&self](vm_id vm) {
+        return findMember(self.members, vm) == nullptr && vm != self.options.self;
+    });
+    return waiting;
+}
+
+std::optional<admission> vmToAdmit(const replica &self, const control_vms_view &view, instant now)
+{
+    const bool isStable = self.membersIndex <= self.commitIndex && self.termStartIndex <= self.commitIndex;
+    const bool hasVacancy = self.members.members.size() < self.options.targetVoters;
+    if (self.role != replica_role::Leader || !isStable || !hasVacancy) {
+        return std::nullopt; // A VM joins a full cluster only when an operator requests a replacement.
+    }
+    const std::vector<vm_id> waiting = waitingVms(self, view);
+    if (waiting.empty() || !isCurrent(self, now)) {
+        return std::nullopt;
+    }
+    return admission{waiting.front(), memberToReplace(self, view, waiting.front())};
+}
+
 std::optional<vm_id> memberToRemove(const replica &self, const control_vms_view &view, instant now)
 {
     if (self.role != replica_role::Leader || self.membersIndex > self.commitIndex) {
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -3,6 +3,7 @@
 #include "wire/configuration_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
+#include <guavafront/coordination/replication/absent_voters.h>
 
 #include <glog/logging.h>
 
@@ -112,7 +113,7 @@
             .leaderVm = replica.leader,
             .leaderAddress = addressOf(replica.leader),
             .members = replica.members,
-            .waiting = waitingVms(),
+            .waiting = waitingVms(replica, {m_liveControlVms, m_addresses}),
             .accepted = m_accepted};
 }
 
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -98,7 +98,6 @@
     void logMembership();
     void proposeClaimsView();
     void publishClaimsView();
-    std::vector<vm_id> waitingVms() const;
     std::uint64_t addPending(answer_handler answer);
 
     control_task_options m_options; ///< Settings and callbacks.
--- a/src/daemon/control/control_task_members.cpp
+++ b/src/daemon/control/control_task_members.cpp
@@ -4,8 +4,6 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
-#include <iterator>
 #include <sstream>
 
 namespace guavafront
@@ -21,16 +19,8 @@
 
 void control_task::admitWaitingVm()
 {
-    const replica &replica = m_host.state();
-    const bool isStable = replica.membersIndex <= replica.commitIndex && replica.termStartIndex <= replica.commitIndex;
-    const bool hasVacancy = replica.members.members.size() < replica.options.targetVoters;
-    if (replica.role != replica_role::Leader || !isStable || !hasVacancy) {
-        return; // A VM joins a full cluster only when an operator requests a replacement.
-    }
-    const std::vector<vm_id> waiting = waitingVms();
-    if (!waiting.empty() && isCurrent(replica, loop::now())) {
-        m_host.post(learner_proposed{addPending({}), waiting.front(),
-                                     memberToReplace(replica, {m_liveControlVms, m_addresses}, waiting.front())});
+    if (const auto admitted = vmToAdmit(m_host.state(), {m_liveControlVms, m_addresses}, loop::now())) {
+        m_host.post(learner_proposed{addPending({}), admitted->id, admitted->replaces});
     }
 }
 
@@ -76,13 +66,4 @@
     LOG(INFO) << "control: quorum of " << quorumSize(members) << " among" << text.str();
 }
 
-std::vector<vm_id> control_task::waitingVms() const
-{
-    std::vector<vm_id> waiting;
-    std::ranges::copy_if(m_liveControlVms, std::back_inserter(waiting), [this](vm_id vm) {
-        return findMember(m_host.state().members, vm) == nullptr && vm != m_host.state().options.self;
-    });
-    return waiting;
-}
-
 } // namespace guavafront
