Admit a waiting control VM to a full cluster in place of a lost member

Cause: a VM joins only while there are fewer members than the target, and fifteen of fifteen leave no room. The dead identity is one lost voter of an odd number, which stays for 20 s from the new leader's start, and the new leader has never seen its address, so it can't tie the two identities. With each further change of leader the wait begins anew. The same held for three of three voters, where docs/OPERATIONS.md said that a VM takes its former self's place by itself: nobody joined a full cluster without a command.

It joins as a learner that replaces the member, so the voters don't become fewer, and a change is still refused unless the healthy members are a quorum before and after it. A member that was only away waits when it returns, and is a spare.

--- a/include/guavafront/coordination/replication/absent_voters.h
+++ b/include/guavafront/coordination/replication/absent_voters.h
@@ -33,9 +33,11 @@
 /// Returns the live control VMs that aren't members of the log, without this one.
 std::vector<vm_id> waitingVms(const replica &self, const control_vms_view &view);
 
-/// Returns the admission that the leader should propose: a waiting VM joins while there are fewer members than
-/// replica_options::targetVoters. Returns none on VMs that don't lead or have no quorum at this time, and while the
-/// latest change of membership or a record of the leader's own term isn't committed.
+/// Returns the admission that the leader should propose. A waiting VM takes the place of the member at its address
+/// (memberToReplace), or else joins while there are fewer members than replica_options::targetVoters; in a full cluster
+/// it takes the place of a member that isn't live and has been silent for replica_options::lostMemberLimit. Returns
+/// none on VMs that don't lead or have no quorum at this time, and while the latest change of membership or a record of
+/// the leader's own term isn't committed.
 std::optional<admission> vmToAdmit(const replica &self, const control_vms_view &view, instant now);
 
 /// Returns a member that the leader should remove because it is presumed lost: it isn't live and has been silent for
--- a/src/coordination/replication/absent_voters.cpp
+++ b/src/coordination/replication/absent_voters.cpp
@@ -14,6 +14,18 @@
     return std::ranges::find(view.live, vm) != view.live.end();
 }
 
+/// Returns whether a member is presumed lost: the failure detector holds it dead, and it has been silent for
+/// lostMemberLimit.
+bool isLost(const replica &self, const control_vms_view &view, const peer_progress &peer, instant now)
+{
+    return !isLive(view, peer.id) && now - peer.lastContact >= self.options.lostMemberLimit;
+}
+
+bool isBeingReplaced(const membership &members, vm_id vm)
+{
+    return std::ranges::find(members.members, vm, &member::replaces) != members.members.end();
+}
+
 std::string_view addressOf(const control_vms_view &view, vm_id vm)
 {
     const auto found = view.addresses.find(vm);
@@ -47,15 +59,23 @@
 std::optional<admission> vmToAdmit(const replica &self, const control_vms_view &view, instant now)
 {
     const bool isStable = self.membersIndex <= self.commitIndex && self.termStartIndex <= self.commitIndex;
-    const bool hasVacancy = self.members.members.size() < self.options.targetVoters;
-    if (self.role != replica_role::Leader || !isStable || !hasVacancy) {
-        return std::nullopt; // A VM joins a full cluster only when an operator requests a replacement.
+    if (self.role != replica_role::Leader || !isStable || self.members.members.size() >= maxMembers) {
+        return std::nullopt;
     }
     const std::vector<vm_id> waiting = waitingVms(self, view);
     if (waiting.empty() || !isCurrent(self, now)) {
         return std::nullopt;
     }
-    return admission{waiting.front(), memberToReplace(self, view, waiting.front())};
+    const vm_id joining = waiting.front();
+    const vm_id former = memberToReplace(self, view, joining);
+    const bool hasVacancy = self.members.members.size() < self.options.targetVoters;
+    if (former.value != 0 || hasVacancy) {
+        return admission{joining, former};
+    }
+    const auto lost = std::ranges::find_if(self.peers, [&](const peer_progress &peer) {
+        return isLost(self, view, peer, now) && !isBeingReplaced(self.members, peer.id);
+    });
+    return lost == self.peers.end() ? std::nullopt : std::optional(admission{joining, lost->id});
 }
 
 std::optional<vm_id> memberToRemove(const replica &self, const control_vms_view &view, instant now)
@@ -66,7 +86,7 @@
     const peer_progress *longest = nullptr; // Of the lost voters, the one that has been silent for longest.
     std::size_t lostVoters = 0;
     for (const peer_progress &peer : self.peers) {
-        if (isLive(view, peer.id) || now - peer.lastContact < self.options.lostMemberLimit) {
+        if (!isLost(self, view, peer, now)) {
             continue;
         }
         if (!isVoter(self.members, peer.id)) {
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -7,6 +7,8 @@
 #include "runtime/mailbox.h"
 #include "runtime/timer.h"
 
+#include <guavafront/coordination/replication/absent_voters.h>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -119,6 +121,7 @@
     instant m_lastProofAt; ///< asOf of the last leadership proof.
     instant m_nextRemovalAt; ///< No member is removed before this time.
     membership m_loggedMembers; ///< Membership that was last logged.
+    std::optional<admission> m_loggedAdmission; ///< Admission that was last logged.
     timer m_readTimer; ///< Fails the pending reads if no quorum confirms them in time.
     replica_host m_host; ///< Runs the replica on its store.
     mailbox_attachment<control_message> m_attachment;
--- a/src/daemon/control/control_task_members.cpp
+++ b/src/daemon/control/control_task_members.cpp
@@ -1,10 +1,13 @@
 #include "daemon/control/control_task.h"
 
+#include "wire/replacement_json.h"
+
 #include <guavafront/coordination/replication/absent_voters.h>
 
 #include <glog/logging.h>
 
 #include <sstream>
+#include <utility>
 
 namespace guavafront
 {
@@ -17,11 +20,18 @@
 
 } // namespace
 
+/// Proposes a waiting VM as a learner; a proposal that fails is made again later.
 void control_task::admitWaitingVm()
 {
-    if (const auto admitted = vmToAdmit(m_host.state(), {m_liveControlVms, m_addresses}, loop::now())) {
-        m_host.post(learner_proposed{addPending({}), admitted->id, admitted->replaces});
+    const auto admitted = vmToAdmit(m_host.state(), {m_liveControlVms, m_addresses}, loop::now());
+    if (!admitted) {
+        return;
+    }
+    if (admitted != std::exchange(m_loggedAdmission, admitted)) {
+        LOG(INFO) << "control: VM " << std::hex << admitted->id.value << " joins as a learner"
+                  << (admitted->replaces.value == 0 ? "" : " in place of VM " + toHex(admitted->replaces));
     }
+    m_host.post(learner_proposed{addPending({}), admitted->id, admitted->replaces});
 }
 
 /// Proposes to remove a member that is presumed lost; a removal that fails is proposed again later.
--- a/tests/control/control_task_test.cpp
+++ b/tests/control/control_task_test.cpp
@@ -133,6 +133,28 @@
     BOOST_TEST(replaced.statusOf(replaced.waitForLeader()).accepted->atRevision.value == 2 * size);
 }
 
+// Guards against a full cluster that leaves a control VM out: one that lost its disk joins in place of its former
+// identity, whose address a new leader has never seen.
+BOOST_AUTO_TEST_CASE(vm_diskLostInAFullClusterWithANewLeader_votesWithinRecovery)
+{
+    constexpr std::size_t size = 5;
+    constexpr std::chrono::seconds recovery(15);
+    control_cluster full(size, {.targetVoters = size});
+    const auto votersOf = [&full] {
+        full.announceAll();
+        return full.statusOf(full.waitForLeader()).members;
+    };
+    full.waitUntil([&] { return voterCount(votersOf()) == size; });
+    const std::size_t lost = full.waitForLeader();
+    full.stop(lost);
+    full.loseDisk(lost);
+    const auto lostAt = std::chrono::steady_clock::now();
+    full.start(lost);
+    full.waitUntil([&] { return isVoter(votersOf(), full.identityOf(lost)); });
+    BOOST_TEST((std::chrono::steady_clock::now() - lostAt < recovery));
+    full.waitUntil([&] { return voterCount(votersOf()) == size; });
+}
+
 // Guards against a voter that stays out: one that was cut off, and removed meanwhile, joins again by itself.
 BOOST_AUTO_TEST_CASE(vm_awayUntilRemovedThenBack_votesAgain)
 {
--- a/tests/replication/absent_voters_test.cpp
+++ b/tests/replication/absent_voters_test.cpp
@@ -63,6 +63,39 @@
     BOOST_TEST((memberToReplace(self, view(), {9}) == vm_id{}));
 }
 
+// Guards against a full cluster that leaves a control VM out, whose former identity has an address that this leader has
+// never seen.
+BOOST_AUTO_TEST_CASE(waitingVm_fullClusterWithALostVoter_takesItsPlace)
+{
+    addresses.clear();
+    self.options.targetVoters = 4;
+    BOOST_TEST(!vmToAdmit(self, view(), now).has_value());
+    now += self.options.lostMemberLimit;
+    self.peers[0].lastContact = self.peers[1].lastContact = now;
+    BOOST_TEST((vmToAdmit(self, view(), now) == admission{{9}, {4}}));
+    live.push_back({4}); // A member that is live again keeps its place.
+    BOOST_TEST(!vmToAdmit(self, view(), now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(waitingVm_lostVoterIsBeingReplaced_waitsOn)
+{
+    addresses.clear();
+    self.options.targetVoters = 4;
+    now += self.options.lostMemberLimit;
+    self.peers[0].lastContact = self.peers[1].lastContact = now;
+    self.members = withMember(self.members, {{8}, voting_role::Learner, {4}});
+    BOOST_TEST(!vmToAdmit(self, view(), now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(waitingVm_clusterWithVacancy_joinsAtOnce)
+{
+    addresses.clear();
+    self.options.targetVoters = 5;
+    BOOST_TEST((vmToAdmit(self, view(), now) == admission{{9}, {}}));
+    self.membersIndex = {1};
+    BOOST_TEST(!vmToAdmit(self, view(), now).has_value()); // The latest change of membership isn't committed.
+}
+
 // Guards against replaced voters that add up: with an even number of voters the loss of one more costs the quorum as
 // soon as with one voter less.
 BOOST_AUTO_TEST_CASE(voter_lostOfAnEvenNumber_removedSoon)
