Redirect callers of a waiting control VM to a live one

What callers saw: a control VM that isn't a member of the log (it lost its disk and waits for a place) answered every config.get and config.put 503 "no leader is known", although the others had a leader.

Cause: the redirect names the leader, and a VM that isn't a member is told of no leader. Callers follow a 307 twice, so one through a member reaches the leader.

Change: vmTowardsLeader(), a free function beside the other decisions on waiting VMs, names the known leader, and on a VM that isn't a member a live control VM, of several another one with each turn, so that a series of calls doesn't stay with one that waits, too, or has just died. A leader that a removed VM remembers counts only while it is live. A member that knows no leader still answers 503 at once.

control_status::leaderAddress -> redirectAddress control_port_task::redirectToLeader -> redirectTo

--- a/include/guavafront/coordination/replication/absent_voters.h
+++ b/include/guavafront/coordination/replication/absent_voters.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/replication/replica.h>
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -47,4 +48,9 @@
 /// VMs that don't lead, and while the latest change of membership isn't committed.
 std::optional<vm_id> memberToRemove(const replica &self, const control_vms_view &view, instant now);
 
+/// Returns the VM to which a caller that needs the leader should turn: the known leader, or, on a VM that isn't a
+/// member and so isn't told of elections, a live control VM, of several another one with each turn. Returns 0 if there
+/// is none: on a member that knows no leader, and if no other control VM is live.
+vm_id vmTowardsLeader(const replica &self, const control_vms_view &view, std::uint64_t turn);
+
 } // namespace guavafront
--- a/src/coordination/replication/absent_voters.cpp
+++ b/src/coordination/replication/absent_voters.cpp
@@ -104,4 +104,14 @@
     return isQuorumEasier || isAbsent ? std::optional(longest->id) : std::nullopt;
 }
 
+vm_id vmTowardsLeader(const replica &self, const control_vms_view &view, std::uint64_t turn)
+{
+    const bool isMember = findMember(self.members, self.options.self) != nullptr;
+    // A VM that was removed may remember a leader that has died since.
+    if (isMember || isLive(view, self.leader)) {
+        return self.leader;
+    }
+    return view.live.empty() ? vm_id{} : view.live[turn % view.live.size()];
+}
+
 } // namespace guavafront
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -28,7 +28,7 @@
     bool leader = false; ///< This VM is the leader and a quorum answers it, so it can accept changes.
     vm_id self; ///< Identity of this VM.
     vm_id leaderVm; ///< Known leader; 0 if none is known.
-    std::string leaderAddress; ///< Address at which other VMs reach the leader; empty if unknown.
+    std::string redirectAddress; ///< Address of the VM to which a caller turns for the leader; empty if none is known.
     membership members; ///< Members of the cluster and whether they vote.
     std::vector<vm_id> waiting; ///< Live control VMs that aren't members.
     std::shared_ptr<const configuration> accepted; ///< Highest accepted configuration known to this VM; never null.
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -73,7 +73,7 @@
     m_host.post(command_proposed{addPending(message.answer), std::move(payload)});
 }
 
-void control_task::handle(const status_requested &message) const
+void control_task::handle(const status_requested &message)
 {
     const replica &replica = m_host.state();
     message.answer(makeStatus(replica.role == replica_role::Leader && isCurrent(replica, loop::now())));
@@ -105,18 +105,24 @@
     }
 }
 
-control_status control_task::makeStatus(bool isLeader) const
+control_status control_task::makeStatus(bool isLeader)
 {
     const replica &replica = m_host.state();
     return {.leader = isLeader,
             .self = replica.options.self,
             .leaderVm = replica.leader,
-            .leaderAddress = addressOf(replica.leader),
+            .redirectAddress = nextRedirectAddress(),
             .members = replica.members,
             .waiting = waitingVms(replica, {m_liveControlVms, m_addresses}),
             .accepted = m_accepted};
 }
 
+/// Returns the address of the VM to which the next caller turns for the leader; empty if none is known.
+std::string control_task::nextRedirectAddress()
+{
+    return addressOf(vmTowardsLeader(m_host.state(), {m_liveControlVms, m_addresses}, m_redirects++));
+}
+
 std::string control_task::addressOf(vm_id vm) const
 {
     const auto found = m_addresses.find(vm);
@@ -179,8 +185,8 @@
             .appended = [this](const proposal_appended &appended) { recordAppendedProposal(appended); },
             .refused =
                 [this](const proposal_refused &refused) {
-                    // The answer's text is the address of the leader, to which the operator can turn.
-                    completeProposal(refused.ticket, {refused.code, m_accepted->atRevision, addressOf(refused.leader)});
+                    // The answer's text is the address of the VM to which the operator can turn.
+                    completeProposal(refused.ticket, {refused.code, m_accepted->atRevision, nextRedirectAddress()});
                 },
             .roleChanged = [this](const role_changed &role) { handleRoleChange(role); },
             .flushed =
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -71,7 +71,7 @@
     };
 
     void handle(const change_submitted &message);
-    void handle(const status_requested &message) const;
+    void handle(const status_requested &message);
     void handle(const confirmed_status_requested &message);
     void handle(const replacement_submitted &message);
     void handle(const replication_from_peer &message);
@@ -92,7 +92,8 @@
     void publishLeadershipProof();
     void answerConfirmedReads(instant confirmed);
     void failPendingReads();
-    control_status makeStatus(bool isLeader) const;
+    control_status makeStatus(bool isLeader);
+    std::string nextRedirectAddress();
     std::string addressOf(vm_id vm) const;
     void admitWaitingVm();
     void removeLostMember();
@@ -114,6 +115,7 @@
     std::uint64_t m_lastTicket = 0; ///< Last ticket that was assigned.
     std::vector<vm_id> m_liveControlVms; ///< Live control VMs without this one.
     std::unordered_map<vm_id, std::string> m_addresses; ///< Address of each control VM that was ever seen.
+    std::uint64_t m_redirects = 0; ///< Number of redirects that were looked up.
     std::deque<pending_read> m_pendingReads; ///< Status requests that wait for confirmation, oldest first.
     std::vector<claims_member> m_claimsMembers; ///< Live VMs that can keep claims, ordered by id.
     instant m_claimsViewProposedAt; ///< When this VM last proposed a claims view.
--- a/tests/control/control_task_test.cpp
+++ b/tests/control/control_task_test.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -174,6 +176,38 @@
     BOOST_TEST((returning.identityOf(away) == all[away]));
 }
 
+// Guards against a control VM that refuses reads and changes while it waits for a place, although there is a leader.
+BOOST_AUTO_TEST_CASE(vm_waitsBesideAFullCluster_callersRedirectedToLiveVmsInTurn)
+{
+    control_cluster full(4, {.targetVoters = 3});
+    full.waitUntil([&full] {
+        full.announceAll();
+        return voterCount(full.statusOf(full.waitForLeader()).members) == 3;
+    });
+    const membership members = full.statusOf(full.waitForLeader()).members;
+    std::size_t waiting = 0;
+    live_control_vms_changed seen;
+    std::set<std::string> addresses;
+    for (std::size_t vm = 0; vm < 4; ++vm) {
+        if (isVoter(members, full.identityOf(vm))) {
+            seen.vms.push_back(full.identityOf(vm));
+            seen.addresses.push_back("10.0.0." + std::to_string(vm) + ":7560");
+            addresses.insert(seen.addresses.back());
+        } else {
+            waiting = vm;
+        }
+    }
+    full.inboxOf(waiting).post(seen);
+    std::set<std::string> redirects;
+    for (std::size_t call = 0; call < 3; ++call) {
+        redirects.insert(full.statusOf(waiting).redirectAddress);
+    }
+    BOOST_TEST((redirects == addresses));
+    const change_answer refused = full.submit(waiting, control_cluster::accountCreation(1, {0}));
+    BOOST_CHECK(refused.code == result_code::NotLeader);
+    BOOST_TEST(addresses.contains(refused.text));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/replication/absent_voters_test.cpp
+++ b/tests/replication/absent_voters_test.cpp
@@ -145,6 +145,34 @@
     BOOST_TEST((memberToRemove(self, view(), now) == vm_id{7}));
 }
 
+// Guards against callers that are refused at a VM that waits to join, although there is a leader.
+BOOST_AUTO_TEST_CASE(caller_atAWaitingVm_sentToEachLiveVmInTurn)
+{
+    self.options.self = {9};
+    self.role = replica_role::Follower;
+    live = {{1}, {2}, {3}};
+    for (std::uint64_t turn = 0; turn < 2 * live.size(); ++turn) {
+        BOOST_TEST((vmTowardsLeader(self, view(), turn) == live[turn % live.size()]));
+    }
+    self.leader = {4}; // Led when this VM was a member.
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{1}));
+    self.leader = {2};
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{2}));
+    self.leader = {};
+    live.clear();
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{}));
+}
+
+BOOST_AUTO_TEST_CASE(caller_atAMember_sentToTheKnownLeaderOnly)
+{
+    self.options.self = {2};
+    self.role = replica_role::Follower;
+    live = {{1}, {3}};
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{}));
+    self.leader = {1};
+    BOOST_TEST((vmTowardsLeader(self, view(), 1) == vm_id{1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
