Report refused votes, failed rounds and lost quorums from the replica

Three effects for the host, none of which changes what a replica does or sends: - vote_refused at the refuser, with the first reason that applies (a live leader is known, the term isn't higher, the log is behind, the vote is taken, another cluster), both ends of the log and the leader or candidate preferred. - election_failed at the candidate when a round ends at its deadline: voters that granted, refused and didn't answer. A round that ends early, since a leader or a higher term was met, isn't reported: the others may still be about to answer. - quorum_lost at a leader that gives up its leadership, with the voters that did and didn't answer within the election timeout.

The messages stay as they are: an answer says only that it refuses, so the reason is known at the refuser alone. Two requests for a vote are still dropped without an answer (a lower term; a live leader), so the candidate counts their receivers as silent while these report the refusal. Answers to pre-votes carry no number of their round, so a late refusal counts in the next round.

vote_leaderHeardRecently_notDisturbed required that a dropped request had no effect at all. It now requires that the only effect is the report, so that no message, write or change of role can hide behind it.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/result_code.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/replication/election_reports.h>
 #include <guavafront/coordination/replication/message.h>
 
 #include <cstddef>
@@ -104,6 +105,8 @@
     instant electionDeadline; ///< Time at which an election starts unless a message of the leader arrives before.
     instant heartbeatDue; ///< Time of the leader's next heartbeat.
     std::vector<vm_id> votes; ///< Voters that granted the vote or pre-vote under way, this replica included.
+    std::vector<vm_id> refusals; ///< Voters that refused the vote or pre-vote under way.
+    instant voteStartedAt; ///< Time at which the vote or pre-vote under way was asked for.
     std::uint64_t heartbeatRound = 0; ///< Number of the latest heartbeat that this replica sent as leader.
     std::deque<instant> heartbeatTimes; ///< Times of the latest heartbeats; the last entry belongs to heartbeatRound.
     std::vector<peer_progress> peers; ///< Progress of the other members; used by the leader only.
@@ -242,9 +245,9 @@
 };
 
 /// All effects that a replica asks its host to perform.
-using replica_effect =
-    std::variant<write_vote, append_records, remove_records, write_snapshot, sync_writes, send_message, apply_record,
-                 load_snapshot, take_snapshot, proposal_appended, proposal_refused, role_changed>;
+using replica_effect = std::variant<write_vote, append_records, remove_records, write_snapshot, sync_writes,
+                                    send_message, apply_record, load_snapshot, take_snapshot, proposal_appended,
+                                    proposal_refused, role_changed, vote_refused, election_failed, quorum_lost>;
 
 /// Returns a replica at its start, built from the state on its disk. random is uniform over 64 bits.
 replica restore(const replica_options &options, const stored_state &stored, instant now, std::uint64_t random);
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -1,6 +1,8 @@
 #include "coordination/replication/replica_step.h"
 
 #include <algorithm>
+#include <optional>
+#include <span>
 
 namespace guavafront
 {
@@ -8,6 +10,11 @@
 namespace
 {
 
+bool contains(std::span<const vm_id> vms, vm_id vm)
+{
+    return std::ranges::find(vms, vm) != vms.end();
+}
+
 void setRole(replica_step &step, replica_role role, vm_id leader, term previousTerm)
 {
     replica &self = step.self;
@@ -29,11 +36,47 @@
     }
 }
 
+/// Clears the answers of the previous round; this replica grants its own vote.
+void startRound(replica_step &step)
+{
+    step.self.votes = {step.self.options.self};
+    step.self.refusals.clear();
+    step.self.voteStartedAt = step.now;
+    resetElectionDeadline(step);
+}
+
+/// Reports the round that is under way, if any, as failed. Only at the deadline: other voters may still be about to
+/// answer a round that ends early.
+void reportFailedRound(replica_step &step)
+{
+    const replica &self = step.self;
+    if (self.role != replica_role::PreCandidate && self.role != replica_role::Candidate) {
+        return;
+    }
+    election_failed failed{.preVote = self.role == replica_role::PreCandidate,
+                           .inTerm = self.currentTerm,
+                           .waited = step.now - self.voteStartedAt};
+    for (const member &each : self.members.members) {
+        if (each.role != voting_role::Voter) {
+            continue;
+        }
+        if (contains(self.votes, each.id)) {
+            failed.granted.push_back(each.id);
+        } else if (contains(self.refusals, each.id)) {
+            failed.refused.push_back(each.id);
+        } else {
+            failed.silent.push_back(each.id);
+        }
+    }
+    step.afterSync.emplace_back(std::move(failed));
+}
+
 void becomeLeader(replica_step &step)
 {
     replica &self = step.self;
     setRole(step, replica_role::Leader, self.options.self, self.currentTerm);
     self.votes.clear();
+    self.refusals.clear();
     self.peers.clear();
     self.heartbeatTimes.clear();
     adoptMembership(step, {self.membersIndex, self.members});
@@ -49,8 +92,7 @@
     self.votedFor = self.options.self;
     persistVote(step);
     setRole(step, replica_role::Candidate, {}, previous);
-    self.votes = {self.options.self};
-    resetElectionDeadline(step);
+    startRound(step);
     if (isQuorum(self.members, self.votes)) {
         becomeLeader(step);
         return;
@@ -58,13 +100,39 @@
     requestVotes(step, false, self.currentTerm);
 }
 
-/// Answers a pre-vote request without any change of state. It is refused while this replica knows a live leader.
+/// Returns why this replica refuses a pre-vote, if it does. It does while it knows a live leader.
+std::optional<vote_refusal> preVoteRefusal(const replica_step &step, term inTerm, const vote_request &request)
+{
+    const replica &self = step.self;
+    if (knowsLiveLeader(step)) {
+        return vote_refusal::LeaderKnown;
+    }
+    if (inTerm <= self.currentTerm) {
+        return vote_refusal::TermNotHigher;
+    }
+    return isAtLeastAsUpToDate(self.log, request.lastIndex, request.lastTerm) ? std::nullopt
+                                                                              : std::optional(vote_refusal::LogBehind);
+}
+
+/// Answers a pre-vote request without any change of state.
 void answerPreVote(replica_step &step, const replication_message &message, const vote_request &request)
 {
     const replica &self = step.self;
-    const bool granted = message.inTerm > self.currentTerm && !knowsLiveLeader(step)
-                         && isAtLeastAsUpToDate(self.log, request.lastIndex, request.lastTerm);
-    sendAfterSync(step, message.from, granted ? message.inTerm : self.currentTerm, vote_answer{true, granted});
+    const std::optional<vote_refusal> refusal = preVoteRefusal(step, message.inTerm, request);
+    if (refusal) {
+        reportRefusal(step, message, request, *refusal);
+    }
+    sendAfterSync(step, message.from, refusal ? self.currentTerm : message.inTerm, vote_answer{true, !refusal});
+}
+
+/// Returns why a request for a vote is dropped without an answer, if it is.
+std::optional<vote_refusal> dropReason(const replica_step &step, term inTerm)
+{
+    if (inTerm < step.self.currentTerm) {
+        return vote_refusal::TermNotHigher;
+    }
+    const bool hasLeader = inTerm > step.self.currentTerm && knowsLiveLeader(step);
+    return hasLeader ? std::optional(vote_refusal::LeaderKnown) : std::nullopt;
 }
 
 } // namespace
@@ -94,16 +162,17 @@
     }
     setRole(step, replica_role::Follower, leader, previous);
     self.votes.clear();
+    self.refusals.clear();
     self.peers.clear();
     resetElectionDeadline(step);
 }
 
 void startPreVote(replica_step &step)
 {
-    replica &self = step.self;
+    const replica &self = step.self;
+    reportFailedRound(step);
     setRole(step, replica_role::PreCandidate, {}, self.currentTerm);
-    self.votes = {self.options.self};
-    resetElectionDeadline(step);
+    startRound(step);
     if (isQuorum(self.members, self.votes)) {
         becomeCandidate(step);
         return;
@@ -113,9 +182,22 @@
 
 void checkQuorum(replica_step &step)
 {
-    if (step.self.role == replica_role::Leader && !isCurrent(step.self, step.now)) {
-        becomeFollower(step, step.self.currentTerm, {});
+    const replica &self = step.self;
+    if (self.role != replica_role::Leader || isCurrent(self, step.now)) {
+        return;
+    }
+    quorum_lost lost{.inTerm = self.currentTerm};
+    if (isVoter(self.members, self.options.self)) {
+        lost.answered.push_back(self.options.self);
+    }
+    for (const peer_progress &peer : self.peers) {
+        if (isVoter(self.members, peer.id)) {
+            const bool answered = step.now - peer.lastContact < self.options.electionTimeout;
+            (answered ? lost.answered : lost.silent).push_back(peer.id);
+        }
     }
+    step.afterSync.emplace_back(std::move(lost));
+    becomeFollower(step, self.currentTerm, {});
 }
 
 void handleVoteRequest(replica_step &step, const replication_message &message, const vote_request &request)
@@ -125,7 +207,8 @@
         answerPreVote(step, message, request);
         return;
     }
-    if (message.inTerm < self.currentTerm || (message.inTerm > self.currentTerm && knowsLiveLeader(step))) {
+    if (const std::optional<vote_refusal> dropped = dropReason(step, message.inTerm)) {
+        reportRefusal(step, message, request, *dropped);
         return;
     }
     if (message.inTerm > self.currentTerm) {
@@ -138,9 +221,41 @@
         persistVote(step);
         resetElectionDeadline(step);
     }
+    if (!granted) {
+        reportRefusal(step, message, request, voteIsFree ? vote_refusal::LogBehind : vote_refusal::VoteTaken);
+    }
     sendAfterSync(step, message.from, self.currentTerm, vote_answer{false, granted});
 }
 
+void reportRefusal(replica_step &step, const replication_message &message, const vote_request &request,
+                   vote_refusal reason)
+{
+    const replica &self = step.self;
+    vote_refused refused{.reason = reason,
+                         .preVote = request.preVote,
+                         .candidate = message.from,
+                         .inTerm = message.inTerm,
+                         .ownTerm = self.currentTerm,
+                         .candidateLog = {request.lastIndex, request.lastTerm},
+                         .ownLog = {lastIndex(self.log), lastTerm(self.log)}};
+    if (reason == vote_refusal::LeaderKnown) {
+        refused.preferred = self.leader;
+    } else if (reason == vote_refusal::VoteTaken) {
+        refused.preferred = self.votedFor;
+    }
+    step.afterSync.emplace_back(refused);
+}
+
+void noteRefusal(replica_step &step, const replication_message &message, const vote_answer &answer)
+{
+    replica &self = step.self;
+    const bool voting = self.role == replica_role::Candidate && message.inTerm >= self.currentTerm;
+    const bool underWay = answer.preVote ? self.role == replica_role::PreCandidate : voting;
+    if (!answer.granted && underWay && !contains(self.refusals, message.from)) {
+        self.refusals.push_back(message.from);
+    }
+}
+
 void handleVoteAnswer(replica_step &step, const replication_message &message, const vote_answer &answer)
 {
     replica &self = step.self;
@@ -150,7 +265,7 @@
     if (!answer.granted || !(answer.preVote ? preVoting : voting)) {
         return;
     }
-    if (std::ranges::find(self.votes, message.from) == self.votes.end()) {
+    if (!contains(self.votes, message.from)) {
         self.votes.push_back(message.from);
     }
     if (!isQuorum(self.members, self.votes)) {
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -27,13 +27,19 @@
 void becomeFollower(replica_step &step, term newTerm, vm_id leader);
 /// Becomes a pre-candidate, which asks the voters whether they would elect this replica.
 void startPreVote(replica_step &step);
-/// Makes a leader a follower when it hasn't got answers of a quorum within the election timeout.
+/// Makes a leader a follower, and reports who was silent, when it hasn't got answers of a quorum within the election
+/// timeout.
 void checkQuorum(replica_step &step);
 /// Sets a new election deadline: the timeout and a random time of up to the same length, so that elections seldom
 /// collide.
 void resetElectionDeadline(replica_step &step);
 /// Handles a vote or pre-vote request of any term.
 void handleVoteRequest(replica_step &step, const replication_message &message, const vote_request &request);
+/// Reports a vote or pre-vote request that this replica refuses.
+void reportRefusal(replica_step &step, const replication_message &message, const vote_request &request,
+                   vote_refusal reason);
+/// Notes an answer of any term that refuses the vote or pre-vote under way.
+void noteRefusal(replica_step &step, const replication_message &message, const vote_answer &answer);
 /// Handles the answer to a vote or pre-vote request; a majority starts the election or makes this replica the leader.
 void handleVoteAnswer(replica_step &step, const replication_message &message, const vote_answer &answer);
 /// Returns whether this replica is the leader, or got a message from one within the election timeout.
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -57,14 +57,21 @@
 void handle(replica_step &step, const message_received &event)
 {
     const replication_message &message = event.message;
+    const auto *request = std::get_if<vote_request>(&message.body);
     if (!joinOrMatchCluster(step, message)) {
+        if (request != nullptr && message.to == step.self.options.self) {
+            reportRefusal(step, message, *request, vote_refusal::OtherCluster);
+        }
         return;
     }
     step.messageRound = message.heartbeatRound;
-    if (const auto *request = std::get_if<vote_request>(&message.body)) {
+    if (request != nullptr) {
         handleVoteRequest(step, message, *request);
         return;
     }
+    if (const auto *answer = std::get_if<vote_answer>(&message.body)) {
+        noteRefusal(step, message, *answer);
+    }
     if (message.inTerm > step.self.currentTerm && termIsReached(message)) {
         becomeFollower(step, message.inTerm, isFromLeader(message) ? message.from : vm_id{});
     }
--- /dev/null
+++ b/tests/replication/election_reports_test.cpp
@@ -0,0 +1,272 @@
+#include <guavafront/coordination/replication/replica.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace guavafront
+{
+
+namespace
+{
+
+constexpr auto vmIds = [](std::initializer_list<std::uint64_t> values) {
+    std::vector<vm_id> ids;
+    for (const std::uint64_t value : values) {
+        ids.push_back({value});
+    }
+    return ids;
+};
+
+/// Replica 1 of five voters and learner 6, in term 3, whose log ends with record 2 of term 3.
+struct election_reports_fixture {
+    replica_options options{.self = {1}};
+    instant now{std::chrono::seconds(100)};
+    replica self;
+    std::vector<replica_effect> effects; ///< Effects of the last step.
+
+    election_reports_fixture()
+    {
+        stored_state disk{.cluster = {7}, .currentTerm = {3}, .votedFor = {}, .log = {}};
+        for (std::uint64_t id = 1; id <= 6; ++id) {
+            const voting_role role = id == 6 ? voting_role::Learner : voting_role::Voter;
+            disk.log.snapshot.members.members.push_back({{id}, role, {}});
+        }
+        disk.log.records = {{{1}, {2}, no_op{}}, {{2}, {3}, no_op{}}};
+        self = restore(options, disk, now, 5);
+    }
+
+    void run(const replica_event &event)
+    {
+        effects.clear();
+        step(self, event, now, 5, effects);
+        if (const auto *asked = find<sync_writes>()) {
+            step(self, writes_synced{asked->sequence}, now, 5, effects);
+        }
+    }
+
+    template<class body>
+    void receive(std::uint64_t from, std::uint64_t inTerm, const body &content)
+    {
+        run(message_received{{{7}, {from}, {1}, {inTerm}, self.heartbeatRound, content}});
+    }
+
+    /// Runs the step at the election deadline: it ends the round under way, if any, and starts a pre-vote.
+    void passDeadline()
+    {
+        now = self.electionDeadline;
+        run(timer_fired{});
+    }
+
+    void hearLeader(std::uint64_t leader)
+    {
+        receive(leader, self.currentTerm.value, append_request{{2}, {3}, {0}, {}});
+    }
+
+    template<class effect_type>
+    const effect_type *find() const
+    {
+        const auto found = std::ranges::find_if(
+            effects, [](const replica_effect &effect) { return std::holds_alternative<effect_type>(effect); });
+        return found == effects.end() ? nullptr : &std::get<effect_type>(*found);
+    }
+
+    /// Reported refusal of the last step.
+    vote_refused refusal() const
+    {
+        BOOST_REQUIRE(find<vote_refused>() != nullptr);
+        return *find<vote_refused>();
+    }
+
+    /// Reported failure of a round in the last step.
+    election_failed failure() const
+    {
+        BOOST_REQUIRE(find<election_failed>() != nullptr);
+        return *find<election_failed>();
+    }
+
+    bool answersGranted() const
+    {
+        BOOST_REQUIRE(find<send_message>() != nullptr);
+        return std::get<vote_answer>(find<send_message>()->message.body).granted;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(election_reports_test, election_reports_fixture)
+
+BOOST_AUTO_TEST_CASE(preVote_granted_noRefusalReported)
+{
+    receive(2, 4, vote_request{true, {2}, {3}});
+    BOOST_TEST(answersGranted());
+    BOOST_CHECK(find<vote_refused>() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(preVote_leaderHeardLately_refusedForTheLeader)
+{
+    hearLeader(5);
+    receive(2, 4, vote_request{true, {2}, {3}});
+    BOOST_TEST(!answersGranted());
+    BOOST_CHECK(refusal().reason == vote_refusal::LeaderKnown);
+    BOOST_CHECK(refusal().preferred == vm_id{5});
+    BOOST_CHECK(refusal().candidate == vm_id{2});
+    BOOST_TEST(refusal().preVote);
+}
+
+BOOST_AUTO_TEST_CASE(preVote_termNotAboveOwn_refusedForTheTerm)
+{
+    receive(2, 3, vote_request{true, {2}, {3}});
+    BOOST_CHECK(refusal().reason == vote_refusal::TermNotHigher);
+    BOOST_CHECK(refusal().inTerm == term{3});
+    BOOST_CHECK(refusal().ownTerm == term{3});
+}
+
+BOOST_AUTO_TEST_CASE(preVote_logBehind_refusedWithBothEnds)
+{
+    receive(2, 4, vote_request{true, {9}, {2}});
+    BOOST_TEST(!answersGranted());
+    BOOST_CHECK(refusal().reason == vote_refusal::LogBehind);
+    BOOST_CHECK((refusal().candidateLog == log_end{{9}, {2}}));
+    BOOST_CHECK((refusal().ownLog == log_end{{2}, {3}}));
+    BOOST_CHECK(refusal().preferred == vm_id{});
+}
+
+BOOST_AUTO_TEST_CASE(vote_takenByAnother_refusedWithThatCandidate)
+{
+    receive(2, 4, vote_request{false, {2}, {3}});
+    receive(3, 4, vote_request{false, {2}, {3}});
+    BOOST_TEST(!answersGranted());
+    BOOST_CHECK(refusal().reason == vote_refusal::VoteTaken);
+    BOOST_CHECK(refusal().preferred == vm_id{2});
+    BOOST_TEST(!refusal().preVote);
+}
+
+BOOST_AUTO_TEST_CASE(vote_logBehind_refusedForTheLog)
+{
+    receive(2, 4, vote_request{false, {1}, {3}});
+    BOOST_TEST(!answersGranted());
+    BOOST_CHECK(refusal().reason == vote_refusal::LogBehind);
+}
+
+BOOST_AUTO_TEST_CASE(vote_termBelowOwn_reportedWithoutAnswer)
+{
+    receive(2, 2, vote_request{false, {2}, {3}});
+    BOOST_CHECK(refusal().reason == vote_refusal::TermNotHigher);
+    BOOST_TEST(effects.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(vote_leaderHeardLately_reportedWithoutAnswer)
+{
+    hearLeader(5);
+    receive(2, 9, vote_request{false, {2}, {3}});
+    BOOST_CHECK(refusal().reason == vote_refusal::LeaderKnown);
+    BOOST_TEST(effects.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(preVote_fromAnotherCluster_reportedWithoutAnswer)
+{
+    run(message_received{{{8}, {2}, {1}, {4}, 0, vote_request{true, {2}, {3}}}});
+    BOOST_CHECK(refusal().reason == vote_refusal::OtherCluster);
+    BOOST_TEST(effects.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(preVote_forAnotherVm_nothingReported)
+{
+    run(message_received{{{7}, {2}, {9}, {4}, 0, vote_request{true, {2}, {3}}}});
+    BOOST_TEST(effects.empty());
+}
+
+BOOST_AUTO_TEST_CASE(preVoteRound_firstDeadline_noRoundReported)
+{
+    passDeadline();
+    BOOST_CHECK(self.role == replica_role::PreCandidate);
+    BOOST_CHECK(find<election_failed>() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(preVoteRound_noMajority_everyVoterReportedOnce)
+{
+    passDeadline();
+    const instant asked = now;
+    receive(2, 4, vote_answer{true, true});
+    receive(3, 3, vote_answer{true, false});
+    receive(3, 3, vote_answer{true, false});
+    receive(6, 3, vote_answer{true, false}); // A learner doesn't count.
+    passDeadline();
+    BOOST_TEST(failure().preVote);
+    BOOST_CHECK(failure().inTerm == term{3});
+    BOOST_CHECK(failure().waited == now - asked);
+    BOOST_CHECK(failure().granted == vmIds({1, 2}));
+    BOOST_CHECK(failure().refused == vmIds({3}));
+    BOOST_CHECK(failure().silent == vmIds({4, 5}));
+}
+
+BOOST_AUTO_TEST_CASE(preVoteRound_refusedInALowerTerm_countedAsRefused)
+{
+    passDeadline();
+    receive(3, 2, vote_answer{true, false});
+    passDeadline();
+    BOOST_CHECK(failure().refused == vmIds({3}));
+}
+
+BOOST_AUTO_TEST_CASE(preVoteRound_second_answersOfTheFirstForgotten)
+{
+    passDeadline();
+    receive(2, 4, vote_answer{true, true});
+    receive(3, 3, vote_answer{true, false});
+    passDeadline();
+    passDeadline();
+    BOOST_CHECK(failure().granted == vmIds({1}));
+    BOOST_CHECK(failure().refused.empty());
+    BOOST_CHECK(failure().silent == vmIds({2, 3, 4, 5}));
+}
+
+BOOST_AUTO_TEST_CASE(preVoteRound_leaderHeard_noRoundReported)
+{
+    passDeadline();
+    hearLeader(5);
+    BOOST_CHECK(find<election_failed>() == nullptr);
+    passDeadline();
+    BOOST_CHECK(find<election_failed>() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(voteRound_noMajority_reportedAsVote)
+{
+    passDeadline();
+    receive(2, 4, vote_answer{true, true});
+    receive(3, 4, vote_answer{true, true});
+    BOOST_REQUIRE(self.role == replica_role::Candidate);
+    receive(2, 4, vote_answer{false, true});
+    receive(4, 4, vote_answer{false, false});
+    receive(5, 3, vote_answer{true, false}); // Late, of the pre-vote.
+    passDeadline();
+    BOOST_TEST(!failure().preVote);
+    BOOST_CHECK(failure().inTerm == term{4});
+    BOOST_CHECK(failure().granted == vmIds({1, 2}));
+    BOOST_CHECK(failure().refused == vmIds({4}));
+    BOOST_CHECK(failure().silent == vmIds({3, 5}));
+}
+
+BOOST_AUTO_TEST_CASE(leader_noQuorumAnswers_silentVotersReported)
+{
+    passDeadline();
+    receive(2, 4, vote_answer{true, true});
+    receive(3, 4, vote_answer{true, true});
+    receive(2, 4, vote_answer{false, true});
+    receive(3, 4, vote_answer{false, true});
+    BOOST_REQUIRE(self.role == replica_role::Leader);
+    now += options.electionTimeout / 2;
+    receive(3, 4, append_answer{true, {2}});
+    now += options.electionTimeout / 2;
+    run(timer_fired{});
+    BOOST_CHECK(self.role == replica_role::Follower);
+    BOOST_REQUIRE(find<quorum_lost>() != nullptr);
+    BOOST_CHECK(find<quorum_lost>()->inTerm == term{4});
+    BOOST_CHECK(find<quorum_lost>()->answered == vmIds({1, 3}));
+    BOOST_CHECK(find<quorum_lost>()->silent == vmIds({2, 4, 5}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavafront
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -170,7 +170,8 @@
     receive(3, 4, vote_request{true, {9}, {3}});
     BOOST_TEST(!sent<vote_answer>().granted);
     receive(3, 9, vote_request{false, {9}, {3}});
-    BOOST_TEST(effects.empty());
+    BOOST_TEST(effects.size() == 1U);
+    BOOST_CHECK(find<vote_refused>() != nullptr);
     BOOST_TEST(self.currentTerm.value == 3U);
 }
 
