Log and count at control VMs who takes part in an election

The control task now logs the reports of its replica. control_log decides which lines are due and writes them, as free functions over a plain struct that take the time; the task only hands them to glog: - each failed round while no leader is known (the first at once, then one in 2 s): the quorum, the voters that it is counted from, who granted, refused and didn't answer, and which of the silent ones the failure detector holds alive; - each refused vote with its reason, the same one once in 2 s; - a leader that gives up for want of a quorum, and reads that no quorum confirmed within their limit, with the members that were silent; - a VM that isn't a member, or a learner without a leader, after 5 s, when what it says changes, and every 60 s, since a spare waits for as long as it runs; - for how long no leader was known when one is known again.

Metrics on control VMs: whether a leader is known, time without one, quorum size, members by role, whether this VM votes (set once a second), and refused votes by reason.

--- /dev/null
+++ b/src/daemon/control/control_log.cpp
@@ -0,0 +1,247 @@
+#include "daemon/control/control_log.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Minimum time between two lines about the same.
+constexpr duration minLineInterval = std::chrono::seconds(2);
+/// Time after which a wait for a place or for a leader is logged; joining takes less.
+constexpr duration outsideLogDelay = std::chrono::seconds(5);
+/// Interval at which an unchanged wait is logged again.
+constexpr duration outsideLogInterval = std::chrono::seconds(60);
+
+std::string hexOf(vm_id vm)
+{
+    std::ostringstream text;
+    text << std::hex << vm.value;
+    return text.str();
+}
+
+std::string secondsOf(duration time)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << std::chrono::duration<double>(time).count() << " s";
+    return text.str();
+}
+
+std::string countOf(std::size_t count, std::string_view noun)
+{
+    return std::to_string(count) + " " + std::string(noun) + (count == 1 ? "" : "s");
+}
+
+std::string namesOf(std::span<const vm_id> vms)
+{
+    std::string text;
+    for (const vm_id vm : vms) {
+        text += " " + hexOf(vm);
+    }
+    return text;
+}
+
+/// Returns the names, those in marked followed by the mark.
+std::string namesOf(std::span<const vm_id> vms, std::span<const vm_id> marked, std::string_view mark)
+{
+    std::string text;
+    for (const vm_id vm : vms) {
+        text += " " + hexOf(vm);
+        if (std::ranges::find(marked, vm) != marked.end()) {
+            text += " (" + std::string(mark) + ")";
+        }
+    }
+    return text;
+}
+
+std::string quorumOf(const membership &members)
+{
+    std::string text = "quorum of " + std::to_string(quorumSize(members)) + " among voters";
+    for (const member &each : members.members) {
+        if (each.role == voting_role::Voter) {
+            text += " " + hexOf(each.id);
+        }
+    }
+    return text;
+}
+
+/// Returns the voters without an answer as a part of a line; those that the failure detector holds alive are marked.
+std::string silenceOf(std::span<const vm_id> silent, std::span<const vm_id> live)
+{
+    return silent.empty() ? std::string() : "; no answer from" + namesOf(silent, live, "live");
+}
+
+std::string reasonOf(const replica &self, const vote_refused &refused, instant now)
+{
+    std::ostringstream text;
+    switch (refused.reason) {
+    case vote_refusal::LeaderKnown:
+        if (refused.preferred == self.options.self) {
+            text << "this VM leads term " << refused.ownTerm.value;
+        } else {
+            text << "VM " << hexOf(refused.preferred) << " leads term " << refused.ownTerm.value << ", heard "
+                 << secondsOf(now - self.lastLeaderContact) << " ago";
+        }
+        break;
+    case vote_refusal::TermNotHigher:
+        text << "its term is too low (own " << refused.ownTerm.value << ")";
+        break;
+    case vote_refusal::LogBehind:
+        text << "its log is behind (last " << refused.candidateLog.last.value << " in term "
+             << refused.candidateLog.lastTerm.value << ", own " << refused.ownLog.last.value << " in term "
+             << refused.ownLog.lastTerm.value << ")";
+        break;
+    case vote_refusal::VoteTaken:
+        text << "the vote went to VM " << hexOf(refused.preferred);
+        break;
+    case vote_refusal::OtherCluster:
+        text << (self.cluster.value == 0 ? "this VM has joined no cluster" : "it is of another cluster");
+        break;
+    }
+    return text.str();
+}
+
+/// Returns whether a line of a kind is due, and if so, when the next one may follow.
+bool takeTurn(instant &next, instant now)
+{
+    if (now < next) {
+        return false;
+    }
+    next = now + minLineInterval;
+    return true;
+}
+
+} // namespace
+
+control_log startControlLog(instant now)
+{
+    control_log log;
+    log.leaderKnownAt = now;
+    return log;
+}
+
+duration timeWithoutLeader(const control_log &log, instant now)
+{
+    return log.leaderKnown ? duration(0) : now - log.leaderKnownAt;
+}
+
+std::optional<std::string> noteLeader(control_log &log, const replica &self, instant now)
+{
+    const duration absence = timeWithoutLeader(log, now);
+    const bool wasKnown = std::exchange(log.leaderKnown, isCurrent(self, now));
+    if (!log.leaderKnown) {
+        return std::nullopt;
+    }
+    log.leaderKnownAt = self.role == replica_role::Leader ? now : self.lastLeaderContact;
+    if (wasKnown) {
+        return std::nullopt;
+    }
+    log.nextRoundLine = now; // The first round after the next loss of the leader is logged at once.
+    return "VM " + hexOf(self.leader) + " leads term " + std::to_string(self.currentTerm.value)
+           + "; no leader was known for " + secondsOf(absence);
+}
+
+std::optional<std::string> refusalLine(control_log &log, const replica &self, const vote_refused &refused, instant now)
+{
+    std::erase_if(log.nextRefusalLines, [now](const auto &each) { return each.second <= now; });
+    if (!takeTurn(log.nextRefusalLines[{refused.candidate, refused.preVote, refused.reason}], now)) {
+        return std::nullopt;
+    }
+    return std::string("refused ") + (refused.preVote ? "pre-vote" : "vote") + " of VM " + hexOf(refused.candidate)
+           + " in term " + std::to_string(refused.inTerm.value) + ": " + reasonOf(self, refused, now);
+}
+
+std::optional<std::string> failedRoundLine(control_log &log, const replica &self, const election_failed &failed,
+                                           std::span<const vm_id> live, instant now)
+{
+    if (!takeTurn(log.nextRoundLine, now)) {
+        return std::nullopt;
+    }
+    std::string text = "no leader for " + secondsOf(timeWithoutLeader(log, now)) + " in term "
+                       + std::to_string(failed.inTerm.value) + ": " + quorumOf(self.members) + "; "
+                       + (failed.preVote ? "pre-vote" : "vote") + " granted by"
+                       + namesOf(failed.granted, std::span(&self.options.self, 1), "this VM");
+    if (!failed.refused.empty()) {
+        text += "; refused by" + namesOf(failed.refused);
+    }
+    return text + silenceOf(failed.silent, live);
+}
+
+std::string lostQuorumLine(const replica &self, const quorum_lost &lost, std::span<const vm_id> live, std::size_t reads)
+{
+    return "gave up leading term " + std::to_string(lost.inTerm.value) + ": " + quorumOf(self.members) + "; answered by"
+           + namesOf(lost.answered, std::span(&self.options.self, 1), "this VM") + silenceOf(lost.silent, live) + "; "
+           + countOf(reads, "read") + " not confirmed";
+}
+
+std::optional<std::string> unconfirmedReadsLine(control_log &log, const replica &self, std::size_t reads,
+                                                duration limit, instant now)
+{
+    if (reads == 0 || !takeTurn(log.nextReadLine, now)) {
+        return std::nullopt;
+    }
+    std::string text = countOf(reads, "read") + " not confirmed within " + secondsOf(limit) + " in term "
+                       + std::to_string(self.currentTerm.value) + ": " + quorumOf(self.members);
+    std::string silent;
+    for (const peer_progress &peer : self.peers) {
+        const duration silence = now - peer.lastContact;
+        if (silence >= self.options.electionTimeout) {
+            silent += " " + hexOf(peer.id) + " (" + secondsOf(silence) + ")";
+        }
+    }
+    text += silent.empty() ? "; all members answered lately" : "; no answer lately from" + silent;
+    if (self.role == replica_role::Leader && self.commitIndex < self.termStartIndex) {
+        text += "; record " + std::to_string(self.termStartIndex.value) + ", the first of the term, isn't committed";
+    }
+    return text;
+}
+
+std::optional<std::string> outsideLine(control_log &log, const replica &self, std::span<const vm_id> live, instant now)
+{
+    const bool isMember = findMember(self.members, self.options.self) != nullptr;
+    const bool isOutside = !isMember || (!isVoter(self.members, self.options.self) && !log.leaderKnown);
+    if (!isOutside) {
+        log.outsideSince.reset();
+        log.outsideLine.clear();
+        return std::nullopt;
+    }
+    log.outsideSince = log.outsideSince.value_or(now);
+    if (now - *log.outsideSince < outsideLogDelay) {
+        return std::nullopt;
+    }
+    const std::string what = (log.leaderKnown ? "VM " + hexOf(self.leader) + " leads" : "no leader has spoken to it")
+                             + "; its log has " + countOf(self.members.members.size(), "member") + ", "
+                             + quorumOf(self.members) + "; live control VMs" + (live.empty() ? " none" : namesOf(live));
+    const duration interval = what == log.outsideLine ? outsideLogInterval : minLineInterval;
+    if (!log.outsideLine.empty() && now - log.outsideLoggedAt < interval) {
+        return std::nullopt;
+    }
+    log.outsideLine = what;
+    log.outsideLoggedAt = now;
+    return (isMember ? "this VM is a learner without a leader for " : "this VM waits for a place for ")
+           + secondsOf(now - *log.outsideSince) + ": " + what;
+}
+
+std::string_view refusalName(vote_refusal reason)
+{
+    switch (reason) {
+    case vote_refusal::LeaderKnown:
+        return "leader_known";
+    case vote_refusal::TermNotHigher:
+        return "term_not_higher";
+    case vote_refusal::LogBehind:
+        return "log_behind";
+    case vote_refusal::VoteTaken:
+        return "vote_taken";
+    case vote_refusal::OtherCluster:
+        break;
+    }
+    return "other_cluster";
+}
+
+} // namespace guavafront
--- /dev/null
+++ b/src/daemon/control/control_log.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <guavafront/coordination/replication/replica.h>
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace guavafront
+{
+
+/// A refusal, by what makes two of them the same in the log.
+struct logged_refusal {
+    vm_id candidate; ///< VM that asked for the vote.
+    bool preVote = false; ///< It asked for a pre-vote.
+    vote_refusal reason = vote_refusal::LeaderKnown; ///< Why it was refused.
+    auto operator<=>(const logged_refusal &) const = default; ///< Orders by candidate.
+};
+
+/// What a control VM has noticed and logged of leaders and votes. The functions below return the lines to log, or
+/// nothing where a line isn't due yet.
+struct control_log {
+    instant leaderKnownAt; ///< Latest time at which a leader was known; the task's start before the first one.
+    bool leaderKnown = false; ///< A leader was known at the latest call of noteLeader().
+    instant nextRoundLine; ///< No failed round is logged before this time.
+    instant nextReadLine; ///< No unconfirmed read is logged before this time.
+    std::map<logged_refusal, instant> nextRefusalLines; ///< No such refusal is logged before this time.
+    std::optional<instant> outsideSince; ///< Since when this VM waits for a place or, as a learner, for a leader.
+    std::string outsideLine; ///< What was last logged of the wait, without its time.
+    instant outsideLoggedAt; ///< When that was logged.
+};
+
+/// Returns the state of the log when the control task starts.
+control_log startControlLog(instant now);
+
+/// Returns for how long no leader has been known; 0 while one is.
+duration timeWithoutLeader(const control_log &log, instant now);
+
+/// Notes whether a leader is known. Returns a line when one is known again.
+std::optional<std::string> noteLeader(control_log &log, const replica &self, instant now);
+
+/// Returns the line of a vote or pre-vote that this VM refused; the same refusal is logged once in 2 s at most.
+std::optional<std::string> refusalLine(control_log &log, const replica &self, const vote_refused &refused, instant now);
+
+/// Returns the line of a round that brought no majority: the first without a leader, then one in 2 s at most. Members
+/// without an answer that are in live, the failure detector's list, are marked.
+std::optional<std::string> failedRoundLine(control_log &log, const replica &self, const election_failed &failed,
+                                           std::span<const vm_id> live, instant now);
+
+/// Returns the line of a leader that lost its quorum while reads waited for a confirmation.
+std::string lostQuorumLine(const replica &self, const quorum_lost &lost, std::span<const vm_id> live,
+                           std::size_t reads);
+
+/// Returns the line of reads that a quorum didn't confirm within a limit, once in 2 s at most.
+std::optional<std::string> unconfirmedReadsLine(control_log &log, const replica &self, std::size_t reads,
+                                                duration limit, instant now);
+
+/// Returns a line while this VM isn't a member, or is a learner without a leader: after 5 s, when what it says changes,
+/// and otherwise once in 60 s.
+std::optional<std::string> outsideLine(control_log &log, const replica &self, std::span<const vm_id> live, instant now);
+
+/// Name of a reason in metrics; stable.
+std::string_view refusalName(vote_refusal reason);
+
+} // namespace guavafront
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -39,17 +39,25 @@
 } // namespace
 
 control_task::control_task(loop &owner, control_task_options options, mailbox<control_message> &inbox,
-                           mailbox<configuration_message> &configurations)
+                           mailbox<configuration_message> &configurations, daemon_counters &counters)
     : m_options(std::move(options))
     , m_configurations(configurations)
+    , m_counters(counters)
+    , m_log(startControlLog(loop::now()))
     , m_accepted(std::make_shared<const configuration>())
-    , m_readTimer(owner, [this] { failPendingReads(); })
+    , m_readTimer(owner,
+                  [this] {
+                      reportUnconfirmedReads(readTimeout);
+                      failPendingReads();
+                  })
+    , m_watchTimer(owner, [this] { watchPeriodically(); })
     , m_host(owner, m_options.dataFolder, m_options.freshIdentity, m_options.replica, hostCallbacks())
     , m_attachment(inbox, owner, [this](const control_message &message) {
         std::visit([this](const auto &each) { handle(each); }, message);
     })
 {
     publishAccepted(); // A snapshot on the disk holds committed state only.
+    watchPeriodically();
 }
 
 void control_task::handle(const change_submitted &message)
@@ -189,9 +197,13 @@
                     completeProposal(refused.ticket, {refused.code, m_accepted->atRevision, nextRedirectAddress()});
                 },
             .roleChanged = [this](const role_changed &role) { handleRoleChange(role); },
+            .voteRefused = [this](const vote_refused &refused) { reportRefusedVote(refused); },
+            .electionFailed = [this](const election_failed &failed) { reportFailedRound(failed); },
+            .quorumLost = [this](const quorum_lost &lost) { reportLostQuorum(lost); },
             .flushed =
                 [this] {
                     logMembership();
+                    watchLeader();
                     publishAccepted();
                     publishLeadershipProof();
                 },
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "daemon/configuration/configuration_message.h"
+#include "daemon/control/control_log.h"
 #include "daemon/control/control_message.h"
 #include "daemon/control/control_state.h"
 #include "daemon/control/replica_host.h"
+#include "daemon/metrics/daemon_counters.h"
 #include "runtime/mailbox.h"
 #include "runtime/timer.h"
 
@@ -48,7 +50,7 @@
 public:
     /// Opens the store and starts the replica. Throws coordination_error if the store can't be opened or read.
     control_task(loop &owner, control_task_options options, mailbox<control_message> &inbox,
-                 mailbox<configuration_message> &configurations);
+                 mailbox<configuration_message> &configurations, daemon_counters &counters);
 
 private:
     /// Which of the pending proposals fail.
@@ -99,12 +101,21 @@
     void removeLostMember();
     void reportMembership() const;
     void logMembership();
+    void watchLeader();
+    void setGauges();
+    void watchPeriodically();
+    void reportRefusedVote(const vote_refused &refused);
+    void reportFailedRound(const election_failed &failed);
+    void reportLostQuorum(const quorum_lost &lost);
+    void reportUnconfirmedReads(duration limit);
     void proposeClaimsView();
     void publishClaimsView();
     std::uint64_t addPending(answer_handler answer);
 
     control_task_options m_options; ///< Settings and callbacks.
     mailbox<configuration_message> &m_configurations; ///< Inbox of the configuration task; not owned.
+    daemon_counters &m_counters; ///< Daemon's counters; not owned.
+    control_log m_log; ///< What was noticed and logged of leaders and votes.
     control_state m_state; ///< Replicated state after the last applied record.
     std::shared_ptr<const configuration> m_accepted; ///< Copy of the configuration in m_state; never null.
     std::vector<configuration_delta> m_unpublishedDeltas; ///< Revisions not yet posted to the configuration task.
@@ -125,6 +136,7 @@
     membership m_loggedMembers; ///< Membership that was last logged.
     std::optional<admission> m_loggedAdmission; ///< Admission that was last logged.
     timer m_readTimer; ///< Fails the pending reads if no quorum confirms them in time.
+    timer m_watchTimer; ///< Calls watchPeriodically.
     replica_host m_host; ///< Runs the replica on its store.
     mailbox_attachment<control_message> m_attachment;
 };
--- /dev/null
+++ b/src/daemon/control/control_task_log.cpp
@@ -0,0 +1,73 @@
+#include "daemon/control/control_task.h"
+
+#include <glog/logging.h>
+
+namespace guavafront
+{
+
+namespace
+{
+
+/// Interval at which the gauges are set and a wait for a place or a leader is noticed.
+constexpr duration watchInterval = std::chrono::seconds(1);
+
+void logWarning(const std::optional<std::string> &line)
+{
+    if (line) {
+        LOG(WARNING) << "control: " << *line;
+    }
+}
+
+} // namespace
+
+/// Logs when a leader is known again.
+void control_task::watchLeader()
+{
+    if (const std::optional<std::string> line = noteLeader(m_log, m_host.state(), loop::now())) {
+        LOG(INFO) << "control: " << *line;
+    }
+}
+
+void control_task::setGauges()
+{
+    const replica &replica = m_host.state();
+    m_counters.setControlState(
+        {.leaderKnown = m_log.leaderKnown,
+         .secondsWithoutLeader = std::chrono::duration<double>(timeWithoutLeader(m_log, loop::now())).count(),
+         .quorumSize = quorumSize(replica.members),
+         .voters = voterCount(replica.members),
+         .members = replica.members.members.size(),
+         .isVoter = isVoter(replica.members, replica.options.self)});
+}
+
+void control_task::watchPeriodically()
+{
+    watchLeader();
+    setGauges();
+    logWarning(outsideLine(m_log, m_host.state(), m_liveControlVms, loop::now()));
+    m_watchTimer.arm(watchInterval);
+}
+
+void control_task::reportRefusedVote(const vote_refused &refused)
+{
+    m_counters.countVoteRefusal(refusalName(refused.reason));
+    logWarning(refusalLine(m_log, m_host.state(), refused, loop::now()));
+}
+
+void control_task::reportFailedRound(const election_failed &failed)
+{
+    watchLeader();
+    logWarning(failedRoundLine(m_log, m_host.state(), failed, m_liveControlVms, loop::now()));
+}
+
+void control_task::reportLostQuorum(const quorum_lost &lost)
+{
+    logWarning(lostQuorumLine(m_host.state(), lost, m_liveControlVms, m_pendingReads.size()));
+}
+
+void control_task::reportUnconfirmedReads(duration limit)
+{
+    logWarning(unconfirmedReadsLine(m_log, m_host.state(), m_pendingReads.size(), limit, loop::now()));
+}
+
+} // namespace guavafront
--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -127,6 +127,12 @@
         m_callbacks.refused(*refused);
     } else if (const auto *role = std::get_if<role_changed>(&effect)) {
         m_callbacks.roleChanged(*role);
+    } else if (const auto *refusedVote = std::get_if<vote_refused>(&effect)) {
+        m_callbacks.voteRefused(*refusedVote);
+    } else if (const auto *failed = std::get_if<election_failed>(&effect)) {
+        m_callbacks.electionFailed(*failed);
+    } else if (const auto *lost = std::get_if<quorum_lost>(&effect)) {
+        m_callbacks.quorumLost(*lost);
     }
 }
 
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -24,6 +24,9 @@
     std::function<void(const proposal_appended &)> appended; ///< A proposal was appended to the log.
     std::function<void(const proposal_refused &)> refused; ///< A proposal was refused and isn't in the log.
     std::function<void(const role_changed &)> roleChanged; ///< The replica's role or the known leader changed.
+    std::function<void(const vote_refused &)> voteRefused; ///< The replica refused a vote or pre-vote.
+    std::function<void(const election_failed &)> electionFailed; ///< The replica's vote or pre-vote failed.
+    std::function<void(const quorum_lost &)> quorumLost; ///< The replica gave up its leadership.
     std::function<void()> flushed; ///< All effects of the last events were carried out.
     std::function<void()> failed; ///< The store failed; proposals that weren't applied have no known outcome.
 };
--- a/src/daemon/control_tree.cpp
+++ b/src/daemon/control_tree.cpp
@@ -83,7 +83,7 @@
                                                         .onLeadershipProof = beaconIssuer(wiring),
                                                         .onClaimsViewAgreed = claimsPublisher(settings, wiring),
                                                         .onMembersChanged = votersReporter(wiring)},
-                                                       wiring.control, wiring.configurations);
+                                                       wiring.control, wiring.configurations, wiring.counters);
                                owner.run();
                            },
                        .shutdownLimit = taskShutdownLimit};
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -16,6 +16,12 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Family<prometheus::Gauge> &gaugeFamily(prometheus::Registry &registry, const std::string &name,
+                                                   const std::string &help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 /// Result of a request in metrics: "ok" for an answer of an upstream with a status below 500, "upstream_error" for
 /// its other answers, and the name of the code for a refusal.
 std::string resultName(result_code code, std::uint16_t status)
@@ -69,10 +75,19 @@
           counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
     , m_droppedPeerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
                                           "Other VMs' messages that could not be decoded, by reason."))
-    , m_instances(prometheus::BuildGauge()
-                      .Name("guavafront_instances")
-                      .Help("Serving instances by service and standing: open, trial, avoided, paused or leaving.")
-                      .Register(m_registry))
+    , m_instances(gaugeFamily(m_registry, "guavafront_instances",
+                              "Serving instances by service and standing: open, trial, avoided, paused or leaving."))
+    , m_leaderKnown(gaugeFamily(m_registry, "guavafront_control_leader_known",
+                                "1 while this control VM knows a leader of the control cluster."))
+    , m_leaderlessSeconds(gaugeFamily(m_registry, "guavafront_control_leaderless_seconds",
+                                      "For how long this control VM has known no leader; 0 while it knows one."))
+    , m_quorumSize(gaugeFamily(m_registry, "guavafront_control_quorum_size",
+                               "Votes that make a majority, by this control VM's log."))
+    , m_controlMembers(gaugeFamily(m_registry, "guavafront_control_members",
+                                   "Members of the control cluster by role, by this control VM's log."))
+    , m_isVoter(gaugeFamily(m_registry, "guavafront_control_is_voter", "1 while this control VM votes, by its log."))
+    , m_voteRefusals(counterFamily(m_registry, "guavafront_control_votes_refused_total",
+                                   "Votes and pre-votes that this control VM refused, by reason."))
     , m_revision(prometheus::BuildGauge()
                      .Name("guavafront_configuration_revision")
                      .Help("Revision of the configuration in force on this VM.")
@@ -139,6 +154,24 @@
     m_droppedPeerMessages.Add({{"result", std::string(describe(code).name)}}).Increment();
 }
 
+void daemon_counters::setControlState(const control_gauges &gauges)
+{
+    const auto set = [](prometheus::Family<prometheus::Gauge> &family, double value) {
+        family.Add({}).Set(value);
+    };
+    set(m_leaderKnown, gauges.leaderKnown ? 1 : 0);
+    set(m_leaderlessSeconds, gauges.secondsWithoutLeader);
+    set(m_quorumSize, static_cast<double>(gauges.quorumSize));
+    set(m_isVoter, gauges.isVoter ? 1 : 0);
+    m_controlMembers.Add({{"role", "voter"}}).Set(static_cast<double>(gauges.voters));
+    m_controlMembers.Add({{"role", "learner"}}).Set(static_cast<double>(gauges.members - gauges.voters));
+}
+
+void daemon_counters::countVoteRefusal(std::string_view reason)
+{
+    m_voteRefusals.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void daemon_counters::countOperatorRequest(result_code code)
 {
     m_operatorRequests.Add({{"result", std::string(describe(code).name)}}).Increment();
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -10,6 +10,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,6 +18,16 @@
 namespace guavafront
 {
 
+/// What a control VM's replica knows of its cluster.
+struct control_gauges {
+    bool leaderKnown = false; ///< This VM leads with a quorum, or a leader sent it a message lately.
+    double secondsWithoutLeader = 0; ///< For how long no leader has been known; 0 while one is.
+    std::size_t quorumSize = 0; ///< Votes that make a majority.
+    std::size_t voters = 0; ///< Members that vote.
+    std::size_t members = 0; ///< Voters and learners.
+    bool isVoter = false; ///< This VM votes.
+};
+
 /// Metrics of one daemon, updated by all tasks and exported by the metrics task. The library's metrics are atomic,
 /// which makes them the one exception to the rule that tasks share no state.
 class daemon_counters
@@ -53,6 +64,12 @@
     /// Counts the departure of an instance that was acknowledged, or refused because too few control VMs held it.
     void countDeparture(bool acknowledged);
 
+    /// Sets what this control VM's replica knows of its cluster.
+    void setControlState(const control_gauges &gauges);
+
+    /// Counts a vote or pre-vote that this control VM refused; reason is its stable name.
+    void countVoteRefusal(std::string_view reason);
+
     /// Counts an operator's request.
     void countOperatorRequest(result_code code);
 
@@ -71,6 +88,12 @@
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< Operators' requests by result.
     prometheus::Family<prometheus::Counter> &m_droppedPeerMessages; ///< Dropped messages of other VMs by reason.
     prometheus::Family<prometheus::Gauge> &m_instances; ///< Serving instances by service and standing.
+    prometheus::Family<prometheus::Gauge> &m_leaderKnown; ///< Whether a leader is known; control VMs only.
+    prometheus::Family<prometheus::Gauge> &m_leaderlessSeconds; ///< Time without a leader; control VMs only.
+    prometheus::Family<prometheus::Gauge> &m_quorumSize; ///< Votes that make a majority; control VMs only.
+    prometheus::Family<prometheus::Gauge> &m_controlMembers; ///< Members by role; control VMs only.
+    prometheus::Family<prometheus::Gauge> &m_isVoter; ///< Whether this VM votes; control VMs only.
+    prometheus::Family<prometheus::Counter> &m_voteRefusals; ///< Refused votes and pre-votes by reason.
     prometheus::Gauge &m_revision; ///< Revision of the configuration in force.
 };
 
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -68,7 +68,8 @@
             options.onLeadershipProof = [this](const leadership_proof &) {
                 notifyActivity();
             };
-            const control_task task(*target.eventLoop, std::move(options), target.inbox, target.configurations);
+            const control_task task(*target.eventLoop, std::move(options), target.inbox, target.configurations,
+                                    target.counters);
             target.eventLoop->run();
         });
         announceAll();
@@ -109,6 +110,12 @@
         return m_vms[vm]->self;
     }
 
+    /// Metrics of a VM.
+    daemon_counters &countersOf(std::size_t vm)
+    {
+        return m_vms[vm]->counters;
+    }
+
     /// Mailbox of a VM's task.
     mailbox<control_message> &inboxOf(std::size_t vm)
     {
@@ -242,6 +249,7 @@
     struct control_vm {
         mailbox<control_message> inbox{65'536}; ///< Inbox of the task.
         mailbox<configuration_message> configurations{1}; ///< Receives accepted configurations; nobody reads them.
+        daemon_counters counters; ///< Metrics of the task.
         std::unique_ptr<loop> eventLoop; ///< Loop of the task.
         std::thread thread; ///< Thread of the task; joinable while the VM runs.
         vm_id self; ///< Identity of the VM; 0 while it is stopped.
