Wait for a test's process without missing its end

Callers saw nothing; tests of real processes stood still for their whole limit, 20 s, before a fleet was started.

Cause: child_process::waitForExit() used Boost.Process's wait_for(), which sleeps in sigtimedwait() for SIGCHLD without blocking that signal first. When the process ends before the wait begins, the signal is gone and the wait lasts to its limit; only then is the end seen.

The wait is now on a pidfd, which stays readable once the process has ended, so that it doesn't matter which comes first.

--- a/tests/fleet/child_process.cpp
+++ b/tests/fleet/child_process.cpp
@@ -2,14 +2,42 @@
 
 #include <boost/process.hpp>
 
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
 #include <cstdio>
+#include <poll.h>
 #include <signal.h>
+#include <sys/syscall.h>
+#include <system_error>
+#include <unistd.h>
 
 namespace guavafront
 {
 
 namespace bp = boost::process;
 
+namespace
+{
+
+/// Waits until a process that hasn't been reaped has ended, at most to the deadline.
+void waitForEnd(int processId, std::chrono::steady_clock::time_point deadline)
+{
+    const auto descriptor = static_cast<int>(syscall(SYS_pidfd_open, processId, 0));
+    if (descriptor < 0) {
+        throw std::system_error(errno, std::generic_category(), "cannot wait for a process");
+    }
+    pollfd process{.fd = descriptor, .events = POLLIN, .revents = 0};
+    int ready = 0;
+    do { // A signal may interrupt the wait.
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+        ready = poll(&process, 1, static_cast<int>(std::max<std::int64_t>(left.count(), 0)));
+    } while (ready < 0 && errno == EINTR);
+    close(descriptor);
+}
+
+} // namespace
+
 struct child_process::handle {
     bp::child child;
 };
@@ -35,7 +63,11 @@
 
 bool child_process::waitForExit(duration limit)
 {
-    return !m_handle->child.valid() || m_handle->child.wait_for(limit);
+    // Not child::wait_for(): it sleeps to the limit when the process ends before it waits for the signal.
+    if (running()) {
+        waitForEnd(id(), std::chrono::steady_clock::now() + limit);
+    }
+    return !running();
 }
 
 int child_process::id() const
