Wait for the refusal that the report test counts

The test report_alert failed: the alert of the account was missing.

Cause: the fixture waited for the status 503, which a starting entry VM gives to every keyed request until its configuration is confirmed by a beacon (configuration_stale), before the account is known. Where the fleet starts fast enough the wait ended at once with such a refusal, and the three requests that the test counts were refused in the same way: the entry VM's log has four "code":"configuration_stale" with an empty account within a millisecond, and no other refusal.

The fixture now waits for the refusal for want of an instance by its name, and the three requests are checked for the same name, which is stricter than the status.

--- a/tests/report/collect_test.cpp
+++ b/tests/report/collect_test.cpp
@@ -24,7 +24,15 @@
         fleet.startAll();
         key = fleet.createAccount("panalera");
         fleet.runOperatorCommand({"route", "put", "/cobros", "--service", "cobros", "--kind", "cobro"});
-        fleet.waitForStatus("entry-1", "/cobros/x", key, 503);
+        // Until the configuration is confirmed, requests are refused with 503 before their account is known.
+        fleet_processes::waitUntil("entry-1 refuses for want of an instance", [this] { return lacksInstance(); });
+    }
+
+    /// Sends a request and returns whether it is refused because the service has no instance.
+    bool lacksInstance() const
+    {
+        const http_answer answer = fleet.request("entry-1", "GET", "/cobros/x", key);
+        return answer.status == 503 && bodyOf(answer).find(R"("name":"no_upstream")") != std::string::npos;
     }
 
     void collect(const std::vector<endpoint> &sources)
@@ -45,7 +53,7 @@
     const endpoint source{"127.0.0.1", fleet.portsOf("entry-1").metrics};
     collect({source});
     for (int each = 0; each < 3; ++each) {
-        BOOST_TEST(fleet.request("entry-1", "GET", "/cobros/x", key).status == 503);
+        BOOST_TEST(lacksInstance());
     }
     collect({source});
     const burn_report report = makeBurnReport(samples, {});
