Let a replaced control VM that returns keep its vote

What callers saw: with fifteen control VMs some of them stayed out of the control cluster for good and couldn't give the configuration, while the members changed several times a second.

Cause: a successor kept the identity that it replaced after that member was removed. The VMs behind it in the queue never joined, and dead voters stayed, since a change of the members was always under way.

Why it works: with the member goes the relation to it. A promotion keeps the relation of others to the promoted member.

Test: replica_test/member_replacedAndBack_votesAgain, on the commit before: "check isVoter(self.members, {4}) has failed".

--- a/include/guavafront/coordination/replication/membership.h
+++ b/include/guavafront/coordination/replication/membership.h
@@ -53,7 +53,8 @@
 /// Returns the membership with this member added; a member with the same id is replaced.
 membership withMember(const membership &members, const member &added);
 
-/// Returns the membership without the member of this id; unchanged when there is none.
+/// Returns the membership without the member of this id, which no other member then replaces, so that the VM can join
+/// again.
 membership withoutMember(const membership &members, vm_id id);
 
 } // namespace guavafront
--- a/src/coordination/replication/membership.cpp
+++ b/src/coordination/replication/membership.cpp
@@ -35,7 +35,8 @@
 
 membership withMember(const membership &members, const member &added)
 {
-    membership changed = withoutMember(members, added.id);
+    membership changed = members;
+    std::erase_if(changed.members, [&added](const member &each) { return each.id == added.id; });
     changed.members.insert(std::ranges::lower_bound(changed.members, added.id, {}, &member::id), added);
     return changed;
 }
@@ -44,6 +45,9 @@
 {
     membership changed = members;
     std::erase_if(changed.members, [id](const member &each) { return each.id == id; });
+    for (member &each : changed.members) {
+        each.replaces = each.replaces == id ? vm_id{} : each.replaces;
+    }
     return changed;
 }
 
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -334,6 +334,31 @@
     BOOST_TEST(findMember(self.members, {4}) == nullptr);
 }
 
+// Guards against a member that was replaced while it was cut off, and that is removed again each time it votes again.
+BOOST_AUTO_TEST_CASE(member_replacedAndBack_votesAgain)
+{
+    electAmongFour();
+    const auto runHeartbeats = [this](std::uint64_t answering) {
+        for (int round = 0; round < 8; ++round) {
+            now = self.heartbeatDue;
+            run(timer_fired{});
+            sync();
+            confirmAll();
+            receive(answering, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
+        }
+    };
+    runHeartbeats(4);
+    run(learner_proposed{1, {5}, {4}});
+    sync();
+    runHeartbeats(5);
+    BOOST_TEST(isVoter(self.members, {5}));
+    BOOST_TEST(findMember(self.members, {4}) == nullptr);
+    run(learner_proposed{2, {4}, {}});
+    sync();
+    runHeartbeats(4);
+    BOOST_TEST(isVoter(self.members, {4}));
+}
+
 BOOST_AUTO_TEST_CASE(membership_earlierChangeUncommitted_refused)
 {
     elect();
