Keep other VMs' addresses on control VMs' disks for a start without seeds

What callers saw: after all processes were killed and started with seeds that are machines replaced earlier, each control VM answered config.get 503 "no leader is known" for good, and no entry VM became ready.

Cause: what a VM knows of the others is in its memory only, and seeds were the one way to the first other VM. With the control VMs alone killed the fleet came back, since the entry VMs try dead VMs every few seconds; with the entry VMs killed, too, nobody knew an address at which anybody listened.

Change: each control VM keeps an address book on its disk, which a task of its own writes when a live VM is missing in it, and which the peers task uses beside the seeds. VMs without a book behave as before.

--- a/include/guavafront/coordination/membership/membership.h
+++ b/include/guavafront/coordination/membership/membership.h
@@ -84,6 +84,7 @@
     member_record self; ///< Record of this VM.
     entry_hash selfHash = 0; ///< Hash of this VM's record in the digest.
     std::vector<std::string> seeds; ///< Addresses ("IP:port") of the VMs through which to join the fleet.
+    std::vector<std::string> book; ///< Addresses at which this VM saw others before it started.
     std::unordered_map<vm_id, known_member> members; ///< Other VMs, dead ones included.
     digest_index<vm_id> index; ///< Digest of all records, this VM's included.
     std::map<vm_id, probe_target> targets; ///< VMs that this one probes and sends updates to.
@@ -103,6 +104,7 @@
     std::optional<instant> lastTick; ///< Time of the last tick; a long gap shows that this VM was stalled.
     instant nextSync; ///< Time of the next comparison of member tables.
     instant nextReconnect; ///< Time of the next try to reach a dead VM or a seed.
+    instant nextBookTry; ///< Time of the next tries to reach the addresses in the book.
 };
 
 /// Event: time has passed. To be sent several times in a probe period.
@@ -159,8 +161,10 @@
 using membership_effect =
     std::variant<send_membership, probe_answered, member_changed, member_forgotten, targets_changed>;
 
-/// Membership of a VM that knows no other VM yet.
-fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options);
+/// Membership of a VM that knows no other VM yet. The book holds the addresses at which it saw others before it
+/// started.
+fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options,
+                                std::vector<std::string> book = {});
 
 /// Handles one event and appends its effects to the list.
 void step(fleet_membership &state, const membership_event &event, instant now, random_source &random,
--- a/src/coordination/membership/membership.cpp
+++ b/src/coordination/membership/membership.cpp
@@ -98,12 +98,14 @@
 
 } // namespace
 
-fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options)
+fleet_membership makeMembership(member_record self, std::vector<std::string> seeds, const membership_options &options,
+                                std::vector<std::string> book)
 {
     assert(self.id.value != 0);
     fleet_membership state{.options = options,
                            .self = std::move(self),
                            .seeds = std::move(seeds),
+                           .book = std::move(book),
                            .index = digest_index<vm_id>(options.buckets),
                            .updateAllowance = options.updateBurst};
     republishSelf(state, state.self.incarnation, member_status::Alive);
--- a/src/coordination/membership/membership_steps.h
+++ b/src/coordination/membership/membership_steps.h
@@ -54,8 +54,8 @@
 /// Sends queued records to the probe targets, as far as the allowance goes.
 void sendPendingUpdates(fleet_membership &state, duration elapsed, std::vector<membership_effect> &effects);
 
-/// Does the periodic work that is due: compares tables with one probe target, tries to reach dead VMs and seeds,
-/// removes old records.
+/// Does the periodic work that is due: compares tables with one probe target, tries to reach dead VMs, seeds and the
+/// book, removes old records.
 void runMaintenance(fleet_membership &state, instant now, random_source &random,
                     std::vector<membership_effect> &effects);
 
--- a/src/coordination/membership/repair.cpp
+++ b/src/coordination/membership/repair.cpp
@@ -42,24 +42,31 @@
     }
 }
 
-/// Addresses to try to reach: those of dead VMs and seeds at which no live VM is known. The id is 0 for a seed.
-std::vector<std::pair<vm_id, std::string>> reconnectAddresses(const fleet_membership &state)
+/// Addresses at which a VM is known to be live, this one's included.
+std::unordered_set<std::string_view> liveAddresses(const fleet_membership &state)
 {
-    std::unordered_set<std::string_view> liveAddresses{state.self.address};
+    std::unordered_set<std::string_view> addresses{state.self.address};
     for (const auto &[id, member] : state.members) {
         if (member.record.status <= member_status::Suspect) {
-            liveAddresses.insert(member.record.address);
+            addresses.insert(member.record.address);
         }
     }
+    return addresses;
+}
+
+/// Addresses to try to reach: those of dead VMs and seeds at which no live VM is known. The id is 0 for a seed.
+std::vector<std::pair<vm_id, std::string>> reconnectAddresses(const fleet_membership &state)
+{
+    const std::unordered_set<std::string_view> live = liveAddresses(state);
     std::vector<std::pair<vm_id, std::string>> result;
     for (const auto &[id, member] : state.members) {
-        if (member.record.status == member_status::Dead && !liveAddresses.contains(member.record.address)) {
+        if (member.record.status == member_status::Dead && !live.contains(member.record.address)) {
             result.emplace_back(id, member.record.address);
         }
     }
     std::ranges::sort(result);
     for (const std::string &seed : state.seeds) {
-        if (!liveAddresses.contains(seed)) {
+        if (!live.contains(seed)) {
             result.emplace_back(vm_id{}, seed);
         }
     }
@@ -91,6 +98,25 @@
         now + duration(wait / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(wait))));
 }
 
+/// Asks whoever answers at the addresses in the book to compare tables, where no live VM is known: often while this VM
+/// is alone or has just started, since others may have no way of their own to it.
+void tryBook(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
+{
+    const std::unordered_set<std::string_view> live = liveAddresses(state);
+    for (const std::string &address : state.book) {
+        if (!live.contains(address)) {
+            sendDigest(state, {}, address, effects);
+        }
+    }
+    const bool isJoining =
+        state.aliveCount == 1 || now - state.startedAt.value_or(now) < state.options.joinPhaseDuration;
+    const std::int64_t wait = state.options.reconnectPeriod.count();
+    state.nextBookTry =
+        now
+        + (isJoining ? state.options.joinPeriod
+                     : duration(wait / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(wait)))));
+}
+
 /// Removes the records of VMs that have been dead, or have left, for longer than the retention time.
 void forgetOldMembers(fleet_membership &state, instant now, std::vector<membership_effect> &effects)
 {
@@ -139,6 +165,9 @@
     if (now >= state.nextReconnect) {
         reconnect(state, now, random, effects);
     }
+    if (!state.book.empty() && now >= state.nextBookTry) {
+        tryBook(state, now, random, effects);
+    }
     if (now < state.nextSync) {
         return;
     }
--- a/src/daemon/control_tree.cpp
+++ b/src/daemon/control_tree.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_tree.h"
 
+#include "daemon/addresses/address_book_task.h"
 #include "daemon/control/control_task.h"
 #include "daemon/departures/departures_task.h"
 #include "daemon/fleet/shared_state.h"
@@ -134,6 +135,17 @@
             .shutdownLimit = taskShutdownLimit};
 }
 
+child_spec addressBookChild(const daemon_settings &settings, daemon_wiring &wiring)
+{
+    return {.name = "address book",
+            .body =
+                [&settings, &wiring](loop &owner) {
+                    const address_book_task task(owner, settings.vm.dataFolder, wiring.addresses);
+                    owner.run();
+                },
+            .shutdownLimit = taskShutdownLimit};
+}
+
 } // namespace
 
 std::function<void(vm_id, envelope)> vmSender(daemon_wiring &wiring)
@@ -147,7 +159,7 @@
                                         daemon_wiring &wiring)
 {
     return {controlChild(options, operatorsServer, wiring), hubChild(options.settings, options.self, wiring),
-            departuresChild(options.settings, options.self, wiring)};
+            departuresChild(options.settings, options.self, wiring), addressBookChild(options.settings, wiring)};
 }
 
 } // namespace guavafront
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon_links.h"
 
 #include "daemon/fleet/fleet_watch.h"
+#include "storage/address_book_file.h"
 #include "wire/catch_up_codec.h"
 #include "wire/claims_codec.h"
 #include "wire/departure_codec.h"
@@ -115,6 +116,9 @@
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
     }
+    if (hasRole(settings, vm_role::Control)) {
+        options.book = readAddressBook(settings.vm.dataFolder).addresses;
+    }
     options.watchers = makePeersWatchers(std::make_shared<fleet_watch>(options.links.link.self, wiring), wiring);
     subscribe(options, channel::Configuration, wiring, [&wiring](vm_id from, envelope message) {
         wiring.configurations.post(configuration_from_peer{from, std::move(message)});
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/addresses/address_book_message.h"
 #include "daemon/configuration/configuration_message.h"
 #include "daemon/control/control_message.h"
 #include "daemon/departures/departures_message.h"
@@ -34,6 +35,7 @@
     mailbox<operators_message> operators{largeCapacity}; ///< Inbox of the operators task.
     mailbox<entry_event> entries{largeCapacity}; ///< Inbox of the entry task or, without it, the registry task.
     mailbox<departures_inbox_message> departures{largeCapacity}; ///< Inbox of the departures task.
+    mailbox<live_addresses_changed> addresses{smallCapacity}; ///< Inbox of the address book task.
     mailbox<hub_message> hub{largeCapacity}; ///< Inbox of the hub task.
     mailbox<std::shared_ptr<const configuration>> announcements{smallCapacity}; ///< Inbox of the announcements task.
 };
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -73,6 +73,25 @@
     return seen;
 }
 
+/// Returns the addresses of the other VMs, control VMs first and otherwise in the order of their texts, which stays the
+/// same when a VM starts again.
+std::vector<std::string> otherAddresses(const fleet_view &view, vm_id self)
+{
+    std::vector<std::pair<bool, std::string>> ranked;
+    for (const member_record &each : view.live) {
+        if (each.id != self) {
+            ranked.emplace_back((each.roles & ControlRole) == 0, each.address);
+        }
+    }
+    std::ranges::sort(ranked);
+    std::vector<std::string> addresses;
+    addresses.reserve(ranked.size());
+    for (auto &[isOther, address] : ranked) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
 /// Returns the entry VMs whose confirmation of a configuration a control VM waits for.
 entry_vm_view entryVmViewOf(const fleet_view &view)
 {
@@ -98,6 +117,7 @@
             seen.addresses.push_back(std::ranges::find(view.live, vm, &member_record::id)->address);
         }
         m_wiring.control.post(std::move(seen));
+        m_wiring.addresses.post({otherAddresses(view, m_self.id)});
         std::vector<fleet_vm> vms = otherFleetVms(view, m_self.id);
         m_wiring.hub.post(hub_fleet_changed{vms});
         m_wiring.departures.post(departure_vms_changed{std::move(vms)});
--- a/src/daemon/peers/peers_options.h
+++ b/src/daemon/peers/peers_options.h
@@ -57,6 +57,7 @@
 struct peers_task_options {
     link_table_options links; ///< Identity and address of this VM, fleet secret and limits.
     std::vector<std::string> seeds; ///< "IP:port" of VMs through which to join; may include this VM's address.
+    std::vector<std::string> book; ///< "IP:port" of VMs that this VM saw before it started.
     /// Subscriber of each channel; empty for a channel that nothing on this VM handles.
     std::array<channel_subscriber, static_cast<std::size_t>(channel::Last) + 1> subscribers;
     peers_watchers watchers; ///< Callbacks for changes of the fleet's state.
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -66,7 +66,7 @@
                .lost =
                    [](vm_id) {
                    }})
-    , m_membership(makeMembership(recordOf(m_links.self()), m_options.seeds, m_options.membershipTimes))
+    , m_membership(makeMembership(recordOf(m_links.self()), m_options.seeds, m_options.membershipTimes, m_options.book))
     , m_spread(makeSpreadTable(m_links.self().id, m_options.spreadLimits))
     , m_tickTimer(owner, [this] { tick(); })
     , m_stopDelay(owner, [this] { m_loop.stop(); })
--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -82,15 +83,76 @@
 }
 
 void platform_processes::startVm(const std::string &name)
+{
+    run(name, m_controls, true);
+}
+
+void platform_processes::startVmWithSeeds(const std::string &name, const std::vector<std::string> &seeds)
+{
+    run(name, seeds, false);
+}
+
+std::string platform_processes::replaceControl(const std::string &name)
+{
+    process(name).signal(SIGKILL);
+    process(name).waitForExit(std::chrono::seconds(2));
+    const int host = static_cast<int>(m_hosts.size()) + 1;
+    const auto place = std::ranges::find(m_controls, name);
+    *place = "control-" + std::to_string(host);
+    m_hosts[*place] = host;
+    return *place;
+}
+
+const std::vector<std::string> &platform_processes::controls() const
+{
+    return m_controls;
+}
+
+std::uint64_t platform_processes::versionAt(const std::string &control) const
+{
+    constexpr int maxRedirects = 2;
+    endpoint server = controlEndpoint(control);
+    try {
+        for (int redirects = 0; redirects <= maxRedirects; ++redirects) {
+            const http_answer answer = httpCall(
+                server,
+                {.method = "POST", .target = "/api/rpc?call=config.get", .body = "{}", .timeout = operatorPatience});
+            if (answer.status == statusOk) {
+                return nlohmann::json::parse(bodyOf(answer)).at("Version").get<std::uint64_t>();
+            }
+            constexpr std::string_view scheme = "http://";
+            const std::string location(headerValue(viewsOf(answer.headers), "Location"));
+            if (answer.status != statusRedirect || !location.starts_with(scheme)) {
+                break;
+            }
+            const std::size_t path = location.find('/', scheme.size());
+            server = parseEndpoint(location.substr(scheme.size(), path - scheme.size())).value();
+        }
+    } catch (const coordination_error &) {
+        return 0; // A control VM isn't running, or doesn't answer.
+    }
+    return 0;
+}
+
+bool platform_processes::isReady(const std::string &entry) const
+{
+    try {
+        return httpCall({ipOf(entry), readyPort}, {.method = "GET", .target = "/api/readyz"}).status == statusOk;
+    } catch (const coordination_error &) {
+        return false;
+    }
+}
+
+void platform_processes::run(const std::string &name, const std::vector<std::string> &seeds, bool bootstrap)
 {
     const std::string ip = ipOf(name);
     const bool control = name.starts_with("control");
     const auto address = [&ip](std::uint16_t port) {
         return ip + ':' + std::to_string(port);
     };
-    nlohmann::json seeds = nlohmann::json::array();
-    for (const std::string &each : m_controls) {
-        seeds.push_back(ipOf(each) + ':' + std::to_string(controlPort));
+    nlohmann::json seedAddresses = nlohmann::json::array();
+    for (const std::string &each : seeds) {
+        seedAddresses.push_back(ipOf(each) + ':' + std::to_string(controlPort));
     }
     nlohmann::json settings{{"Node", name},
                             {"Ip", ip},
@@ -98,10 +160,10 @@
                             {"InternalPorts", {peersPort, peersPort + 1}},
                             {"Serves", {control ? "control_plane" : "edge"}},
                             {"Listen", {{"Ready", address(readyPort)}}},
-                            {"Seeds", seeds},
+                            {"Seeds", seedAddresses},
                             {"Limits", {{"MemoryMb", control ? controlMemoryMb : entryMemoryMb}}},
                             {"Bounds", {{"GraceS", graceSeconds}}},
-                            {"Bootstrap", true}};
+                            {"Bootstrap", bootstrap}};
     if (control) {
         settings["Listen"]["Control"] = address(controlPort);
         settings["DataDir"] = dataFolderOf(name).string();
--- a/tests/fleet/platform_processes.h
+++ b/tests/fleet/platform_processes.h
@@ -110,11 +110,29 @@
     /// Starts a VM whose process has ended.
     void startVm(const std::string &name);
 
+    /// Starts a VM with the addresses of these control VMs as its seeds, whether they run or not. It founds no cluster.
+    void startVmWithSeeds(const std::string &name, const std::vector<std::string> &seeds);
+
+    /// Kills a control VM for good, and adds one at an address of its own, with an empty disk. Returns the name of the
+    /// new one, which is still to be started.
+    std::string replaceControl(const std::string &name);
+
+    /// Names of the control VMs, without those that were replaced.
+    const std::vector<std::string> &controls() const;
+
+    /// Reads the configuration from a control VM, following two redirects, and returns its version; 0 without an
+    /// answer.
+    std::uint64_t versionAt(const std::string &control) const;
+
+    /// Whether an entry VM says that it is ready.
+    bool isReady(const std::string &entry) const;
+
     /// The process of a VM or of an instance.
     child_process &process(const std::string &name);
 
 private:
     std::string ipOf(const std::string &name) const;
+    void run(const std::string &name, const std::vector<std::string> &seeds, bool bootstrap);
     std::string bodyOfHeartbeat(const std::string &id, const heartbeat &beat) const;
 
     std::filesystem::path m_folder; ///< Temporary folder; removed by the destructor.
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -87,6 +87,58 @@
     }
 }
 
+// Guards against a fleet that stays apart for good: all VMs start again, and every seed is a machine that is gone.
+BOOST_AUTO_TEST_CASE(startOfAll_seedsGone_joinedThroughTheBooksOfControlVms)
+{
+    constexpr std::size_t firstSlot = 10;
+    constexpr std::size_t controls = 5;
+    constexpr auto slowestStart = seconds(10);
+    constexpr auto recovery = seconds(15);
+    std::vector<std::string> book;
+    for (std::size_t slot = firstSlot; slot < firstSlot + fleetSize; ++slot) {
+        book.push_back(memory_fleet::addressOf(slot));
+    }
+    for (std::uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        memory_fleet fleet;
+        fleet.random = {seed};
+        fleet.controlCount = firstSlot + controls;
+        for (std::size_t slot = firstSlot; slot < firstSlot + fleetSize; ++slot) {
+            fleet.start(slot, {}, slot < fleet.controlCount ? book : std::vector<std::string>{});
+            const bool startsLate = slot % 3 == 0;
+            fleet.run(startsLate ? slowestStart / fleetSize * 3 : duration{});
+        }
+        BOOST_TEST(viewsAgreeWithin(fleet, recovery), "seed " << seed);
+    }
+}
+
+// Guards against halves that stay apart: all VMs start again while they are cut off from each other.
+BOOST_AUTO_TEST_CASE(startOfAll_seedsGoneAndHalvesCutOff_joinedAfterTheCut)
+{
+    constexpr std::size_t firstSlot = 10;
+    constexpr std::size_t controls = 5;
+    std::vector<std::string> book;
+    for (std::size_t slot = firstSlot; slot < firstSlot + controls; ++slot) {
+        book.push_back(memory_fleet::addressOf(slot));
+    }
+    for (std::uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        memory_fleet fleet;
+        fleet.random = {seed};
+        std::map<vm_id, bool> half;
+        fleet.isCut = [&half](vm_id from, vm_id to) {
+            return half[from] != half[to];
+        };
+        for (std::size_t index = 0; index < controls; ++index) {
+            half[fleet.start(firstSlot + index, {}, book)] = index < controls / 2;
+        }
+        fleet.run(seconds(10));
+        BOOST_TEST(!fleet.viewsAgree());
+        fleet.isCut = [](vm_id, vm_id) {
+            return false;
+        };
+        BOOST_TEST(viewsAgreeWithin(fleet, seconds(15)), "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fleet_sameSeed_sameRun)
 {
     memory_fleet first;
--- a/tests/membership/memory_fleet.h
+++ b/tests/membership/memory_fleet.h
@@ -57,8 +57,9 @@
         return std::string(1, static_cast<char>('a' + slot % 3));
     }
 
-    /// Starts a VM at an address; the first three addresses are the seeds.
-    vm_id start(std::size_t slot, vm_id id = {})
+    /// Starts a VM at an address; the first three addresses are the seeds. The book holds the addresses at which it saw
+    /// others before.
+    vm_id start(std::size_t slot, vm_id id = {}, std::vector<std::string> book = {})
     {
         if (id.value == 0) {
             id = {random() | 1U};
@@ -73,7 +74,8 @@
                            .roles = slot < controlCount ? ControlRole : EntryRole};
         const instant first = now + duration(static_cast<std::int64_t>(random.below(tickPeriod.count())));
         vmsByAddress[self.address] = id;
-        vms.insert_or_assign(id, vm{makeMembership(std::move(self), std::move(seeds), options), first, false, {}});
+        vms.insert_or_assign(
+            id, vm{makeMembership(std::move(self), std::move(seeds), options, std::move(book)), first, false, {}});
         return id;
     }
 
