Model the control cluster under schedules of losses

The simulated cluster now drives its members as the control task does, by vmToAdmit() and memberToRemove() after each proof of leadership, from a stand-in of the failure detector. A schedule loses VMs within the tolerance, and in the second kind splits all of them or kills all at moments that it waits for, and ends with a final fault right after an accepted change. Checked are the invariants of the simulated cluster, each proof of leadership against all that was shown before it, the recovery in 15 s, after which each VM that runs votes and follows the leader, and 4 s at most without a confirmed leader.

--- a/tests/replication/racing_operators.h
+++ b/tests/replication/racing_operators.h
@@ -4,6 +4,7 @@
 
 #include "wire/configuration_codec.h"
 
+#include <functional>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -25,6 +26,8 @@
         }
     }
 
+    std::function<void(revision)> onAccepted; ///< Called with the revision of each accepted change; may be empty.
+
     /// Returns the accepted changes so far: the name of the account that each created, by revision.
     const std::map<revision, std::string> &accepted() const
     {
@@ -102,6 +105,9 @@
             if (!m_accepted.emplace(answer.atRevision, name).second && m_accepted[answer.atRevision] != name) {
                 throw std::runtime_error("invariant violated: two changes were accepted at the same revision");
             }
+            if (onAccepted) {
+                onAccepted(answer.atRevision);
+            }
         }
         if (lost || open == m_requests.end()) {
             // After a lost answer the operator resends; a request that was answered before needs nothing more.
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint64_t maxNetworkDelayUs = 20'000;
 constexpr std::uint64_t maxSyncDelayUs = 4'000;
 constexpr std::uint64_t maxSlowSyncDelayUs = 600'000;
-constexpr duration learnerProposalInterval = milliseconds(300);
 
 void check(bool holds, const std::string &invariant)
 {
@@ -52,7 +51,7 @@
 
 simulated_cluster::simulated_cluster(std::uint64_t seed, std::size_t vms)
     : m_random(seed)
-    , m_targetVoters(vms)
+    , m_options{.maxMessageBytes = 400, .snapshotAfterRecords = 12, .keptRecords = 4, .targetVoters = vms}
 {
     addVm({++m_lastVm}, bootstrapState({7}, std::array{vm_id{1}}));
     while (m_lastVm < vms) {
@@ -61,6 +60,19 @@
     proposeLearners();
 }
 
+simulated_cluster::simulated_cluster(std::uint64_t seed, std::size_t founders, const replica_options &options)
+    : m_random(seed)
+    , m_options(options)
+{
+    std::vector<vm_id> ids;
+    while (ids.size() < founders) {
+        ids.push_back({++m_lastVm});
+    }
+    for (const vm_id founder : ids) {
+        addVm(founder, bootstrapState({7}, ids));
+    }
+}
+
 void simulated_cluster::runUntil(instant end)
 {
     while (!m_scheduled.empty() && m_scheduled.top().due <= end) {
@@ -95,6 +107,13 @@
     }
 }
 
+void simulated_cluster::post(vm_id vm, const replica_event &event)
+{
+    if (m_vms.at(vm).up) {
+        handle(vm, event);
+    }
+}
+
 void simulated_cluster::crash(vm_id vm)
 {
     simulated_vm &node = m_vms.at(vm);
@@ -120,15 +139,6 @@
     armTimer(vm);
 }
 
-vm_id simulated_cluster::replaceVm(vm_id vm)
-{
-    crash(vm);
-    const vm_id replacement{++m_lastVm};
-    addVm(replacement, {});
-    m_replacements[replacement] = vm;
-    return replacement;
-}
-
 void simulated_cluster::freeze(vm_id vm)
 {
     m_vms.at(vm).frozen = true;
@@ -168,30 +178,6 @@
     return m_vms.at(vm);
 }
 
-std::vector<vm_id> simulated_cluster::currentVms() const
-{
-    std::vector<vm_id> ids;
-    for (const auto &[id, vm] : m_vms) {
-        const bool replaced =
-            std::ranges::any_of(m_replacements, [gone = id](const auto &pair) { return pair.second == gone; });
-        if (!replaced) {
-            ids.push_back(id);
-        }
-    }
-    return ids;
-}
-
-bool simulated_cluster::isChangingMembers() const
-{
-    const vm_id leading = leader();
-    if (leading.value == 0) {
-        return true;
-    }
-    const replica &state = m_vms.at(leading).state;
-    const bool allVote = std::ranges::all_of(currentVms(), [&state](vm_id vm) { return isVoter(state.members, vm); });
-    return state.membersIndex > state.commitIndex || !allVote || state.members.members.size() != m_targetVoters;
-}
-
 instant simulated_cluster::now() const
 {
     return m_now;
@@ -219,6 +205,9 @@
     node.pendingEffects.insert(node.pendingEffects.end(), effects.begin(), effects.end());
     performAll(vm);
     armTimer(vm);
+    if (onHandled && node.up && !node.frozen) {
+        onHandled(vm);
+    }
 }
 
 void simulated_cluster::performAll(vm_id vm)
@@ -359,39 +348,4 @@
     }
 }
 
-void simulated_cluster::proposeLearners()
-{
-    const vm_id leading = leader();
-    if (leading.value != 0 && !m_vms.at(leading).frozen) {
-        for (const vm_id id : currentVms()) {
-            const auto replacement = m_replacements.find(id);
-            const vm_id replaces = replacement == m_replacements.end() ? vm_id{} : replacement->second;
-            const membership &members = m_vms.at(leading).state.members;
-            if (findMember(members, id) == nullptr) {
-                const bool stillThere = findMember(members, replaces) != nullptr;
-                handle(leading, learner_proposed{++m_lastTicket, id, stillThere ? replaces : vm_id{}});
-                break;
-            }
-        }
-    }
-    after(learnerProposalInterval, [this] { proposeLearners(); });
-}
-
-void simulated_cluster::addVm(vm_id vm, const stored_state &disk)
-{
-    m_vms[vm].disk = disk;
-    start(vm);
-}
-
-replica_options simulated_cluster::optionsFor(vm_id vm) const
-{
-    replica_options options;
-    options.self = vm;
-    options.maxMessageBytes = 400;
-    options.snapshotAfterRecords = 12;
-    options.keptRecords = 4;
-    options.targetVoters = m_targetVoters;
-    return options;
-}
-
 } // namespace guavafront
--- a/tests/replication/simulated_cluster.h
+++ b/tests/replication/simulated_cluster.h
@@ -46,6 +46,9 @@
 
     /// Creates a cluster of one voter; the leader adds the other VMs as learners until vms VMs vote.
     simulated_cluster(std::uint64_t seed, std::size_t vms);
+    /// Creates a cluster in which all founders vote from the start. VMs that are added later join only when an event
+    /// for the leader says so. `self` of the options is set for each VM.
+    simulated_cluster(std::uint64_t seed, std::size_t founders, const replica_options &options);
 
     /// Runs the scheduled actions up to the given simulated time.
     void runUntil(instant end);
@@ -56,6 +59,10 @@
 
     /// Hands a proposal to a VM, as an operator's request would.
     void propose(vm_id vm, const change_proposal &proposal, const answer_handler &answer);
+    /// Hands an event to a VM if it runs.
+    void post(vm_id vm, const replica_event &event);
+    /// Starts a new VM with an empty disk. Returns its identity.
+    vm_id addVm();
     /// Stops a VM. Of its writes since the latest sync only a random number of the first ones reach the disk.
     void crash(vm_id vm);
     /// Starts a crashed VM from the state on its disk.
@@ -87,6 +94,7 @@
     std::uint64_t lossPercent = 0; ///< Share of messages that are lost, in percent.
     std::uint64_t duplicatePercent = 0; ///< Share of messages that arrive twice, in percent.
     std::function<void(vm_id, const replica_effect &)> onEffect; ///< Called before each effect is performed.
+    std::function<void(vm_id)> onHandled; ///< Called after a VM has handled an event.
 
 private:
     struct scheduled_action {
@@ -113,7 +121,7 @@
     replica_options optionsFor(vm_id vm) const;
 
     std::mt19937_64 m_random; ///< Generator of all random numbers of the run.
-    std::size_t m_targetVoters; ///< Number of voters of the complete cluster.
+    replica_options m_options; ///< Options of all replicas.
     instant m_now; ///< Simulated time.
     std::uint64_t m_order = 0; ///< Number of the last scheduled action.
     std::priority_queue<scheduled_action, std::vector<scheduled_action>, runs_later> m_scheduled; ///< Actions by
