Keep enough control VMs to bear the tolerated loss of disks

What callers would see: an accepted change lost, or no leader for good, on a site that tolerates the loss of two disks (9 to 15 control VMs).

Cause: lost voters are removed while three remain, whatever the site tolerates. In a split of nine the larger half removes the four others within 5 s; if two of its five are then down for 4 s, they are removed, too. Three voters are left and two disks hold a new change; both may be lost by FaultTolerance.Machines 2 while the others lose power.

Evidence: split_losses_test/disks_lostAfterRemovalsDuringASplit_nothing- AcceptedLost with three as the smallest number: "recovery did not happen within the time limit". By hand: 2,000 random schedules with 9 VMs didn't meet it, since the split must last for 8 s or more.

Change: control.toleratedDiskLosses (1 to 7, 1 by default) sets the smallest number to one more than twice as many; on the platform it is FaultTolerance.Machines. Of 2n + 1 voters any quorum has n + 1 disks, so one with the change remains after n are lost, and n + 1 voters are a quorum. With fewer left, service waits for those that are away.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -38,7 +38,8 @@
     duration absentVoterLimit = std::chrono::seconds(20); ///< A voter that hasn't answered for this long counts as
                                                           ///< lost for good. Network cuts and freezes of VMs last
                                                           ///< some seconds and must not reach the limit.
-    std::size_t minVoters = 3; ///< Number of voters that must remain when an absent voter is removed.
+    std::size_t minVoters = 3; ///< Number of voters that must remain when an absent voter is removed: one more than
+                               ///< twice the number of disks that may be lost at the same time.
     duration lostMemberLimit = std::chrono::seconds(3); ///< A member that the failure detector of the fleet holds dead
                                                         ///< counts as lost when it hasn't answered for this long. It
                                                         ///< is removed only if that makes a quorum easier to keep; if
--- a/src/daemon/control_tree.cpp
+++ b/src/daemon/control_tree.cpp
@@ -75,16 +75,18 @@
     child_spec control{.name = "control",
                        .body =
                            [&settings, &secrets, self, &wiring](loop &owner) {
-                               const control_task task(owner,
-                                                       {.dataFolder = settings.vm.dataFolder,
-                                                        .freshIdentity = self,
-                                                        .secret = secrets.fleet,
-                                                        .replica = {.targetVoters = settings.control.voters},
-                                                        .send = vmSender(wiring),
-                                                        .onLeadershipProof = beaconIssuer(wiring),
-                                                        .onClaimsViewAgreed = claimsPublisher(settings, wiring),
-                                                        .onMembersChanged = votersReporter(wiring)},
-                                                       wiring.control, wiring.configurations, wiring.counters);
+                               const control_task task(
+                                   owner,
+                                   {.dataFolder = settings.vm.dataFolder,
+                                    .freshIdentity = self,
+                                    .secret = secrets.fleet,
+                                    .replica = {.targetVoters = settings.control.voters,
+                                                .minVoters = 2 * settings.control.toleratedDiskLosses + 1},
+                                    .send = vmSender(wiring),
+                                    .onLeadershipProof = beaconIssuer(wiring),
+                                    .onClaimsViewAgreed = claimsPublisher(settings, wiring),
+                                    .onMembersChanged = votersReporter(wiring)},
+                                   wiring.control, wiring.configurations, wiring.counters);
                                owner.run();
                            },
                        .shutdownLimit = taskShutdownLimit};
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -60,6 +60,9 @@
 /// Replicated log of the control VMs.
 struct control_settings {
     std::uint32_t voters = 3; ///< Number of voting control VMs; odd, and the same on all control VMs.
+    /// Number of control VMs whose disks may be lost at the same time without loss of an accepted change. Lost voters
+    /// are removed only while one more than twice as many remain.
+    std::uint32_t toleratedDiskLosses = 1;
     /// Peer addresses of the control VMs that create the cluster together at the first start of the fleet.
     std::vector<endpoint> founders;
     /// The whole fleet starts for the first time: a founder without a journal creates the cluster.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -42,6 +42,7 @@
     visitor.field("secrets.serviceTokenFile", values.secrets.serviceTokenFile, presence::Optional);
     visitor.field("secrets.operatorTokensFile", values.secrets.operatorTokensFile, presence::Optional);
     visitor.field("control.voters", values.control.voters, number_range{3, 15});
+    visitor.field("control.toleratedDiskLosses", values.control.toleratedDiskLosses, number_range{1, 7});
     visitor.field("control.founders", values.control.founders, presence::Optional);
     visitor.field("control.firstStart", values.control.firstStart, presence::Optional);
     visitor.field("entry.maxConnections", values.entry.maxConnections, number_range{1, 1'000'000});
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -12,14 +12,22 @@
 
 /// Settings of a core machine, with its bounds as a test gives them.
 struct platform_settings_fixture {
-    static std::uint32_t keyValidityWith(const std::string &bounds)
+    static platform_settings settingsWith(const std::string &name, const std::string &value)
     {
         return readPlatformSettings(
-                   R"({"Node":"core-1","Ip":"127.0.0.2","Zone":"occ-a","InternalPorts":[7560,7575],)"
-                   R"("Serves":["control_plane"],"Listen":{"Control":"127.0.0.2:7500"},"DataDir":"data",)"
-                   R"("Bounds":)"
-                   + bounds + "}")
-            .keyValidityMs;
+            R"({"Node":"core-1","Ip":"127.0.0.2","Zone":"occ-a","InternalPorts":[7560,7575],)"
+            R"("Serves":["control_plane"],"Listen":{"Control":"127.0.0.2:7500"},"DataDir":"data",")"
+            + name + "\":" + value + "}");
+    }
+
+    static std::uint32_t keyValidityWith(const std::string &bounds)
+    {
+        return settingsWith("Bounds", bounds).keyValidityMs;
+    }
+
+    static std::uint32_t toleratedWith(const std::string &tolerance)
+    {
+        return settingsWith("FaultTolerance", tolerance).daemon.control.toleratedDiskLosses;
     }
 };
 
@@ -39,6 +47,14 @@
     BOOST_TEST(keyValidityWith(R"({"StrictRevocation":false,"RevokeMs":5000})") == 60'000U);
 }
 
+BOOST_AUTO_TEST_CASE(toleratedDiskLosses_machinesOfTheTolerance_atLeastOne)
+{
+    BOOST_TEST(toleratedWith(R"({"Machines":2,"Zones":0,"Regions":0})") == 2U);
+    BOOST_TEST(toleratedWith(R"({"Machines":0})") == 1U);
+    BOOST_TEST(toleratedWith(R"({"Machines":99})") == 7U);
+    BOOST_TEST(toleratedWith("{}") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/replication/losses_schedule.cpp
+++ b/tests/replication/losses_schedule.cpp
@@ -28,7 +28,7 @@
 
 losses_schedule::losses_schedule(std::uint64_t seed, const losses_options &options)
     : m_options(options)
-    , m_fleet(seed, options.vms, targetVoters)
+    , m_fleet(seed, options.vms, targetVoters, options.tolerated)
     , m_cluster(m_fleet.cluster)
 {
     for (const vm_id vm : m_cluster.currentVms()) {
--- a/tests/replication/simulated_fleet.cpp
+++ b/tests/replication/simulated_fleet.cpp
@@ -19,9 +19,13 @@
 constexpr std::uint64_t minReturnDelayMs = 100;
 constexpr std::uint64_t maxReturnDelayMs = 1'000;
 
-replica_options optionsWith(std::size_t targetVoters)
+replica_options optionsWith(std::size_t targetVoters, std::size_t toleratedDiskLosses)
 {
-    return {.maxMessageBytes = 4'096, .snapshotAfterRecords = 64, .keptRecords = 16, .targetVoters = targetVoters};
+    return {.maxMessageBytes = 4'096,
+            .snapshotAfterRecords = 64,
+            .keptRecords = 16,
+            .targetVoters = targetVoters,
+            .minVoters = 2 * toleratedDiskLosses + 1};
 }
 
 bool sends(const simulated_links &links, vm_id vm)
@@ -43,8 +47,9 @@
 
 } // namespace
 
-simulated_fleet::simulated_fleet(std::uint64_t seed, std::size_t vms, std::size_t targetVoters)
-    : cluster(seed, vms, optionsWith(targetVoters))
+simulated_fleet::simulated_fleet(std::uint64_t seed, std::size_t vms, std::size_t targetVoters,
+                                 std::size_t toleratedDiskLosses)
+    : cluster(seed, vms, optionsWith(targetVoters, toleratedDiskLosses))
 {
     for (const vm_id vm : cluster.currentVms()) {
         m_addresses[vm] = "10.0.0." + std::to_string(vm.value);
--- a/tests/replication/simulated_fleet.h
+++ b/tests/replication/simulated_fleet.h
@@ -54,8 +54,8 @@
 class simulated_fleet
 {
 public:
-    /// Starts a cluster in which the given number of VMs vote.
-    simulated_fleet(std::uint64_t seed, std::size_t vms, std::size_t targetVoters);
+    /// Starts a cluster in which the given number of VMs vote, and of which so many disks may be lost at a time.
+    simulated_fleet(std::uint64_t seed, std::size_t vms, std::size_t targetVoters, std::size_t toleratedDiskLosses);
 
     /// Starts a VM with an empty disk at an address. Returns its identity.
     vm_id addVm(const std::string &address);
