Take the leader's silence at the refusal of a vote, not at its log line

The line of a refused vote said "heard 0.0 s ago" by the time at which the line was written. The report waits for the sync of the step's writes, and messages of the leader may arrive in between, so the time could be that of a message after the refusal. The replica now reports the time itself. Seen in a play of lost_registrar_test with real processes, where each such line had 0.0 s.

OPERATIONS.md says that a leader that stood still itself logs the same line as one that no quorum answered: so did the frozen VMs of that play.

--- a/include/guavafront/coordination/replication/election_reports.h
+++ b/include/guavafront/coordination/replication/election_reports.h
@@ -36,6 +36,8 @@
     log_end candidateLog; ///< End of the candidate's log.
     log_end ownLog; ///< End of this replica's log.
     vm_id preferred; ///< Known leader, or the candidate that has the vote; 0 for other reasons.
+    duration sinceLeader{}; ///< Time since the known leader's latest message; 0 if it is this replica or the
+                            ///< reason is another one.
 };
 
 /// Effect: tell the host that a vote or pre-vote of this replica ended at the election deadline without a majority.
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -240,6 +240,7 @@
                          .ownLog = {lastIndex(self.log), lastTerm(self.log)}};
     if (reason == vote_refusal::LeaderKnown) {
         refused.preferred = self.leader;
+        refused.sinceLeader = self.role == replica_role::Leader ? duration(0) : step.now - self.lastLeaderContact;
     } else if (reason == vote_refusal::VoteTaken) {
         refused.preferred = self.votedFor;
     }
--- a/src/daemon/control/control_log.cpp
+++ b/src/daemon/control/control_log.cpp
@@ -76,7 +76,7 @@
     return silent.empty() ? std::string() : "; no answer from" + namesOf(silent, live, "live");
 }
 
-std::string reasonOf(const replica &self, const vote_refused &refused, instant now)
+std::string reasonOf(const replica &self, const vote_refused &refused)
 {
     std::ostringstream text;
     switch (refused.reason) {
@@ -85,7 +85,7 @@
             text << "this VM leads term " << refused.ownTerm.value;
         } else {
             text << "VM " << hexOf(refused.preferred) << " leads term " << refused.ownTerm.value << ", heard "
-                 << secondsOf(now - self.lastLeaderContact) << " ago";
+                 << secondsOf(refused.sinceLeader) << " ago";
         }
         break;
     case vote_refusal::TermNotHigher:
@@ -153,7 +153,7 @@
         return std::nullopt;
     }
     return std::string("refused ") + (refused.preVote ? "pre-vote" : "vote") + " of VM " + hexOf(refused.candidate)
-           + " in term " + std::to_string(refused.inTerm.value) + ": " + reasonOf(self, refused, now);
+           + " in term " + std::to_string(refused.inTerm.value) + ": " + reasonOf(self, refused);
 }
 
 std::optional<std::string> failedRoundLine(control_log &log, const replica &self, const election_failed &failed,
--- a/tests/replication/election_reports_test.cpp
+++ b/tests/replication/election_reports_test.cpp
@@ -107,10 +107,12 @@
 BOOST_AUTO_TEST_CASE(preVote_leaderHeardLately_refusedForTheLeader)
 {
     hearLeader(5);
+    now += std::chrono::milliseconds(200);
     receive(2, 4, vote_request{true, {2}, {3}});
     BOOST_TEST(!answersGranted());
     BOOST_CHECK(refusal().reason == vote_refusal::LeaderKnown);
     BOOST_CHECK(refusal().preferred == vm_id{5});
+    BOOST_CHECK(refusal().sinceLeader == std::chrono::milliseconds(200));
     BOOST_CHECK(refusal().candidate == vm_id{2});
     BOOST_TEST(refusal().preVote);
 }
