Let tests give a VM's address in advance and read requests of instances

A soak starts control VMs at addresses of their own while other threads ask them already: reserveVm() gives a VM its address before its start. client_request says whether bytes of an unanswered request may have been sent, so that a check can tell a cut request from one that was never sent, and requestsAt() gives the ids with the times of arrivals. Nothing changes for the tests that use none of it.

--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -82,6 +82,16 @@
            + std::to_string(m_hosts.at(name));
 }
 
+void platform_processes::reserveVm(const std::string &name)
+{
+    m_hosts.try_emplace(name, static_cast<int>(m_hosts.size()) + 1);
+}
+
+const std::filesystem::path &platform_processes::folder() const
+{
+    return m_folder;
+}
+
 void platform_processes::startVm(const std::string &name)
 {
     run(name, m_controls, true);
@@ -303,14 +313,23 @@
 
 std::vector<instant> platform_processes::arrivalsAt(const std::string &id) const
 {
-    const http_answer answer = httpCall({ipOf(id), m_instancePorts.at(id)}, {.method = "GET", .target = "/arrivals"});
     std::vector<instant> times;
-    for (const nlohmann::json &each : nlohmann::json::parse(bodyOf(answer))) {
-        times.emplace_back(duration(each.at("us").get<std::int64_t>()));
+    for (const auto &[at, requestId] : requestsAt(id)) {
+        times.push_back(at);
     }
     return times;
 }
 
+std::vector<std::pair<instant, std::string>> platform_processes::requestsAt(const std::string &id) const
+{
+    const http_answer answer = httpCall({ipOf(id), m_instancePorts.at(id)}, {.method = "GET", .target = "/arrivals"});
+    std::vector<std::pair<instant, std::string>> requests;
+    for (const nlohmann::json &each : nlohmann::json::parse(bodyOf(answer))) {
+        requests.emplace_back(instant(duration(each.at("us").get<std::int64_t>())), each.at("request"));
+    }
+    return requests;
+}
+
 client_request platform_processes::request(const std::string &entry, std::string_view method, const std::string &target,
                                            duration deadline) const
 {
@@ -323,8 +342,8 @@
             {.method = method, .target = target, .headers = headers, .timeout = deadline + std::chrono::seconds(1)});
         seen.status = answer.status;
         seen.retryAfter = headerValue(viewsOf(answer.headers), "Retry-After");
-    } catch (const coordination_error &) {
-        seen.status = 0;
+    } catch (const coordination_error &failure) {
+        seen.outcomeUnknown = failure.code() == result_code::OutcomeUnknown;
     }
     seen.endedAt = loop::now();
     return seen;
--- a/tests/fleet/platform_processes.h
+++ b/tests/fleet/platform_processes.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace guavafront
@@ -24,6 +25,7 @@
     instant endedAt{}; ///< When its answer was complete or its connection had ended.
     int status = 0; ///< HTTP status of the answer; 0 when none came.
     std::string retryAfter; ///< Retry-After field of the answer; empty when it has none.
+    bool outcomeUnknown = false; ///< No answer came, but some of the request's bytes may have been sent.
 };
 
 /// What an instance says of itself in a heartbeat.
@@ -88,6 +90,9 @@
     /// Times at which requests reached the instance, in order.
     std::vector<instant> arrivalsAt(const std::string &id) const;
 
+    /// Times and Request-Ids of the requests that reached the instance, in order.
+    std::vector<std::pair<instant, std::string>> requestsAt(const std::string &id) const;
+
     /// Sends a request with a deadline to an entry VM over a new connection and waits for its end.
     client_request request(const std::string &entry, std::string_view method, const std::string &target,
                            duration deadline) const;
@@ -110,6 +115,12 @@
     /// Starts a VM whose process has ended.
     void startVm(const std::string &name);
 
+    /// Gives a VM that is started later its IP number. A name that begins with "control" is a control VM's.
+    void reserveVm(const std::string &name);
+
+    /// Folder with the settings, logs and data of all processes.
+    const std::filesystem::path &folder() const;
+
     /// Starts a VM with the addresses of these control VMs as its seeds, whether they run or not. It founds no cluster.
     void startVmWithSeeds(const std::string &name, const std::vector<std::string> &seeds);
 
