--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -291,11 +291,7 @@
 BOOST_AUTO_TEST_CASE(removal_voterAbsentBeyondLimit_removedWhileThreeRemain)
 {
     electAmongFour();
-    const auto receiveAnswersOfTwoAndThree = [this] {
-        receive(2, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
-        receive(3, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
-    };
-    receiveAnswersOfTwoAndThree();
+    confirmAll();
     run(removal_proposed{1, {4}});
     // Voter 4 has been silent for less than absentVoterLimit and may return.
     BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk);
@@ -303,13 +299,13 @@
     BOOST_CHECK(find<proposal_refused>()->code == result_code::QuorumAtRisk);
     for (duration silent{}; silent < options.absentVoterLimit; silent += milliseconds(200)) {
         now += milliseconds(200);
-        receiveAnswersOfTwoAndThree();
+        confirmAll();
     }
     run(removal_proposed{2, {4}});
     BOOST_TEST(find<proposal_appended>() != nullptr);
     BOOST_TEST(findMember(self.members, {4}) == nullptr);
     sync();
-    receiveAnswersOfTwoAndThree();
+    confirmAll();
     for (duration silent{}; silent < options.absentVoterLimit; silent += milliseconds(200)) {
         now += milliseconds(200);
         receive(2, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
@@ -323,8 +319,7 @@
 {
     electAmongFour();
     for (duration silent{}; silent <= options.lostMemberLimit; silent += milliseconds(200)) {
-        receive(2, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
-        receive(3, self.currentTerm.value, append_answer{true, lastIndex(self.log)});
+        confirmAll();
         now += milliseconds(200);
     }
     run(removal_proposed{1, {4}});
