Let elections end where votes take long to reach the disks

What callers would see: after all control VMs were killed or lost power, none of them gives the configuration for good, while all of them run and hear each other; each logs `pre-candidate`, `candidate` and a higher term without end.

Cause: until the first message of a leader the election deadline is 120 to 240 ms. A candidate set it before the sync of its own vote, and each voter syncs its vote before it answers, so that with syncs of 120 ms or more every answer came after the deadline. Nothing backed off, and voters that had just voted began elections of their own as early.

Change: a candidate waits from the sync of its vote on, and the timeouts of every replica double with each further term that brings no leader, up to 2 s. A message of a leader ends that. A VM that is cut off starts no terms, so its timeouts don't grow.

Left: with syncs above the election timeout of 0.6 s no leader stays, since a sync stops the control task's loop (docs/design/replication.md).

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -26,6 +26,9 @@
     duration firstElectionTimeout =
         std::chrono::milliseconds(120); ///< Used instead of electionTimeout until the first message of a leader: after
                                         ///< a start there may be no leader left.
+    duration maxElectionTimeout = std::chrono::seconds(2); ///< The timeouts above double with each further term that
+                                                           ///< brings no leader, up to this one, since votes may
+                                                           ///< take long to reach the disks.
     duration heartbeatInterval = std::chrono::milliseconds(150); ///< Time between two heartbeats of the leader.
     std::size_t maxMessageBytes = std::size_t{128} << 10; ///< Size in bytes from which on an append takes no more
                                                           ///< records; maximum size of a snapshot chunk.
@@ -104,6 +107,8 @@
     vm_id leader; ///< Leader of currentTerm; 0 when not known.
     instant lastLeaderContact; ///< Time of the latest message from a leader; the epoch before the first one.
     instant electionDeadline; ///< Time at which an election starts unless a message of the leader arrives before.
+    std::uint32_t termsWithoutLeader = 0; ///< Terms that began since the latest message of a leader.
+    std::uint64_t ownVoteSync = 0; ///< Number of the sync that covers the own vote; 0 once it is reported.
     instant heartbeatDue; ///< Time of the leader's next heartbeat.
     std::vector<vm_id> votes; ///< Voters that granted the vote or pre-vote under way, this replica included.
     std::vector<vm_id> refusals; ///< Voters that refused the vote or pre-vote under way.
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -75,6 +75,7 @@
 {
     replica &self = step.self;
     setRole(step, replica_role::Leader, self.options.self, self.currentTerm);
+    self.termsWithoutLeader = 0;
     self.votes.clear();
     self.refusals.clear();
     self.peers.clear();
@@ -89,8 +90,10 @@
     replica &self = step.self;
     const term previous = self.currentTerm;
     ++self.currentTerm.value;
+    ++self.termsWithoutLeader;
     self.votedFor = self.options.self;
     persistVote(step);
+    self.ownVoteSync = self.lastSyncSequence + 1;
     setRole(step, replica_role::Candidate, {}, previous);
     startRound(step);
     if (isQuorum(self.members, self.votes)) {
@@ -140,8 +143,13 @@
 void resetElectionDeadline(replica_step &step)
 {
     const bool hasHeardLeader = step.self.lastLeaderContact != instant{};
-    const duration timeout =
-        hasHeardLeader ? step.self.options.electionTimeout : step.self.options.firstElectionTimeout;
+    const replica_options &options = step.self.options;
+    const duration shortest = hasHeardLeader ? options.electionTimeout : options.firstElectionTimeout;
+    const duration longest = std::max(shortest, options.maxElectionTimeout);
+    duration timeout = shortest;
+    for (std::uint32_t terms = 1; terms < step.self.termsWithoutLeader && timeout < longest; ++terms) {
+        timeout = std::min(timeout * 2, longest);
+    }
     const auto jitter = step.random % static_cast<std::uint64_t>(timeout.count());
     step.self.electionDeadline = step.now + timeout + duration(static_cast<duration::rep>(jitter));
 }
@@ -157,6 +165,7 @@
     const term previous = self.currentTerm;
     if (newTerm > previous) {
         self.currentTerm = newTerm;
+        ++self.termsWithoutLeader;
         self.votedFor = {};
         persistVote(step);
     }
@@ -180,6 +189,16 @@
     requestVotes(step, true, {self.currentTerm.value + 1});
 }
 
+void startWaitForVotes(replica_step &step, std::uint64_t synced)
+{
+    replica &self = step.self;
+    if (self.role == replica_role::Candidate && self.ownVoteSync != 0 && self.ownVoteSync <= synced) {
+        self.ownVoteSync = 0;
+        self.voteStartedAt = step.now;
+        resetElectionDeadline(step);
+    }
+}
+
 void checkQuorum(replica_step &step)
 {
     const replica &self = step.self;
--- a/src/coordination/replication/follower.cpp
+++ b/src/coordination/replication/follower.cpp
@@ -19,6 +19,7 @@
         becomeFollower(step, self.currentTerm, sender);
     }
     self.lastLeaderContact = step.now;
+    self.termsWithoutLeader = 0;
     resetElectionDeadline(step);
     return true;
 }
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -33,6 +33,9 @@
 /// Sets a new election deadline: the timeout and a random time of up to the same length, so that elections seldom
 /// collide.
 void resetElectionDeadline(replica_step &step);
+
+/// Lets a candidate wait for answers from the sync of its own vote on, after which its requests leave.
+void startWaitForVotes(replica_step &step, std::uint64_t synced);
 /// Handles a vote or pre-vote request of any term.
 void handleVoteRequest(replica_step &step, const replication_message &message, const vote_request &request);
 /// Reports a vote or pre-vote request that this replica refuses.
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -139,6 +139,7 @@
         self.durableIndex = std::max(self.durableIndex, self.pendingWrites.front().lastIndex);
         self.pendingWrites.pop_front();
     }
+    startWaitForVotes(step, event.sequence);
     if (self.role == replica_role::Leader) {
         advanceCommit(step);
     }
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -255,7 +255,7 @@
     simulated_vm &node = m_vms.at(vm);
     node.syncing = true;
     const auto delayUs = static_cast<std::int64_t>(random(node.slowDisk ? maxSlowSyncDelayUs : maxSyncDelayUs));
-    after(microseconds(delayUs), [this, vm, sequence, incarnation = node.incarnation] {
+    after(node.syncTime != duration{} ? node.syncTime : microseconds(delayUs), [this, vm, sequence, incarnation = node.incarnation] {
         simulated_vm &synced = m_vms.at(vm);
         if (synced.incarnation != incarnation) {
             return;
--- a/tests/replication/simulated_cluster.h
+++ b/tests/replication/simulated_cluster.h
@@ -31,6 +31,7 @@
     std::uint64_t incarnation = 0; ///< Goes up with each crash; callbacks of an earlier incarnation do nothing.
     bool up = true; ///< The VM runs or is frozen; false after a crash.
     bool frozen = false; ///< Events are queued instead of handled.
+    duration syncTime{}; ///< Time that each sync takes; 0 for a random one.
     bool slowDisk = false; ///< Syncs take up to maxSlowSyncDelayUs instead of maxSyncDelayUs.
     bool syncing = false; ///< A sync is under way.
     instant timerDue; ///< Time at which the armed timer fires; the epoch for none.
