End a test's process before kill() returns

The test platform_fleet failed now and then in its fixture: an entry VM wasn't ready, or the configuration not acknowledged, within 20 s.

Cause: child_process::kill() called Boost.Process's terminate() and then wait(). terminate() marks the process as ended, so that wait() returns at once; nobody waited for the kill to take effect. The next case of the program starts its VMs at the same IP numbers and ports. A daemon of the case before that still holds its ports then makes the new one fail: its supervisor tries to listen a few times within 3 ms and gives up. If it is the entry VM, it is never ready; if it is the control VM, nothing is acknowledged.

The log kept from the third: "root/peers failed: can't listen for peers on 127.65.12.1:7560", "root/metrics failed: cannot listen on 127.65.12.1:7600", ..., "failed: root: too many restarts", 1.7 s after the last line of the case before at the same addresses. Late links, late membership and late founders are ruled out for this one: the process had ended.

kill() now sends the signal and waits for the end on the pidfd. The ports are free by then, since a process is reaped after its files are closed.

--- a/tests/fleet/child_process.cpp
+++ b/tests/fleet/child_process.cpp
@@ -77,10 +77,11 @@
 
 void child_process::kill()
 {
+    // Not child::terminate(): a wait() after it returns before the process has ended and its ports are free.
     if (running()) {
-        std::error_code ignored;
-        m_handle->child.terminate(ignored);
-        m_handle->child.wait(ignored);
+        signal(SIGKILL);
+        while (!waitForExit(std::chrono::seconds(1))) {
+        }
     }
 }
 
--- a/tests/fleet/child_process_test.cpp
+++ b/tests/fleet/child_process_test.cpp
@@ -5,7 +5,9 @@
 #include <boost/test/unit_test.hpp>
 #include <poll.h>
 
+#include <cerrno>
 #include <chrono>
+#include <signal.h>
 
 namespace guavafront
 {
@@ -63,6 +65,15 @@
     BOOST_TEST(running.running());
 }
 
+BOOST_AUTO_TEST_CASE(kill_processRuns_goneOnReturn)
+{
+    child_process running = startSleep("60");
+    running.kill();
+    const bool gone = ::kill(running.id(), 0) == -1 && errno == ESRCH; // Signal 0 only asks whether the process exists.
+    BOOST_TEST(gone);
+    BOOST_TEST(!running.running());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
