Hand the slots of a stopping owner of rates over

Callers within their rate were refused with 503 rate_undecided (not run) for 2 to 3 s after an entry VM that owned their account's rate stopped as planned, or after a VM that started became the owner in its place.

Cause: a stopping owner asked for no more shares and ended after its grace, but the other VMs had delegated their shares to it for 3 s from its last round and could neither use them nor delegate them to the next owner. Where the preferred owner changes, the former one stops using a share one lease before the share is back at its VM, so that nobody grants for a second.

An owner that is about to stop (told at the begin of the grace, no longer at the end only), or that sees another owner preferred, now grants leases for at most 0.9 s more, then releases the slot to all members with the time after which its last lease has ended. They take their shares back after that time and prefer the next owner, which asks for shares each 0.1 s for 1.5 s. A VM that ends earlier releases at its end. The sum holds: after a release the owner drops shares, reserves and the pool's history and takes no share from a round that started before its last lease ended; the VM counts the wait from the arrival of the release and keeps a share that it delegated in a later round. On the wire a release has the form of a grant with a number that no request has, which older builds ignore.

An owner that dies is unchanged. The traffic of the handover at the size of the plan is not measured.

--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -118,6 +118,10 @@
 struct publications_lost {
 };
 
+/// A planned stop of this VM is about to begin; until then it takes requests still.
+struct stop_planned {
+};
+
 /// A planned stop of this VM has begun.
 struct stop_requested {
 };
@@ -166,9 +170,9 @@
     std::variant<request_arrived, attempt_ended, caller_left, configuration_changed, freshness_changed,
                  instance_announced, instance_left, instance_reported, instance_withdrawn, vm_reachability_changed,
                  fleet_changed, health_reported, health_report_lost, death_reported, request_released, release_reported,
-                 stop_requested, intake_closed, runs_ended, time_passed, limit_members_changed, limit_message_received,
-                 claim_message_received, claims_view_changed, publications_lost, evidence_received,
-                 ledger_owners_changed, ledger_statement_received, hub_loads_received, known_instances_requested,
-                 departure_reported>;
+                 stop_planned, stop_requested, intake_closed, runs_ended, time_passed, limit_members_changed,
+                 limit_message_received, claim_message_received, claims_view_changed, publications_lost,
+                 evidence_received, ledger_owners_changed, ledger_statement_received, hub_loads_received,
+                 known_instances_requested, departure_reported>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/lease_owner.h
+++ b/include/guavafront/coordination/limits/lease_owner.h
@@ -40,9 +40,17 @@
     instant startedAt{}; ///< When the requests were sent, on the owner's clock.
 };
 
+/// How far an owner has given a slot up.
+struct slot_handover {
+    instant endsAt = instant::max(); ///< All leases of the slot end by then; instant::max() while it isn't given up.
+    /// Rounds that started earlier give the owner no shares: leases from shares that it released may last until then.
+    instant leasesEnd{};
+};
+
 /// The owner's side of the limiter: collects the VMs' shares of the budgets and leases them out by demand.
 struct lease_owner {
     std::vector<share_pool> pools; ///< Indexed by slot.
+    std::vector<slot_handover> handovers; ///< Indexed by slot.
     std::vector<share_round> rounds; ///< The latest rounds, oldest first.
     std::uint64_t lastRound = 0; ///< Number of the latest round; counted from the limiter's start time in microseconds.
     std::unordered_map<account_id, owned_account> accounts; ///< Accounts in use.
--- a/include/guavafront/coordination/limits/limit_messages.h
+++ b/include/guavafront/coordination/limits/limit_messages.h
@@ -66,7 +66,21 @@
     bool operator==(const lease_grant &) const = default;
 };
 
+/// One slot whose shares an owner gives back.
+struct share_release_item {
+    limit_slot slot = 0; ///< The slot.
+    duration usableAfter{}; ///< Time after which every lease from these shares has ended.
+    bool operator==(const share_release_item &) const = default;
+};
+
+/// An owner gives the shares of slots back to their VMs before the delegations run out, and asks for no more.
+struct share_release {
+    std::uint64_t round = 0; ///< The owner's latest round; it uses no share that was delegated in it or earlier.
+    std::vector<share_release_item> slots; ///< The slots that it gives back.
+    bool operator==(const share_release &) const = default;
+};
+
 /// Message between the limiters of two VMs.
-using limit_message = std::variant<share_request, share_delegation, lease_request, lease_grant>;
+using limit_message = std::variant<share_request, share_delegation, lease_request, lease_grant, share_release>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/limits/limit_settings.h
+++ b/include/guavafront/coordination/limits/limit_settings.h
@@ -32,6 +32,12 @@
     limit_slot slotCount = 8; ///< Number of account groups; each slot has one owner.
     duration roundPeriod = std::chrono::seconds(1); ///< Time between an owner's requests for shares.
     duration delegationLifetime = std::chrono::seconds(3); ///< After this time, a delegated share returns to its VM.
+    /// Time between the requests of a VM that has just become the owner of a slot, during takeoverPeriod.
+    duration takeoverRoundPeriod = std::chrono::milliseconds(100);
+    duration takeoverPeriod = std::chrono::milliseconds(1'500); ///< Longer than a handover and the leases it leaves.
+    /// Time in which an owner that gives a slot up lets its leases end before it releases the shares; shorter than the
+    /// use of a share that was delegated in the previous round.
+    duration handoverPeriod = std::chrono::milliseconds(900);
     duration renewPeriod = std::chrono::milliseconds(200); ///< Time between renewals of a lease.
     duration leaseLifetime = std::chrono::seconds(1); ///< A lease that isn't renewed ends after this time.
     /// Lifetime of a lease that only covers waiting requests.
--- a/include/guavafront/coordination/limits/limiter.h
+++ b/include/guavafront/coordination/limits/limiter.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/limits/lease_owner.h>
 #include <guavafront/coordination/limits/lessee.h>
 #include <guavafront/coordination/limits/share_holder.h>
+#include <guavafront/coordination/limits/slot_handover.h>
 
 #include <span>
 #include <variant>
@@ -24,6 +25,8 @@
     lessee leases; ///< Leases that this VM uses.
     instant nextRound{}; ///< When this VM, as an owner, next asks for shares.
     instant nextRenewal{}; ///< When this VM next renews its leases.
+    instant takeoverEnd{}; ///< Until then this VM asks for shares each takeoverRoundPeriod.
+    bool leaving = false; ///< The VM stops soon: it gives up its slots and no longer asks for shares.
 };
 
 /// The membership view changed.
@@ -46,13 +49,17 @@
 struct limit_tick {
 };
 
-/// The VM stops: it returns its leases and no longer asks for shares.
+/// The VM stops soon but serves requests still: it gives up the slots that it owns.
+struct limiter_leaving {
+};
+
+/// The VM stops: it returns its leases, gives up its slots at once and no longer asks for shares.
 struct limiter_stopping {
 };
 
 /// Input event of a limiter.
-using limit_event =
-    std::variant<limit_members_changed, limits_changed, limit_message_received, limit_tick, limiter_stopping>;
+using limit_event = std::variant<limit_members_changed, limits_changed, limit_message_received, limit_tick,
+                                 limiter_leaving, limiter_stopping>;
 
 /// Message to another VM. If it is lost, tokens may stay unused, but the limit is never exceeded.
 struct limit_send {
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -201,6 +201,11 @@
     republish(context);
 }
 
+void handle(step_context &context, const stop_planned & /*event*/)
+{
+    updateRateLimiter(context, limiter_leaving{});
+}
+
 void handle(step_context &context, const stop_requested & /*event*/)
 {
     context.state.stopping = true;
--- a/src/coordination/limits/lease_owner.cpp
+++ b/src/coordination/limits/lease_owner.cpp
@@ -167,7 +167,7 @@
 }
 
 lease_grant_item decideGrant(owned_account &account, lessee_record &record, const limit_settings &settings,
-                             const rate_limit &total, const lease_request_item &item, instant now)
+                             const rate_limit &total, const lease_request_item &item, instant endsAt, instant now)
 {
     const grant_bounds bounds{
         .total = total,
@@ -191,7 +191,7 @@
         grant.retryAfter = retryAfter(account, bounds, 1 - item.level - grant.tokens);
     }
     const bool forWaitingOnly = item.waiting > 0 && grant.capacity <= item.waiting + roundingTokens;
-    grant.lifetime = forWaitingOnly ? settings.waitingLeaseLifetime : settings.leaseLifetime;
+    grant.lifetime = std::min(forWaitingOnly ? settings.waitingLeaseLifetime : settings.leaseLifetime, endsAt - now);
     record.offered = {.sequence = record.lastSequence,
                       .granted = {.ratePerSecond = grant.rate, .burst = grant.capacity},
                       .tokens = grant.tokens,
@@ -210,7 +210,8 @@
                                           instant now)
 {
     share_pool &pool = owner.pools[slotOf(settings, item.account)];
-    if (usableShares(pool, now) == 0) {
+    const instant endsAt = owner.handovers[slotOf(settings, item.account)].endsAt;
+    if (usableShares(pool, now) == 0 || endsAt <= now) {
         return std::nullopt; // An owner without shares doesn't know whether the account is over its rate.
     }
     const rate_limit &limit = limitOf(limits, item.account);
@@ -232,7 +233,7 @@
     subtractFromTotals(account, record);
     applyConfirmation(record, item, account.reserve);
     dropEndedLeases(record, now);
-    const lease_grant_item grant = decideGrant(account, record, settings, total, item, now);
+    const lease_grant_item grant = decideGrant(account, record, settings, total, item, endsAt, now);
     addToTotals(account, record);
     account.reserve.level = std::clamp(account.reserve.level, 0.0, std::max(0.0, total.burst - account.leased.burst));
     return grant;
@@ -244,6 +245,7 @@
 {
     lease_owner owner;
     owner.pools.assign(settings.slotCount, startPool(now));
+    owner.handovers.resize(settings.slotCount);
     return owner;
 }
 
@@ -267,7 +269,7 @@
     const instant usableUntil =
         round->startedAt + settings.delegationLifetime - extendedForDrift(settings, settings.leaseLifetime);
     for (const limit_slot slot : delegation.slots) {
-        if (slot < owner.pools.size()) {
+        if (slot < owner.pools.size() && round->startedAt >= owner.handovers[slot].leasesEnd) {
             addShare(owner.pools[slot], holder, usableUntil, now);
         }
     }
--- a/src/coordination/limits/limiter.cpp
+++ b/src/coordination/limits/limiter.cpp
@@ -1,9 +1,9 @@
+#include "coordination/limits/preferred_owners.h"
+
 #include <guavafront/coordination/limits/limiter.h>
 
 #include <algorithm>
-#include <array>
 #include <map>
-#include <xxhash.h>
 
 namespace guavafront
 {
@@ -30,33 +30,6 @@
     effects.sends.push_back({.to = to, .message = std::move(message)});
 }
 
-/// Returns the member with the highest hash for the slot (rendezvous hashing).
-vm_id preferredOwner(limit_slot slot, std::span<const vm_id> members)
-{
-    vm_id best;
-    std::uint64_t highest = 0;
-    for (const vm_id member : members) {
-        const std::array<std::uint64_t, 2> key{slot, member.value};
-        const std::uint64_t hash = XXH64(key.data(), sizeof(key), 0);
-        if (best == vm_id{} || hash > highest) {
-            best = member;
-            highest = hash;
-        }
-    }
-    return best;
-}
-
-void changeMembers(limiter &state, std::span<const vm_id> members)
-{
-    state.members.assign(members.begin(), members.end());
-    state.members.push_back(state.self);
-    std::ranges::sort(state.members);
-    state.members.erase(std::unique(state.members.begin(), state.members.end()), state.members.end());
-    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
-        state.preferredOwners[slot] = preferredOwner(slot, state.members);
-    }
-}
-
 void refill(const limiter &state, leased_account &account, account_id id, instant now)
 {
     const held_share &share = state.holder.shares[slotOf(state.settings, id)];
@@ -165,10 +138,35 @@
     }
 }
 
+/// Sends a release to all members, which then choose another owner.
+void sendRelease(limiter &state, const share_release &release, instant now, limit_effects &effects)
+{
+    if (release.slots.empty()) {
+        return;
+    }
+    const std::vector<vm_id> members = state.members;
+    for (const vm_id member : members) {
+        send(state, member, release, now, effects);
+    }
+}
+
+void leave(limiter &state, instant now)
+{
+    state.leaving = true;
+    state.nextRound = instant::max();
+    for (limit_slot slot = 0; slot < state.settings.slotCount; ++slot) {
+        beginHandover(state.owner, state.settings, slot, now);
+    }
+}
+
 void handleTick(limiter &state, instant now, limit_effects &effects)
 {
+    if (now >= nextHandoverEnd(state.owner)) {
+        sendRelease(state, endHandovers(state.owner, state.settings, now), now, effects);
+    }
     if (now >= state.nextRound) {
-        state.nextRound = now + state.settings.roundPeriod;
+        state.nextRound =
+            now + (now < state.takeoverEnd ? state.settings.takeoverRoundPeriod : state.settings.roundPeriod);
         requestShares(state, now, effects);
         dropIdleAccounts(state.owner, state.settings, state.limits, now);
     }
@@ -181,7 +179,7 @@
 
 void returnLeases(limiter &state, instant now, limit_effects &effects)
 {
-    state.nextRound = instant::max();
+    leave(state, now);
     for (auto &[id, account] : state.leases.accounts) {
         account.arrivals = 0;
         account.demand = 0;
@@ -189,10 +187,12 @@
     }
     renewLeases(state, now, effects);
     state.nextRenewal = instant::max();
+    sendRelease(state, releaseAllSlots(state.owner, state.settings, now), now, effects);
 }
 
 void apply(limiter &state, vm_id from, const share_request &request, instant now, limit_effects &effects)
 {
+    withdrawResignation(state, from, request, now);
     share_delegation delegation =
         delegateShares(state.holder, state.settings, from, request, state.preferredOwners, now);
     if (!delegation.slots.empty()) {
@@ -205,6 +205,18 @@
     acceptDelegation(state.owner, state.settings, from, delegation, now);
 }
 
+void apply(limiter &state, vm_id from, const share_release &release, instant now, limit_effects & /*effects*/)
+{
+    takeBackShares(state.holder, from, release, now);
+    for (auto &[id, account] : state.leases.accounts) {
+        const instant usableFrom = state.holder.shares[slotOf(state.settings, id)].usableFrom;
+        if (account.ownShare.refilledAt > std::max(usableFrom, now)) {
+            account.ownShare = {.refilledAt = usableFrom}; // It was emptied up to the end of the delegation.
+        }
+    }
+    resign(state, from, release, now);
+}
+
 void apply(limiter &state, vm_id from, const lease_request &request, instant now, limit_effects &effects)
 {
     lease_grant grant = grantLeases(state.owner, state.settings, state.limits, from, request, now);
@@ -316,20 +328,22 @@
     state.owner.lastRound = firstNumber;
     state.leases.lastSequence = firstNumber;
     state.preferredOwners.resize(settings.slotCount);
-    changeMembers(state, {});
+    changeMembers(state, {}, now);
     return state;
 }
 
 void step(limiter &state, const limit_event &event, instant now, limit_effects &effects)
 {
     if (const auto *members = std::get_if<limit_members_changed>(&event)) {
-        changeMembers(state, members->members);
+        changeMembers(state, members->members, now);
     } else if (const auto *limits = std::get_if<limits_changed>(&event)) {
         state.limits = limits->limits;
     } else if (const auto *received = std::get_if<limit_message_received>(&event)) {
         applyMessage(state, received->from, received->message, now, effects);
     } else if (std::holds_alternative<limit_tick>(event)) {
         handleTick(state, now, effects);
+    } else if (std::holds_alternative<limiter_leaving>(event)) {
+        leave(state, now);
     } else {
         returnLeases(state, now, effects);
     }
@@ -337,7 +351,7 @@
 
 instant nextTick(const limiter &state)
 {
-    return std::min(state.nextRound, state.nextRenewal);
+    return std::min({state.nextRound, state.nextRenewal, nextHandoverEnd(state.owner)});
 }
 
 take_result tryTake(limiter &state, account_id id, take_phase phase, instant now, limit_effects &effects)
--- a/src/coordination/limits/share_holder.cpp
+++ b/src/coordination/limits/share_holder.cpp
@@ -1,5 +1,7 @@
 #include <guavafront/coordination/limits/share_holder.h>
 
+#include <algorithm>
+
 namespace guavafront
 {
 
@@ -29,10 +31,25 @@
             continue;
         }
         share.delegate = owner;
+        share.round = request.round;
         share.usableFrom = now + extendedForDrift(settings, settings.delegationLifetime);
         delegation.slots.push_back(slot);
     }
     return delegation;
 }
 
+void takeBackShares(share_holder &holder, vm_id owner, const share_release &release, instant now)
+{
+    for (const share_release_item &item : release.slots) {
+        if (item.slot >= holder.shares.size()) {
+            continue;
+        }
+        held_share &share = holder.shares[item.slot];
+        if (share.delegate == owner && release.round >= share.round) {
+            share.delegate = {};
+            share.usableFrom = std::min(share.usableFrom, now + item.usableAfter);
+        }
+    }
+}
+
 } // namespace guavafront
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -339,6 +339,7 @@
     LOG(INFO) << "planned stop: " << m_requests.size() << " requests still running";
     m_metrics.post(readiness_changed{false});
     m_server.announceClose();
+    run(stop_planned{}); // Other VMs take over while this one serves still.
     m_balancerGrace.arm(m_options.balancerGrace);
 }
 
--- a/src/wire/limits_codec.cpp
+++ b/src/wire/limits_codec.cpp
@@ -92,6 +92,21 @@
                                           static_cast<std::uint64_t>(item.retryAfter.count())});
 }
 
+/// Number of a lease grant in whose form a release is sent. No request has it, so that builds that don't know releases
+/// ignore them.
+constexpr std::uint64_t releaseNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr std::size_t releaseFieldCount = 4;
+constexpr unsigned roundHalfBits = 32; // The fields of a grant can't hold a whole round.
+
+/// Encodes a slot of a release in the form of a grant's item: slot, milliseconds rounded up, and the halves of the
+/// round.
+nlohmann::json encodeItem(const share_release_item &item, std::uint64_t round)
+{
+    const auto usableAfter = std::chrono::ceil<std::chrono::milliseconds>(item.usableAfter);
+    return encodeFields<releaseFieldCount>({item.slot, static_cast<std::uint64_t>(usableAfter.count()),
+                                            round >> roundHalfBits, static_cast<std::uint32_t>(round)});
+}
+
 template<class item_type>
 nlohmann::json encodeItems(std::span<const item_type> items, std::uint64_t sequence)
 {
@@ -124,6 +139,12 @@
             encodeItems(std::span<const lease_grant_item>(message.items), message.sequence)};
 }
 
+nlohmann::json toJson(const share_release &message)
+{
+    return {message_kind::LeaseGrant, releaseNumber,
+            encodeItems(std::span<const share_release_item>(message.slots), message.round)};
+}
+
 [[noreturn]] void throwMalformed(const char *what)
 {
     throw coordination_error(result_code::MessageMalformed, what);
@@ -222,6 +243,19 @@
     return grant;
 }
 
+share_release readRelease(const nlohmann::json &values)
+{
+    share_release release;
+    release.slots.reserve(values.size());
+    for (const nlohmann::json &value : values) {
+        const auto [slot, usableAfter, roundHigh, roundLow] = readFields<releaseFieldCount>(value);
+        release.round = std::uint64_t{readUint32(roundHigh)} << roundHalfBits | readUint32(roundLow);
+        release.slots.push_back({.slot = static_cast<limit_slot>(checkAtMost(maxSlots - 1, slot)),
+                                 .usableAfter = std::chrono::milliseconds(checkAtMost(maxMilliseconds, usableAfter))});
+    }
+    return release;
+}
+
 } // namespace
 
 byte_buffer encodeLimitMessage(const limit_message &message)
@@ -247,6 +281,9 @@
     case message_kind::LeaseGrant:
         break;
     }
+    if (number == releaseNumber) {
+        return readRelease(content);
+    }
     return readGrant(number, content);
 }
 
--- a/tests/wire/limits_codec_test.cpp
+++ b/tests/wire/limits_codec_test.cpp
@@ -18,7 +18,8 @@
         share_request{.round = 7, .slots = {0, 3}}, share_delegation{.round = 7, .slots = {3}},
         lease_request{.sequence = 900,
                       .items = {{{35'000}, 899, 12.5, 4.25, 1.5, 0.75, 10.125, 3}, {.account = {1}, .demand = 0.5}}},
-        lease_grant{.sequence = 900, .items = {{{35'000}, 12.5, 4.25, 2.5, duration(100'000), duration(1'500)}}}};
+        lease_grant{.sequence = 900, .items = {{{35'000}, 12.5, 4.25, 2.5, duration(100'000), duration(1'500)}}},
+        share_release{.round = 9'876'543'210'123, .slots = {{3, std::chrono::milliseconds(40)}, {5, duration(0)}}}};
 };
 
 } // namespace
