--- a/bench/limits_bytes_bench.cpp
+++ b/bench/limits_bytes_bench.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <type_traits>
 #include <unordered_set>
 
 namespace guavafront
@@ -73,6 +74,11 @@
                  thousandths(item.rate), milliseconds(item.retryAfter)});
 }
 
+nlohmann::json trimmedItem(const share_release_item &item)
+{
+    return trim({item.slot, milliseconds(item.usableAfter)});
+}
+
 /// Returns the size of a message, in bytes, without everything that can be left out. The receiver still gets all
 /// values, with times to the millisecond.
 template<class message_type>
@@ -84,6 +90,11 @@
         for (const auto &item : message.items) {
             encoded.push_back(trimmedItem(item, message.sequence));
         }
+    } else if constexpr (std::is_same_v<message_type, share_release>) {
+        encoded.push_back(message.round);
+        for (const share_release_item &item : message.slots) {
+            encoded.push_back(trimmedItem(item));
+        }
     } else {
         encoded.push_back(message.round);
         encoded.push_back(message.slots);
@@ -99,7 +110,8 @@
     seen.bytes += size;
     seen.bytesOf[from] += size;
     seen.trimmed += std::visit([](const auto &message) { return trimmedSize(message); }, send.message);
-    if (std::holds_alternative<share_request>(send.message) || std::holds_alternative<share_delegation>(send.message)) {
+    if (std::holds_alternative<share_request>(send.message) || std::holds_alternative<share_delegation>(send.message)
+        || std::holds_alternative<share_release>(send.message)) {
         ++seen.shareMessages;
         seen.shareBytes += size;
     }
