Forget who replaced a VM when it joins again

What callers would see: members that change at each heartbeat for good, as before, on control VMs whose disks hold a log of an older build: there a successor still names the member that it replaced and that is gone, so that this VM is removed again each time it votes.

Change: a VM that joins is replaced by nobody.

Test: absent_voters_test/joiningVm_replacedByAMemberEarlier_isNotReplacedAgain, before: "check (findMember(self.members, {3})->replaces == vm_id{}) has failed".

--- a/src/coordination/replication/members.cpp
+++ b/src/coordination/replication/members.cpp
@@ -116,7 +116,9 @@
     } else if (proposed.id.value == 0 || (present == nullptr && self.members.members.size() >= maxMembers)) {
         refuse(step, proposed.ticket, result_code::ChangeInvalid);
     } else {
-        const membership changed = withMember(self.members, {proposed.id, voting_role::Learner, proposed.replaces});
+        // Members that replaced this VM earlier don't replace it again.
+        const membership changed = withMember(withoutMember(self.members, proposed.id),
+                                              {proposed.id, voting_role::Learner, proposed.replaces});
         if (isSafeChange(step, changed)) {
             appendMembership(step, proposed.ticket, changed);
         } else {
--- a/tests/replication/absent_voters_test.cpp
+++ b/tests/replication/absent_voters_test.cpp
@@ -96,6 +96,17 @@
     BOOST_TEST(!vmToAdmit(self, view(), now).has_value()); // The latest change of membership isn't committed.
 }
 
+// Guards against a relation on the disks of an older build that removes a VM again each time it votes.
+BOOST_AUTO_TEST_CASE(joiningVm_replacedByAMemberEarlier_isNotReplacedAgain)
+{
+    self.options.targetVoters = 15;
+    self.members = withMember(self.members, {{3}, voting_role::Voter, {9}});
+    std::vector<replica_effect> effects;
+    step(self, learner_proposed{1, {9}, {}}, now, 5, effects);
+    BOOST_REQUIRE(findMember(self.members, {9}) != nullptr);
+    BOOST_TEST((findMember(self.members, {3})->replaces == vm_id{}));
+}
+
 // Guards against replaced voters that add up: with an even number of voters the loss of one more costs the quorum as
 // soon as with one voter less.
 BOOST_AUTO_TEST_CASE(voter_lostOfAnEvenNumber_removedSoon)
