Give a waiting VM the place of the member that is silent for longest

What callers would see: with one control VM lost for good and another one frozen for some seconds, the waiting VM could take the place of the frozen one, whose disk is sound; the first lost member in the order of the list was taken. Found by the review by reading.

Test: absent_voters_test/waitingVm_severalLostVoters_takesThePlaceOfTheLongest- Silent, before: "check (vmToAdmit(...) == admission{{9}, {4}}) has failed".

--- a/src/coordination/replication/absent_voters.cpp
+++ b/src/coordination/replication/absent_voters.cpp
@@ -72,10 +72,12 @@
     if (former.value != 0 || hasVacancy) {
         return admission{joining, former};
     }
-    const auto lost = std::ranges::find_if(self.peers, [&](const peer_progress &peer) {
-        return isLost(self, view, peer, now) && !isBeingReplaced(self.members, peer.id);
-    });
-    return lost == self.peers.end() ? std::nullopt : std::optional(admission{joining, lost->id});
+    const peer_progress *longest = nullptr; // Of the lost members, the one that has been silent for longest.
+    for (const peer_progress &peer : self.peers) {
+        const bool replaceable = isLost(self, view, peer, now) && !isBeingReplaced(self.members, peer.id);
+        longest = replaceable && (longest == nullptr || peer.lastContact < longest->lastContact) ? &peer : longest;
+    }
+    return longest == nullptr ? std::nullopt : std::optional(admission{joining, longest->id});
 }
 
 std::optional<vm_id> memberToRemove(const replica &self, const control_vms_view &view, instant now)
--- a/tests/replication/absent_voters_test.cpp
+++ b/tests/replication/absent_voters_test.cpp
@@ -77,6 +77,18 @@
     BOOST_TEST(!vmToAdmit(self, view(), now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(waitingVm_severalLostVoters_takesThePlaceOfTheLongestSilent)
+{
+    addresses.clear();
+    addLiveVoter(5);
+    self.options.targetVoters = 5;
+    std::erase(live, vm_id{3});
+    self.peers[2].lastContact = now - 1s; // Voter 4.
+    now += self.options.lostMemberLimit;
+    self.peers[0].lastContact = self.peers[3].lastContact = now; // Voters 2 and 5.
+    BOOST_TEST((vmToAdmit(self, view(), now) == admission{{9}, {4}}));
+}
+
 BOOST_AUTO_TEST_CASE(waitingVm_lostVoterIsBeingReplaced_waitsOn)
 {
     addresses.clear();
