Redirect callers of a removed control VM that takes itself for a member

What callers saw: a control VM that was removed while it was cut off, and returns with its old log, answered each config.get 503 "no leader is known" beside a live leader until it had joined again, or for good where it is the surplus one.

Cause: whether it is a member is taken from its own log. The others refuse it votes since they have a leader.

Change: a member that knows no leader redirects to a VM that refused it a vote, another one with each call. A member that no one refused answers 503 as before.

Test: absent_voters_test/caller_atAMemberThatIsRefusedVotes_turnsToARefuser, before: "check (vmTowardsLeader(self, view(), 0) == vm_id{2}) has failed".

--- a/include/guavafront/coordination/replication/absent_voters.h
+++ b/include/guavafront/coordination/replication/absent_voters.h
@@ -48,9 +48,9 @@
 /// VMs that don't lead, and while the latest change of membership isn't committed.
 std::optional<vm_id> memberToRemove(const replica &self, const control_vms_view &view, instant now);
 
-/// Returns the VM to which a caller that needs the leader should turn: the known leader, or, on a VM that isn't a
-/// member and so isn't told of elections, a live control VM, of several another one with each turn. Returns 0 if there
-/// is none: on a member that knows no leader, and if no other control VM is live.
+/// Returns the VM to which a caller that needs the leader should turn: the known leader; on a VM that isn't a member
+/// and so isn't told of elections, a live control VM; on a member that knows no leader, one that refused it a vote and
+/// may know one. Of several it is another one with each turn. Returns 0 if there is none.
 vm_id vmTowardsLeader(const replica &self, const control_vms_view &view, std::uint64_t turn);
 
 } // namespace guavafront
--- a/src/coordination/replication/absent_voters.cpp
+++ b/src/coordination/replication/absent_voters.cpp
@@ -109,6 +109,9 @@
 vm_id vmTowardsLeader(const replica &self, const control_vms_view &view, std::uint64_t turn)
 {
     const bool isMember = findMember(self.members, self.options.self) != nullptr;
+    if (isMember && self.leader.value == 0 && !self.refusals.empty()) {
+        return self.refusals[turn % self.refusals.size()]; // This VM may have been removed without its knowledge.
+    }
     // A VM that was removed may remember a leader that has died since.
     if (isMember || isLive(view, self.leader)) {
         return self.leader;
--- a/tests/replication/absent_voters_test.cpp
+++ b/tests/replication/absent_voters_test.cpp
@@ -108,6 +108,19 @@
     BOOST_TEST(!vmToAdmit(self, view(), now).has_value()); // The latest change of membership isn't committed.
 }
 
+// Guards against a VM that was removed while it was cut off and takes itself for a member: the others refuse it votes
+// since they have a leader.
+BOOST_AUTO_TEST_CASE(caller_atAMemberThatIsRefusedVotes_turnsToARefuser)
+{
+    self.role = replica_role::PreCandidate;
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{}));
+    self.refusals = {{2}, {3}};
+    BOOST_TEST((vmTowardsLeader(self, view(), 0) == vm_id{2}));
+    BOOST_TEST((vmTowardsLeader(self, view(), 1) == vm_id{3}));
+    self.leader = {2};
+    BOOST_TEST((vmTowardsLeader(self, view(), 1) == vm_id{2}));
+}
+
 // Guards against a relation on the disks of an older build that removes a VM again each time it votes.
 BOOST_AUTO_TEST_CASE(joiningVm_replacedByAMemberEarlier_isNotReplacedAgain)
 {
