--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -44,9 +44,10 @@
     std::size_t minVoters = 3; ///< Number of voters that must remain when an absent voter is removed: one more than
                                ///< twice the number of disks that may be lost at the same time.
     duration lostMemberLimit = std::chrono::seconds(3); ///< A member that the failure detector of the fleet holds dead
-                                                        ///< counts as lost when it hasn't answered for this long. It
-                                                        ///< is removed only if that makes a quorum easier to keep; if
-                                                        ///< it returns, it joins again.
+                                                        ///< counts as lost when it hasn't answered for this long. A
+                                                        ///< VM that waits takes its place; otherwise it is removed
+                                                        ///< only if that makes a quorum easier to keep. If it
+                                                        ///< returns, it joins again.
 };
 
 /// State of a replica on its disk, from which it starts.
--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -22,6 +22,9 @@
 /// Interval at which a full disk is checked for room again.
 constexpr duration diskRoomCheckInterval = std::chrono::milliseconds(250);
 
+/// Syncs from this time on are logged. Replicas answer nothing during a sync, so slow ones delay elections.
+constexpr duration slowSync = std::chrono::milliseconds(200);
+
 std::uint64_t randomSeed()
 {
     std::uint64_t seed = 0;
@@ -104,7 +107,13 @@
     if (sequence == 0) {
         return;
     }
+    const instant syncBegan = loop::now();
     m_store.sync();
+    const duration syncTime = loop::now() - syncBegan;
+    if (syncTime >= slowSync) {
+        LOG(WARNING) << "control: a sync of the journal took "
+                     << std::chrono::duration_cast<std::chrono::milliseconds>(syncTime).count() << " ms";
+    }
     const auto firstSync = std::ranges::find_if(
         effects, [](const replica_effect &effect) { return std::holds_alternative<sync_writes>(effect); });
     std::for_each(firstSync, effects.end(), [this](const replica_effect &effect) { perform(effect); });
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -255,18 +255,19 @@
     simulated_vm &node = m_vms.at(vm);
     node.syncing = true;
     const auto delayUs = static_cast<std::int64_t>(random(node.slowDisk ? maxSlowSyncDelayUs : maxSyncDelayUs));
-    after(node.syncTime != duration{} ? node.syncTime : microseconds(delayUs), [this, vm, sequence, incarnation = node.incarnation] {
-        simulated_vm &synced = m_vms.at(vm);
-        if (synced.incarnation != incarnation) {
-            return;
-        }
-        for (const replica_effect &effect : synced.unsyncedWrites) {
-            writeTo(synced.disk, effect);
-        }
-        synced.unsyncedWrites.clear();
-        synced.syncing = false;
-        handle(vm, writes_synced{sequence});
-    });
+    after(node.syncTime != duration{} ? node.syncTime : microseconds(delayUs),
+          [this, vm, sequence, incarnation = node.incarnation] {
+              simulated_vm &synced = m_vms.at(vm);
+              if (synced.incarnation != incarnation) {
+                  return;
+              }
+              for (const replica_effect &effect : synced.unsyncedWrites) {
+                  writeTo(synced.disk, effect);
+              }
+              synced.unsyncedWrites.clear();
+              synced.syncing = false;
+              handle(vm, writes_synced{sequence});
+          });
 }
 
 void simulated_cluster::deliver(const replication_message &message)
