--- a/tests/platform_fleet/gone_seeds_test.cpp
+++ b/tests/platform_fleet/gone_seeds_test.cpp
@@ -62,11 +62,10 @@
         }
     }
 
-    /// Whether the condition holds for every VM at some time within the bound for recovery.
+    /// Whether the condition holds for every VM at some time before the end.
     template<class condition>
-    static void checkRecovery(std::vector<std::string> waiting, const condition &holds)
+    static void checkRecovery(std::vector<std::string> waiting, instant end, const condition &holds)
     {
-        const instant end = loop::now() + recovery;
         while (!waiting.empty() && loop::now() < end) {
             std::erase_if(waiting, holds);
             pause(milliseconds(100));
@@ -76,8 +75,10 @@
 
     void checkAllAreBack()
     {
-        checkRecovery(fleet.controls(), [this](const std::string &each) { return fleet.versionAt(each) == version; });
-        checkRecovery(entries, [this](const std::string &each) { return fleet.isReady(each); });
+        const instant end = loop::now() + recovery;
+        checkRecovery(fleet.controls(), end,
+                      [this](const std::string &each) { return fleet.versionAt(each) == version; });
+        checkRecovery(entries, end, [this](const std::string &each) { return fleet.isReady(each); });
     }
 };
 
