Try few addresses of the book at a time, and the seeds first

Cause: each control VM asked every address in its book where it knew no live VM, some fifty, each 0.2 s, while all VMs started with a fifth of a core.

Change: only seeds are tried in the first second, then four random addresses each 0.2 s while the VM is alone or joins, later one in 2.5 to 7.5 s.

--- a/src/coordination/membership/repair.cpp
+++ b/src/coordination/membership/repair.cpp
@@ -1,6 +1,7 @@
 #include "coordination/membership/membership_steps.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 
 namespace guavafront
@@ -9,6 +10,11 @@
 namespace
 {
 
+/// Time after the start in which only seeds are tried. They answer at once unless they are gone or out of reach.
+constexpr duration seedsFirstDuration = std::chrono::seconds(1);
+/// Addresses of the book that a VM tries in each joinPeriod.
+constexpr std::size_t bookTriesWhileJoining = 4;
+
 /// Asks a VM to compare tables.
 void sendDigest(const fleet_membership &state, vm_id to, const std::string &address,
                 std::vector<membership_effect> &effects)
@@ -98,18 +104,24 @@
         now + duration(wait / 2 + static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(wait))));
 }
 
-/// Asks whoever answers at the addresses in the book to compare tables, where no live VM is known: often while this VM
-/// is alone or has just started, since others may have no way of their own to it.
+/// Asks whoever answers at some addresses in the book, where no live VM is known, to compare tables: several while this
+/// VM is alone or has just started, since others may have no way of their own to it. The seeds come first.
 void tryBook(fleet_membership &state, instant now, random_source &random, std::vector<membership_effect> &effects)
 {
+    const duration sinceStart = now - state.startedAt.value_or(now);
+    if (sinceStart < seedsFirstDuration) {
+        return;
+    }
     const std::unordered_set<std::string_view> live = liveAddresses(state);
-    for (const std::string &address : state.book) {
-        if (!live.contains(address)) {
-            sendDigest(state, {}, address, effects);
-        }
+    std::vector<std::string_view> missing;
+    std::ranges::copy_if(state.book, std::back_inserter(missing),
+                         [&live](const std::string &address) { return !live.contains(address); });
+    const bool isJoining = state.aliveCount == 1 || sinceStart < state.options.joinPhaseDuration;
+    const std::size_t tries = std::min(missing.size(), isJoining ? bookTriesWhileJoining : 1);
+    for (std::size_t index = 0; index < tries; ++index) {
+        std::swap(missing[index], missing[index + random.below(missing.size() - index)]);
+        sendDigest(state, {}, std::string(missing[index]), effects);
     }
-    const bool isJoining =
-        state.aliveCount == 1 || now - state.startedAt.value_or(now) < state.options.joinPhaseDuration;
     const std::int64_t wait = state.options.reconnectPeriod.count();
     state.nextBookTry =
         now
