--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -103,6 +103,7 @@
     void logMembership();
     void watchLeader();
     void setGauges();
+    void noteStandstill();
     void watchPeriodically();
     void reportRefusedVote(const vote_refused &refused);
     void reportFailedRound(const election_failed &failed);
@@ -132,6 +133,7 @@
     instant m_claimsViewProposedAt; ///< When this VM last proposed a claims view.
     view_epoch m_publishedClaimsEpoch; ///< Epoch of the newest claims view given to onClaimsViewAgreed.
     instant m_lastProofAt; ///< asOf of the last leadership proof.
+    instant m_watchDue; ///< When watchPeriodically() is due; the epoch before its first call.
     instant m_nextRemovalAt; ///< No member is removed before this time.
     membership m_loggedMembers; ///< Membership that was last logged.
     std::optional<admission> m_loggedAdmission; ///< Admission that was last logged.
--- a/src/daemon/control/control_task_log.cpp
+++ b/src/daemon/control/control_task_log.cpp
@@ -10,6 +10,8 @@
 
 /// Interval at which the gauges are set and a wait for a place or a leader is noticed.
 constexpr duration watchInterval = std::chrono::seconds(1);
+/// The task is said to have stood still when the watch is this late.
+constexpr duration noticedDelay = std::chrono::milliseconds(200);
 
 void logWarning(const std::optional<std::string> &line)
 {
@@ -40,8 +42,24 @@
          .isVoter = isVoter(replica.members, replica.options.self)});
 }
 
+/// Logs and counts for how long this task did nothing: a sync of the journal, which has a line of its own, or a process
+/// without processor time.
+void control_task::noteStandstill()
+{
+    const instant now = loop::now();
+    const duration late = m_watchDue == instant{} ? duration{} : now - m_watchDue;
+    m_watchDue = now + watchInterval;
+    if (late < noticedDelay) {
+        return;
+    }
+    m_counters.countHeldUp(std::chrono::duration<double>(late).count());
+    LOG(WARNING) << "control: this task ran " << std::chrono::duration_cast<std::chrono::milliseconds>(late).count()
+                 << " ms late";
+}
+
 void control_task::watchPeriodically()
 {
+    noteStandstill();
     watchLeader();
     setGauges();
     logWarning(outsideLine(m_log, m_host.state(), m_liveControlVms, loop::now()));
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -71,6 +71,11 @@
     , m_departures(counterFamily(m_registry, "guavafront_departures_total",
                                  "Departures that instances told this VM: acknowledged, or refused because too few "
                                  "control VMs held them."))
+    , m_coveredVms(counterFamily(m_registry, "guavafront_departures_covered_total",
+                                 "VMs that this VM told of a departure because none of their homes confirmed it in "
+                                 "time."))
+    , m_heldUpSeconds(counterFamily(m_registry, "guavafront_control_held_up_seconds_total",
+                                    "Time by which the control task of this VM ran late."))
     , m_operatorRequests(
           counterFamily(m_registry, "guavafront_operator_requests_total", "Operators' requests by result."))
     , m_droppedPeerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
@@ -149,6 +154,16 @@
     m_departures.Add({{"result", acknowledged ? "acknowledged" : "refused"}}).Increment();
 }
 
+void daemon_counters::countCoveredVms(std::size_t vms)
+{
+    m_coveredVms.Add({}).Increment(static_cast<double>(vms));
+}
+
+void daemon_counters::countHeldUp(double seconds)
+{
+    m_heldUpSeconds.Add({}).Increment(seconds);
+}
+
 void daemon_counters::countDroppedPeerMessage(result_code code)
 {
     m_droppedPeerMessages.Add({{"result", std::string(describe(code).name)}}).Increment();
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -64,6 +64,12 @@
     /// Counts the departure of an instance that was acknowledged, or refused because too few control VMs held it.
     void countDeparture(bool acknowledged);
 
+    /// Counts VMs that this one told of a departure in place of their homes.
+    void countCoveredVms(std::size_t vms);
+
+    /// Counts time for which the control task of this VM stood still.
+    void countHeldUp(double seconds);
+
     /// Sets what this control VM's replica knows of its cluster.
     void setControlState(const control_gauges &gauges);
 
@@ -85,6 +91,8 @@
     prometheus::Family<prometheus::Counter> &m_notices; ///< Instances' words on themselves by service and notice.
     prometheus::Family<prometheus::Counter> &m_announcements; ///< Announcements by result.
     prometheus::Family<prometheus::Counter> &m_departures; ///< Departures by result.
+    prometheus::Family<prometheus::Counter> &m_coveredVms; ///< VMs told of departures in place of their homes.
+    prometheus::Family<prometheus::Counter> &m_heldUpSeconds; ///< Time for which the control task stood still.
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< Operators' requests by result.
     prometheus::Family<prometheus::Counter> &m_droppedPeerMessages; ///< Dropped messages of other VMs by reason.
     prometheus::Family<prometheus::Gauge> &m_instances; ///< Serving instances by service and standing.
