Keep leaders whose VM, or whose followers' VMs, only stood still

Cause: clocks that run on while a process doesn't. A leader counted its followers' silence over its own standstill and gave up in its next step, before it read the answers that waited in its sockets. A follower whose timer was late started an election before it read the leader's heartbeats. And a leader that had been given up wrongly changed nothing: the next one had the same 0.6 s.

Slow syncs and silent links aren't excluded for the users' own runs.

Change: an election timer that fires 150 ms late or more is put off once, by one or two heartbeats. A leader that stood still has the time for a quorum's answers once more; until they come it accepts no change, answers no read, and grants votes as before. A voter that hears a leader it had given up waits half as long again for 10 s (an increase upon false suspicion, as in Chandra and Toueg 1996).

In the simulated cluster a thawed VM handles its timer before its messages, as the sockets are read by another thread; that makes every schedule harder. leader_resumedAfterElectionTimeout_stepsDownBeforeSending demanded the very fault; its successor demands that such a leader refuses changes, sends nothing for them, isn't current, and steps down unless it is answered. leader_noQuorumAnswers_* moved the clock without the leader's heartbeats, which is a standstill now; they are sent in time there.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -29,7 +29,12 @@
     duration maxElectionTimeout = std::chrono::seconds(2); ///< The timeouts above double with each further term that
                                                            ///< brings no leader, up to this one, since votes may
                                                            ///< take long to reach the disks.
+    duration patienceTime = std::chrono::seconds(10); ///< Time for which electionTimeout is half as long again after
+                                                      ///< a leader that was given up is heard: it had stood still.
     duration heartbeatInterval = std::chrono::milliseconds(150); ///< Time between two heartbeats of the leader.
+    duration heldUpLimit = std::chrono::milliseconds(150); ///< A replica whose timer fires this late stood still.
+                                                           ///< Messages that came meanwhile may not have been read,
+                                                           ///< so that silence proves nothing yet.
     std::size_t maxMessageBytes = std::size_t{128} << 10; ///< Size in bytes from which on an append takes no more
                                                           ///< records; maximum size of a snapshot chunk.
     std::size_t maxUncommittedRecords = 4'096; ///< Commands beyond this number are refused.
@@ -107,10 +112,14 @@
     replica_role role = replica_role::Follower; ///< Current role.
     vm_id leader; ///< Leader of currentTerm; 0 when not known.
     instant lastLeaderContact; ///< Time of the latest message from a leader; the epoch before the first one.
+    instant patientUntil; ///< End of the latest patienceTime.
     instant electionDeadline; ///< Time at which an election starts unless a message of the leader arrives before.
+    bool deadlineExtended = false; ///< electionDeadline has been put off, since this replica stood still.
     std::uint32_t termsWithoutLeader = 0; ///< Terms that began since the latest message of a leader.
     std::uint64_t ownVoteSync = 0; ///< Number of the sync that covers the own vote; 0 once it is reported.
     instant heartbeatDue; ///< Time of the leader's next heartbeat.
+    instant heldUpUntil; ///< End of the latest time for which this replica stood still as leader.
+    bool quorumExtended = false; ///< The time for a quorum's answers has begun anew at heldUpUntil.
     std::vector<vm_id> votes; ///< Voters that granted the vote or pre-vote under way, this replica included.
     std::vector<vm_id> refusals; ///< Voters that refused the vote or pre-vote under way.
     instant voteStartedAt; ///< Time at which the vote or pre-vote under way was asked for.
@@ -278,6 +287,9 @@
 /// a quorum hasn't answered yet.
 std::optional<instant> leadershipConfirmedAt(const replica &self);
 
+/// Returns the time of silence after which a voter gives its leader up, and a leader its leadership.
+duration leaderTimeout(const replica &self, instant now);
+
 /// Returns whether the replica's state counts as current at this time: within the last electionTimeout it got answers
 /// of a quorum as leader, or a message from its leader. The state may still lack the latest commits; readers that need
 /// those for certain propose a barrier record.
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -76,6 +76,7 @@
     replica &self = step.self;
     setRole(step, replica_role::Leader, self.options.self, self.currentTerm);
     self.termsWithoutLeader = 0;
+    self.quorumExtended = false;
     self.votes.clear();
     self.refusals.clear();
     self.peers.clear();
@@ -144,7 +145,7 @@
 {
     const bool hasHeardLeader = step.self.lastLeaderContact != instant{};
     const replica_options &options = step.self.options;
-    const duration shortest = hasHeardLeader ? options.electionTimeout : options.firstElectionTimeout;
+    const duration shortest = hasHeardLeader ? leaderTimeout(step.self, step.now) : options.firstElectionTimeout;
     const duration longest = std::max(shortest, options.maxElectionTimeout);
     duration timeout = shortest;
     for (std::uint32_t terms = 1; terms < step.self.termsWithoutLeader && timeout < longest; ++terms) {
@@ -152,11 +153,26 @@
     }
     const auto jitter = step.random % static_cast<std::uint64_t>(timeout.count());
     step.self.electionDeadline = step.now + timeout + duration(static_cast<duration::rep>(jitter));
+    step.self.deadlineExtended = false;
+}
+
+bool extendElectionDeadline(replica_step &step)
+{
+    replica &self = step.self;
+    const bool wasHeldUp = step.now - self.electionDeadline >= self.options.heldUpLimit;
+    if (self.deadlineExtended || !wasHeldUp) {
+        return false;
+    }
+    const duration interval = self.options.heartbeatInterval;
+    const auto jitter = step.random % static_cast<std::uint64_t>(interval.count());
+    self.electionDeadline = step.now + interval + duration(static_cast<duration::rep>(jitter));
+    self.deadlineExtended = true;
+    return true;
 }
 
 bool knowsLiveLeader(const replica_step &step)
 {
-    return step.self.role == replica_role::Leader || isCurrent(step.self, step.now);
+    return isLeaderLive(step.self, step.now, leaderTimeout(step.self, step.now));
 }
 
 void becomeFollower(replica_step &step, term newTerm, vm_id leader)
@@ -201,8 +217,18 @@
 
 void checkQuorum(replica_step &step)
 {
-    const replica &self = step.self;
-    if (self.role != replica_role::Leader || isCurrent(self, step.now)) {
+    replica &self = step.self;
+    const duration timeout = leaderTimeout(self, step.now);
+    if (self.role != replica_role::Leader || isLeaderLive(self, step.now, timeout)) {
+        self.quorumExtended = false;
+        return;
+    }
+    // Answers may wait to be read. Only once, since a leader that hears nobody must not keep its followers.
+    if (!self.quorumExtended && step.now - self.heartbeatDue >= self.options.heldUpLimit) {
+        self.heldUpUntil = step.now;
+        self.quorumExtended = true;
+    }
+    if (self.quorumExtended && step.now - self.heldUpUntil < timeout) {
         return;
     }
     quorum_lost lost{.inTerm = self.currentTerm};
@@ -211,7 +237,7 @@
     }
     for (const peer_progress &peer : self.peers) {
         if (isVoter(self.members, peer.id)) {
-            const bool answered = step.now - peer.lastContact < self.options.electionTimeout;
+            const bool answered = step.now - peer.lastContact < timeout;
             (answered ? lost.answered : lost.silent).push_back(peer.id);
         }
     }
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -27,13 +27,18 @@
 void becomeFollower(replica_step &step, term newTerm, vm_id leader);
 /// Becomes a pre-candidate, which asks the voters whether they would elect this replica.
 void startPreVote(replica_step &step);
-/// Makes a leader a follower, and reports who was silent, when it hasn't got answers of a quorum within the election
-/// timeout.
+/// Makes a leader a follower, and reports who was silent, when it hasn't got answers of a quorum within the leader
+/// timeout. One that stood still has that time once more.
 void checkQuorum(replica_step &step);
 /// Sets a new election deadline: the timeout and a random time of up to the same length, so that elections seldom
 /// collide.
 void resetElectionDeadline(replica_step &step);
+/// Puts an election deadline off that passed while this replica stood still, once, so that it first reads what a leader
+/// sent meanwhile. Returns whether it did.
+bool extendElectionDeadline(replica_step &step);
 
+/// Returns whether a quorum answered this leader, or this follower heard its leader, within the timeout.
+bool isLeaderLive(const replica &self, instant now, duration timeout);
 /// Lets a candidate wait for answers from the sync of its own vote on, after which its requests leave.
 void startWaitForVotes(replica_step &step, std::uint64_t synced);
 /// Handles a vote or pre-vote request of any term.
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -77,6 +77,7 @@
     }
     if (message.inTerm < step.self.currentTerm) {
         if (isFromLeader(message)) {
+            step.self.patientUntil = step.now + step.self.options.patienceTime;
             sendAfterSync(step, message.from, step.self.currentTerm, append_answer{false, lastIndex(step.self.log)});
         }
         return;
@@ -93,7 +94,7 @@
         }
         return;
     }
-    if (step.now < self.electionDeadline) {
+    if (step.now < self.electionDeadline || extendElectionDeadline(step)) {
         return;
     }
     if (isVoter(self.members, self.options.self)) {
@@ -106,7 +107,7 @@
 void handle(replica_step &step, const command_proposed &event)
 {
     replica &self = step.self;
-    if (self.role != replica_role::Leader) {
+    if (self.role != replica_role::Leader || !knowsLiveLeader(step)) {
         step.afterSync.emplace_back(proposal_refused{event.ticket, result_code::NotLeader, self.leader});
         return;
     }
@@ -263,18 +264,29 @@
     return self.heartbeatTimes[self.heartbeatTimes.size() - 1 - behind];
 }
 
-bool isCurrent(const replica &self, instant now)
+duration leaderTimeout(const replica &self, instant now)
+{
+    const duration timeout = self.options.electionTimeout;
+    return now < self.patientUntil ? timeout + timeout / 2 : timeout;
+}
+
+bool isLeaderLive(const replica &self, instant now, duration timeout)
 {
     if (self.role == replica_role::Leader) {
         std::vector<vm_id> reachable{self.options.self};
         for (const peer_progress &peer : self.peers) {
-            if (now - peer.lastContact < self.options.electionTimeout) {
+            if (now - peer.lastContact < timeout) {
                 reachable.push_back(peer.id);
             }
         }
         return isQuorum(self.members, reachable);
     }
-    return self.leader.value != 0 && now - self.lastLeaderContact < self.options.electionTimeout;
+    return self.leader.value != 0 && now - self.lastLeaderContact < timeout;
+}
+
+bool isCurrent(const replica &self, instant now)
+{
+    return isLeaderLive(self, now, self.options.electionTimeout);
 }
 
 } // namespace guavafront
