Tell VMs of a departure in place of homes that don't confirm it

Cause: the 200 needs a majority of control VMs, but an entry VM is told by its two homes alone. Where both are among the VMs that are held up or gone, the departure is acknowledged and nobody tells that VM until the homes run again or are held dead, which takes longer than DrainMs. In the record control VMs stood still for 0.4 to 2.6 s. The class: a duty handed to VMs that haven't confirmed it.

Change: the VM that the instance called keeps the receipts after its answer. After 0.2 s it passes the departure on to those VMs none of whose homes has confirmed it, and logs which control VMs were silent. Where all confirm, which takes some tens of milliseconds, nothing more is sent.

--- a/include/guavafront/coordination/departures/departures.h
+++ b/include/guavafront/coordination/departures/departures.h
@@ -21,6 +21,9 @@
     duration answerTime = std::chrono::milliseconds(800);
     /// Time in which departures are gathered before they are sent together.
     duration gatherTime = std::chrono::milliseconds(20);
+    /// A control VM that hasn't confirmed a departure by then is taken to be held up: the VM that was told it passes it
+    /// on in its place.
+    duration receiptTime = std::chrono::milliseconds(200);
     /// Time for which a departure is passed on to VMs that come within reach; as long as an announcement's lease.
     duration retention = std::chrono::seconds(60);
     /// Time in which the same state of the same process isn't passed on again. Draining instances repeat their word.
@@ -38,17 +41,20 @@
     bool held = false; ///< Enough control VMs are known to hold it.
 };
 
-/// A departure that instances told this VM and whose acknowledgement waits for other control VMs.
+/// A departure that instances told this VM, while receipts of other control VMs are awaited.
 struct pending_departure {
     departure what; ///< The departure.
     std::vector<std::uint64_t> tickets; ///< Calls that wait for the acknowledgement.
     std::vector<vm_id> holders; ///< VMs known to hold the departure, this one included.
     instant toldAt{}; ///< When the first of the calls came.
+    bool answered = false; ///< The calls are answered.
+    bool covered = false; ///< It was passed on in place of the homes that hadn't confirmed it.
 };
 
 /// Departures at a control VM. One that an instance tells this VM is acknowledged once a majority of the voting control
 /// VMs hold it, so that the loss of any minority loses no acknowledged departure. Each control VM that hears of a
-/// departure passes it on to the VMs that have it as a home.
+/// departure passes it on to the VMs that have it as a home. VMs none of whose homes confirms it in time are told by
+/// the control VM that the instance called.
 struct departure_table {
     vm_id self; ///< This VM.
     std::string dataCentre; ///< Data centre of this VM.
@@ -57,7 +63,7 @@
     std::vector<fleet_vm> vms; ///< Other live VMs, ordered by id.
     std::vector<vm_id> receivers; ///< VMs that have this one as a home, ordered by id.
     std::deque<known_departure> known; ///< Departures within the retention, oldest first.
-    std::map<std::uint64_t, pending_departure> pending; ///< Departures without an answer, by number.
+    std::map<std::uint64_t, pending_departure> pending; ///< Departures whose receipts are awaited, by number.
     std::uint64_t lastNumber = 0; ///< Number of the last pending departure. It begins at random, so that receipts for
                                   ///< an earlier life of this VM match none.
     std::vector<std::uint64_t> unsent; ///< Numbers of pending departures that the other control VMs haven't been sent.
@@ -142,6 +148,13 @@
     departure what; ///< The departure.
 };
 
+/// Effect: none of some VMs' homes has confirmed departures in time, so that this VM tells them itself.
+struct cover_homes {
+    std::vector<vm_id> receivers; ///< VMs that this one tells.
+    std::vector<vm_id> silent; ///< Control VMs that haven't confirmed all of the departures.
+    std::size_t departures = 0; ///< Number of departures.
+};
+
 /// Effect: a message is to be sent to other VMs.
 struct send_departures {
     std::vector<vm_id> to; ///< VMs that get it.
@@ -149,7 +162,7 @@
 };
 
 /// Every effect of the departures.
-using departure_effect = std::variant<answer_departure, apply_departure, send_departures>;
+using departure_effect = std::variant<answer_departure, apply_departure, cover_homes, send_departures>;
 
 /// Handles one event and appends the effects.
 void step(departure_table &state, const departure_event &event, instant now, std::vector<departure_effect> &effects);
--- a/src/coordination/departures/departures.cpp
+++ b/src/coordination/departures/departures.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <span>
 #include <utility>
 
@@ -138,7 +139,7 @@
         return;
     }
     for (auto &[number, each] : state.pending) {
-        if (isSameProcess(each.what, event.what) && each.what.state == event.what.state) {
+        if (!each.answered && isSameProcess(each.what, event.what) && each.what.state == event.what.state) {
             each.tickets.push_back(event.ticket);
             return;
         }
@@ -166,9 +167,7 @@
             continue;
         }
         found->second.holders.push_back(from);
-        if (acknowledgeIfHeld(context, found->second)) {
-            context.state.pending.erase(found);
-        }
+        found->second.answered = found->second.answered || acknowledgeIfHeld(context, found->second);
     }
 }
 
@@ -274,16 +273,79 @@
     passOn(context);
 }
 
-/// Refuses the departures that too few VMs hold in time.
+std::vector<fleet_vm> controlVms(const departure_table &state)
+{
+    std::vector<fleet_vm> controls{{.id = state.self, .dataCentre = state.dataCentre, .isControl = true}};
+    std::ranges::copy_if(state.vms, std::back_inserter(controls), &fleet_vm::isControl);
+    return controls;
+}
+
+/// Finds the VMs none of whose homes is known to hold the departure, ordered by id.
+std::vector<vm_id> findUncovered(const departure_table &state, const pending_departure &waiting)
+{
+    const std::vector<fleet_vm> controls = controlVms(state);
+    const auto holds = [&waiting](vm_id home) {
+        return std::ranges::find(waiting.holders, home) != waiting.holders.end();
+    };
+    std::vector<vm_id> uncovered;
+    for (const fleet_vm &each : state.vms) {
+        if (!each.isControl && std::ranges::none_of(homesOf(each, controls, state.limits.homes), holds)) {
+            uncovered.push_back(each.id);
+        }
+    }
+    return uncovered;
+}
+
+std::vector<vm_id> findSilent(const departure_table &state, const pending_departure &waiting)
+{
+    std::vector<vm_id> silent;
+    for (const fleet_vm &each : controlVms(state)) {
+        if (std::ranges::find(waiting.holders, each.id) == waiting.holders.end()) {
+            silent.push_back(each.id);
+        }
+    }
+    return silent;
+}
+
+/// Passes departures on in place of the homes that haven't confirmed them in time.
+void coverSilentHomes(departure_step &context)
+{
+    departure_table &state = context.state;
+    struct uncovered_departures {
+        std::vector<departure> departures;
+        std::vector<vm_id> silent;
+    };
+    std::map<std::vector<vm_id>, uncovered_departures> byReceivers;
+    for (auto &[number, each] : state.pending) {
+        if (each.covered || context.now < each.toldAt + state.limits.receiptTime) {
+            continue;
+        }
+        each.covered = true;
+        uncovered_departures &uncovered = byReceivers[findUncovered(state, each)];
+        uncovered.departures.push_back(each.what);
+        std::ranges::copy(findSilent(state, each), std::back_inserter(uncovered.silent));
+    }
+    for (auto &[receivers, uncovered] : byReceivers) {
+        if (receivers.empty()) {
+            continue;
+        }
+        std::ranges::sort(uncovered.silent);
+        uncovered.silent.erase(std::unique(uncovered.silent.begin(), uncovered.silent.end()), uncovered.silent.end());
+        context.effects.emplace_back(cover_homes{receivers, std::move(uncovered.silent), uncovered.departures.size()});
+        sendParts<departures_passed_on, departure>(context, receivers, uncovered.departures);
+    }
+}
+
+/// Refuses the departures that too few VMs hold in time, and forgets those that need nothing more.
 void expirePending(departure_step &context)
 {
-    std::erase_if(context.state.pending, [&context](const auto &each) {
-        if (context.now < each.second.toldAt + context.state.limits.answerTime) {
-            return false;
+    for (auto &[number, waiting] : context.state.pending) {
+        if (!waiting.answered && context.now >= waiting.toldAt + context.state.limits.answerTime) {
+            answerAll(context, waiting, false);
+            waiting.answered = true;
         }
-        answerAll(context, each.second, false);
-        return true;
-    });
+    }
+    std::erase_if(context.state.pending, [](const auto &each) { return each.second.answered && each.second.covered; });
 }
 
 void handle(departure_step &context, const departure_time_passed & /*event*/)
@@ -291,6 +353,7 @@
     if (context.now >= context.state.gatheredAt) {
         sendGathered(context);
     }
+    coverSilentHomes(context);
     expirePending(context);
     std::erase_if(context.state.known, [&context](const known_departure &each) {
         return each.learnedAt + context.state.limits.retention <= context.now;
@@ -309,7 +372,7 @@
 {
     instant next = state.gatheredAt;
     for (const auto &[number, each] : state.pending) {
-        next = std::min(next, each.toldAt + state.limits.answerTime);
+        next = std::min(next, each.toldAt + (each.covered ? state.limits.answerTime : state.limits.receiptTime));
     }
     return next;
 }
--- a/src/daemon/departures/departures_task.cpp
+++ b/src/daemon/departures/departures_task.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 #include <sodium.h>
 
+#include <sstream>
 #include <utility>
 
 namespace guavafront
@@ -90,6 +91,17 @@
     }
 }
 
+void departures_task::perform(const cover_homes &effect)
+{
+    std::ostringstream silent;
+    for (const vm_id each : effect.silent) {
+        silent << ' ' << std::hex << each.value;
+    }
+    LOG(WARNING) << effect.departures << " departures told to " << effect.receivers.size()
+                 << " VMs in place of their homes; not confirmed by" << silent.str();
+    m_counters.countCoveredVms(effect.receivers.size());
+}
+
 void departures_task::perform(const send_departures &effect)
 {
     m_peers.post(send_to_vms{
--- a/tests/departures/departures_test.cpp
+++ b/tests/departures/departures_test.cpp
@@ -157,6 +157,34 @@
     BOOST_TEST(entriesReached() == entryCount);
 }
 
+// Guards against an acknowledged departure that a VM isn't told, since both of its homes are held up.
+BOOST_AUTO_TEST_CASE(departure_bothHomesHeldUp_toldByTheRegistrar)
+{
+    for (std::uint64_t first = 2; first <= controlCount; ++first) {
+        for (std::uint64_t second = first + 1; second <= controlCount; ++second) {
+            heard.clear();
+            lost = {{first}, {second}};
+            run({1}, departure_told{first * 10 + second,
+                                    {.name = std::to_string(first * 10 + second), .processStartMs = 1}});
+            pass(300ms);
+            BOOST_TEST(answers.at(first * 10 + second));
+            BOOST_TEST(entriesReached() == entryCount, first << " and " << second << " are held up");
+            lost.clear();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(departure_allHomesConfirm_nobodyToldInTheirPlace)
+{
+    run({1}, departure_told{7, leaving});
+    pass(100ms);
+    heard.clear();
+    pass(1s);
+    BOOST_TEST(answers.at(7));
+    BOOST_TEST(heard.empty());
+    BOOST_TEST(controls.at({1}).pending.empty());
+}
+
 BOOST_AUTO_TEST_CASE(departure_registrarIsCutOff_refusedInTime)
 {
     lost = {{2}, {3}, {4}, {5}};
