Lengthen the pre-votes that follow a start without a leader

Reproduced with real processes, 11 control and 89 entry VMs on loopback, all killed, two disks lost, each control VM held to 0.02 of a core by SIGSTOP and SIGCONT in periods of 0.1 s: 4 of 4 runs end after 20 s with 503 at all control VMs, two of them on. Their logs show the same pre-votes over and over, without an answer from VMs that are live.

Cause: a replica that has heard no leader since its start repeats its pre-vote each 120 to 240 ms for good, since only terms made the timeout longer. Each round forgets the grants of the one before, and its requests wait at the others behind those of earlier rounds. Where a message takes a VM several milliseconds, the requests of all voters alone take all of its time: a livelock by retries.

Change: the first timeout doubles with each failed pre-vote, up to the timeout after the loss of a leader (0.6 s).

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -28,7 +28,10 @@
                                         ///< a start there may be no leader left.
     duration maxElectionTimeout = std::chrono::seconds(2); ///< The timeouts above double with each further term that
                                                            ///< brings no leader, up to this one, since votes may
-                                                           ///< take long to reach the disks.
+                                                           ///< take long to reach the disks. firstElectionTimeout
+                                                           ///< doubles with each failed pre-vote, too, up to
+                                                           ///< electionTimeout: a start takes VMs the time for
+                                                           ///< answers.
     duration patienceTime = std::chrono::seconds(10); ///< Time for which electionTimeout is half as long again after
                                                       ///< a leader that was given up is heard: it had stood still.
     duration heartbeatInterval = std::chrono::milliseconds(150); ///< Time between two heartbeats of the leader.
@@ -116,6 +119,7 @@
     instant electionDeadline; ///< Time at which an election starts unless a message of the leader arrives before.
     bool deadlineExtended = false; ///< electionDeadline has been put off, since this replica stood still.
     std::uint32_t termsWithoutLeader = 0; ///< Terms that began since the latest message of a leader.
+    std::uint32_t failedPreVotes = 0; ///< Pre-votes without a majority since the latest message of a leader.
     std::uint64_t ownVoteSync = 0; ///< Number of the sync that covers the own vote; 0 once it is reported.
     instant heartbeatDue; ///< Time of the leader's next heartbeat.
     instant heldUpUntil; ///< End of the latest time for which this replica stood still as leader.
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -10,6 +10,15 @@
 namespace
 {
 
+/// Returns the duration doubled so many times, as long as it is below the limit, and then the limit.
+duration doubled(duration value, std::uint32_t times, duration limit)
+{
+    for (std::uint32_t count = 0; count < times && value < limit; ++count) {
+        value = std::min(value * 2, limit);
+    }
+    return value;
+}
+
 bool contains(std::span<const vm_id> vms, vm_id vm)
 {
     return std::ranges::find(vms, vm) != vms.end();
@@ -76,6 +85,7 @@
     replica &self = step.self;
     setRole(step, replica_role::Leader, self.options.self, self.currentTerm);
     self.termsWithoutLeader = 0;
+    self.failedPreVotes = 0;
     self.quorumExtended = false;
     self.votes.clear();
     self.refusals.clear();
@@ -146,11 +156,9 @@
     const bool hasHeardLeader = step.self.lastLeaderContact != instant{};
     const replica_options &options = step.self.options;
     const duration shortest = hasHeardLeader ? leaderTimeout(step.self, step.now) : options.firstElectionTimeout;
-    const duration longest = std::max(shortest, options.maxElectionTimeout);
-    duration timeout = shortest;
-    for (std::uint32_t terms = 1; terms < step.self.termsWithoutLeader && timeout < longest; ++terms) {
-        timeout = std::min(timeout * 2, longest);
-    }
+    const std::uint32_t furtherTerms = std::max(step.self.termsWithoutLeader, 1U) - 1;
+    const duration afterPreVotes = doubled(shortest, step.self.failedPreVotes, options.electionTimeout);
+    const duration timeout = doubled(afterPreVotes, furtherTerms, options.maxElectionTimeout);
     const auto jitter = step.random % static_cast<std::uint64_t>(timeout.count());
     step.self.electionDeadline = step.now + timeout + duration(static_cast<duration::rep>(jitter));
     step.self.deadlineExtended = false;
@@ -194,8 +202,11 @@
 
 void startPreVote(replica_step &step)
 {
-    const replica &self = step.self;
+    replica &self = step.self;
     reportFailedRound(step);
+    if (self.role == replica_role::PreCandidate) {
+        ++self.failedPreVotes;
+    }
     setRole(step, replica_role::PreCandidate, {}, self.currentTerm);
     startRound(step);
     if (isQuorum(self.members, self.votes)) {
--- a/src/coordination/replication/follower.cpp
+++ b/src/coordination/replication/follower.cpp
@@ -20,6 +20,7 @@
     }
     self.lastLeaderContact = step.now;
     self.termsWithoutLeader = 0;
+    self.failedPreVotes = 0;
     resetElectionDeadline(step);
     return true;
 }
--- a/tests/replication/held_up_vms_test.cpp
+++ b/tests/replication/held_up_vms_test.cpp
@@ -73,8 +73,55 @@
     }
 };
 
+/// Control VMs that all start again, each of which handles few messages a second.
+struct busy_vms_fixture {
+    static constexpr seconds recovery{15}; ///< Time in which a leader must be confirmed.
+    static constexpr seconds startWork{3}; ///< Time after its start in which a VM reads no messages.
+
+    static void restartAll(std::uint64_t seed, std::size_t vms, duration messageTime)
+    {
+        simulated_cluster cluster(seed, vms);
+        cluster.runUntilTrue([&cluster] { return !cluster.isChangingMembers(); }, seconds(20), "formation");
+        for (const vm_id vm : cluster.currentVms()) {
+            cluster.crash(vm);
+        }
+        cluster.messageTime = messageTime;
+        for (const vm_id vm : cluster.currentVms()) {
+            cluster.after(milliseconds(cluster.random(1'000)), [&cluster, vm] {
+                cluster.start(vm);
+                cluster.at(vm).busyUntil = cluster.now() + startWork;
+            });
+        }
+        const auto isLed = [&cluster] {
+            const vm_id leading = cluster.leader();
+            return leading.value != 0 && leadershipConfirmedAt(cluster.at(leading).state).has_value();
+        };
+        cluster.runUntilTrue(isLed, recovery, "a confirmed leader, seed " + std::to_string(seed));
+    }
+};
+
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(busy_vms_test, busy_vms_fixture)
+
+// Guards against pre-votes without an end: their requests alone kept the VMs too busy to answer in time.
+BOOST_AUTO_TEST_CASE(startOfAll_preVotesTakeAllTheTime_leaderConfirmed)
+{
+    const duration heartbeat = replica_options{}.heartbeatInterval;
+    for (const std::size_t vms : {5U, 11U, 15U}) {
+        // The answers to its heartbeats occupy a leader for so many percent of its time.
+        for (const std::int64_t percent : {60, 80}) {
+            const duration messageTime = heartbeat * percent / 100 / static_cast<std::int64_t>(vms - 1);
+            for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+                BOOST_TEST_CONTEXT(vms << " VMs, " << percent << "%")
+                BOOST_CHECK_NO_THROW(restartAll(seed, vms, messageTime));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(held_up_vms_test, held_up_vms_fixture)
 
 // Guards against leaders that are lost again and again while control VMs are short of processor time.
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -126,6 +126,7 @@
     node.deferredEvents.clear();
     node.pendingProposals.clear();
     ++node.incarnation;
+    node.busyUntil = m_now;
     node.up = node.frozen = node.syncing = false;
 }
 
@@ -281,9 +282,20 @@
     const std::uint64_t copies = random(100) < duplicatePercent ? 2 : 1;
     for (std::uint64_t i = 0; i < copies; ++i) {
         after(microseconds(static_cast<std::int64_t>(200 + random(maxNetworkDelayUs))), [this, message] {
-            if (m_vms.at(message.to).up && !blockedLinks.contains({message.from, message.to})) {
+            simulated_vm &receiver = m_vms.at(message.to);
+            if (!receiver.up || blockedLinks.contains({message.from, message.to})) {
+                return;
+            }
+            if (messageTime == duration{}) {
                 handle(message.to, message_received{message});
+                return;
             }
+            receiver.busyUntil = std::max(receiver.busyUntil, m_now) + messageTime;
+            after(receiver.busyUntil - m_now, [this, message, incarnation = receiver.incarnation] {
+                if (m_vms.at(message.to).incarnation == incarnation) {
+                    handle(message.to, message_received{message});
+                }
+            });
         });
     }
 }
--- a/tests/replication/simulated_cluster.h
+++ b/tests/replication/simulated_cluster.h
@@ -34,6 +34,7 @@
     duration syncTime{}; ///< Time that each sync takes; 0 for a random one.
     bool slowDisk = false; ///< Syncs take up to maxSlowSyncDelayUs instead of maxSyncDelayUs.
     bool syncing = false; ///< A sync is under way.
+    instant busyUntil; ///< When the messages that have arrived are handled, with a messageTime.
     instant timerDue; ///< Time at which the armed timer fires; the epoch for none.
 };
 
@@ -92,6 +93,7 @@
     std::uint64_t random(std::uint64_t limit);
 
     std::set<std::pair<vm_id, vm_id>> blockedLinks; ///< Pairs of sender and receiver whose messages are dropped.
+    duration messageTime{}; ///< Time for which a message occupies its receiver; later ones wait.
     std::uint64_t lossPercent = 0; ///< Share of messages that are lost, in percent.
     std::uint64_t duplicatePercent = 0; ///< Share of messages that arrive twice, in percent.
     std::function<void(vm_id, const replica_effect &)> onEffect; ///< Called before each effect is performed.
