Take only three-digit status codes from 100 to 599 as answers

Callers could get an answer with status 700 or 999, which RFC 9110 section 15 doesn't know, and instances in trouble have been seen to answer 000. http-parser gives the status as a number: 700 passed as final, and 000, 099 and 20 counted as interim answers, so that the attempt waited for its time-out.

The parser keeps the start of the status line and refuses all but exactly three digits from 100 to 599, which ends the attempt as incomplete at once.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
 constexpr int firstFinalStatus = 200;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
@@ -51,6 +53,7 @@
     m_headersReceived = false;
     m_complete = false;
     m_valueSeen = false;
+    m_statusLineBytes = 0;
     m_headerBytes = 0;
     m_nonBodyBytes = 0;
 }
@@ -91,6 +94,7 @@
     }
     m_started = true;
     const std::span<const std::byte> rest = bytes.subspan(skipped);
+    recordStatusLine(rest);
     const std::size_t bodyBefore = m_message.body.size();
     const std::size_t taken =
         http_parser_execute(&m_parser, &callbacks(), reinterpret_cast<const char *>(rest.data()), rest.size());
@@ -102,6 +106,41 @@
     return skipped + taken;
 }
 
+/// Keeps the start of an answer's first line, since http-parser gives the status only as a number: "0200" and "20"
+/// would pass for status codes.
+void message_parser::recordStatusLine(std::span<const std::byte> bytes)
+{
+    if (m_messageKind != HTTP_RESPONSE) {
+        return;
+    }
+    for (const std::byte each : bytes) {
+        if (m_statusLineBytes == m_statusLine.size()) {
+            return;
+        }
+        const char letter = static_cast<char>(each);
+        const bool lineEndBefore = m_statusLineBytes == 0 && (letter == '\r' || letter == '\n');
+        if (!lineEndBefore) {
+            m_statusLine[m_statusLineBytes++] = letter;
+        }
+    }
+}
+
+/// Whether the answer's first line has a status of RFC 9110 section 15: exactly three digits, from 100 to 599.
+bool message_parser::statusLineWellFormed() const
+{
+    constexpr std::size_t codeAt = 9; // Behind "HTTP/1.1 ".
+    constexpr std::size_t codeLength = 3;
+    const std::string_view line(m_statusLine.data(), m_statusLineBytes);
+    if (line.size() < m_statusLine.size() || line[codeAt - 1] != ' ') {
+        return false;
+    }
+    const std::string_view code = line.substr(codeAt, codeLength);
+    const bool digits = std::ranges::all_of(code, [](char each) { return each >= '0' && each <= '9'; });
+    const char next = line[codeAt + codeLength];
+    const int status = m_parser.status_code;
+    return digits && (next == ' ' || next == '\r' || next == '\n') && status >= firstStatus && status <= lastStatus;
+}
+
 /// Limits the bytes that are read but not stored, such as a reason phrase, chunk extensions or trailers.
 void message_parser::countNonBodyBytes(std::size_t length)
 {
@@ -219,8 +258,10 @@
     }
     if (m_messageKind == HTTP_REQUEST) {
         m_message.method = http_method_str(static_cast<http_method>(m_parser.method));
-    } else {
+    } else if (statusLineWellFormed()) {
         m_message.status = m_parser.status_code;
+    } else {
+        return fail(message_fault::Malformed);
     }
     m_message.keepAlive = http_should_keep_alive(&m_parser) != 0;
     if (m_check && !m_check(m_message)) {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -4,6 +4,7 @@
 
 #include <http_parser.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -91,6 +92,8 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
     int headersComplete();
+    void recordStatusLine(std::span<const std::byte> bytes);
+    bool statusLineWellFormed() const;
     int fail(message_fault fault);
     void countNonBodyBytes(std::size_t length);
     int countHeader(std::size_t length);
@@ -102,6 +105,8 @@
     header_check m_check; ///< Further check of the header section; may be empty.
     received_message m_message; ///< See message().
     message_fault m_fault = message_fault::None; ///< See fault().
+    std::array<char, 13> m_statusLine{}; ///< Start of an answer, up to the character that follows the status code.
+    std::size_t m_statusLineBytes = 0; ///< Bytes of m_statusLine received so far.
     std::size_t m_headerBytes = 0; ///< Bytes of the target and the header fields so far.
     std::size_t m_nonBodyBytes = 0; ///< Bytes consumed so far that are not part of the body.
     bool m_answersHeadRequest = false; ///< See reset().
