Run safe requests that a caller sends ahead beside each other

Callers who send requests ahead were served one after the other: while a request ran, its connection read no further one, so that one slow answer held up all behind it.

A connection now starts up to eight requests with safe methods at a time and writes the answers in the order of the requests. Another method waits until all before it are answered (RFC 9112 section 9.3.2), 100 Continue too, and a malformed request is refused in its place. The connection closes only behind the answer to the last request that was started; what came behind counts as unread. While 64 KiB of answers are unsent no further request starts, and a caller that reads nothing for 10 s is disconnected; the connection's idle time no longer ends a caller that reads slowly.

--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -55,6 +55,7 @@
             .idleTimeout = millisecondsOr(limits.idleTimeoutMs, settings.idleTimeout),
             .headerTimeout = millisecondsOr(limits.headerTimeoutMs, settings.headerTimeout),
             .receiveTimeout = settings.receiveTimeout,
+            .sendProgressTimeout = settings.sendProgressTimeout,
             .memory = settings.memory};
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -55,6 +55,7 @@
             .idleTimeout = options.idleTimeout,
             .headerTimeout = options.headerTimeout,
             .receiveTimeout = options.receiveTimeout,
+            .sendProgressTimeout = options.sendProgressTimeout,
             .memory = options.memory ? options.memory : &ownMemory};
 }
 
@@ -141,17 +142,18 @@
 {
     auto accepted = std::make_unique<server_connection>(
         m_loop, descriptor, m_limits,
-        connection_callbacks{.onRequest = [this](server_connection &from) { handleRequest(from); },
-                             .onCallerGone =
-                                 [this](server_connection &from) {
-                                     m_exchanges.erase(from.currentExchange);
-                                     m_handler.onCallerGone(from.currentExchange);
-                                 },
-                             .onEnd = [this](server_connection &ended) { connectionEnded(ended); },
-                             .onMalformed =
-                                 [this] {
-                                     ++m_malformed;
-                                 }});
+        connection_callbacks{
+            .onRequest = [this](server_connection &from, caller_request &received) { handleRequest(from, received); },
+            .onCallerGone =
+                [this](const caller_request &abandoned) {
+                    m_exchanges.erase(abandoned.id);
+                    m_handler.onCallerGone(abandoned.id);
+                },
+            .onEnd = [this](server_connection &ended) { connectionEnded(ended); },
+            .onMalformed =
+                [this] {
+                    ++m_malformed;
+                }});
     server_connection *key = accepted.get();
     m_connections.emplace(key, std::move(accepted));
     if (m_connections.size() >= m_options.connectionLimit) {
@@ -159,20 +161,20 @@
     }
 }
 
-void http_server::handleRequest(server_connection &from)
+void http_server::handleRequest(server_connection &from, caller_request &received)
 {
-    from.currentExchange = {++m_lastExchange};
-    m_exchanges.emplace(from.currentExchange, &from);
+    received.id = {++m_lastExchange};
+    m_exchanges.emplace(received.id, running_request{&from, &received});
     const http_request request{
-        .method = from.request().method,
-        .host = from.host(),
-        .path = from.path(),
-        .query = from.query(),
-        .rawPath = from.rawPath(),
-        .headers = from.fields(),
-        .body = from.request().body,
+        .method = received.message.method,
+        .host = received.host,
+        .path = received.path,
+        .query = received.query(),
+        .rawPath = received.rawPath(),
+        .headers = received.fields,
+        .body = received.message.body,
     };
-    m_handler.onRequest(from.currentExchange, request);
+    m_handler.onRequest(received.id, request);
 }
 
 bool http_server::answer(exchange_id id, const http_answer &reply)
@@ -181,14 +183,14 @@
     if (node.empty()) {
         return false;
     }
-    node.mapped()->answer(reply, m_announceClose);
+    node.mapped().connection->answer(*node.mapped().request, reply, m_announceClose);
     return true;
 }
 
 int http_server::callerDescriptor(exchange_id id) const
 {
     const auto found = m_exchanges.find(id);
-    return found == m_exchanges.end() ? -1 : found->second->descriptor();
+    return found == m_exchanges.end() ? -1 : found->second.connection->descriptor();
 }
 
 void http_server::stop(duration idleGrace, std::function<void()> onStopped)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -37,6 +37,8 @@
     duration idleTimeout = std::chrono::seconds(60); ///< Time after which a connection without a request is closed.
     duration headerTimeout = std::chrono::seconds(30); ///< Time from the first byte of a request to its last field.
     duration receiveTimeout = std::chrono::seconds(30); ///< Time from the first byte of a request to its last.
+    /// Time in which a caller must read some of the bytes that are sent to it.
+    duration sendProgressTimeout = std::chrono::seconds(10);
 };
 
 /// Callbacks of an http_server, called on the loop's thread.
@@ -92,6 +94,11 @@
     std::uint64_t malformedRequests() const;
 
 private:
+    /// Place of a running request; both stay valid until it is answered or its caller is gone.
+    struct running_request {
+        server_connection *connection = nullptr; ///< Connection of the caller; not owned.
+        caller_request *request = nullptr; ///< The request; owned by the connection.
+    };
     struct listener_deleter {
         void operator()(evconnlistener *owned) const;
     };
@@ -101,7 +108,7 @@
 
     void listen();
     void accept(int descriptor);
-    void handleRequest(server_connection &from);
+    void handleRequest(server_connection &from, caller_request &received);
     void connectionEnded(server_connection &ended);
     void destroyEnded();
     void finishStopWhenDrained();
@@ -122,7 +129,7 @@
     std::uint64_t m_malformed = 0; ///< See malformedRequests().
     std::unordered_map<server_connection *, std::unique_ptr<server_connection>> m_connections; ///< Open connections.
     std::vector<std::unique_ptr<server_connection>> m_ended; ///< Connections that destroyEnded() will destroy.
-    std::unordered_map<exchange_id, server_connection *> m_exchanges; ///< Connections of the running requests.
+    std::unordered_map<exchange_id, running_request> m_exchanges; ///< Running requests.
     timer m_idleGrace; ///< Runs closeIdle() once the grace period of stop() is over.
     bool m_announceClose = false; ///< Whether every answer gets Connection: close.
     bool m_closingIdle = false; ///< stop() was called and its grace period is over.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,7 +1,6 @@
 #include "http/server_connection.h"
 
-#include "http/message_check.h"
-#include "http/status_text.h"
+#include "http/request_target.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -35,13 +34,12 @@
 constexpr int statusHeaderTooLarge = 431;
 constexpr int statusNotImplemented = 501;
 constexpr int statusUnavailable = 503;
-constexpr int statusNoContent = 204;
-constexpr int statusNotModified = 304;
 
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
+/// Requests of one connection that run at the same time. Browsers and API clients send fewer ahead, and one caller
+/// shouldn't take the slots of others.
+constexpr std::size_t maxRunningRequests = 8;
+/// Unsent bytes of answers from which on no further request of the connection is started.
+constexpr std::size_t maxUnsentBytes = std::size_t{64} * 1024;
 
 message_limits messageLimitsOf(const connection_limits &limits)
 {
@@ -70,7 +68,7 @@
     bufferevent_setcb(m_socket, readCallback, writeCallback, eventCallback, this);
     bufferevent_setwatermark(m_socket, EV_READ, 0, readAheadBytes);
     bufferevent_enable(m_socket, EV_READ | EV_WRITE);
-    m_timer.arm(m_limits.idleTimeout);
+    armTimer();
 }
 
 server_connection::~server_connection()
@@ -78,53 +76,15 @@
     bufferevent_free(m_socket);
 }
 
-received_message &server_connection::request()
-{
-    return m_parser.message();
-}
-
-std::span<const header_view> server_connection::fields() const
-{
-    return m_fields;
-}
-
-const std::string &server_connection::host() const
-{
-    return m_host;
-}
-
-const std::string &server_connection::path() const
-{
-    return m_path;
-}
-
-std::string_view server_connection::query() const
-{
-    const std::string_view target = const_cast<message_parser &>(m_parser).message().target;
-    const std::size_t mark = target.find('?');
-    return mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
-}
-
-std::string_view server_connection::rawPath() const
-{
-    return pathOf(const_cast<message_parser &>(m_parser).message().target);
-}
-
 int server_connection::descriptor() const
 {
     return bufferevent_getfd(m_socket);
 }
 
-bool server_connection::running() const
-{
-    return m_phase == phase::Running;
-}
-
 bool server_connection::busy() const
 {
-    return m_phase == phase::Running || m_phase == phase::Lingering || m_parser.started()
-           || evbuffer_get_length(bufferevent_get_input(m_socket)) > 0
-           || evbuffer_get_length(bufferevent_get_output(m_socket)) > 0;
+    return m_phase == phase::Lingering || !m_requests.empty() || m_parser.started()
+           || evbuffer_get_length(bufferevent_get_input(m_socket)) > 0 || unsentBytes() > 0;
 }
 
 void server_connection::closeWhenIdle()
@@ -155,9 +115,6 @@
             return;
         }
         connection->m_peerClosed = true;
-        if (connection->m_phase == phase::Running) {
-            connection->m_callbacks.onCallerGone(*connection);
-        }
         connection->end();
     });
 }
@@ -181,15 +138,31 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return false;
     }
-    if (m_phase != phase::Reading) {
-        return false;
+    // A partly received request is still completed while the connection closes, unless its last answer was written.
+    const bool takesMore = !m_lastAnswerWritten && (!m_closing || m_parser.started());
+    if (m_phase == phase::Open && !takesMore && m_requests.empty() && unsentBytes() == 0) {
+        linger();
     }
-    if (m_closing && !m_parser.started()) { // A partly received request is still completed.
-        if (evbuffer_get_length(bufferevent_get_output(m_socket)) == 0) {
-            linger();
-        }
+    if (m_phase != phase::Open || !takesMore) {
         return false;
     }
+    if (!m_requests.empty() && !m_requests.back()->message.keepAlive) {
+        return false; // The caller said that the request is its last one.
+    }
+    if (!m_parser.complete()) {
+        return consumeInput();
+    }
+    if (!mayStartRequest()) {
+        return false; // answer() continues.
+    }
+    m_callbacks.onRequest(*this, takeRequest());
+    return true;
+}
+
+/// Parses buffered bytes of the request that is being received; returns whether to call processInput() again.
+bool server_connection::consumeInput()
+{
+    evbuffer *input = bufferevent_get_input(m_socket);
     const std::size_t available = evbuffer_get_contiguous_space(input);
     if (available == 0) {
         return false;
@@ -205,62 +178,93 @@
         refuseFaultyRequest();
         return false;
     }
-    const std::size_t heldBytes = m_parser.message().body.capacity() + unsentBytes();
-    if (!m_memory.hold(heldBytes)) {
+    sendContinue();
+    if (!holdMemory()) {
         return false;
     }
-    if (m_parser.complete()) {
-        m_memory.hold(heldBytes, false); // A request that runs can't be given up any more.
-        m_phase = phase::Running;
-        m_fields = viewsOf(m_parser.message().headers);
-        m_timer.cancel();
-        m_callbacks.onRequest(*this);
-        return m_phase == phase::Reading;
-    }
     if (wasStarted != m_parser.started() || hadHeaders != m_parser.headersReceived()) {
-        armReadTimer();
+        armTimer();
     }
     return true;
 }
 
-void server_connection::armReadTimer()
+/// Whether the complete request in the parser may start now: alone, or beside others if all of them are safe.
+bool server_connection::mayStartRequest() const
 {
-    if (!m_parser.started()) {
+    if (m_requests.empty()) {
+        return true;
+    }
+    const caller_request next{.message = {.method = const_cast<message_parser &>(m_parser).message().method}};
+    const bool allSafe =
+        next.isSafe() && std::ranges::all_of(m_requests, [](const auto &each) { return each->isSafe(); });
+    return allSafe && !m_closing && m_requests.size() < maxRunningRequests && unsentBytes() <= maxUnsentBytes;
+}
+
+/// Moves the request in the parser to the end of m_requests.
+caller_request &server_connection::takeRequest()
+{
+    auto taken = std::make_unique<caller_request>();
+    taken->message = std::move(m_parser.message());
+    taken->fields = viewsOf(taken->message.headers);
+    taken->host = std::move(m_host);
+    taken->path = std::move(m_path);
+    m_requests.push_back(std::move(taken));
+    m_parser.reset();
+    m_parser.setLimits(messageLimitsOf(m_limits));
+    m_continueWanted = false;
+    holdMemory();
+    armTimer();
+    return *m_requests.back();
+}
+
+/// Arms the timer for what the connection waits for now. While requests run, only unsent answers limit its time.
+void server_connection::armTimer()
+{
+    m_unsentAtTimer = unsentBytes();
+    if (m_unsentAtTimer > 0) {
+        m_timer.arm(m_limits.sendProgressTimeout);
+    } else if (!m_requests.empty()) {
+        m_timer.cancel();
+    } else if (!m_parser.started()) {
         m_timer.arm(m_limits.idleTimeout);
-        return;
+    } else {
+        const duration header = std::min(m_limits.headerTimeout, m_limits.receiveTimeout);
+        m_timer.arm(m_requestStartedAt + (m_parser.headersReceived() ? m_limits.receiveTimeout : header) - loop::now());
     }
-    const duration header = std::min(m_limits.headerTimeout, m_limits.receiveTimeout);
-    m_timer.arm(m_requestStartedAt + (m_parser.headersReceived() ? m_limits.receiveTimeout : header) - loop::now());
+}
+
+/// Counts the memory that the connection holds; returns whether it may keep it. Requests that run can't be given up.
+bool server_connection::holdMemory()
+{
+    std::size_t held = m_parser.message().body.capacity() + unsentBytes();
+    for (const auto &each : m_requests) {
+        held += each->heldBytes();
+    }
+    return m_memory.hold(held, m_parser.started() || unsentBytes() > 0);
 }
 
 bool server_connection::handleHeaders(const received_message &head)
 {
     const std::vector<header_view> views = viewsOf(head.headers);
-    std::string_view target = head.target;
-    if (!targetWellFormed(target) || !hostWellFormed(views)) {
-        return false;
-    }
-    std::string_view authority = headerValue(views, "Host");
-    constexpr std::string_view scheme = "http://";
-    std::string_view path = pathOf(target);
-    if (target.starts_with(scheme)) { // RFC 9112 section 3.2.2: the authority of the target overrides Host.
-        const std::string_view rest = target.substr(scheme.size());
-        const std::size_t slash = std::min(rest.find('/'), rest.size());
-        authority = rest.substr(0, slash);
-        path = pathOf(slash < rest.size() ? rest.substr(slash) : std::string_view("/"));
-    }
-    const std::optional<std::string> normalizedPath = normalizePath(path);
-    if (!normalizedPath) {
+    std::optional<request_target> target = parseRequestTarget(head.target, views);
+    if (!target) {
         return false;
     }
-    m_path = *normalizedPath;
-    m_host = normalizeHost(authority);
-    if (sameFieldName(headerValue(views, "Expect"), "100-continue") && !m_continueSent) {
-        m_continueSent = true;
+    m_host = std::move(target->host);
+    m_path = std::move(target->path);
+    m_continueWanted = sameFieldName(headerValue(views, "Expect"), "100-continue");
+    return true;
+}
+
+/// Sends 100 Continue if the request that is being received wants it, once earlier requests are answered: in between it
+/// would belong to one of their answers.
+void server_connection::sendContinue()
+{
+    if (m_continueWanted && m_requests.empty()) {
+        m_continueWanted = false;
         constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
         bufferevent_write(m_socket, continueAnswer.data(), continueAnswer.size());
     }
-    return true;
 }
 
 void server_connection::refuseFaultyRequest()
@@ -269,58 +273,59 @@
     const bool unknown = !method.empty() && std::ranges::find(knownMethods, method) == knownMethods.end();
     switch (m_parser.fault()) {
     case message_fault::HeaderTooLarge:
-        refuse(statusHeaderTooLarge);
+        refuse({.status = statusHeaderTooLarge});
         break;
     case message_fault::BodyTooLarge:
-        refuse(statusBodyTooLarge);
+        refuse({.status = statusBodyTooLarge});
         break;
     case message_fault::None:
     case message_fault::Malformed:
-        refuse(unknown ? statusNotImplemented : statusBadRequest);
+        refuse({.status = unknown ? statusNotImplemented : statusBadRequest});
         break;
     }
 }
 
-void server_connection::refuse(int status)
+/// Refuses the request that is being received, which isn't passed to onRequest, behind the answers to earlier requests.
+void server_connection::refuse(http_answer reply)
 {
     m_callbacks.onMalformed();
-    write({.status = status, .headers = {}, .body = {}}, true);
+    m_closing = true;
+    caller_request &refused = takeRequest();
+    refused.message.body = {};
+    refused.answer = ready_answer{std::move(reply), true};
+    writeReadyAnswers();
 }
 
-void server_connection::answer(const http_answer &reply, bool closeAfterwards)
+void server_connection::answer(caller_request &request, http_answer reply, bool closeAfterwards)
 {
-    write(reply, closeAfterwards || m_closing || !m_parser.message().keepAlive);
-    if (!m_processing && m_phase == phase::Reading) {
+    request.answer = ready_answer{std::move(reply), closeAfterwards};
+    writeReadyAnswers();
+    if (!m_processing && m_phase == phase::Open) {
         process();
     }
 }
 
-void server_connection::write(const http_answer &reply, bool closeAfterwards)
-{
-    std::string head =
-        "HTTP/1.1 " + std::to_string(reply.status) + ' ' + std::string(statusText(reply.status)) + "\r\n";
-    for (const http_header &field : reply.headers) {
-        head.append(field.name).append(": ").append(field.value).append("\r\n");
+/// Writes the answers that are ready and whose predecessors are written. The last answer before the connection closes
+/// is the one to the last request that was started, so that none of these ends without an answer.
+void server_connection::writeReadyAnswers()
+{
+    while (!m_requests.empty() && m_requests.front()->answer) {
+        const std::unique_ptr<caller_request> answered = std::move(m_requests.front());
+        m_requests.pop_front();
+        m_closing = m_closing || answered->answer->closeAfterwards || !answered->message.keepAlive;
+        m_lastAnswerWritten = m_closing && m_requests.empty();
+        const std::string text = encodeAnswer(answered->answer->reply, answered->message.method, m_lastAnswerWritten);
+        bufferevent_write(m_socket, text.data(), text.size());
     }
-    const bool bodiless = reply.status == statusNoContent || reply.status == statusNotModified;
-    if (!bodiless) {
-        head.append("Content-Length: ").append(std::to_string(reply.body.size())).append("\r\n");
+    if (m_lastAnswerWritten && m_parser.started()) {
+        m_parser.reset(); // What was sent behind the last answer counts as unread.
     }
-    if (closeAfterwards) {
-        head.append("Connection: close\r\n");
+    if (m_requests.empty()) {
+        m_requestStartedAt = loop::now(); // The next request's time for receiving begins once it is the first one.
+        sendContinue();
     }
-    head.append("\r\n");
-    bufferevent_write(m_socket, head.data(), head.size());
-    if (!bodiless && m_parser.message().method != "HEAD" && !reply.body.empty()) {
-        bufferevent_write(m_socket, reply.body.data(), reply.body.size());
-    }
-    m_parser.reset();
-    m_memory.hold(unsentBytes());
-    m_parser.setLimits(messageLimitsOf(m_limits));
-    m_continueSent = false;
-    m_closing = m_closing || closeAfterwards;
-    m_phase = phase::Reading;
-    m_timer.arm(m_limits.idleTimeout);
+    holdMemory();
+    armTimer();
 }
 
 std::size_t server_connection::unsentBytes() const
@@ -328,13 +333,12 @@
     return evbuffer_get_length(bufferevent_get_output(m_socket));
 }
 
-/// Makes room for the messages of other connections: refuses the request that is being received, or closes the
-/// connection to a caller that doesn't read its answers.
+/// Makes room for the messages of other connections: disconnects a caller that doesn't read its answers, or refuses the
+/// request that is being received.
 void server_connection::giveUpMessage()
 {
-    if (m_phase == phase::Reading && m_parser.started()) {
-        m_callbacks.onMalformed();
-        write({.status = statusUnavailable, .headers = {{"Retry-After", "1"}}, .body = {}}, true);
+    if (m_phase == phase::Open && m_parser.started() && unsentBytes() <= m_parser.message().body.capacity()) {
+        refuse({.status = statusUnavailable, .headers = {{"Retry-After", "1"}}, .body = {}});
     } else {
         end();
     }
@@ -343,11 +347,10 @@
 
 void server_connection::handleFlushed()
 {
-    if (m_phase == phase::Reading && !m_parser.started()) {
-        m_memory.hold(0);
-    }
-    if (m_closing && m_phase == phase::Reading && !m_parser.started()) {
-        linger();
+    holdMemory();
+    if (m_phase == phase::Open) {
+        armTimer();
+        process();
     }
 }
 
@@ -365,12 +368,14 @@
 
 void server_connection::handleTimeout()
 {
-    const bool partlyReceived = m_phase == phase::Reading && m_parser.started();
-    if (partlyReceived) {
-        refuse(statusTimeout); // The request is incomplete, so it hasn't run.
-        return;
+    const bool open = m_phase == phase::Open;
+    if (open && m_unsentAtTimer > 0 && unsentBytes() < m_unsentAtTimer) {
+        armTimer(); // The caller reads slowly, but it reads.
+    } else if (open && m_unsentAtTimer == 0 && m_requests.empty() && m_parser.started()) {
+        refuse({.status = statusTimeout}); // The request is incomplete, so it hasn't run.
+    } else {
+        end();
     }
-    end();
 }
 
 void server_connection::end()
@@ -381,6 +386,11 @@
     m_phase = phase::Ended;
     m_timer.cancel();
     bufferevent_disable(m_socket, EV_READ | EV_WRITE);
+    for (const auto &each : m_requests) {
+        if (!each->answer) {
+            m_callbacks.onCallerGone(*each);
+        }
+    }
     m_callbacks.onEnd(*this);
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/caller_request.h"
 #include "http/message_memory.h"
 #include "http/message_parser.h"
 #include "runtime/loop.h"
@@ -7,6 +8,7 @@
 
 #include <guavafront/coordination/core/identifiers.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +24,8 @@
     duration idleTimeout{}; ///< Time after which a connection without a request is closed.
     duration headerTimeout{}; ///< Time from the first byte of a request to the end of its header section.
     duration receiveTimeout{}; ///< Time from the first byte of a request to its last.
+    /// Time in which a caller must read some of the bytes that are sent to it.
+    duration sendProgressTimeout = std::chrono::seconds(10);
     /// Memory limit shared with other connections; null for none. Not owned, must outlive the connections.
     message_memory *memory = nullptr;
 };
@@ -30,14 +34,17 @@
 
 /// Callbacks of a server_connection, called on the loop's thread.
 struct connection_callbacks {
-    std::function<void(server_connection &)> onRequest; ///< A well-formed request is complete; see request().
-    std::function<void(server_connection &)> onCallerGone; ///< The caller disconnected while its request ran.
+    /// A well-formed request is complete. It stays valid until it is answered or its caller is gone.
+    std::function<void(server_connection &, caller_request &)> onRequest;
+    /// The caller disconnected, or was disconnected, while its request ran.
+    std::function<void(const caller_request &)> onCallerGone;
     std::function<void(server_connection &)> onEnd; ///< The connection has ended; destroy it only after this returns.
     std::function<void()> onMalformed; ///< A request was refused and not passed to onRequest.
 };
 
-/// Connection of one caller, which handles one request at a time. It keeps reading from the socket while a request
-/// runs, so that it notices when the caller disconnects. All members must be called on the loop's thread.
+/// Connection of one caller. It keeps reading from the socket while requests run, so that it notices when the caller
+/// disconnects. Requests with safe methods that the caller sends ahead run beside each other; the answers are written
+/// in the order of the requests. All members must be called on the loop's thread.
 class server_connection
 {
 public:
@@ -47,60 +54,43 @@
     server_connection(const server_connection &) = delete;
     server_connection &operator=(const server_connection &) = delete;
 
-    /// The running request.
-    received_message &request();
-
-    /// Header fields of the running request.
-    std::span<const header_view> fields() const;
-
-    /// Host of the running request, as normalizeHost() returns it.
-    const std::string &host() const;
-
-    /// Path of the running request, as normalizePath() returns it.
-    const std::string &path() const;
-
-    /// Query of the running request, without the '?'.
-    std::string_view query() const;
-
-    /// Path of the running request as the caller sent it, without the query.
-    std::string_view rawPath() const;
-
-    /// Answers the running request. closeAfterwards also closes the connection once the answer is sent.
-    void answer(const http_answer &reply, bool closeAfterwards);
+    /// Answers a running request. closeAfterwards also closes the connection once this answer and those to the requests
+    /// that were started behind it are sent.
+    void answer(caller_request &request, http_answer reply, bool closeAfterwards);
 
     /// Whether a request is running or partly received, bytes are unread, an answer isn't written to the socket yet, or
     /// the connection is being closed.
     bool busy() const;
 
-    /// Whether a request was passed to onRequest and not answered yet.
-    bool running() const;
-
-    /// Closes the connection now if it isn't busy(), otherwise after the present request is answered.
+    /// Closes the connection now if it isn't busy(), otherwise after the requests that were started are answered.
     void closeWhenIdle();
 
     /// Socket of the connection, which keeps ownership.
     int descriptor() const;
 
-    exchange_id currentExchange; ///< Number that the owner assigned to the running request.
-
 private:
-    enum class phase : std::uint8_t { Reading, Running, Lingering, Ended };
+    enum class phase : std::uint8_t { Open, Lingering, Ended };
 
     static void readCallback(bufferevent *socket, void *self);
     static void writeCallback(bufferevent *socket, void *self);
     static void eventCallback(bufferevent *socket, short events, void *self);
     void process();
     bool processInput();
+    bool consumeInput();
+    bool mayStartRequest() const;
+    caller_request &takeRequest();
     bool handleHeaders(const received_message &head);
+    void sendContinue();
     void refuseFaultyRequest();
-    void refuse(int status);
-    void write(const http_answer &reply, bool closeAfterwards);
+    void refuse(http_answer reply);
+    void writeReadyAnswers();
     void linger();
     void end();
     void handleTimeout();
-    void armReadTimer();
+    void armTimer();
     void handleFlushed();
     void giveUpMessage();
+    bool holdMemory();
     std::size_t unsentBytes() const;
 
     loop &m_loop; ///< Not owned.
@@ -108,17 +98,19 @@
     connection_callbacks m_callbacks;
     bufferevent *m_socket; ///< Owned.
     message_parser m_parser; ///< Parser of requests.
-    memory_share m_memory; ///< Memory of the request that is being received and of the answers that aren't sent.
+    memory_share m_memory; ///< Memory of the requests and of the answers that aren't sent.
     timer m_timer; ///< Limits the time for idling, receiving, sending and lingering.
-    phase m_phase = phase::Reading; ///< Current state of the connection.
+    std::deque<std::unique_ptr<caller_request>> m_requests; ///< Requests whose answers aren't written, oldest first.
+    phase m_phase = phase::Open; ///< Current state of the connection.
     bool m_processing = false; ///< Whether process() is on the call stack.
-    bool m_closing = false; ///< No further request is read once the present one is answered.
+    bool m_closing = false; ///< No further request is started once the present ones are answered.
+    bool m_lastAnswerWritten = false; ///< An answer with Connection: close was written; nothing more is read.
     bool m_peerClosed = false; ///< The caller closed or reset the connection.
-    bool m_continueSent = false; ///< Whether 100 Continue was sent for the present request.
-    instant m_requestStartedAt{}; ///< When the first byte of the present request was received.
-    std::vector<header_view> m_fields; ///< See fields().
-    std::string m_host; ///< See host().
-    std::string m_path; ///< See path().
+    bool m_continueWanted = false; ///< The request that is being received waits for 100 Continue.
+    instant m_requestStartedAt{}; ///< When the first byte of the request that is being received came.
+    std::size_t m_unsentAtTimer = 0; ///< Unsent bytes when m_timer was armed.
+    std::string m_host; ///< Host of the request that is being received; see caller_request::host.
+    std::string m_path; ///< Path of the request that is being received; see caller_request::path.
 };
 
 } // namespace guavafront
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -56,6 +56,12 @@
         bufferevent_write(m_socket, bytes.data(), bytes.size());
     }
 
+    /// Leaves received bytes in the kernel's buffer from now on.
+    void stopReading()
+    {
+        bufferevent_disable(m_socket, EV_READ);
+    }
+
     /// Closes the connection with a TCP reset.
     void reset()
     {
