Make trials a decision of their own, and never of a retry

Callers of a repeatable service got 504 after one attempt although another instance was free: an avoided instance was tried 1.5 s after its failure whether or not its capacity was needed, most of these trials failed, and a retry after one was often another trial.

A trial is now chosen by avoidance/trials. A request that may be repeated tries an instance at once when the service needs capacity (few slots open, open instances crowded, severe loss). Otherwise it waits until the instance's failure episode is likely over by the lengths of the service's last episodes (avoidance/episode_lengths), which each VM learns from the reports that it gets anyway; 5 s until lengths are known. The request must be a first attempt with time and a retry token left; a request without them waits as one that may not be repeated. A retry is no trial while an instance is open, and avoids instances that failed in the last 4 s.

--- a/bench/avoidance_bench.cpp
+++ b/bench/avoidance_bench.cpp
@@ -31,6 +31,17 @@
     return options;
 }
 
+/// Requests that may be repeated, and instances that each fail 85 of 100 requests for a few seconds at a time.
+bench::avoidance_options withShortEpisodes(std::vector<bench::gray_event> grayEvents)
+{
+    bench::avoidance_options options = withGrayEvents(std::move(grayEvents));
+    options.repeatable = true;
+    options.noiseShare = 0.1;
+    options.noiseLength = 3s;
+    options.noiseFailedShare = 0.85;
+    return options;
+}
+
 std::vector<scenario> scenarios()
 {
     const bench::gray_event thirdGray{.from = 4s, .to = 7s, .instanceShare = 0.3, .failedShare = 0.9};
@@ -45,7 +56,13 @@
             {"0.45 gray from 6 to 16 s",
              withGrayEvents({{.from = 6s, .to = 16s, .instanceShare = 0.45, .failedShare = 0.9}})},
             {"0.4 slow from 9 to 18 s", withGrayEvents({slow})},
-            {"same, 0.6 silent from 9 to 15 s", withGrayEvents({slow, unanswered})}};
+            {"same, 0.6 silent from 9 to 15 s", withGrayEvents({slow, unanswered})},
+            {"repeatable, short episodes", withShortEpisodes({})},
+            {"same, 3 times the load at 12 s", withBurst(withShortEpisodes({}), 3)},
+            {"same, 0.8 gray from 9 to 15 s",
+             withShortEpisodes({{.from = 9s, .to = 15s, .instanceShare = 0.8, .failedShare = 0.85}})},
+            {"same, 0.4 gray from 9 to 15 s",
+             withShortEpisodes({{.from = 9s, .to = 15s, .instanceShare = 0.4, .failedShare = 0.85}})}};
 }
 
 void print(scenario each, int seeds)
--- a/include/guavafront/coordination/avoidance/avoidance.h
+++ b/include/guavafront/coordination/avoidance/avoidance.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <guavafront/coordination/avoidance/episode_lengths.h>
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 namespace guavafront
@@ -36,6 +38,9 @@
     duration errorWindow = std::chrono::seconds(2);
     /// Server errors within errorWindow that count as a failure. Healthy instances return single server errors.
     std::uint32_t errorThreshold = 3;
+    /// Time after its last failure during which an instance that has answered a trial isn't chosen for a retry while
+    /// another one is open, since a gray instance also answers some requests.
+    duration doubtTime = std::chrono::seconds(4);
     /// Time after its last failure or server error until an instance's record is removed.
     duration retention = std::chrono::seconds(20);
 };
@@ -56,6 +61,9 @@
     instant trialNotBefore{}; ///< No trial is started earlier.
     instant trialExpiresAt{}; ///< Another trial may start then, although the current one has no result.
     bool avoided = false; ///< The instance has failed and hasn't recovered since.
+    /// Start of the last failure episode; absent when the failure may be one of this VM's path to the instance.
+    std::optional<instant> episodeStartedAt;
+    instant recoveredAt{}; ///< Time of the last recovery.
 };
 
 /// Instances that the fleet avoids. One failure that any VM observes suffices; a successful trial request ends it.
@@ -65,8 +73,13 @@
 };
 
 /// Records a report of this VM or of another one. Returns whether the report is news that this VM, if it observed it,
-/// sends to the other VMs.
-bool recordInstanceReport(avoidance &state, const instance_report &report, instant now);
+/// sends to the other VMs. The lengths are those of the instance's service, which learns from the report; null when the
+/// service isn't known.
+bool recordInstanceReport(avoidance &state, const instance_report &report, instant now,
+                          episode_lengths *lengths = nullptr);
+
+/// Records a failure that possibly concerns only this VM, from which the lengths of episodes aren't learned.
+void recordOwnFailure(avoidance &state, instance_id instance, instant now);
 
 /// Which requests may be sent to the instance now.
 avoidance_status avoidanceStatusOf(const avoidance &state, instance_id instance, instant now);
@@ -74,6 +87,12 @@
 /// Time of the instance's last failure; the beginning of time without a record.
 instant lastFailureOf(const avoidance &state, instance_id instance);
 
+/// Time between the first and the last failure of the instance's failure episode.
+duration episodeAge(const avoidance &state, instance_id instance);
+
+/// Whether the instance failed within the last seconds, so that one answer doesn't prove yet that it has recovered.
+bool failedRecently(const avoidance &state, instance_id instance, instant now);
+
 /// Removes the records of instances without a failure or server error for longer than the retention.
 void removeExpiredRecords(avoidance &state, instant now);
 
--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <guavafront/coordination/avoidance/avoidance.h>
+#include <guavafront/coordination/avoidance/trials.h>
 #include <guavafront/coordination/routing/balancer.h>
 #include <guavafront/coordination/routing/candidate_set.h>
 
@@ -17,21 +17,9 @@
     duration rankCost = std::chrono::milliseconds(12);
     /// Cost of a new connection, which takes one of the instance's slots.
     duration connectCost = std::chrono::milliseconds(25);
-    /// Least time since the last failure after which also a request that may not be repeated serves as a trial; see
-    /// trialSpread.
-    duration unrepeatableTrialDelay = std::chrono::milliseconds(7'500);
-    /// The same while capacity is scarce.
-    duration unrepeatableTrialDelayWhenScarce = std::chrono::milliseconds(3'500);
-    /// The same while the loss of the service's requests is severe, or notable while open instances have less than
-    /// scarceOpenShare. A lost trial adds little then, and each instance that is won back serves many requests.
-    duration unrepeatableTrialDelayUnderLoss = std::chrono::milliseconds(1'500);
-    /// VMs become ready to try an instance at times that differ by this at most, so that few of them try it before they
-    /// have heard of the first trial.
-    duration trialSpread = std::chrono::milliseconds(500);
-    /// Capacity is scarce when open instances have less than this share of the slots, 0 to 1.
-    double scarceOpenShare = 0.55;
     /// Time for which a reported load is used.
     duration loadValidity = std::chrono::seconds(2);
+    trial_limits trials; ///< Times and thresholds of the trials of avoided instances.
 };
 
 /// The chosen instance.
@@ -47,8 +35,9 @@
 /// Chooses the instance with the least expected delay, for VMs that each send few requests to an instance. Every VM has
 /// its own order of preference, near instances first, so that each VM uses few connections and all VMs together use
 /// all instances. Load, latency and failures that any VM observed outweigh the order. An instance whose status is Trial
-/// is chosen first, for one request. Returns nothing when all members are excluded. The order of preference
-/// is derived from self.
+/// is chosen first where chooseTrial() does so. A retry is never a trial while an instance is open, and goes to one
+/// that hasn't failed lately if there is one. Returns nothing when all members are excluded. The order of preference is
+/// derived from self.
 std::optional<affinity_choice> chooseByAffinity(const candidate_set &set, const avoidance &avoidedInstances, vm_id self,
                                                 const choice_request &request, instant now,
                                                 const affinity_parameters &parameters = {});
--- a/include/guavafront/coordination/routing/balancer.h
+++ b/include/guavafront/coordination/routing/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/avoidance/episode_lengths.h>
 #include <guavafront/coordination/routing/candidate_set.h>
 #include <guavafront/coordination/upstreams/recent_losses.h>
 
@@ -28,6 +29,10 @@
     /// Instances that aren't chosen: those of the request's earlier attempts and those that want no request now.
     std::span<const instance_id> excluded;
     bool repeatable = false; ///< The request may run twice, so that instances in doubt may be chosen.
+    bool retry = false; ///< An earlier attempt of the request failed.
+    /// When the attempt fails, there is time for another one, and the retry budget allows it.
+    bool mayBeRetried = true;
+    const episode_lengths *lengths = nullptr; ///< Lengths of the service's failure episodes; null when none are known.
     service_loss loss = service_loss::Small; ///< How much of the service's last requests at this VM wasn't served.
 };
 
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -33,6 +33,7 @@
     std::uint32_t floorPercent = 100; ///< Share of the capacity that ejection leaves in rotation, in percent.
     std::uint32_t totalSlots = 0; ///< Slots of all serving instances: the service's capacity.
     std::uint32_t largestSlots = 0; ///< Largest number of slots of one serving instance.
+    episode_lengths episodes; ///< Lengths of the instances' last failure episodes.
     recent_losses losses; ///< Ends of the service's last requests at this VM.
     service_instance_counts shownCounts; ///< Counts that were last shown to operators.
     std::uint64_t registryGeneration = 0; ///< Generation of the registry's instance list that candidates reflects.
@@ -86,6 +87,10 @@
                                           std::string_view service, const choice_request &request,
                                           std::uint64_t random);
 
+/// Records a report of this VM or of another one about an instance, from which its service learns. Returns the same as
+/// recordInstanceReport().
+bool recordEvidence(upstream_selection &selection, const registry &known, const instance_report &report, instant now);
+
 /// An instance chosen by balancing_policy::Affinity.
 struct selected_instance {
     affinity_choice choice; ///< The instance, and whether the request is a trial.
--- a/src/coordination/avoidance/avoidance.cpp
+++ b/src/coordination/avoidance/avoidance.cpp
@@ -8,6 +8,39 @@
 namespace
 {
 
+/// Whether the instance fails again too soon after its recovery for that to have been one.
+bool isRelapse(const avoidance_record &record, instant now)
+{
+    return record.recoveredAt != instant{} && now - record.recoveredAt < episode_parameters{}.relapseTime;
+}
+
+/// Starts or continues the instance's failure episode.
+void beginEpisode(avoidance_record &record, instance_id instance, instant now, episode_lengths *lengths)
+{
+    if (record.avoided) {
+        return;
+    }
+    if (!isRelapse(record, now)) {
+        record.episodeStartedAt = now;
+    } else if (lengths) {
+        removeEpisode(*lengths, instance, record.recoveredAt);
+    }
+}
+
+/// Ends the avoidance of an instance.
+void recordRecovery(avoidance_record &record, instance_id instance, instant now, episode_lengths *lengths)
+{
+    record.avoided = false;
+    record.errors = 0;
+    record.recoveredAt = now;
+    if (record.episodeStartedAt && lengths) {
+        recordEpisode(*lengths, {.instance = instance,
+                                 .atLeast = record.lastFailure - *record.episodeStartedAt,
+                                 .atMost = now - *record.episodeStartedAt,
+                                 .endedAt = now});
+    }
+}
+
 /// Starts or continues the avoidance of an instance. Returns whether the failure is news: not within the delay before
 /// the next trial.
 bool recordFailure(avoidance &state, avoidance_record &record, instant now)
@@ -26,11 +59,12 @@
 
 } // namespace
 
-bool recordInstanceReport(avoidance &state, const instance_report &report, instant now)
+bool recordInstanceReport(avoidance &state, const instance_report &report, instant now, episode_lengths *lengths)
 {
     const auto found = state.instances.find(report.instance);
     switch (report.kind) {
     case instance_report_kind::Failed:
+        beginEpisode(state.instances[report.instance], report.instance, now, lengths);
         return recordFailure(state, state.instances[report.instance], now);
     case instance_report_kind::ServerError: {
         avoidance_record &record = state.instances[report.instance];
@@ -40,6 +74,7 @@
         }
         record.lastError = now;
         if (++record.errors >= state.limits.errorThreshold || record.avoided) {
+            beginEpisode(record, report.instance, now, lengths);
             return recordFailure(state, record, now);
         }
         return true;
@@ -53,8 +88,7 @@
         if (found == state.instances.end() || !found->second.avoided) {
             return false;
         }
-        found->second.avoided = false;
-        found->second.errors = 0;
+        recordRecovery(found->second, report.instance, now, lengths);
         return true;
     case instance_report_kind::Leaving:
         break;
@@ -62,6 +96,15 @@
     return false;
 }
 
+void recordOwnFailure(avoidance &state, instance_id instance, instant now)
+{
+    avoidance_record &record = state.instances[instance];
+    if (!record.avoided) {
+        record.episodeStartedAt.reset();
+    }
+    recordFailure(state, record, now);
+}
+
 avoidance_status avoidanceStatusOf(const avoidance &state, instance_id instance, instant now)
 {
     const auto found = state.instances.find(instance);
@@ -78,6 +121,22 @@
     return found == state.instances.end() ? instant{} : found->second.lastFailure;
 }
 
+duration episodeAge(const avoidance &state, instance_id instance)
+{
+    const auto found = state.instances.find(instance);
+    if (found == state.instances.end() || !found->second.episodeStartedAt) {
+        return duration::zero();
+    }
+    return found->second.lastFailure - *found->second.episodeStartedAt;
+}
+
+bool failedRecently(const avoidance &state, instance_id instance, instant now)
+{
+    const auto found = state.instances.find(instance);
+    return found != state.instances.end() && found->second.lastFailure != instant{}
+           && now - found->second.lastFailure < state.limits.doubtTime;
+}
+
 void removeExpiredRecords(avoidance &state, instant now)
 {
     std::erase_if(state.instances, [&state, now](const auto &each) {
--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -128,7 +128,7 @@
 
 void broadcastEvidence(step_context &context, const instance_report &evidence)
 {
-    if (recordInstanceReport(context.state.selection.avoidedInstances, evidence, context.now)) {
+    if (recordEvidence(context.state.selection, context.state.upstreams, evidence, context.now)) {
         context.effects.emplace_back(broadcast_evidence{evidence});
     }
 }
@@ -171,8 +171,7 @@
         return;
     case outcome_kind::ConnectFailed:
         // Not broadcast: possibly only this VM's path is cut, and a failed connection harms no request elsewhere.
-        recordInstanceReport(context.state.selection.avoidedInstances, {instance, instance_report_kind::Failed},
-                             context.now);
+        recordOwnFailure(context.state.selection.avoidedInstances, instance, context.now);
         return;
     case outcome_kind::ConnectionLost:
     case outcome_kind::IncompleteAnswer:
@@ -213,8 +212,7 @@
     for (auto &[id, request] : state.exchanges) {
         if (request.stage == exchange_stage::Running && !request.overdueReported && isOverdue(context, request)) {
             request.overdueReported = true;
-            recordInstanceReport(state.selection.avoidedInstances,
-                                 {request.currentInstance, instance_report_kind::Failed}, context.now);
+            recordOwnFailure(state.selection.avoidedInstances, request.currentInstance, context.now);
             context.effects.emplace_back(
                 broadcast_evidence{{request.currentInstance, instance_report_kind::ServerError}});
         }
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -115,6 +115,18 @@
     return left > duration::zero() ? withSpread(context, left, pauseEndSpread) : retryAfterNoUpstream;
 }
 
+/// Whether an attempt that begins now and fails can be followed by another one: the route, the time left and the
+/// service's retry budget allow it.
+bool mayBeRetried(const step_context &context, const exchange &request)
+{
+    constexpr int usualTimes = 4; // Two attempts, each of which takes up to twice the usual time.
+    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
+    const retry_budget *budget = findRetryBudget(context.state.selection, context.state.upstreams, request.service);
+    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
+    return request.maxAttempts != 1 && budget && budget->tokens >= 1
+           && request.deadline - context.now > usualTimes * usual;
+}
+
 /// Whether an attempt that begins now is likely to end before a planned stop cuts it.
 bool canEndBeforeStop(const step_context &context, const exchange &request)
 {
@@ -180,7 +192,10 @@
     creditRetryBudget(context, request);
     std::vector<instance_id> excluded = request.attemptedInstances;
     appendPaused(context.state.selection.notices, context.now, excluded);
-    const choice_request choice{.excluded = excluded, .repeatable = request.mayBeRepeated};
+    const choice_request choice{.excluded = excluded,
+                                .repeatable = request.mayBeRepeated,
+                                .retry = !request.attemptedInstances.empty(),
+                                .mayBeRetried = mayBeRetried(context, request)};
     const std::optional<instance_id> chosen = chooseInstance(context, request, choice);
     if (!chosen) {
         return refuseSelection(context, request, codeWithoutInstance(context.state, request),
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -146,7 +146,7 @@
         }
         return;
     }
-    recordInstanceReport(selection.avoidedInstances, event.evidence, context.now);
+    recordEvidence(selection, context.state.upstreams, event.evidence, context.now);
 }
 
 void handle(step_context &context, const hub_loads_received &event)
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -108,10 +108,9 @@
     return all > 0 ? open / all : 0;
 }
 
-/// Whether the open members have few free slots left, by their estimated load.
-bool isCrowded(const std::vector<ranked_member> &ranked, instant now, const affinity_parameters &parameters)
+/// Estimated load of the open members, in shares of their slots.
+double openLoad(const std::vector<ranked_member> &ranked, instant now, const affinity_parameters &parameters)
 {
-    constexpr float crowdedLoadShare = 0.65F;
     float requests = 0;
     float slots = 0;
     for (const ranked_member &each : ranked) {
@@ -120,65 +119,50 @@
             slots += static_cast<float>(each.member->slots);
         }
     }
-    return requests > crowdedLoadShare * slots;
+    return slots > 0 ? requests / slots : 0;
 }
 
-/// Time after an instance's last failure until a request that may not be repeated is sent to it as a trial.
-duration unrepeatableDelay(const std::vector<ranked_member> &ranked, const choice_request &request, instant now,
-                           const affinity_parameters &parameters)
+trial_use trialUseOf(const choice_request &request)
 {
-    const bool fewOpen = openShare(ranked) < parameters.scarceOpenShare;
-    if (request.loss == service_loss::Severe || (fewOpen && request.loss == service_loss::Notable)) {
-        return parameters.unrepeatableTrialDelayUnderLoss;
+    if (request.retry) {
+        return trial_use::None;
     }
-    const bool isScarce = fewOpen || isCrowded(ranked, now, parameters);
-    return isScarce ? parameters.unrepeatableTrialDelayWhenScarce : parameters.unrepeatableTrialDelay;
+    return request.repeatable && request.mayBeRetried ? trial_use::Repeatable : trial_use::Unrepeatable;
 }
 
-/// This VM's part of the spread of trials of an instance, which differs from failure to failure.
-duration trialStagger(vm_id self, const ranked_member &member, instant lastFailure,
-                      const affinity_parameters &parameters)
-{
-    const auto moment = static_cast<std::uint64_t>(lastFailure.time_since_epoch() / std::chrono::seconds(1));
-    const std::uint64_t hash = rendezvousHash(self.value + moment, member.member->instance.value);
-    return duration(static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(parameters.trialSpread.count())));
-}
-
-/// The member that a request that may not be repeated is sent to as a trial: a near one, some time after its last
-/// failure, and sooner while capacity is scarce. The longest waiting one goes first, as it is the likeliest to have
-/// recovered and so that none waits behind others that fail again. Null when there is none.
-const ranked_member *findUnrepeatableTrial(const std::vector<ranked_member> &ranked, const avoidance &avoidedInstances,
-                                           vm_id self, const choice_request &request, instant now,
-                                           const affinity_parameters &parameters)
+/// The instance that the request is sent to as a trial; nothing when there is none.
+std::optional<instance_id> findTrial(const std::vector<ranked_member> &ranked, const avoidance &avoidedInstances,
+                                     vm_id self, const choice_request &request, instant now,
+                                     const affinity_parameters &parameters)
 {
-    const duration delay = unrepeatableDelay(ranked, request, now, parameters);
-    const ranked_member *longest = nullptr;
-    instant longestReadyAt = now;
+    static const episode_lengths noLengths;
+    std::vector<trial_candidate> candidates;
     for (const ranked_member &each : ranked) {
-        if (each.status != avoidance_status::Trial || !each.near) {
-            continue;
-        }
-        const instant lastFailure = lastFailureOf(avoidedInstances, each.member->instance);
-        const instant readyAt = lastFailure + delay + trialStagger(self, each, lastFailure, parameters);
-        if (readyAt < longestReadyAt) {
-            longest = &each;
-            longestReadyAt = readyAt;
+        if (each.status == avoidance_status::Trial) {
+            candidates.push_back({each.member->instance, each.near});
         }
     }
-    return longest;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const trial_situation situation{
+        .openShare = openShare(ranked), .openLoad = openLoad(ranked, now, parameters), .loss = request.loss};
+    return chooseTrial(avoidedInstances, candidates, request.lengths ? *request.lengths : noLengths, situation,
+                       trialUseOf(request), self, now, parameters.trials);
 }
 
-/// The member that the request is sent to as a trial: for a request that may be repeated the first one in order of
-/// preference. Null when there is none.
-const ranked_member *findTrialMember(const std::vector<ranked_member> &ranked, const avoidance &avoidedInstances,
-                                     vm_id self, const choice_request &request, instant now,
-                                     const affinity_parameters &parameters)
+/// Takes the members that failed lately out of a retry's choice, unless no other one is open.
+void keepProvenMembers(std::vector<ranked_member> &ranked, const avoidance &avoidedInstances, instant now)
 {
-    if (!request.repeatable) {
-        return findUnrepeatableTrial(ranked, avoidedInstances, self, request, now, parameters);
+    std::vector<ranked_member> proven = ranked;
+    for (ranked_member &each : proven) {
+        if (failedRecently(avoidedInstances, each.member->instance, now)) {
+            each.status = avoidance_status::Avoided;
+        }
+    }
+    if (std::ranges::find(proven, avoidance_status::Open, &ranked_member::status) != proven.end()) {
+        ranked = std::move(proven);
     }
-    const auto found = std::ranges::find(ranked, avoidance_status::Trial, &ranked_member::status);
-    return found == ranked.end() ? nullptr : &*found;
 }
 
 } // namespace
@@ -195,9 +179,12 @@
                                                 const choice_request &request, instant now,
                                                 const affinity_parameters &parameters)
 {
-    const std::vector<ranked_member> ranked = rankedMembers(set, avoidedInstances, self, request, now);
-    if (const ranked_member *onTrial = findTrialMember(ranked, avoidedInstances, self, request, now, parameters)) {
-        return affinity_choice{onTrial->member->instance, true};
+    std::vector<ranked_member> ranked = rankedMembers(set, avoidedInstances, self, request, now);
+    if (const auto onTrial = findTrial(ranked, avoidedInstances, self, request, now, parameters)) {
+        return affinity_choice{*onTrial, true};
+    }
+    if (request.retry) {
+        keepProvenMembers(ranked, avoidedInstances, now);
     }
     if (const ranked_member *best = findCheapestOpen(ranked, set, now, parameters)) {
         return affinity_choice{best->member->instance, false};
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -184,6 +184,7 @@
     }
     choice_request informed = request;
     informed.loss = lossOf(selected->losses, now);
+    informed.lengths = &selected->episodes;
     const auto chosen =
         chooseByAffinity(selected->candidates, selection.avoidedInstances, selection.self, informed, now);
     if (!chosen) {
@@ -194,6 +195,14 @@
     return selected_instance{*chosen, expectedWait(selected->candidates, member, now)};
 }
 
+bool recordEvidence(upstream_selection &selection, const registry &known, const instance_report &report, instant now)
+{
+    const auto service = known.serviceIndexByInstance.find(report.instance);
+    const bool followed = service != known.serviceIndexByInstance.end() && service->second < selection.services.size();
+    episode_lengths *lengths = followed ? &selection.services[service->second].episodes : nullptr;
+    return recordInstanceReport(selection.avoidedInstances, report, now, lengths);
+}
+
 /// Delay between sending requests and receiving their sum: the way of two reports, from a VM to its hub and from the
 /// hub to the other VMs.
 constexpr duration loadReportDelay = std::chrono::milliseconds(100);
