Bound retries by the deployment's rule over all VMs

A failed attempt was often not followed by another one: each VM saved 1.5 retry tokens at most, whatever number of retries the deployment allows.

With entry.retrySlack and entry.retryPercent (the platform sets them from BudgetSlack and RetryBudgetRatio of its Bounds, if both are given) a VM saves its part of the slack by the largest number of entry VMs, lost ones included, that it knew of within the last 5 minutes, and earns a tenth less than the ratio. It starts with no tokens, since what its last process spent isn't known, and saves one at most while it knows of no other VM. Where the part is below one token, some VMs, chosen by a hash, save one. Without the settings nothing changes.

--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/admission/admission_queue.h>
 #include <guavafront/coordination/limits/limit_settings.h>
+#include <guavafront/coordination/retries/retry_share.h>
 #include <guavafront/coordination/routing/balancer.h>
 
 #include <cstdint>
@@ -20,6 +21,7 @@
     limit_settings limits; ///< Settings of the rate limiter.
     admission_settings admission; ///< Settings of the queue in front of each service.
     balancing_policy balancing = balancing_policy::ExpectedLatency; ///< Policy for choosing an instance.
+    retry_rule retries; ///< Rule for the retries of all VMs together; none by default.
     bool strictConfiguration = false; ///< Refuse requests while the active configuration is outdated.
     entry_bounds bounds; ///< Limits beyond which the requests that cost least to refuse are shed.
 };
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -7,7 +7,7 @@
 #include <guavafront/coordination/loads/load_totals.h>
 #include <guavafront/coordination/notices/instance_notices.h>
 #include <guavafront/coordination/registry/registry.h>
-#include <guavafront/coordination/retries/retry_budget.h>
+#include <guavafront/coordination/retries/retry_share.h>
 #include <guavafront/coordination/routing/affinity.h>
 #include <guavafront/coordination/routing/balancer.h>
 #include <guavafront/coordination/upstreams/recent_losses.h>
@@ -64,6 +64,8 @@
     std::uint32_t floorPercent = 70; ///< Default share of a service's capacity that ejection leaves, in percent.
     std::vector<service_floor> floors; ///< Services with a floor other than floorPercent.
     fleet_summary fleet; ///< The entry VMs.
+    fleet_sizes fleetSizes; ///< Numbers of entry VMs, lost ones included, of the last minutes.
+    retry_rule retryRule; ///< Rule for the retries of all VMs together; a slack of 0 means none.
     std::vector<upstream_service> services; ///< State of each service, with the registry's indexes.
     shared_evidence evidence; ///< Health reports of all VMs, this one included.
     std::optional<instant> startedAt; ///< Start of this VM's process; set by the first updateRotation().
@@ -126,6 +128,14 @@
 void recordRequestEnd(upstream_selection &selection, const registry &known, std::string_view service, bool served,
                       instant now);
 
+/// Takes over what this VM knows of the fleet's entry VMs.
+void followFleet(upstream_selection &selection, const fleet_summary &fleet, instant now);
+
+/// Adds to a service's retry budget what a request earns with its first attempt. The percentage applies where the
+/// deployment has no rule for retries.
+void creditRetryBudget(upstream_selection &selection, const registry &known, std::string_view service,
+                       std::uint32_t budgetPercent, instant now);
+
 /// Retry budget of a service; null when it is unknown.
 retry_budget *findRetryBudget(upstream_selection &selection, const registry &known, std::string_view service);
 
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -68,9 +68,9 @@
 /// Credits the service's retry budget on a request's first attempt.
 void creditRetryBudget(const step_context &context, const exchange &request)
 {
-    retry_budget *budget = findRetryBudget(context.state.selection, context.state.upstreams, request.service);
-    if (budget && request.attemptedInstances.empty()) {
-        addRetryTokens(*budget, context.state.activeConfiguration->defaults.retryBudgetPercent);
+    if (request.attemptedInstances.empty()) {
+        creditRetryBudget(context.state.selection, context.state.upstreams, request.service,
+                          context.state.activeConfiguration->defaults.retryBudgetPercent, context.now);
     }
 }
 
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -123,7 +123,7 @@
 
 void handle(step_context &context, const fleet_changed &event)
 {
-    context.state.selection.fleet = event.view;
+    followFleet(context.state.selection, event.view, context.now);
     context.state.rateLedger.spenders = std::max(event.view.vms, 1U);
 }
 
@@ -302,6 +302,7 @@
     state.selection.self = identity.self;
     state.selection.dataCentre = identity.dataCentre;
     state.selection.policy = settings.balancing;
+    state.selection.retryRule = settings.retries;
     state.idempotencyClaims = makeClaims(identity.self, identity.life, {}, {});
     state.identity = std::move(identity);
     applyConfiguration(state, std::make_shared<const configuration>());
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -138,6 +138,9 @@
         if (selection.policy == balancing_policy::Affinity) {
             selection.services[index].retryBudget = sparseRetryBudget;
         }
+        if (selection.retryRule.slack > 0) { // What the process before this one had spent isn't known.
+            selection.services[index].retryBudget = {.tokens = 0, .capacity = 0};
+        }
     }
     for (std::size_t index = 0; index < known.services.size(); ++index) {
         if (selection.services[index].registryGeneration != known.services[index].generation) {
@@ -278,6 +281,35 @@
     }
 }
 
+void followFleet(upstream_selection &selection, const fleet_summary &fleet, instant now)
+{
+    selection.fleet = fleet;
+    recordFleetSize(selection.fleetSizes, fleet.vms + fleet.missingVms, now);
+    if (selection.retryRule.slack == 0) {
+        return;
+    }
+    const std::uint32_t vms = largestFleetSize(selection.fleetSizes, now);
+    for (upstream_service &each : selection.services) {
+        setCapacity(each.retryBudget, retryCapacity(selection.retryRule, vms, selection.self));
+    }
+}
+
+void creditRetryBudget(upstream_selection &selection, const registry &known, std::string_view service,
+                       std::uint32_t budgetPercent, instant now)
+{
+    retry_budget *budget = findRetryBudget(selection, known, service);
+    if (!budget) {
+        return;
+    }
+    if (selection.retryRule.slack == 0) {
+        addRetryTokens(*budget, budgetPercent);
+        return;
+    }
+    const std::uint32_t vms = largestFleetSize(selection.fleetSizes, now);
+    setCapacity(*budget, retryCapacity(selection.retryRule, vms, selection.self));
+    addRetryTokens(*budget, earnedPercent(selection.retryRule));
+}
+
 retry_budget *findRetryBudget(upstream_selection &selection, const registry &known, std::string_view service)
 {
     upstream_service *selected = findService(selection, known, service);
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -86,6 +86,10 @@
     bool strictConfiguration = false; ///< Requests are refused while the configuration is known to be outdated.
     /// Chooses instances by affinity; for fleets in which one VM sends less than one request per second to an instance.
     bool sparse = false;
+    /// Arrivals at a service's instances beyond the first of each request that the whole fleet may cause within some
+    /// seconds, beyond retryPercent of the requests. 0 leaves retries to the configuration's percentage at each VM.
+    std::uint32_t retrySlack = 0;
+    std::uint32_t retryPercent = 20; ///< Such arrivals in percent of the requests; applies with retrySlack.
 };
 
 /// All settings of one daemon, grouped as in the settings file.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -56,6 +56,8 @@
     visitor.field("entry.unackedTimeoutMs", values.entry.unackedTimeoutMs, number_range{0, 3'600'000});
     visitor.field("entry.strictConfiguration", values.entry.strictConfiguration, presence::Optional);
     visitor.field("entry.sparse", values.entry.sparse, presence::Optional);
+    visitor.field("entry.retrySlack", values.entry.retrySlack, number_range{0, 1'000'000});
+    visitor.field("entry.retryPercent", values.entry.retryPercent, number_range{0, 100});
 }
 
 } // namespace guavafront
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -55,6 +55,22 @@
     BOOST_TEST(toleratedWith("{}") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(retryRule_ratioAndSlack_takenOver)
+{
+    const entry_settings entry =
+        settingsWith("Bounds", R"({"RetryBudgetRatio":0.29,"BudgetSlack":56,"BudgetWindowS":10})").daemon.entry;
+    BOOST_TEST(entry.retryPercent == 29U);
+    BOOST_TEST(entry.retrySlack == 56U);
+}
+
+// Guards against a bound of retries that the deployment doesn't state.
+BOOST_AUTO_TEST_CASE(retryRule_oneOfBothMissing_none)
+{
+    BOOST_TEST(settingsWith("Bounds", R"({"RetryBudgetRatio":0.2})").daemon.entry.retrySlack == 0U);
+    BOOST_TEST(settingsWith("Bounds", R"({"BudgetSlack":56})").daemon.entry.retrySlack == 0U);
+    BOOST_TEST(settingsWith("Bounds", "{}").daemon.entry.retrySlack == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
