Learn what requests cost, by route, account and body size

Placement and admission know one typical latency for a service, whatever its requests are, so that a service with requests of 180 ms and of 1,000 ms is expected to take the mean for each. Nothing reads the estimates yet.

--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -86,6 +86,19 @@
     expire(state.requestQuarantine, context.now);
 }
 
+/// Records how long the instance worked on an answered request. Errors and failures don't show what a request costs.
+void recordServiceTime(step_context &context, const exchange &request, const attempt_result &result)
+{
+    if (result.outcome != attempt_outcome::Answered || result.status >= firstServerError) {
+        return;
+    }
+    // The wait is estimated by loads that are up to 0.2 s old, so that part of the time always counts as work.
+    constexpr int leastWorkPart = 4;
+    const duration took = std::max(duration::zero(), result.latency - result.connectTime);
+    recordWork(context.state.work, workKeyOf(request), std::max(took / leastWorkPart, took - request.expectedWait),
+               context.now);
+}
+
 /// Whether a reused connection was lost sooner than an answer could be expected, so that it was probably closed before.
 bool isStaleConnection(const entry &state, const exchange &request, const attempt_result &result)
 {
@@ -98,6 +111,14 @@
 
 } // namespace
 
+work_key workKeyOf(const exchange &request)
+{
+    return {.service = request.service,
+            .route = request.routeId,
+            .account = request.accountId,
+            .bodyBytes = request.bodyBytes};
+}
+
 request_fingerprint fingerprintOf(const exchange &request)
 {
     return fingerprintOf(request.accountId, request.routeId, request.digest);
@@ -257,6 +278,7 @@
                                  .reusedConnection = !result.newConnection,
                                  .reportedLoad = result.reportedLoad,
                                  .suspectRequest = isSuspectRequest(state.requestQuarantine, fingerprintOf(request))};
+    recordServiceTime(context, request, result);
     finishAttempt(state.selection, state.upstreams, request.service, attemptOutcome, context.now);
     if (state.selection.policy == balancing_policy::Affinity) {
         recordOutcome(context, request, result, attemptOutcome.kind);
--- a/src/coordination/entry/attempt_evidence.h
+++ b/src/coordination/entry/attempt_evidence.h
@@ -8,6 +8,9 @@
 namespace guavafront
 {
 
+/// What is visible of a request before it runs, for the estimate of its work.
+work_key workKeyOf(const exchange &request);
+
 /// Fingerprint that identifies equal requests in the quarantine.
 request_fingerprint fingerprintOf(const exchange &request);
 
