--- a/bench/model/placement_run.cpp
+++ b/bench/model/placement_run.cpp
@@ -4,10 +4,12 @@
 
 #include <guavafront/coordination/loads/load_reporter.h>
 #include <guavafront/coordination/routing/affinity.h>
+#include <guavafront/coordination/work/work_estimates.h>
 
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numbers>
 #include <random>
 #include <vector>
 
@@ -35,12 +37,16 @@
     candidate_set set; ///< Candidates with the loads that the VM knows.
     load_reporter reporter; ///< Loads that the VM has reported to its hub.
     std::map<instance_id, instance_load> instanceLoads; ///< Loads that instances reported since the last report.
+    work_estimates work; ///< What requests cost.
 };
 
 struct request_model {
     std::size_t vm = 0; ///< Entry VM.
     std::size_t instance = 0; ///< Index of the instance that it was sent to.
     instant arrived{}; ///< When the request arrived.
+    std::size_t kind = 0; ///< Index of its kind.
+    duration work{}; ///< Work that the VM expected of it.
+    duration wait{}; ///< Wait that the VM expected of it.
 };
 
 class placement_model
@@ -52,6 +58,13 @@
         , m_loadTotals(hubs)
         , m_vmLoadTotals(hubs)
     {
+        if (m_options.kinds.empty()) {
+            m_options.kinds.push_back({.meanServiceTime = options.meanServiceTime,
+                                       .sigma = options.serviceTimeSigma,
+                                       .latencyTarget = options.latencyTarget});
+        }
+        m_result.requestsByKind.resize(m_options.kinds.size());
+        m_result.inTimeByKind.resize(m_options.kinds.size());
         for (std::size_t dataCentre = 0; dataCentre < options.instances.size(); ++dataCentre) {
             m_instances.insert(m_instances.end(), options.instances[dataCentre], {.dataCentre = dataCentre});
         }
@@ -72,6 +85,9 @@
         for (std::size_t hub = 0; hub < hubs; ++hub) {
             sendLoads(hub);
         }
+        if (m_options.restartAt < m_options.length) {
+            m_events.at(start + m_options.restartAt, [this] { restartThird(); });
+        }
         m_events.runUntil(end + std::chrono::seconds(20)); // All requests have ended by then.
         return summary();
     }
@@ -118,20 +134,80 @@
         if (now >= start + m_options.length) {
             return;
         }
-        send(std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random));
+        send(drawVm(now));
         const double seconds = std::exponential_distribution<double>(rateAt(now))(m_random);
         m_events.after(std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds)),
                        [this] { arrive(); });
     }
 
+    /// The VM of the next request: one after the other, the data centres have more or less than their part of them.
+    std::size_t drawVm(instant now)
+    {
+        std::uniform_int_distribution<std::size_t> anyVm(0, m_vms.size() - 1);
+        while (m_options.swing > 0) {
+            const std::size_t vm = anyVm(m_random);
+            const double turns = std::chrono::duration<double>(now - start) / m_options.swingPeriod
+                                 - static_cast<double>(m_vms[vm].dataCentre) / hubs;
+            const double wanted = 1 + m_options.swing * std::sin(2 * std::numbers::pi * turns);
+            if (std::uniform_real_distribution<double>(0, 1 + m_options.swing)(m_random) < wanted) {
+                return vm;
+            }
+        }
+        return anyVm(m_random);
+    }
+
+    std::size_t drawKind()
+    {
+        if (m_options.kinds.size() == 1) {
+            return 0;
+        }
+        double part = std::uniform_real_distribution<double>(0, 1)(m_random);
+        std::size_t kind = 0;
+        while (kind + 1 < m_options.kinds.size() && part >= m_options.kinds[kind].share) {
+            part -= m_options.kinds[kind++].share;
+        }
+        return kind;
+    }
+
+    static work_key keyOf(std::size_t kind)
+    {
+        return {.service = "service", .route = {static_cast<std::uint32_t>(kind + 1)}, .account = {}};
+    }
+
+    work_estimates &workOf(vm_model &vm)
+    {
+        return m_options.sharesEstimates ? m_sharedWork : vm.work;
+    }
+
+    void restartThird()
+    {
+        for (std::size_t vm = 0; vm < m_vms.size(); vm += 3) {
+            m_vms[vm].work = {};
+            for (candidate &member : m_vms[vm].set.members) {
+                member.slowness = 1;
+                member.latencyUs = 0;
+                member.loadReportedAt = {};
+            }
+        }
+    }
+
     void send(std::size_t vm)
     {
         const instant now = m_events.now();
         vm_model &sender = m_vms[vm];
-        const auto chosen = chooseByAffinity(sender.set, m_noAvoidance, {vm * 7'919 + 1}, {}, now);
+        const std::size_t kind = drawKind();
+        const bool isKnown = isWorkKnown(workOf(sender), keyOf(kind));
+        const choice_request choice{.excluded = {},
+                                    .work = isKnown ? estimateWork(workOf(sender), keyOf(kind)).mean : duration(),
+                                    .byWork = m_options.byWork && doRoutesDiffer(workOf(sender), keyOf(kind).service)};
+        const auto chosen = chooseByAffinity(sender.set, m_noAvoidance, {vm * 7'919 + 1}, choice, now);
         const std::size_t index = m_requests.size();
-        m_requests.push_back({.vm = vm, .instance = chosen->instance.value - 1, .arrived = now});
-        onRequestSent(memberOf(sender, m_requests[index].instance));
+        m_requests.push_back({.vm = vm, .instance = chosen->instance.value - 1, .arrived = now, .kind = kind});
+        candidate &member = memberOf(sender, m_requests[index].instance);
+        onRequestSent(member, choice.work);
+        m_requests[index].work = choice.work;
+        m_requests[index].wait = expectedWait(sender.set, member, choice, now);
+        countSlow(m_requests[index]);
         sender.reporter.changed = true;
         const duration delay = oneWayDelayTo(m_requests[index]);
         m_sentToOtherDataCentres += delay == m_options.oneWayDelay ? 1 : 0;
@@ -151,11 +227,36 @@
         }
     }
 
+    bool isSlow(std::size_t instance) const
+    {
+        const duration since = m_events.now() - start;
+        return instance < m_options.slowInstances && since >= m_options.slowFrom && since < m_options.slowTo;
+    }
+
+    /// Counts a request that is sent in the second half of the slowness or 10 s after its end.
+    void countSlow(const request_model &request)
+    {
+        const duration since = request.arrived - start;
+        const duration end = std::min(m_options.slowTo, m_options.length);
+        const auto add = [&](std::pair<double, double> &share) {
+            share.first += request.instance < m_options.slowInstances ? 1 : 0;
+            share.second += 1;
+        };
+        if (since >= (m_options.slowFrom + end) / 2 && since < end) {
+            add(m_whileSlow);
+        } else if (since >= end + std::chrono::seconds(10)) {
+            add(m_afterSlow);
+        }
+    }
+
     void beginService(std::size_t index)
     {
-        const double mean = std::log(static_cast<double>(m_options.meanServiceTime.count()))
-                            - m_options.serviceTimeSigma * m_options.serviceTimeSigma / 2;
-        const double work = std::lognormal_distribution<double>(mean, m_options.serviceTimeSigma)(m_random);
+        const placement_kind &kind = m_options.kinds[m_requests[index].kind];
+        const double mean = std::log(static_cast<double>(kind.meanServiceTime.count())) - kind.sigma * kind.sigma / 2;
+        double work = std::lognormal_distribution<double>(mean, kind.sigma)(m_random);
+        work *= isSlow(m_requests[index].instance) ? m_options.slowFactor : 1;
+        const bool costsMore = m_requests[index].kind == 0 && m_events.now() - start >= m_options.costChangeAt;
+        work *= costsMore ? m_options.costFactor : 1;
         m_events.after(duration(static_cast<std::int64_t>(work)), [this, index] { finishService(index); });
     }
 
@@ -193,9 +294,13 @@
         candidate &member = memberOf(vm, request.instance);
         const duration latency = m_events.now() - request.arrived;
         if (answered) {
-            onRequestAnswered(vm.set, member, latency, m_events.now());
+            onRequestAnswered(vm.set, member, latency, m_events.now(), request.work);
+            recordWork(workOf(vm), keyOf(request.kind), std::max(latency / 4, latency - request.wait), m_events.now());
+            if (request.work > duration::zero()) {
+                recordSlowness(member, latency, request.work + request.wait, m_events.now());
+            }
         } else {
-            onRequestEnded(member);
+            onRequestEnded(member, request.work);
         }
         vm.reporter.changed = true;
         count(request, answered, latency);
@@ -203,8 +308,10 @@
 
     void count(const request_model &request, bool answered, duration latency)
     {
-        const bool inTime = answered && latency <= m_options.latencyTarget;
+        const bool inTime = answered && latency <= m_options.kinds[request.kind].latencyTarget;
         ++m_result.requests;
+        ++m_result.requestsByKind[request.kind];
+        m_result.inTimeByKind[request.kind] += inTime ? 1 : 0;
         m_result.inTime += inTime ? 1 : 0;
         m_result.late += answered && !inTime ? 1 : 0;
         m_result.refused += answered ? 0 : 1;
@@ -226,7 +333,8 @@
         vm_model &vm = m_vms[index];
         std::vector<instance_load> loads;
         if (m_options.loadSource == load_source::FleetSums) {
-            collectDueLoads(vm.reporter, vm.set.members, m_events.now(), loads);
+            const bool withWork = m_options.byWork && doRoutesDiffer(workOf(vm), keyOf(0).service);
+            collectDueLoads(vm.reporter, vm.set.members, m_events.now(), loads, withWork);
         } else if (m_options.loadSource == load_source::InstanceReports) {
             for (const auto &[instance, load] : std::exchange(vm.instanceLoads, {})) {
                 loads.push_back(load);
@@ -268,10 +376,12 @@
                                [this, other, reporter, own] { receiveLoads(other, reporter, own, false); });
             }
         }
-        const std::vector<instance_load> all = takeChangedLoads(m_loadTotals[hub], now);
+        const bool died = now - start >= m_options.hubsDieAt;
+        const std::vector<instance_load> all =
+            died ? std::vector<instance_load>() : takeChangedLoads(m_loadTotals[hub], now);
         for (vm_model &vm : m_vms) {
             if (vm.dataCentre == hub && !all.empty()) {
-                m_events.after(delayInDataCentre, [this, &vm, all] { applyLoads(vm, all); });
+                m_events.after(delayInDataCentre + m_options.sumsDelay, [this, &vm, all] { applyLoads(vm, all); });
             }
         }
         m_events.after(period(), [this, hub] { sendLoads(hub); });
@@ -281,12 +391,7 @@
     {
         const instant at = m_events.now() - period();
         for (const instance_load &each : all) {
-            candidate &member = *findCandidate(vm.set, each.instance);
-            if (at > member.loadReportedAt) {
-                member.reportedLoad = static_cast<float>(each.requests);
-                member.sentSinceReport = 0;
-                member.loadReportedAt = at;
-            }
+            applyReportedLoad(*findCandidate(vm.set, each.instance), each, at);
         }
     }
 
@@ -301,6 +406,8 @@
         result.p99Ms = m_latencies.empty() ? 0 : m_latencies[m_latencies.size() * 99 / 100];
         result.farShare = static_cast<double>(m_sentToOtherDataCentres)
                           / static_cast<double>(std::max<std::size_t>(m_requests.size(), 1));
+        result.slowShareLate = m_whileSlow.first / std::max(1.0, m_whileSlow.second);
+        result.fromSlowShare = m_afterSlow.first / std::max(1.0, m_afterSlow.second);
         return result;
     }
 
@@ -317,6 +424,9 @@
     /// Numbers of requests answered in time and of all requests, by windows of 2 s.
     std::map<std::int64_t, std::pair<int, int>> m_windows;
     std::size_t m_sentToOtherDataCentres = 0; ///< Requests sent to another data centre.
+    work_estimates m_sharedWork; ///< What requests cost, learned from the requests of all VMs.
+    std::pair<double, double> m_whileSlow; ///< Requests to slow instances and all, in the second half of the slowness.
+    std::pair<double, double> m_afterSlow; ///< The same from 10 s after the end of the slowness on.
     placement_result m_result; ///< Counts of the run so far.
 };
 
--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -38,11 +38,21 @@
     placement_options grown{.vms = {42, 42, 33}, .instances = {50, 50, 47}, .requestsPerSecond = 1'000};
     grown.meanServiceTime = milliseconds(380);
     grown.latencyTarget = milliseconds(1'500);
+    placement_options twoKinds{.vms = {34, 34, 33}, .instances = {7, 7, 6}, .requestsPerSecond = 140};
+    twoKinds.kinds = {{.share = 0.8, .meanServiceTime = milliseconds(180), .latencyTarget = milliseconds(500)},
+                      {.share = 0.2, .meanServiceTime = milliseconds(1'000), .latencyTarget = milliseconds(6'000)}};
+    placement_options twoKindsOld = twoKinds;
+    twoKindsOld.byWork = false;
+    placement_options twoKindsAlone = twoKinds;
+    twoKindsAlone.sharesEstimates = false;
     return {{"reservas", reservas},
             {"reservas, a sixth out", graySixth},
             {"reservas, a third out", grayThird},
             {"reservas, burst of 3 s", burst},
             {"isthykkt, a third out", isthykkt},
+            {"two kinds, typical latency", twoKindsOld},
+            {"two kinds, by work", twoKinds},
+            {"two kinds, own estimates", twoKindsAlone},
             {"reservas grown, a third out", grown}};
 }
 
--- a/include/guavafront/coordination/health/outcome.h
+++ b/include/guavafront/coordination/health/outcome.h
@@ -28,6 +28,8 @@
     duration latency{}; ///< Time from sending the request to the end of the attempt.
     bool reusedConnection = false; ///< The connection had carried a request before.
     std::optional<std::uint32_t> reportedLoad; ///< Requests running or waiting at the instance, as its answer reports.
+    duration work{}; ///< Expected service time of the request when it was sent; 0 when it wasn't known.
+    duration expectedWait{}; ///< Expected wait for a slot at the instance when it was sent.
     /// An instance died while it ran the same request. The outcome is then no evidence against this instance.
     bool suspectRequest = false;
 };
--- a/include/guavafront/coordination/loads/load_reporter.h
+++ b/include/guavafront/coordination/loads/load_reporter.h
@@ -31,8 +31,9 @@
 /// Time at which the next report is due; instant::max() when there is nothing to report.
 instant nextLoadReport(const load_reporter &state);
 
-/// Appends to the report the members of one service whose number changed or must be repeated.
+/// Appends to the report the members of one service whose number changed or must be repeated. The report contains their
+/// work where the service's routes differ in cost.
 void collectDueLoads(load_reporter &state, std::span<const candidate> members, instant now,
-                     std::vector<instance_load> &report);
+                     std::vector<instance_load> &report, bool withWork = false);
 
 } // namespace guavafront
--- a/include/guavafront/coordination/loads/load_totals.h
+++ b/include/guavafront/coordination/loads/load_totals.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/loads/instance_load.h>
 
 #include <cstdint>
 #include <set>
@@ -12,20 +13,13 @@
 namespace guavafront
 {
 
-/// Number of requests at one instance.
-struct instance_load {
-    instance_id instance; ///< The instance.
-    std::uint32_t requests = 0; ///< Requests that run or wait there.
-    duration age{}; ///< Time between the count and the sending of this report.
-    bool operator==(const instance_load &) const = default; ///< Memberwise equality.
-};
-
 /// A hub's sums of the unanswered requests that each VM has sent to an instance. They count a request as soon as it is
 /// sent, whereas the load that an instance reports about itself arrives only with its answers.
 struct load_totals {
     /// Unanswered requests of one VM at an instance.
     struct vm_load {
         std::uint32_t requests = 0; ///< Number in the VM's last report.
+        duration work{}; ///< Expected work of these requests; 0 when the VM didn't report it.
         instant reportedAt{}; ///< When the report arrived.
     };
 
@@ -38,7 +32,8 @@
 /// Records the requests that a VM has at the given instances, in place of its earlier numbers for them.
 void recordLoads(load_totals &totals, vm_id reporter, std::span<const instance_load> loads, instant now);
 
-/// Returns the sums of the instances that changed since the last call.
+/// Returns the sums of the instances that changed since the last call. Requests whose work wasn't reported, by VMs of
+/// the previous build, count with the mean of the others.
 std::vector<instance_load> takeChangedLoads(load_totals &totals, instant now);
 
 } // namespace guavafront
--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -29,7 +29,7 @@
 };
 
 /// Time that the newest request at a member is expected to wait for a slot, by the member's estimated load.
-duration expectedWait(const candidate_set &set, const candidate &member, instant now,
+duration expectedWait(const candidate_set &set, const candidate &member, const choice_request &request, instant now,
                       const affinity_parameters &parameters = {});
 
 /// Chooses the instance with the least expected delay, for VMs that each send few requests to an instance. Every VM has
--- a/include/guavafront/coordination/routing/balancer.h
+++ b/include/guavafront/coordination/routing/balancer.h
@@ -34,6 +34,8 @@
     bool mayBeRetried = true;
     const episode_lengths *lengths = nullptr; ///< Lengths of the service's failure episodes; null when none are known.
     service_loss loss = service_loss::Small; ///< How much of the service's last requests at this VM wasn't served.
+    duration work{}; ///< Expected service time of the request.
+    bool byWork = false; ///< The service's routes differ in cost, so that instances are compared by outstanding work.
 };
 
 /// Chooses an instance with a free slot for this VM's next request; nothing when there is none. random is one draw of
--- a/include/guavafront/coordination/routing/candidate_set.h
+++ b/include/guavafront/coordination/routing/candidate_set.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/loads/instance_load.h>
 #include <guavafront/coordination/registry/registry.h>
 
 #include <cstdint>
@@ -33,6 +34,11 @@
     instant connectionKeptUntil{}; ///< Until then an idle connection to the instance is probably open.
     instant fullUntil{}; ///< Until then the instance counts as full, since it refused a request for lack of room.
     instant loadReportedAt{}; ///< Time of reportedLoad; the beginning of time before the first report.
+    float outstandingWorkUs = 0; ///< Expected work of this VM's unanswered requests, in microseconds.
+    float sentWorkUs = 0; ///< Expected work of the requests that this VM sent since loadReportedAt, in microseconds.
+    float reportedWorkUs = 0; ///< Expected work of reportedLoad's requests in microseconds; 0 when it wasn't reported.
+    float slowness = 1; ///< Moving average of observed to expected time, whatever kinds of requests ran there.
+    instant slownessAt{}; ///< When slowness was last updated.
 };
 
 /// Instances of one service that this VM may choose from, called members. The near ones, in this VM's data centre, come
@@ -59,11 +65,20 @@
 /// Finds the member for an instance; null when the instance isn't a member.
 candidate *findCandidate(candidate_set &set, instance_id instance);
 
-/// Counts a request that is sent to the member.
-void onRequestSent(candidate &member);
+/// Counts a request that is sent to the member; work is its expected service time.
+void onRequestSent(candidate &member, duration work = {});
 
-/// Counts the end of a request whose latency says nothing about the member.
-void onRequestEnded(candidate &member);
+/// Counts the end of a request whose latency says nothing about the member; work is the same as when it was sent.
+void onRequestEnded(candidate &member, duration work = {});
+
+/// Records a load that a hub reported, as of the given time. It replaces an older one.
+void applyReportedLoad(candidate &member, const instance_load &load, instant at);
+
+/// Records how long an answer took, and how long it was expected to take with the wait at the member.
+void recordSlowness(candidate &member, duration took, duration expected, instant now);
+
+/// The member's slowness now: without answers it returns to 1, so that an instance that has recovered is chosen again.
+float slownessOf(const candidate &member, instant now);
 
 /// Records the load that the instance reported with an answer.
 void onLoadReported(candidate &member, std::uint32_t load, instant now);
@@ -72,7 +87,8 @@
 /// has recovered is chosen again. To be called a few times a second.
 void driftStaleLatencies(candidate_set &set, instant now);
 
-/// Counts the end of an answered request; latency is the time from sending to the complete answer.
-void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now);
+/// Counts the end of an answered request; latency is the time from sending to the complete answer, work the same as
+/// when it was sent.
+void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now, duration work = {});
 
 } // namespace guavafront
--- a/include/guavafront/coordination/work/work_estimates.h
+++ b/include/guavafront/coordination/work/work_estimates.h
@@ -63,6 +63,10 @@
 /// Whether enough of the request's route or service was observed for an estimate.
 bool isWorkKnown(const work_estimates &state, const work_key &key);
 
+/// Whether routes of the service differ so much in their expected work that requests are placed by it. Otherwise one
+/// typical latency describes all of them.
+bool doRoutesDiffer(const work_estimates &state, std::string_view service);
+
 /// Records the service time of an answered request, without the time that it waited.
 void recordWork(work_estimates &state, const work_key &key, duration took, instant now);
 
--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -139,8 +139,10 @@
     state.ownLoads.changed = false;
     state.ownLoads.lastReportAt = context.now;
     std::vector<instance_load> report;
-    for (const upstream_service &service : state.selection.services) {
-        collectDueLoads(state.ownLoads, service.candidates.members, context.now, report);
+    for (std::size_t index = 0; index < state.selection.services.size(); ++index) {
+        const bool withWork = doRoutesDiffer(state.work, state.upstreams.services[index].service);
+        collectDueLoads(state.ownLoads, state.selection.services[index].candidates.members, context.now, report,
+                        withWork);
     }
     if (!report.empty()) {
         context.effects.emplace_back(report_loads{std::move(report)});
@@ -277,6 +279,8 @@
                                  .latency = result.latency,
                                  .reusedConnection = !result.newConnection,
                                  .reportedLoad = result.reportedLoad,
+                                 .work = request.expectedWork,
+                                 .expectedWait = request.expectedWait,
                                  .suspectRequest = isSuspectRequest(state.requestQuarantine, fingerprintOf(request))};
     recordServiceTime(context, request, result);
     finishAttempt(state.selection, state.upstreams, request.service, attemptOutcome, context.now);
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -192,10 +192,15 @@
     creditRetryBudget(context, request);
     std::vector<instance_id> excluded = request.attemptedInstances;
     appendPaused(context.state.selection.notices, context.now, excluded);
+    const work_key key = workKeyOf(request);
+    request.expectedWork =
+        isWorkKnown(context.state.work, key) ? estimateWork(context.state.work, key).mean : duration();
     const choice_request choice{.excluded = excluded,
                                 .repeatable = request.mayBeRepeated,
                                 .retry = !request.attemptedInstances.empty(),
-                                .mayBeRetried = mayBeRetried(context, request)};
+                                .mayBeRetried = mayBeRetried(context, request),
+                                .work = request.expectedWork,
+                                .byWork = doRoutesDiffer(context.state.work, request.service)};
     const std::optional<instance_id> chosen = chooseInstance(context, request, choice);
     if (!chosen) {
         return refuseSelection(context, request, codeWithoutInstance(context.state, request),
--- a/src/coordination/loads/load_reporter.cpp
+++ b/src/coordination/loads/load_reporter.cpp
@@ -12,7 +12,7 @@
 }
 
 void collectDueLoads(load_reporter &state, std::span<const candidate> members, instant now,
-                     std::vector<instance_load> &report)
+                     std::vector<instance_load> &report, bool withWork)
 {
     for (const candidate &member : members) {
         const auto known = state.lastReported.find(member.instance);
@@ -22,7 +22,8 @@
         if (member.outstanding == before && !old) {
             continue;
         }
-        report.push_back({.instance = member.instance, .requests = member.outstanding, .age = {}});
+        const duration work(withWork ? static_cast<std::int64_t>(member.outstandingWorkUs) : 0);
+        report.push_back({.instance = member.instance, .requests = member.outstanding, .age = {}, .work = work});
         if (member.outstanding == 0) {
             state.lastReported.erase(member.instance);
         } else {
--- a/src/coordination/loads/load_totals.cpp
+++ b/src/coordination/loads/load_totals.cpp
@@ -19,6 +19,22 @@
     }
 }
 
+/// Sum of the numbers that VMs reported for an instance.
+instance_load sumOf(instance_id instance, const std::unordered_map<vm_id, load_totals::vm_load> &loadsByVm)
+{
+    instance_load sum{.instance = instance};
+    std::uint32_t withWork = 0;
+    for (const auto &[reporter, load] : loadsByVm) {
+        sum.requests += load.requests;
+        sum.work += load.work;
+        withWork += load.work > duration::zero() ? load.requests : 0;
+    }
+    if (withWork > 0) {
+        sum.work = sum.work * sum.requests / withWork;
+    }
+    return sum;
+}
+
 } // namespace
 
 void recordLoads(load_totals &totals, vm_id reporter, std::span<const instance_load> loads, instant now)
@@ -26,10 +42,10 @@
     for (const instance_load &each : loads) {
         auto &loadsByVm = totals.loadsByInstance[each.instance];
         load_totals::vm_load &load = loadsByVm[reporter];
-        if (load.requests != each.requests) {
+        if (load.requests != each.requests || load.work != each.work) {
             totals.changedInstances.insert(each.instance);
         }
-        load = {.requests = each.requests, .reportedAt = now};
+        load = {.requests = each.requests, .work = each.work, .reportedAt = now};
         if (each.requests == 0) {
             loadsByVm.erase(reporter);
         }
@@ -41,11 +57,7 @@
     removeExpired(totals, now);
     std::vector<instance_load> changed;
     for (const instance_id instance : totals.changedInstances) {
-        std::uint32_t requests = 0;
-        for (const auto &[reporter, load] : totals.loadsByInstance[instance]) {
-            requests += load.requests;
-        }
-        changed.push_back({.instance = instance, .requests = requests, .age = {}});
+        changed.push_back(sumOf(instance, totals.loadsByInstance[instance]));
     }
     totals.changedInstances.clear();
     std::erase_if(totals.loadsByInstance, [](const auto &each) { return each.second.empty(); });
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -1,5 +1,6 @@
 #include <guavafront/coordination/routing/affinity.h>
 
+#include "coordination/routing/instance_cost.h"
 #include "coordination/routing/rendezvous.h"
 
 #include <algorithm>
@@ -11,19 +12,35 @@
 namespace
 {
 
+/// Whether the last reported load is still valid.
+bool isReportFresh(const candidate &member, instant now, const affinity_parameters &parameters)
+{
+    return member.loadReportedAt != instant{} && now - member.loadReportedAt < parameters.loadValidity;
+}
+
 /// Estimated requests at the instance: the last reported load, while it is valid, plus what this VM has sent since, but
 /// at least this VM's own requests.
 float estimatedLoad(const candidate &member, instant now, const affinity_parameters &parameters)
 {
     const auto own = static_cast<float>(member.outstanding);
-    const bool fresh = member.loadReportedAt != instant{} && now - member.loadReportedAt < parameters.loadValidity;
+    const bool fresh = isReportFresh(member, now, parameters);
     return fresh ? std::max(own, member.reportedLoad + static_cast<float>(member.sentSinceReport)) : own;
 }
 
-/// Expected time until the answer beyond the service's typical latency, in microseconds.
-float expectedDelayUs(const candidate_set &set, const candidate &member, instant now,
+/// Load and work at the instance, for a service whose routes differ in cost.
+instance_work estimatedWork(const candidate_set &set, const candidate &member, instant now,
+                            const affinity_parameters &parameters)
+{
+    return workAt(set, member, estimatedLoad(member, now, parameters), isReportFresh(member, now, parameters), now);
+}
+
+/// Expected time until the answer beyond what the request takes anyway, in microseconds.
+float expectedDelayUs(const candidate_set &set, const candidate &member, const choice_request &request, instant now,
                       const affinity_parameters &parameters)
 {
+    if (request.byWork) {
+        return delayByWorkUs(estimatedWork(set, member, now, parameters), static_cast<float>(request.work.count()));
+    }
     const float typical = set.typicalLatencyUs;
     const float latency = member.latencyUs > 0 ? member.latencyUs : typical;
     const float load = estimatedLoad(member, now, parameters);
@@ -67,8 +84,8 @@
 }
 
 /// The open member with the least cost; null when no member is open.
-const ranked_member *findCheapestOpen(const std::vector<ranked_member> &ranked, const candidate_set &set, instant now,
-                                      const affinity_parameters &parameters)
+const ranked_member *findCheapestOpen(const std::vector<ranked_member> &ranked, const candidate_set &set,
+                                      const choice_request &request, instant now, const affinity_parameters &parameters)
 {
     const ranked_member *best = nullptr;
     float bestCost = 0;
@@ -77,7 +94,7 @@
         if (each.status != avoidance_status::Open) {
             continue;
         }
-        float cost = expectedDelayUs(set, *each.member, now, parameters)
+        float cost = expectedDelayUs(set, *each.member, request, now, parameters)
                      + rank * static_cast<float>(parameters.rankCost.count());
         cost += each.near ? 0 : static_cast<float>(parameters.farCost.count());
         const bool connectionKept = each.member->outstanding == 0 && now < each.member->connectionKeptUntil;
@@ -167,9 +184,13 @@
 
 } // namespace
 
-duration expectedWait(const candidate_set &set, const candidate &member, instant now,
+duration expectedWait(const candidate_set &set, const candidate &member, const choice_request &request, instant now,
                       const affinity_parameters &parameters)
 {
+    if (request.byWork) {
+        const instance_work at = estimatedWork(set, member, now, parameters);
+        return duration(static_cast<std::int64_t>(queueingUs(at, at.requests - at.slots)));
+    }
     const auto slots = static_cast<float>(std::max<std::uint16_t>(member.slots, 1));
     const float queueing = std::max(0.0F, estimatedLoad(member, now, parameters) - slots);
     return duration(static_cast<std::int64_t>(queueing * set.typicalLatencyUs / slots));
@@ -186,7 +207,7 @@
     if (request.retry) {
         keepProvenMembers(ranked, avoidedInstances, now);
     }
-    if (const ranked_member *best = findCheapestOpen(ranked, set, now, parameters)) {
+    if (const ranked_member *best = findCheapestOpen(ranked, set, request, now, parameters)) {
         return affinity_choice{best->member->instance, false};
     }
     // All members are avoided: the one whose last failure is the oldest is the most likely to have recovered.
--- a/src/coordination/routing/candidate_set.cpp
+++ b/src/coordination/routing/candidate_set.cpp
@@ -91,25 +91,65 @@
     return near ? near : findInPart(farPart(set), instance);
 }
 
-void onRequestSent(candidate &member)
+void onRequestSent(candidate &member, duration work)
 {
     ++member.outstanding;
     ++member.sentSinceReport;
+    member.outstandingWorkUs += static_cast<float>(work.count());
+    member.sentWorkUs += static_cast<float>(work.count());
 }
 
-void onRequestEnded(candidate &member)
+void onRequestEnded(candidate &member, duration work)
 {
     // A member that was removed and added again starts at zero, while answers to its earlier requests may still arrive.
     if (member.outstanding > 0) {
         --member.outstanding;
     }
+    const float left = std::max(0.0F, member.outstandingWorkUs - static_cast<float>(work.count()));
+    member.outstandingWorkUs = member.outstanding > 0 ? left : 0; // Rounding errors don't add up.
+}
+
+void applyReportedLoad(candidate &member, const instance_load &load, instant at)
+{
+    if (at <= member.loadReportedAt) {
+        return;
+    }
+    member.reportedLoad = static_cast<float>(load.requests);
+    member.reportedWorkUs = static_cast<float>(load.work.count());
+    member.sentSinceReport = 0;
+    member.sentWorkUs = 0;
+    member.loadReportedAt = at;
+}
+
+void recordSlowness(candidate &member, duration took, duration expected, instant now)
+{
+    constexpr float maxRatio = 20; // One lost answer is no measure of how slow an instance is.
+    const auto expectedUs = static_cast<float>(std::max<std::int64_t>(expected.count(), 1));
+    const float sample = std::min(maxRatio, static_cast<float>(took.count()) / expectedUs);
+    const float elapsedSeconds = std::chrono::duration<float>(now - member.slownessAt).count();
+    const float share = std::max(minSampleShare, 1 - std::exp(-elapsedSeconds / latencyDecaySeconds));
+    // One answer after a long time may be slow due to its request alone, so that it counts for half at most.
+    constexpr float maxSampleShare = 0.5F;
+    const float before = slownessOf(member, now);
+    member.slowness = before + (sample - before) * std::min(share, maxSampleShare);
+    member.slownessAt = now;
+}
+
+float slownessOf(const candidate &member, instant now)
+{
+    const float elapsedSeconds = std::chrono::duration<float>(now - member.slownessAt).count();
+    return 1 + (member.slowness - 1) * std::exp(-std::max(0.0F, elapsedSeconds) / latencyDecaySeconds);
 }
 
 void onLoadReported(candidate &member, std::uint32_t load, instant now)
 {
-    // The instance counts the request whose answer carries the report.
-    member.reportedLoad = static_cast<float>(load > 0 ? load - 1 : 0);
+    // The instance counts the request whose answer carries the report. It doesn't tell the work of the others, which is
+    // taken as the mean before.
+    const auto others = static_cast<float>(load > 0 ? load - 1 : 0);
+    member.reportedWorkUs = member.reportedLoad > 0 ? member.reportedWorkUs / member.reportedLoad * others : 0;
+    member.reportedLoad = others;
     member.sentSinceReport = 0;
+    member.sentWorkUs = 0;
     member.loadReportedAt = now;
 }
 
@@ -122,9 +162,9 @@
     }
 }
 
-void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now)
+void onRequestAnswered(candidate_set &set, candidate &member, duration latency, instant now, duration work)
 {
-    onRequestEnded(member);
+    onRequestEnded(member, work);
     const auto sampleUs = static_cast<float>(latency.count());
     const float elapsedSeconds = std::chrono::duration<float>(now - member.lastAnswerAt).count();
     const float share = std::max(minSampleShare, 1 - std::exp(-elapsedSeconds / latencyDecaySeconds));
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -59,12 +59,20 @@
 {
     const bool silent = ended.kind == outcome_kind::TimedOut && ended.reusedConnection;
     if (silent || ended.kind == outcome_kind::Shed || ended.kind == outcome_kind::Cancelled) {
-        onRequestEnded(member);
-    } else if (ended.kind == outcome_kind::Answered) {
-        onRequestAnswered(set, member, ended.latency, now);
+        onRequestEnded(member, ended.work);
+        return;
+    }
+    const bool isWorkKnown = ended.work > duration::zero();
+    const duration expected = ended.expectedWait + ended.work;
+    if (ended.kind == outcome_kind::Answered) {
+        onRequestAnswered(set, member, ended.latency, now, ended.work);
     } else {
         const auto average = duration(static_cast<std::int64_t>(member.latencyUs));
-        onRequestAnswered(set, member, std::max(ended.latency, average), now);
+        onRequestAnswered(set, member, std::max(ended.latency, average), now, ended.work);
+    }
+    if (isWorkKnown) {
+        const bool failed = ended.kind != outcome_kind::Answered;
+        recordSlowness(member, failed ? std::max(ended.latency, expected) : ended.latency, expected, now);
     }
 }
 
@@ -170,7 +178,7 @@
         chosen = chooseInstance(selected->candidates, selection.policy, request, random);
     }
     if (chosen) {
-        onRequestSent(*findCandidate(selected->candidates, *chosen));
+        onRequestSent(*findCandidate(selected->candidates, *chosen), request.work);
     }
     return chosen;
 }
@@ -191,8 +199,8 @@
         return std::nullopt;
     }
     candidate &member = *findCandidate(selected->candidates, chosen->instance);
-    onRequestSent(member);
-    return selected_instance{*chosen, expectedWait(selected->candidates, member, now)};
+    onRequestSent(member, request.work);
+    return selected_instance{*chosen, expectedWait(selected->candidates, member, request, now)};
 }
 
 bool recordEvidence(upstream_selection &selection, const registry &known, const instance_report &report, instant now)
@@ -216,11 +224,8 @@
             continue;
         }
         candidate *member = findCandidate(selection.services[service->second].candidates, each.instance);
-        const instant at = now - each.age - loadReportDelay;
-        if (member && at > member->loadReportedAt) {
-            member->reportedLoad = static_cast<float>(each.requests);
-            member->sentSinceReport = 0;
-            member->loadReportedAt = at;
+        if (member) {
+            applyReportedLoad(*member, each, now - each.age - loadReportDelay);
         }
     }
 }
--- a/src/coordination/work/work_estimates.cpp
+++ b/src/coordination/work/work_estimates.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <bit>
 #include <cmath>
+#include <limits>
 
 namespace guavafront
 {
@@ -15,6 +16,9 @@
 constexpr std::size_t maxRoutes = 512; ///< Most routes kept, about 300 bytes each.
 constexpr std::size_t maxTraits = 1'024; ///< Most accounts and body classes kept.
 constexpr float minRouteWeight = 3; ///< Weight of samples from which on a route has an estimate of its own.
+constexpr float minComparedWeight = 8; ///< Weight of samples from which on a route is compared with others.
+/// Least ratio of two routes' means that counts as a difference; smaller ones arise by chance and cost little.
+constexpr double leastDifferenceFactor = 1.5;
 constexpr float minTraitWeight = 12; ///< Weight of samples from which on a trait may explain a difference.
 constexpr float traitMemory = 64; ///< Most weight of a trait's samples, so that it follows changes.
 constexpr float minTraitDifference = 0.3F; ///< Least difference of the mean ratio from 1 that is used.
@@ -134,6 +138,20 @@
     return findRouteSamples(state, key) || state.services.contains(key.service);
 }
 
+bool doRoutesDiffer(const work_estimates &state, std::string_view service)
+{
+    double least = std::numeric_limits<double>::max();
+    double most = 0;
+    for (const auto &[id, route] : state.routes) {
+        if (route.service == service && route.samples.weight >= minComparedWeight) {
+            const double mean = route.samples.sumUs / route.samples.weight;
+            least = std::min(least, mean);
+            most = std::max(most, mean);
+        }
+    }
+    return most > least * leastDifferenceFactor;
+}
+
 void recordWork(work_estimates &state, const work_key &key, duration took, instant now)
 {
     const auto add = [took, now](work_samples &samples) {
