Keep requests of different cost apart when they are placed

Short requests waited behind long ones of the same service: load was a count, and an instance that got two long requests looked slow. Where the learned costs of a service's routes differ by half, the cost of an instance is now the wait by outstanding work, its slowness as the ratio of observed to expected time, and a cost of mixing kinds, since loads are known 0.1 to 0.2 s late. Without such routes the choice is the same as before.

--- a/src/coordination/routing/candidate_set.cpp
+++ b/src/coordination/routing/candidate_set.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr float latencyDecaySeconds = 10; ///< Time in which an old average loses 63 % (1 - 1/e) of its weight.
+/// Time in which an instance's slowness loses 63 % without answers. It is longer, since a VM sends an instance that it
+/// avoids no request in 10 s, and would forget it.
+constexpr float slownessDecaySeconds = 30;
 constexpr float minSampleShare = 0.2F; ///< Least weight of a sample, so that the average also follows busy instances.
 /// Time without an answer after which an average drifts.
 constexpr duration latencyStaleAfter = std::chrono::seconds(1);
@@ -138,7 +141,7 @@
 float slownessOf(const candidate &member, instant now)
 {
     const float elapsedSeconds = std::chrono::duration<float>(now - member.slownessAt).count();
-    return 1 + (member.slowness - 1) * std::exp(-std::max(0.0F, elapsedSeconds) / latencyDecaySeconds);
+    return 1 + (member.slowness - 1) * std::exp(-std::max(0.0F, elapsedSeconds) / slownessDecaySeconds);
 }
 
 void onLoadReported(candidate &member, std::uint32_t load, instant now)
--- a/src/coordination/routing/instance_cost.h
+++ b/src/coordination/routing/instance_cost.h
@@ -10,6 +10,7 @@
 struct instance_work {
     float requests = 0; ///< Requests that run or wait at the instance.
     float workUs = 0; ///< Their expected work in microseconds.
+    float typicalUs = 0; ///< Typical latency of the service in microseconds.
     float slots = 1; ///< Requests that the instance runs at once.
     float slowness = 1; ///< Observed to expected time of its answers.
     bool full = false; ///< It refused a request for lack of room a short time ago.
