Evacuate data centres by order of the operator

Operators could not take a data centre out of service: its instances had to drain one by one, and each heartbeat or new instance undid it.

POST /api/rpc?call=evacuation.start|end&of=ZONE on the control port, and `guavafront operator evacuate|end-evacuation`, order it through the replicated log. The leader puts its time into the proposal; each replica decides by it whether an order is new, in force already or a late copy of one that was replaced less than 4 s ago. The list of evacuations is part of the configuration, outside replace_all, and reaches entry VMs as revisions do. It is encoded only while it is not empty, and the leader has a revoked evacuation forgotten after 60 s, so that VMs of the previous build can read the state.

instance_notices holds the evacuated data centres, so that first attempts, retries, trials, probes, the queue's slots and refusals leave their instances out. A service without others is refused at once as no_upstream, not run. reopenedAt() tells since when a data centre is open again.

The golden files of configurations without evacuations are unchanged.

--- a/include/guavafront/coordination/configuration/change.h
+++ b/include/guavafront/coordination/configuration/change.h
@@ -72,7 +72,8 @@
 };
 
 /// Replaces the whole configuration by one that carries a version number of an outside operator; the highest version
-/// wins. The ids in value are placeholders: accounts and routes that exist already keep their ids, others get new ones.
+/// wins. Evacuations stay as they are. The ids in value are placeholders: accounts and routes that exist already keep
+/// their ids, others get new ones.
 struct replace_all {
     configuration value; ///< New content, with externalVersion and document.
     bool operator==(const replace_all &) const = default; ///< Memberwise equality.
@@ -80,8 +81,9 @@
 
 /// One edit of the configuration. Operators never send a configuration_difference: it takes the place of a replace_all
 /// when VMs pass accepted changes on to each other.
-using change = std::variant<set_defaults, create_account, set_kind_order, grant_key, withdraw_key, put_route,
-                            remove_route, put_exception, remove_exception, replace_all, configuration_difference>;
+using change =
+    std::variant<set_defaults, create_account, set_kind_order, grant_key, withdraw_key, put_route, remove_route,
+                 put_exception, remove_exception, replace_all, configuration_difference, evacuation_order>;
 
 /// Maximum number of changes in one request.
 constexpr std::size_t maxChangesPerRequest = 1000;
--- a/include/guavafront/coordination/configuration/configuration.h
+++ b/include/guavafront/coordination/configuration/configuration.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/evacuation/evacuation.h>
 
 #include <array>
 #include <cstddef>
@@ -126,6 +127,8 @@
     caller_limits limits; ///< Limits on what callers may send.
     std::uint64_t externalVersion = 0; ///< Version that an outside operator gave with replace_all; 0 before the first.
     std::string document; ///< What the outside operator sent, kept for reading it back; empty before the first.
+    /// Orders to evacuate data centres, ordered by data centre. Not part of what replace_all replaces.
+    std::vector<evacuation> evacuations;
 
     /// Memberwise equality.
     bool operator==(const configuration &) const = default;
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -150,12 +150,26 @@
     departure what; ///< The departure.
 };
 
+/// Report to operators that this VM stops to send requests to the instances of a data centre, or may again.
+struct report_evacuation {
+    evacuation state; ///< The data centre and the order now in force; without times if none is kept any more.
+    revision atRevision; ///< Revision of the configuration with the order.
+    std::uint32_t instances = 0; ///< Serving instances of the data centre that this VM knows.
+    std::uint32_t services = 0; ///< Services with instances there that have none elsewhere.
+};
+
+/// Count a request of a service that has instances in an evacuated data centre.
+struct count_evacuated_request {
+    std::string service; ///< Service of the request.
+    bool placed = false; ///< An attempt starts at another instance; otherwise the request is refused without one.
+};
+
 /// Everything that the entry's decisions can ask the front end to do.
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
                  report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
-                 report_departure>;
+                 report_departure, report_evacuation, count_evacuated_request>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/notices/instance_notices.h
+++ b/include/guavafront/coordination/notices/instance_notices.h
@@ -2,8 +2,13 @@
 
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/evacuation/evacuation.h>
 #include <guavafront/coordination/registry/registry.h>
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -17,10 +22,22 @@
     instant listedAt{}; ///< When it was last announced to the fleet, or said something.
 };
 
-/// What instances said of themselves in their answers. The word holds for one incarnation, which has an instance_id of
-/// its own, whatever the registry says of it: announcements travel by another way and may be late, lost or withdrawn.
+/// A data centre whose evacuation was revoked.
+struct reopened_data_centre {
+    std::string dataCentre; ///< Name of the data centre.
+    std::uint64_t endedMs = 0; ///< Time of the revocation by the control leader's clock; tells revocations apart.
+    instant since{}; ///< When this VM learned that it is open again.
+};
+
+/// What instances said of themselves in their answers, and the data centres that the operator has evacuated. The word
+/// holds for one incarnation, which has an instance_id of its own, whatever the registry says of it: announcements
+/// travel by another way and may be late, lost or withdrawn.
 struct instance_notices {
     std::unordered_map<instance_id, instance_notice> byInstance; ///< Instances that said something.
+    /// Evacuated data centres, ordered. Kept here so that every check whether an instance is usable includes them.
+    std::vector<std::string> evacuatedDataCentres;
+    /// Data centres that are open again since a short time ago, ordered by name.
+    std::vector<reopened_data_centre> reopenedDataCentres;
 };
 
 /// Records that an instance leaves, as it told this VM or another one. Returns whether that is news to this VM.
@@ -36,7 +53,21 @@
 /// End of the instance's pause; in the past, or the beginning of time, when it isn't paused.
 instant pausedUntil(const instance_notices &notices, instance_id instance);
 
-/// Whether the instance is announced as serving and has not said that it leaves. It may be paused.
+/// Replaces the evacuated data centres by those of the configuration in force, and notes which ones are open again.
+void setEvacuations(instance_notices &notices, const std::vector<evacuation> &evacuations, instant now);
+
+/// Whether the operator has evacuated the data centre.
+bool isEvacuated(const instance_notices &notices, std::string_view dataCentre);
+
+/// When this VM learned that the data centre's evacuation was revoked; nothing when it wasn't, or is evacuated again.
+/// Until an announcement that arrives later says otherwise, the data centre's instances count as cold.
+std::optional<instant> reopenedAt(const instance_notices &notices, std::string_view dataCentre);
+
+/// Whether the instance is announced as serving and has not said that it leaves, wherever it runs.
+bool isServing(const instance_notices &notices, const registered_instance &instance);
+
+/// Whether the instance is announced as serving, has not said that it leaves and is in no evacuated data centre. It may
+/// be paused.
 bool isUsable(const instance_notices &notices, const registered_instance &instance);
 
 /// Whether a new request may be sent to the instance now: it is usable and not paused.
--- a/include/guavafront/coordination/upstreams/service_instance_counts.h
+++ b/include/guavafront/coordination/upstreams/service_instance_counts.h
@@ -19,6 +19,7 @@
     std::uint32_t avoided = 0; ///< Instances with avoidance_status::Avoided.
     std::uint32_t paused = 0; ///< Instances that want no request from this VM for a time.
     std::uint32_t leaving = 0; ///< Instances that are still announced as serving but have said that they leave.
+    std::uint32_t evacuated = 0; ///< Instances in evacuated data centres.
     bool operator==(const service_instance_counts &) const = default; ///< Memberwise equality.
 };
 
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/evacuation/evacuation.h>
 #include <guavafront/coordination/health/consent.h>
 #include <guavafront/coordination/health/ejection.h>
 #include <guavafront/coordination/health/service_health.h>
@@ -33,6 +34,7 @@
     std::uint32_t floorPercent = 100; ///< Share of the capacity that ejection leaves in rotation, in percent.
     std::uint32_t totalSlots = 0; ///< Slots of all serving instances: the service's capacity.
     std::uint32_t largestSlots = 0; ///< Largest number of slots of one serving instance.
+    std::uint32_t evacuatedInstances = 0; ///< Instances left out only because their data centre is evacuated.
     recent_losses losses; ///< Ends of the service's last requests at this VM.
     service_instance_counts shownCounts; ///< Counts that were last shown to operators.
     std::uint64_t registryGeneration = 0; ///< Generation of the registry's instance list that candidates reflects.
@@ -76,6 +78,11 @@
 /// Updates the candidates of every service whose instance list in the registry has changed.
 void followRegistry(upstream_selection &selection, const registry &known);
 
+/// Stops new requests to the instances of evacuated data centres, and lets them have requests again once the evacuation
+/// is revoked. Returns the data centres that were closed or opened, ordered by name.
+std::vector<std::string> followEvacuations(upstream_selection &selection, const registry &known,
+                                           const std::vector<evacuation> &evacuations, instant now);
+
 /// Stops new requests to an instance that said, to this VM or another one, that it leaves. Returns whether that is
 /// news.
 bool markLeaving(upstream_selection &selection, const registry &known, instance_id instance, instant now);
@@ -117,6 +124,10 @@
 const candidate_set *findCandidates(const upstream_selection &selection, const registry &known,
                                     std::string_view service);
 
+/// Number of the service's instances that are left out only because their data centre is evacuated.
+std::uint32_t evacuatedInstancesOf(const upstream_selection &selection, const registry &known,
+                                   std::string_view service);
+
 /// Counts the end of a request of the service at this VM.
 void recordRequestEnd(upstream_selection &selection, const registry &known, std::string_view service, bool served,
                       instant now);
--- a/src/coordination/configuration/change.cpp
+++ b/src/coordination/configuration/change.cpp
@@ -207,6 +207,11 @@
     applyDifference(current, edit);
 }
 
+void apply(configuration &current, const evacuation_order &edit)
+{
+    applyOrder(current.evacuations, edit);
+}
+
 } // namespace
 
 bool isNewer(const configuration &current, const replace_all &edit)
--- a/src/coordination/configuration/change_log.cpp
+++ b/src/coordination/configuration/change_log.cpp
@@ -2,6 +2,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <algorithm>
+#include <span>
 
 namespace guavafront
 {
@@ -9,6 +10,27 @@
 namespace
 {
 
+/// Answers an order to evacuate a data centre or to revoke that. Orders aren't based on a revision: an operator resends
+/// them unchanged to any control VM. One without an effect is acknowledged and creates no revision.
+change_answer decideOrder(configuration &current, const evacuation_order &order)
+{
+    switch (effectOf(current.evacuations, order)) {
+    case order_effect::InForce:
+        return {result_code::Ok, current.atRevision, "in force already"};
+    case order_effect::LateDuplicate:
+        return {result_code::Ok, current.atRevision, "a late copy of an order that was replaced since; not applied"};
+    case order_effect::Applied:
+        break;
+    }
+    try {
+        const change edit = order;
+        current = applyChanges(current, std::span(&edit, 1));
+    } catch (const coordination_error &fault) {
+        return {fault.code(), current.atRevision, fault.what()};
+    }
+    return {result_code::Ok, current.atRevision, {}};
+}
+
 /// Answers a request whose ID is new. When it is accepted, current is replaced by the new revision.
 change_answer decideNew(configuration &current, const change_proposal &proposal)
 {
@@ -16,6 +38,13 @@
         return {result_code::NotAuthorized, current.atRevision, "the role does not allow this change"};
     }
     const std::vector<change> &changes = proposal.request.changes;
+    if (const auto *order = changes.size() == 1 ? std::get_if<evacuation_order>(&changes.front()) : nullptr) {
+        return decideOrder(current, *order);
+    }
+    if (std::ranges::any_of(changes,
+                            [](const change &edit) { return std::holds_alternative<evacuation_order>(edit); })) {
+        return {result_code::ChangeInvalid, current.atRevision, "an evacuation is ordered by a request of its own"};
+    }
     const auto *whole = changes.size() == 1 ? std::get_if<replace_all>(&changes.front()) : nullptr;
     if (whole != nullptr && !isNewer(current, *whole)) {
         return {result_code::Ok, current.atRevision, "a higher version is in force"};
--- a/src/coordination/configuration/validation.cpp
+++ b/src/coordination/configuration/validation.cpp
@@ -166,6 +166,18 @@
     requireDistinct(std::move(places), "exception subject and setting");
 }
 
+void validateEvacuations(const configuration &candidate)
+{
+    require(candidate.evacuations.size() <= maxEvacuations, "too many evacuations", "evacuations");
+    std::vector<std::string_view> names;
+    for (const evacuation &each : candidate.evacuations) {
+        require(isDataCentreName(each.dataCentre), "name of a data centre", each.dataCentre);
+        names.emplace_back(each.dataCentre);
+    }
+    require(std::ranges::is_sorted(names), "evacuations are out of order", "evacuations");
+    requireDistinct(std::move(names), "data centre of an evacuation");
+}
+
 } // namespace
 
 bool isValidName(std::string_view name)
@@ -190,6 +202,7 @@
     validateKeys(candidate);
     validateRoutes(candidate);
     validateExceptions(candidate);
+    validateEvacuations(candidate);
 }
 
 } // namespace guavafront
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint16_t firstServerError = 500;
 constexpr duration minAffinitySilenceLimit = std::chrono::seconds(3);
 constexpr duration retryAfterNoUpstream = std::chrono::seconds(1);
+/// Callers of a service whose instances are all in evacuated data centres return spread over this time.
+constexpr duration evacuatedRetrySpread = std::chrono::seconds(1);
 /// Callers who wait for the end of a pause return within this time after it.
 constexpr duration pauseEndSpread = std::chrono::milliseconds(300);
 /// An attempt's deadline is this much before its request's, so that the end of the attempt is reported first.
@@ -112,7 +114,12 @@
 duration retryAfterNoInstance(const step_context &context, const exchange &request)
 {
     const duration left = pauseLeft(context, request.service);
-    return left > duration::zero() ? withSpread(context, left, pauseEndSpread) : retryAfterNoUpstream;
+    if (left > duration::zero()) {
+        return withSpread(context, left, pauseEndSpread);
+    }
+    // An evacuation refuses all callers of a service at the same time.
+    const bool evacuated = evacuatedInstancesOf(context.state.selection, context.state.upstreams, request.service) > 0;
+    return evacuated ? withSpread(context, retryAfterNoUpstream, evacuatedRetrySpread) : retryAfterNoUpstream;
 }
 
 /// Whether an attempt that begins now is likely to end before a planned stop cuts it.
@@ -167,6 +174,14 @@
     return chosen->choice.instance;
 }
 
+/// Counts the request if its service has instances in an evacuated data centre.
+void countEvacuatedRequest(step_context &context, const exchange &request, bool placed)
+{
+    if (evacuatedInstancesOf(context.state.selection, context.state.upstreams, request.service) > 0) {
+        context.effects.emplace_back(count_evacuated_request{request.service, placed});
+    }
+}
+
 } // namespace
 
 stage_verdict selectAndStartAttempt(step_context &context, exchange &request)
@@ -182,6 +197,7 @@
     appendPaused(context.state.selection.notices, context.now, excluded);
     const choice_request choice{.excluded = excluded, .repeatable = request.mayBeRepeated};
     const std::optional<instance_id> chosen = chooseInstance(context, request, choice);
+    countEvacuatedRequest(context, request, chosen.has_value());
     if (!chosen) {
         return refuseSelection(context, request, codeWithoutInstance(context.state, request),
                                retryAfterNoInstance(context, request));
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -66,9 +66,42 @@
     }
 }
 
+/// What changes for requests with an evacuation or its revocation.
+report_evacuation evacuationReport(const entry &state, const std::string &dataCentre)
+{
+    const configuration &current = *state.activeConfiguration;
+    const evacuation *known = findEvacuation(current.evacuations, dataCentre);
+    report_evacuation report{.state = known ? *known : evacuation{.dataCentre = dataCentre},
+                             .atRevision = current.atRevision};
+    const instance_notices &notices = state.selection.notices;
+    for (const service_instances &group : state.upstreams.services) {
+        const auto isThere = [&](const registered_instance &each) {
+            return each.last.dataCentre == dataCentre && isServing(notices, each);
+        };
+        const auto there = static_cast<std::uint32_t>(std::ranges::count_if(group.instances, isThere));
+        const auto isElsewhere = [&](const registered_instance &each) {
+            return each.last.dataCentre != dataCentre && isUsable(notices, each);
+        };
+        report.instances += there;
+        report.services += there > 0 && std::ranges::none_of(group.instances, isElsewhere) ? 1 : 0;
+    }
+    return report;
+}
+
+void applyEvacuations(step_context &context)
+{
+    entry &state = context.state;
+    const std::vector<std::string> changed =
+        followEvacuations(state.selection, state.upstreams, state.activeConfiguration->evacuations, context.now);
+    for (const std::string &dataCentre : changed) {
+        context.effects.emplace_back(evacuationReport(state, dataCentre));
+    }
+}
+
 void handle(step_context &context, const configuration_changed &event)
 {
     applyConfiguration(context.state, event.value);
+    applyEvacuations(context);
     applyRateLimits(context);
 }
 
--- a/src/coordination/notices/instance_notices.cpp
+++ b/src/coordination/notices/instance_notices.cpp
@@ -42,11 +42,42 @@
     return found == notices.byInstance.end() ? instant{} : found->second.pausedUntil;
 }
 
-bool isUsable(const instance_notices &notices, const registered_instance &instance)
+void setEvacuations(instance_notices &notices, const std::vector<evacuation> &evacuations, instant now)
+{
+    std::vector<reopened_data_centre> reopened;
+    for (const evacuation &each : evacuations) {
+        if (!each.inForce) {
+            const auto known =
+                std::ranges::find(notices.reopenedDataCentres, each.dataCentre, &reopened_data_centre::dataCentre);
+            const bool isKnown = known != notices.reopenedDataCentres.end() && known->endedMs == each.endedMs;
+            reopened.push_back({each.dataCentre, each.endedMs, isKnown ? known->since : now});
+        }
+    }
+    notices.reopenedDataCentres = std::move(reopened);
+    notices.evacuatedDataCentres = evacuatedDataCentres(evacuations);
+}
+
+bool isEvacuated(const instance_notices &notices, std::string_view dataCentre)
+{
+    return std::ranges::binary_search(notices.evacuatedDataCentres, dataCentre);
+}
+
+std::optional<instant> reopenedAt(const instance_notices &notices, std::string_view dataCentre)
+{
+    const auto found = std::ranges::find(notices.reopenedDataCentres, dataCentre, &reopened_data_centre::dataCentre);
+    return found == notices.reopenedDataCentres.end() ? std::nullopt : std::optional(found->since);
+}
+
+bool isServing(const instance_notices &notices, const registered_instance &instance)
 {
     return instance.last.state == instance_state::Serving && !hasSaidLeaving(notices, instance.last.instance);
 }
 
+bool isUsable(const instance_notices &notices, const registered_instance &instance)
+{
+    return isServing(notices, instance) && !isEvacuated(notices, instance.last.dataCentre);
+}
+
 bool isAvailable(const instance_notices &notices, const registered_instance &instance, instant now)
 {
     return isUsable(notices, instance) && pausedUntil(notices, instance.last.instance) <= now;
--- a/src/coordination/upstreams/service_instance_counts.cpp
+++ b/src/coordination/upstreams/service_instance_counts.cpp
@@ -16,6 +16,10 @@
             ++counted.leaving;
             continue;
         }
+        if (isEvacuated(notices, each.last.dataCentre)) {
+            ++counted.evacuated;
+            continue;
+        }
         if (now < pausedUntil(notices, each.last.instance)) {
             ++counted.paused;
             continue;
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -3,6 +3,7 @@
 #include "coordination/upstreams/rotation.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace guavafront
 {
@@ -50,6 +51,10 @@
         service.totalSlots += each.last.slots;
         service.largestSlots = std::max<std::uint32_t>(service.largestSlots, each.last.slots);
     }
+    service.evacuatedInstances = static_cast<std::uint32_t>(
+        std::ranges::count_if(group.instances, [&selection](const registered_instance &each) {
+            return isEvacuated(selection.notices, each.last.dataCentre) && isServing(selection.notices, each);
+        }));
     service.registryGeneration = group.generation;
 }
 
@@ -146,6 +151,22 @@
     }
 }
 
+std::vector<std::string> followEvacuations(upstream_selection &selection, const registry &known,
+                                           const std::vector<evacuation> &evacuations, instant now)
+{
+    instance_notices &notices = selection.notices;
+    const std::vector<std::string> before = notices.evacuatedDataCentres;
+    setEvacuations(notices, evacuations, now);
+    std::vector<std::string> changed;
+    std::ranges::set_symmetric_difference(before, notices.evacuatedDataCentres, std::back_inserter(changed));
+    if (!changed.empty()) {
+        for (std::size_t index = 0; index < selection.services.size(); ++index) {
+            followService(selection, selection.services[index], known.services[index]);
+        }
+    }
+    return changed;
+}
+
 bool markLeaving(upstream_selection &selection, const registry &known, instance_id instance, instant now)
 {
     if (!recordLeaving(selection.notices, instance, now)) {
@@ -261,6 +282,13 @@
     return followed ? &selection.services[found->second].candidates : nullptr;
 }
 
+std::uint32_t evacuatedInstancesOf(const upstream_selection &selection, const registry &known, std::string_view service)
+{
+    const auto found = known.serviceIndexByName.find(service);
+    const bool followed = found != known.serviceIndexByName.end() && found->second < selection.services.size();
+    return followed ? selection.services[found->second].evacuatedInstances : 0;
+}
+
 void recordRequestEnd(upstream_selection &selection, const registry &known, std::string_view service, bool served,
                       instant now)
 {
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -62,7 +62,9 @@
 
 void control_task::handle(const change_submitted &message)
 {
-    const change_proposal proposal = makeProposal(message.author, message.request);
+    // The digest leaves the time of an order out, so that a resend under the same ID is known as one.
+    change_proposal proposal = makeProposal(message.author, message.request);
+    stampOrders(proposal.request);
     if (!isAuthorized(proposal.author, proposal.request)) {
         message.answer({result_code::NotAuthorized, m_accepted->atRevision, "the role does not allow this change"});
         return;
@@ -204,6 +206,7 @@
                 [this] {
                     logMembership();
                     watchLeader();
+                    reportEvacuations();
                     publishAccepted();
                     publishLeadershipProof();
                 },
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -37,6 +37,10 @@
     vm_id freshIdentity; ///< Identity of this VM if the data folder is empty.
     fleet_secret secret{}; ///< Key of the history digests.
     replica_options replica; ///< Times and sizes of the replica; `self` is set by the task.
+    /// How long the times of a revoked evacuation are kept: well beyond the time for which operators resend an order, and
+    /// until restarted entry VMs have learned of the revocation. Afterwards VMs of earlier builds can read the
+    /// configuration again.
+    duration revokedRetention = std::chrono::seconds(60);
     std::function<void(vm_id, envelope)> send; ///< Sends to another VM; the message may be lost.
     std::function<void(const leadership_proof &)> onLeadershipProof; ///< Called with each new proof; may be empty.
     std::function<void(const claims_view &)> onClaimsViewAgreed; ///< Called with each agreed view; may be empty.
@@ -111,6 +115,9 @@
     void reportUnconfirmedReads(duration limit);
     void proposeClaimsView();
     void publishClaimsView();
+    void stampOrders(change_request &request) const;
+    void reportEvacuations();
+    void forgetRevokedEvacuations();
     std::uint64_t addPending(answer_handler answer);
 
     control_task_options m_options; ///< Settings and callbacks.
@@ -132,6 +139,8 @@
     std::vector<claims_member> m_claimsMembers; ///< Live VMs that can keep claims, ordered by id.
     instant m_claimsViewProposedAt; ///< When this VM last proposed a claims view.
     view_epoch m_publishedClaimsEpoch; ///< Epoch of the newest claims view given to onClaimsViewAgreed.
+    std::vector<evacuation> m_reportedEvacuations; ///< Evacuations of m_accepted, as last logged.
+    instant m_evacuationsReportedAt; ///< When m_reportedEvacuations last changed.
     instant m_lastProofAt; ///< asOf of the last leadership proof.
     instant m_watchDue; ///< When watchPeriodically() is due; the epoch before its first call.
     instant m_nextRemovalAt; ///< No member is removed before this time.
--- a/src/daemon/control/control_task_log.cpp
+++ b/src/daemon/control/control_task_log.cpp
@@ -63,6 +63,7 @@
     watchLeader();
     setGauges();
     logWarning(outsideLine(m_log, m_host.state(), m_liveControlVms, loop::now()));
+    forgetRevokedEvacuations();
     m_watchTimer.arm(watchInterval);
 }
 
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -133,6 +133,9 @@
         m_server.setLimits(limitsFrom(withMemory(m_options.server, m_memory), m_state.activeConfiguration->limits));
     }
     m_counters.setRevision(held);
+    if (m_state.keysConfirmedAt) {
+        m_counters.setConfigurationAge(std::chrono::duration<double>(loop::now() - *m_state.keysConfirmedAt).count());
+    }
     if (!m_ready && held > 0 && !isConfigurationOutdated(m_state, loop::now())) {
         m_ready = true;
         m_metrics.post(readiness_changed{true});
@@ -291,7 +294,8 @@
                  {"trial", std::int64_t{effect.standing.trial}},
                  {"avoided", std::int64_t{effect.standing.avoided}},
                  {"paused", std::int64_t{effect.standing.paused}},
-                 {"leaving", std::int64_t{effect.standing.leaving}}});
+                 {"leaving", std::int64_t{effect.standing.leaving}},
+                 {"evacuated", std::int64_t{effect.standing.evacuated}}});
 }
 
 void entry_task::perform(const report_notice &effect)
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -91,6 +91,8 @@
     void perform(const report_standing &effect);
     void perform(const report_notice &effect);
     void perform(const report_departure &effect);
+    void perform(const report_evacuation &effect);
+    void perform(const count_evacuated_request &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, upstream_outcome outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
--- a/src/daemon/entry/entry_task_messages.cpp
+++ b/src/daemon/entry/entry_task_messages.cpp
@@ -17,6 +17,24 @@
     m_peers.post(send_to_vm{effect.to, {.kind = channel::Claims, .body = encodeClaimMessage(effect.message)}});
 }
 
+void entry_task::perform(const report_evacuation &effect)
+{
+    m_counters.setEvacuation(effect.state);
+    m_log.write("evacuation", loop::now(),
+                {{"data_centre", effect.state.dataCentre},
+                 {"evacuated", std::int64_t{effect.state.inForce}},
+                 {"started_ms", static_cast<std::int64_t>(effect.state.startedMs)},
+                 {"ended_ms", static_cast<std::int64_t>(effect.state.endedMs)},
+                 {"revision", static_cast<std::int64_t>(effect.atRevision.value)},
+                 {"instances", std::int64_t{effect.instances}},
+                 {"services_without_others", std::int64_t{effect.services}}});
+}
+
+void entry_task::perform(const count_evacuated_request &effect)
+{
+    m_counters.countEvacuatedRequest(effect.service, effect.placed);
+}
+
 void entry_task::perform(const publish_instance &effect)
 {
     m_peers.post(publicationOf(effect));
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -81,7 +81,8 @@
     , m_droppedPeerMessages(counterFamily(m_registry, "guavafront_peer_messages_dropped_total",
                                           "Other VMs' messages that could not be decoded, by reason."))
     , m_instances(gaugeFamily(m_registry, "guavafront_instances",
-                              "Serving instances by service and standing: open, trial, avoided, paused or leaving."))
+                              "Serving instances by service and standing: open, trial, avoided, paused, leaving "
+                              "or evacuated."))
     , m_leaderKnown(gaugeFamily(m_registry, "guavafront_control_leader_known",
                                 "1 while this control VM knows a leader of the control cluster."))
     , m_leaderlessSeconds(gaugeFamily(m_registry, "guavafront_control_leaderless_seconds",
@@ -93,6 +94,18 @@
     , m_isVoter(gaugeFamily(m_registry, "guavafront_control_is_voter", "1 while this control VM votes, by its log."))
     , m_voteRefusals(counterFamily(m_registry, "guavafront_control_votes_refused_total",
                                    "Votes and pre-votes that this control VM refused, by reason."))
+    , m_evacuated(gaugeFamily(m_registry, "guavafront_evacuated",
+                              "1 while this VM sends nothing to the data centre's instances, by order of the "
+                              "operator; 0 after the revocation."))
+    , m_evacuationTimes(gaugeFamily(m_registry, "guavafront_evacuation_order_timestamp_seconds",
+                                    "When the latest order about the data centre was taken, by the control leader's "
+                                    "clock."))
+    , m_evacuatedRequests(counterFamily(m_registry, "guavafront_evacuation_requests_total",
+                                        "Requests of services with instances in evacuated data centres, by service "
+                                        "and result: placed elsewhere, or refused since there is no other instance."))
+    , m_configurationAge(gaugeFamily(m_registry, "guavafront_configuration_confirmed_seconds",
+                                     "How long ago the control VMs confirmed that nothing newer than this VM's "
+                                     "configuration was accepted."))
     , m_revision(prometheus::BuildGauge()
                      .Name("guavafront_configuration_revision")
                      .Help("Revision of the configuration in force on this VM.")
@@ -132,6 +145,26 @@
     set("avoided", counts.avoided);
     set("paused", counts.paused);
     set("leaving", counts.leaving);
+    set("evacuated", counts.evacuated);
+}
+
+void daemon_counters::setEvacuation(const evacuation &state)
+{
+    constexpr double millisecondsPerSecond = 1'000;
+    const std::uint64_t orderedMs = state.inForce ? state.startedMs : state.endedMs;
+    m_evacuated.Add({{"data_centre", state.dataCentre}}).Set(state.inForce ? 1 : 0);
+    m_evacuationTimes.Add({{"data_centre", state.dataCentre}})
+        .Set(static_cast<double>(orderedMs) / millisecondsPerSecond);
+}
+
+void daemon_counters::countEvacuatedRequest(std::string_view service, bool placed)
+{
+    m_evacuatedRequests.Add({{"service", std::string(service)}, {"result", placed ? "placed" : "refused"}}).Increment();
+}
+
+void daemon_counters::setConfigurationAge(double seconds)
+{
+    m_configurationAge.Add({}).Set(seconds);
 }
 
 void daemon_counters::countNotice(std::string_view service, std::string_view notice)
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/result_code.h>
 #include <guavafront/coordination/entry/attempt_result.h>
+#include <guavafront/coordination/evacuation/evacuation.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
 
 #include <prometheus/counter.h>
@@ -49,6 +50,15 @@
     /// Sets how many instances of a service are open, on trial, avoided, paused and leaving in this VM's view.
     void setInstanceCounts(std::string_view service, const service_instance_counts &counts);
 
+    /// Sets whether a data centre is evacuated in this VM's view, and since when.
+    void setEvacuation(const evacuation &state);
+
+    /// Counts a request of a service with instances in an evacuated data centre: placed elsewhere, or refused.
+    void countEvacuatedRequest(std::string_view service, bool placed);
+
+    /// Sets for how long no control VM has confirmed that this VM's configuration is the newest.
+    void setConfigurationAge(double seconds);
+
     /// Counts what an instance said of itself for the first time; notice is its stable name.
     void countNotice(std::string_view service, std::string_view notice);
 
@@ -102,6 +112,10 @@
     prometheus::Family<prometheus::Gauge> &m_controlMembers; ///< Members by role; control VMs only.
     prometheus::Family<prometheus::Gauge> &m_isVoter; ///< Whether this VM votes; control VMs only.
     prometheus::Family<prometheus::Counter> &m_voteRefusals; ///< Refused votes and pre-votes by reason.
+    prometheus::Family<prometheus::Gauge> &m_evacuated; ///< 1 for each evacuated data centre.
+    prometheus::Family<prometheus::Gauge> &m_evacuationTimes; ///< Unix time of the latest order by data centre.
+    prometheus::Family<prometheus::Counter> &m_evacuatedRequests; ///< Requests that an evacuation concerned.
+    prometheus::Family<prometheus::Gauge> &m_configurationAge; ///< Time since the last confirmation; entry VMs only.
     prometheus::Gauge &m_revision; ///< Revision of the configuration in force.
 };
 
--- a/src/daemon/operators/operators_task.cpp
+++ b/src/daemon/operators/operators_task.cpp
@@ -3,6 +3,7 @@
 #include "daemon/token_check.h"
 #include "http/header_filter.h"
 #include "wire/confirmation_json.h"
+#include "wire/operator_change_json.h"
 #include "wire/operator_json.h"
 #include "wire/quarantine_json.h"
 #include "wire/replacement_json.h"
@@ -31,10 +32,11 @@
     for (const vm_id vm : status.waiting) {
         waiting.push_back(toHex(vm));
     }
-    return nlohmann::ordered_json{{"leader", status.leader},       {"revision", status.accepted->atRevision.value},
-                                  {"vm", toHex(status.self)},      {"leader_vm", toHex(status.leaderVm)},
-                                  {"members", std::move(members)}, {"waiting", std::move(waiting)}}
-        .dump();
+    nlohmann::ordered_json document{{"leader", status.leader},       {"revision", status.accepted->atRevision.value},
+                                    {"vm", toHex(status.self)},      {"leader_vm", toHex(status.leaderVm)},
+                                    {"members", std::move(members)}, {"waiting", std::move(waiting)}};
+    document["evacuations"] = evacuationsJson(status.accepted->evacuations);
+    return document.dump();
 }
 
 void requireOperator(const change_author &author, const char *refusalText)
--- a/src/program/operator_command.cpp
+++ b/src/program/operator_command.cpp
@@ -232,6 +232,19 @@
     });
 }
 
+void addEvacuationCommands(CLI::App &parent, command_action &action, const operator_arguments_pointer &arguments)
+{
+    const auto add = [&](const char *name, const char *help, evacuation_action ordered) {
+        CLI::App *command = parent.add_subcommand(name, help);
+        command->add_option("data-centre", arguments->given.name, "Name of the data centre")->required();
+        addChange(command, action, arguments, [ordered](const auto &all) {
+            return evacuation_order{.dataCentre = all.given.name, .action = ordered, .orderedMs = 0};
+        });
+    };
+    add("evacuate", "Sends nothing more to the instances of a data centre", evacuation_action::Start);
+    add("end-evacuation", "Lets the instances of a data centre have requests again", evacuation_action::End);
+}
+
 void addConfirmationsCommand(CLI::App &parent, command_action &action, const operator_arguments_pointer &arguments)
 {
     const auto accepted = std::make_shared<std::uint64_t>(0);
@@ -299,6 +312,7 @@
     addKeyCommands(*parent, action, arguments);
     addSettingCommands(*parent, action, arguments);
     addRouteCommands(*parent, action, arguments);
+    addEvacuationCommands(*parent, action, arguments);
     addReplaceCommand(*parent, action, arguments);
     addConfirmationsCommand(*parent, action, arguments);
     addQuarantineCommands(*parent, action, arguments);
--- a/src/wire/cbor_fields.cpp
+++ b/src/wire/cbor_fields.cpp
@@ -46,6 +46,11 @@
     }
 }
 
+bool cbor_fields::hasMore() const
+{
+    return m_nextIndex < m_value.size();
+}
+
 void cbor_fields::checkVersion(std::uint64_t expected)
 {
     if (integer<std::uint64_t>() != expected) {
--- a/src/wire/cbor_fields.h
+++ b/src/wire/cbor_fields.h
@@ -51,6 +51,9 @@
         return static_cast<enumeration>(integerUpTo(static_cast<std::uint64_t>(last)));
     }
 
+    /// Whether fields are left to read.
+    bool hasMore() const;
+
     /// Reads a format version. Throws coordination_error (MessageUnknown) when it isn't the expected one.
     void checkVersion(std::uint64_t expected);
 
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -84,6 +84,18 @@
     return json::array({cborBytes(deflated(encodeConfiguration(edit.value)))});
 }
 
+json fieldsOf(const evacuation_order &edit)
+{
+    return json::array({edit.dataCentre, static_cast<std::uint8_t>(edit.action), edit.orderedMs});
+}
+
+void read(cbor_fields &fields, evacuation_order &edit)
+{
+    edit.dataCentre = fields.text(maxTextBytes);
+    edit.action = fields.enumerator(evacuation_action::Forget);
+    edit.orderedMs = fields.integer<std::uint64_t>();
+}
+
 void read(cbor_fields &fields, replace_all &edit)
 {
     edit.value = decodeConfiguration(inflated(fields.bytes(maxChangesBytes), maxConfigurationBytes));
@@ -139,11 +151,24 @@
     edit.setting = fields.text(maxTextBytes);
 }
 
+/// Number of fields of an encoded change of this type.
+template<class edit_type>
+std::size_t fieldCountOf(const edit_type &edit, const json & /*encoded*/)
+{
+    return fieldsOf(edit).size();
+}
+
+/// The last field of a difference is absent when no evacuation changes, so that VMs of earlier builds can read it.
+std::size_t fieldCountOf(const configuration_difference & /*edit*/, const json &encoded)
+{
+    return encoded.size() == differenceFieldCount + 1 ? differenceFieldCount + 1 : differenceFieldCount;
+}
+
 template<class edit_type>
 change readAs(const json &value)
 {
     edit_type edit;
-    cbor_fields fields(value, "change", fieldsOf(edit).size());
+    cbor_fields fields(value, "change", fieldCountOf(edit, value));
     read(fields, edit);
     return edit;
 }
@@ -300,6 +325,22 @@
     return limits;
 }
 
+json toJson(const evacuation &value)
+{
+    return json::array({value.dataCentre, value.inForce, value.startedMs, value.endedMs});
+}
+
+evacuation evacuationFromJson(const json &value)
+{
+    cbor_fields fields(value, "evacuation", 4);
+    evacuation result;
+    result.dataCentre = fields.text(maxTextBytes);
+    result.inForce = fields.boolean();
+    result.startedMs = fields.integer<std::uint64_t>();
+    result.endedMs = fields.integer<std::uint64_t>();
+    return result;
+}
+
 json toJson(const change &edit)
 {
     return json::array({edit.index(), std::visit([](const auto &value) { return fieldsOf(value); }, edit)});
--- a/src/wire/change_json.h
+++ b/src/wire/change_json.h
@@ -20,7 +20,9 @@
 account_key keyFromJson(const nlohmann::json &value); ///< Reads the array of an API key.
 route routeFromJson(const nlohmann::json &value); ///< Reads the array of a route.
 setting_exception exceptionFromJson(const nlohmann::json &value); ///< Reads the array of an exception.
+nlohmann::json toJson(const evacuation &value); ///< Encodes the orders about a data centre as an array.
 caller_limits limitsFromJson(const nlohmann::json &value); ///< Reads the array of the limits of callers.
+evacuation evacuationFromJson(const nlohmann::json &value); ///< Reads the array of the orders about a data centre.
 
 /// Encodes a change as an array of its tag and the array of its fields. The tag is the position in the variant.
 nlohmann::json toJson(const change &edit);
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -46,19 +46,26 @@
     json fields = json::array({configurationFormatVersion, value.atRevision.value, toJson(value.defaults),
                                listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
                                listToJson(value.exceptions), value.lastAccountId.value, value.lastRouteId.value});
-    if (value.externalVersion > 0) {
+    if (value.externalVersion > 0 || !value.evacuations.empty()) {
         fields.push_back(toJson(value.limits));
         fields.push_back(value.externalVersion);
         fields.push_back(value.document);
     }
+    if (!value.evacuations.empty()) { // VMs of earlier builds can read only a configuration without this field.
+        fields.push_back(listToJson(value.evacuations));
+    }
     return fields;
 }
 
 configuration configurationFromJson(const json &encoded)
 {
     constexpr std::size_t commonFieldCount = 9;
-    const bool hasExternalFields = encoded.is_array() && encoded.size() > commonFieldCount;
-    cbor_fields fields(encoded, "configuration", hasExternalFields ? commonFieldCount + 3 : commonFieldCount);
+    constexpr std::size_t externalFieldCount = commonFieldCount + 3;
+    const std::size_t size = encoded.is_array() ? encoded.size() : 0;
+    const bool hasExternalFields = size > commonFieldCount;
+    const bool hasEvacuations = size > externalFieldCount;
+    cbor_fields fields(encoded, "configuration",
+                       (hasExternalFields ? externalFieldCount : commonFieldCount) + (hasEvacuations ? 1 : 0));
     fields.checkVersion(configurationFormatVersion);
     configuration value;
     value.atRevision.value = fields.integer<std::uint64_t>();
@@ -74,6 +81,9 @@
         value.externalVersion = fields.integer<std::uint64_t>();
         value.document = fields.text(maxConfigurationBytes);
     }
+    if (hasEvacuations) {
+        value.evacuations = listFromJson(fields.array(maxEvacuations), evacuationFromJson);
+    }
     validate(value);
     return value;
 }
--- a/src/wire/difference_json.cpp
+++ b/src/wire/difference_json.cpp
@@ -92,10 +92,15 @@
     if (difference.exceptions) {
         exceptions.push_back(listOf(*difference.exceptions));
     }
-    return json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
-                        numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
-                        listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
-                        difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
+    json fields =
+        json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
+                     numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
+                     listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
+                     difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
+    if (difference.evacuations) { // VMs of earlier builds can read only a difference without this field.
+        fields.push_back(listOf(*difference.evacuations));
+    }
+    return fields;
 }
 
 void read(cbor_fields &fields, configuration_difference &difference)
@@ -116,6 +121,9 @@
     difference.lastAccountId.value = fields.integer<std::uint32_t>();
     difference.lastRouteId.value = fields.integer<std::uint32_t>();
     difference.externalVersion = fields.integer<std::uint64_t>();
+    if (fields.hasMore()) {
+        difference.evacuations = readList(fields, evacuationFromJson);
+    }
 }
 
 } // namespace guavafront
--- a/src/wire/difference_json.h
+++ b/src/wire/difference_json.h
@@ -7,6 +7,9 @@
 namespace guavafront
 {
 
+/// Number of fields of an encoded difference in which no evacuation changes; one more with evacuations.
+constexpr std::size_t differenceFieldCount = 12;
+
 /// Encodes a difference of configurations as an array of its fields, the form in which a list of changes contains it.
 nlohmann::json fieldsOf(const configuration_difference &difference);
 
--- a/src/wire/operator_change_json.cpp
+++ b/src/wire/operator_change_json.cpp
@@ -37,6 +37,12 @@
     return {{"change", "replace_all"}, {"version", edit.value.externalVersion}};
 }
 
+json fieldsOf(const evacuation_order &edit)
+{
+    return {{"change", edit.action == evacuation_action::Start ? "evacuate" : "end_evacuation"},
+            {"data_centre", edit.dataCentre}};
+}
+
 json fieldsOf(const create_account &edit)
 {
     return {{"change", "create_account"}, {"account", edit.name}};
@@ -117,4 +123,15 @@
     return {{"subject", value.subject}, {"setting", value.setting}, {"value", value.value}, {"reason", value.reason}};
 }
 
+nlohmann::ordered_json evacuationsJson(const std::vector<evacuation> &list)
+{
+    auto array = nlohmann::ordered_json::array();
+    for (const evacuation &each : list) {
+        nlohmann::ordered_json entry{{"data_centre", each.dataCentre}, {"evacuated", each.inForce}};
+        entry["since_unix_ms"] = each.inForce ? each.startedMs : each.endedMs;
+        array.push_back(std::move(entry));
+    }
+    return array;
+}
+
 } // namespace guavafront
--- a/src/wire/operator_change_json.h
+++ b/src/wire/operator_change_json.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <string_view>
+#include <vector>
 
 namespace guavafront
 {
@@ -19,4 +20,6 @@
 nlohmann::ordered_json exceptionJson(const setting_exception &value); ///< Encodes an exception for operators.
 nlohmann::ordered_json defaultsJson(const fleet_defaults &values); ///< Encodes defaults for operators.
 
+nlohmann::ordered_json evacuationsJson(const std::vector<evacuation> &list); ///< Encodes evacuations for operators.
+
 } // namespace guavafront
--- a/src/wire/operator_json.cpp
+++ b/src/wire/operator_json.cpp
@@ -228,6 +228,11 @@
     if (kind == "remove_exception") {
         return remove_exception{reader.text("subject"), reader.text("setting")};
     }
+    if (kind == "evacuate" || kind == "end_evacuation") {
+        // The control leader sets the time.
+        return evacuation_order{.dataCentre = reader.text("data_centre"),
+                                .action = kind == "evacuate" ? evacuation_action::Start : evacuation_action::End};
+    }
     reject(reader.pathOf("change"), "names no change");
 }
 
@@ -352,6 +357,9 @@
     for (const setting_exception &each : value.exceptions) {
         exceptions.push_back(exceptionJson(each));
     }
+    if (!value.evacuations.empty()) {
+        document["evacuations"] = evacuationsJson(value.evacuations);
+    }
     return document.dump(2);
 }
 
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -25,8 +25,10 @@
 {
 public:
     /// Starts the given number of VMs. VM 0 creates the cluster, and the others join it.
-    explicit control_cluster(std::size_t vms, const replica_options &options = {})
+    explicit control_cluster(std::size_t vms, const replica_options &options = {},
+                             duration revokedRetention = std::chrono::seconds(60))
         : m_options(options)
+        , m_revokedRetention(revokedRetention)
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "control_cluster_XXXXXX").string();
         m_folder = mkdtemp(pattern.data());
@@ -62,6 +64,7 @@
         }
         target.thread = std::thread([this, vm, &target] {
             control_task_options options{.dataFolder = folderOf(vm), .freshIdentity = {99}, .replica = m_options};
+            options.revokedRetention = m_revokedRetention;
             options.send = [this](vm_id to, envelope message) {
                 deliver(to, std::move(message));
             };
@@ -292,6 +295,7 @@
     }
 
     replica_options m_options; ///< Options of each VM's replica.
+    duration m_revokedRetention; ///< See control_task_options.
     std::filesystem::path m_folder; ///< Parent of the data folders.
     std::vector<std::unique_ptr<control_vm>> m_vms; ///< All VMs.
     std::uint64_t m_lastIdentity = 100; ///< Last identity offered to a VM with an empty data folder.
--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -9,6 +9,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -170,6 +171,7 @@
                             {"InternalPorts", {peersPort, peersPort + 1}},
                             {"Serves", {control ? "control_plane" : "edge"}},
                             {"Listen", {{"Ready", address(readyPort)}}},
+                            {"Zones", {{"occ-a", nlohmann::json::object()}, {"occ-b", nlohmann::json::object()}}},
                             {"Seeds", seedAddresses},
                             {"Limits", {{"MemoryMb", control ? controlMemoryMb : entryMemoryMb}}},
                             {"Bounds", {{"GraceS", graceSeconds}}},
@@ -260,7 +262,7 @@
 {
     const nlohmann::json body{
         {"Service", "rutas"},  {"Address", ipOf(id) + ':' + std::to_string(m_instancePorts.at(id))},
-        {"Zone", "occ-a"},     {"Version", "v1"},
+        {"Zone", beat.zone},   {"Version", "v1"},
         {"Slots", beat.slots}, {"State", beat.state},
         {"WarmupLeftMs", 0},   {"Sequence", beat.sequence},
         {"born", beat.born}};
@@ -293,6 +295,40 @@
     }
 }
 
+int platform_processes::orderEvacuation(std::string_view call, std::string_view zone) const
+{
+    constexpr int maxRedirects = 2;
+    constexpr std::string_view scheme = "http://";
+    const instant end = loop::now() + std::chrono::seconds(4);
+    std::string path = "/api/rpc?call=" + std::string(call) + "&of=" + std::string(zone);
+    int status = 0;
+    for (std::size_t number = 0; loop::now() < end; ++number) {
+        endpoint server = controlEndpoint(m_controls[number % m_controls.size()]);
+        std::string target = path;
+        try {
+            for (int redirects = 0; redirects <= maxRedirects; ++redirects) {
+                const http_answer answer =
+                    httpCall(server, {.method = "POST", .target = target, .body = "", .timeout = operatorPatience});
+                status = answer.status;
+                const std::string location(headerValue(viewsOf(answer.headers), "Location"));
+                if (status != statusRedirect || !location.starts_with(scheme)) {
+                    break;
+                }
+                const std::size_t slash = location.find('/', scheme.size());
+                server = parseEndpoint(location.substr(scheme.size(), slash - scheme.size())).value();
+                target = location.substr(slash);
+            }
+        } catch (const coordination_error &) {
+            status = 0; // The control VM isn't running, or doesn't answer.
+        }
+        if (status != 0 && status != statusRedirect && status < firstServerError) {
+            return status;
+        }
+        poll(nullptr, 0, 50);
+    }
+    return status;
+}
+
 int platform_processes::callControl(std::string_view call, std::string_view of, std::string_view body) const
 {
     int status = 0;
--- a/tests/fleet/platform_processes.h
+++ b/tests/fleet/platform_processes.h
@@ -34,6 +34,7 @@
     std::uint64_t born = 1; ///< Start of its process in Unix milliseconds.
     std::uint64_t sequence = 1; ///< Number of the heartbeat.
     int slots = 4; ///< Requests that it runs at the same time.
+    std::string zone = "occ-a"; ///< Data centre that it runs in.
 };
 
 /// Runs `guavafront platform` as control and entry VMs, with stand-ins as the platform's instances. All of
@@ -80,6 +81,10 @@
     int callControlAt(const std::string &control, std::string_view call, std::string_view of,
                       std::string_view body) const;
 
+    /// Sends an evacuation call as an operator does: to each control VM in turn, following two redirects, until one
+    /// answers below 500 or the time of 4 s is used up. Returns the last status, 0 for none.
+    int orderEvacuation(std::string_view call, std::string_view zone) const;
+
     /// Posts any body to a control VM as the call with this name, for the instance `of` unless that is empty. Returns
     /// the status of the answer, 0 for none.
     int callControl(std::string_view call, std::string_view of, std::string_view body) const;
