--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -37,8 +37,8 @@
     vm_id freshIdentity; ///< Identity of this VM if the data folder is empty.
     fleet_secret secret{}; ///< Key of the history digests.
     replica_options replica; ///< Times and sizes of the replica; `self` is set by the task.
-    /// How long the times of a revoked evacuation are kept: well beyond the time for which operators resend an order, and
-    /// until restarted entry VMs have learned of the revocation. Afterwards VMs of earlier builds can read the
+    /// How long the times of a revoked evacuation are kept: well beyond the time for which operators resend an order,
+    /// and until restarted entry VMs have learned of the revocation. Afterwards VMs of earlier builds can read the
     /// configuration again.
     duration revokedRetention = std::chrono::seconds(60);
     std::function<void(vm_id, envelope)> send; ///< Sends to another VM; the message may be lost.
--- a/src/daemon/control/control_task_evacuations.cpp
+++ b/src/daemon/control/control_task_evacuations.cpp
@@ -58,7 +58,8 @@
 {
     reportEvacuations();
     const std::vector<evacuation> &known = m_accepted->evacuations;
-    const bool settled = known == m_reportedEvacuations && loop::now() >= m_evacuationsReportedAt + m_options.revokedRetention;
+    const bool settled =
+        known == m_reportedEvacuations && loop::now() >= m_evacuationsReportedAt + m_options.revokedRetention;
     const bool noneInForce = std::ranges::none_of(known, &evacuation::inForce);
     if (m_host.state().role != replica_role::Leader || known.empty() || !settled || !noneInForce) {
         return;
