Show trials by reason and retries that the budget refused

Operators couldn't tell trials that a service needed from others, nor why a failed request wasn't sent again. The try log line names a trial's reason, guavafront_trials_total counts trials by service, reason and outcome, guavafront_retries_refused_total and the log line retry_refused show requests that weren't sent again only because the budget was spent.

--- a/include/guavafront/coordination/avoidance/trials.h
+++ b/include/guavafront/coordination/avoidance/trials.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace guavafront
 {
@@ -45,6 +46,24 @@
     Repeatable, ///< Any trial: when it fails, there is time for another attempt, and the retry budget allows it.
 };
 
+/// Why a request is a trial.
+enum class trial_reason : std::uint8_t {
+    None, ///< It is no trial.
+    Capacity, ///< The service needs the capacity that the instance may have again.
+    EpisodeOver, ///< The instance's failure episode is likely over, by the lengths of the service's last ones.
+    Waited, ///< The instance has waited long enough for a request that has no second attempt.
+    NoneOpen, ///< All instances are avoided, and this one's last failure is the oldest.
+};
+
+/// Stable name of a reason in metrics and in the decision log.
+std::string_view trialReasonName(trial_reason reason);
+
+/// A trial.
+struct trial_choice {
+    instance_id instance; ///< Instance that is tried.
+    trial_reason reason = trial_reason::None; ///< Why it is tried now.
+};
+
 /// An instance that may be tried now.
 struct trial_candidate {
     instance_id instance; ///< The instance.
@@ -59,8 +78,8 @@
 /// needs capacity, and otherwise the first one whose failure episode is likely over by the lengths that the service
 /// had. One that may not be repeated tries the near candidate that has waited longest beyond its delay, as it is the
 /// likeliest to have recovered and so that none waits behind others that fail again.
-std::optional<instance_id> chooseTrial(const avoidance &state, std::span<const trial_candidate> candidates,
-                                       const episode_lengths &lengths, const trial_situation &situation, trial_use use,
-                                       vm_id self, instant now, const trial_limits &limits = {});
+std::optional<trial_choice> chooseTrial(const avoidance &state, std::span<const trial_candidate> candidates,
+                                        const episode_lengths &lengths, const trial_situation &situation, trial_use use,
+                                        vm_id self, instant now, const trial_limits &limits = {});
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <guavafront/coordination/avoidance/avoidance.h>
+#include <guavafront/coordination/avoidance/trials.h>
 #include <guavafront/coordination/claims/claim_message.h>
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/refusal.h>
@@ -33,6 +33,7 @@
     std::string accountName; ///< Client account to name in the upstream request; empty on a route open to all.
     instant deadline; ///< Time when the attempt is given up.
     bool trial = false; ///< The attempt is a trial that shows whether an avoided instance is healthy again.
+    trial_reason trialReason = trial_reason::None; ///< Why it is a trial.
     duration silenceLimit{}; ///< Time without an answer before a reused connection is given up; 0 for no limit.
 };
 
@@ -145,6 +146,15 @@
     duration pause{}; ///< Time in which it wants no request from this VM; 0 when it said that it leaves.
 };
 
+/// Report to operators that a request whose attempt failed isn't sent again only because the service's retry budget is
+/// spent.
+struct report_retry_refused {
+    exchange_id id; ///< The request.
+    std::string service; ///< Service of the request.
+    float tokens = 0; ///< Tokens left, less than one.
+    float capacity = 0; ///< Tokens that this VM may save.
+};
+
 /// Report to operators that other VMs passed on that an instance takes no more requests.
 struct report_departure {
     departure what; ///< The departure.
@@ -156,6 +166,6 @@
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
                  report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
-                 report_departure>;
+                 report_departure, report_retry_refused>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/avoidance/trials.h>
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/entry/request_head.h>
@@ -51,6 +52,7 @@
     instant attemptStartedAt{}; ///< Time when the current attempt began.
     duration expectedWait{}; ///< Expected wait for a slot at the instance of the current attempt.
     bool isTrial = false; ///< The current attempt is a trial that shows whether an avoided instance is healthy again.
+    trial_reason trialReason = trial_reason::None; ///< Why the current attempt is a trial.
     bool overdueReported = false; ///< The other entry VMs were told that the current attempt's answer is overdue.
     std::vector<instance_id> attemptedInstances; ///< Instances of all attempts so far.
 };
--- a/include/guavafront/coordination/retries/retry.h
+++ b/include/guavafront/coordination/retries/retry.h
@@ -28,10 +28,20 @@
     duration timeLeft{}; ///< Time to the request's deadline.
 };
 
+/// Whether a request whose attempt failed is tried again.
+enum class retry_decision : std::uint8_t {
+    Retry, ///< It is tried at another instance.
+    NotAllowed, ///< What is known of the attempt and the request forbids it.
+    BudgetSpent, ///< Only the budget forbids it.
+};
+
 /// Decides whether a request whose attempt failed is tried at another instance, and takes a token from the budget for
 /// the retry. A request that is not repeatable is retried only if it is proved not to have run. There is no retry after
 /// a connection was lost while the request may have been running, because the request may have crashed the instance. A
 /// retry after a failed connect takes no token, because no upstream did any work for the failed attempt.
+retry_decision decideRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt);
+
+/// Whether decideRetry() decides on a retry.
 bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt);
 
 /// Returns how long a repeatable request waits for an answer on a reused connection before it is tried on another one:
--- a/include/guavafront/coordination/routing/affinity.h
+++ b/include/guavafront/coordination/routing/affinity.h
@@ -26,6 +26,7 @@
 struct affinity_choice {
     instance_id instance; ///< The instance.
     bool trial = false; ///< The request is a trial of an avoided instance; the other VMs must be told of its start.
+    trial_reason reason = trial_reason::None; ///< Why it is a trial.
 };
 
 /// Time that the newest request at a member is expected to wait for a slot, by the member's estimated load.
--- a/src/coordination/avoidance/trials.cpp
+++ b/src/coordination/avoidance/trials.cpp
@@ -65,23 +65,44 @@
            || situation.loss == service_loss::Severe;
 }
 
-std::optional<instance_id> chooseTrial(const avoidance &state, std::span<const trial_candidate> candidates,
-                                       const episode_lengths &lengths, const trial_situation &situation, trial_use use,
-                                       vm_id self, instant now, const trial_limits &limits)
+std::string_view trialReasonName(trial_reason reason)
+{
+    switch (reason) {
+    case trial_reason::Capacity:
+        return "capacity";
+    case trial_reason::EpisodeOver:
+        return "episode_over";
+    case trial_reason::Waited:
+        return "waited";
+    case trial_reason::NoneOpen:
+        return "none_open";
+    case trial_reason::None:
+        break;
+    }
+    return "none";
+}
+
+std::optional<trial_choice> chooseTrial(const avoidance &state, std::span<const trial_candidate> candidates,
+                                        const episode_lengths &lengths, const trial_situation &situation, trial_use use,
+                                        vm_id self, instant now, const trial_limits &limits)
 {
     if (candidates.empty() || use == trial_use::None) {
         return std::nullopt;
     }
     if (use == trial_use::Unrepeatable) {
-        return longestWaiting(state, candidates, unrepeatableDelay(situation, limits), self, now, limits);
+        const auto waited = longestWaiting(state, candidates, unrepeatableDelay(situation, limits), self, now, limits);
+        return waited ? std::optional(trial_choice{*waited, trial_reason::Waited}) : std::nullopt;
     }
     if (needsCapacity(situation, limits)) {
-        return candidates.front().instance;
+        return trial_choice{candidates.front().instance, trial_reason::Capacity};
     }
     const auto over = std::ranges::find_if(candidates, [&](const trial_candidate &each) {
         return isLikelyOver(state, each.instance, lengths, situation, self, now, limits);
     });
-    return over == candidates.end() ? std::nullopt : std::optional(over->instance);
+    if (over == candidates.end()) {
+        return std::nullopt;
+    }
+    return trial_choice{over->instance, trial_reason::EpisodeOver};
 }
 
 } // namespace guavafront
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -38,13 +38,21 @@
     return result_code::OutcomeUnknown;
 }
 
-bool mayRetry(const step_context &context, const exchange &request, const failed_attempt &failed)
+bool mayRetry(step_context &context, const exchange &request, const failed_attempt &failed)
 {
     retry_budget *budget = findRetryBudget(context.state.selection, context.state.upstreams, request.service);
     if (request.maxAttempts > 0 && request.sentAttempts >= request.maxAttempts) {
         return false;
     }
-    return budget && !request.callerLeft && shouldRetry(*budget, retry_limits{}, failed);
+    if (!budget || request.callerLeft) {
+        return false;
+    }
+    const retry_decision decision = decideRetry(*budget, retry_limits{}, failed);
+    if (decision == retry_decision::BudgetSpent) {
+        context.effects.emplace_back(
+            report_retry_refused{request.id, request.service, budget->tokens, budget->capacity});
+    }
+    return decision == retry_decision::Retry;
 }
 
 /// How long a repeatable request waits for an answer on a reused connection, which may be dead without having been
@@ -163,6 +171,7 @@
 {
     entry &state = context.state;
     request.isTrial = false;
+    request.trialReason = trial_reason::None;
     if (state.selection.policy != balancing_policy::Affinity) {
         return selectInstance(state.selection, state.upstreams, request.service, choice, context.random());
     }
@@ -171,6 +180,7 @@
         return std::nullopt;
     }
     request.isTrial = chosen->choice.trial;
+    request.trialReason = chosen->choice.reason;
     request.expectedWait = chosen->expectedWait;
     state.ownLoads.changed = true;
     if (chosen->choice.trial) {
@@ -215,6 +225,7 @@
                                                .accountName = request.accountName,
                                                .deadline = request.deadline - attemptMargin,
                                                .trial = request.isTrial,
+                                               .trialReason = request.trialReason,
                                                .silenceLimit = silenceLimitFor(context, request)});
     return stage_verdict::Continue;
 }
--- a/src/coordination/retries/retry.cpp
+++ b/src/coordination/retries/retry.cpp
@@ -5,19 +5,25 @@
 namespace guavafront
 {
 
-bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt)
+retry_decision decideRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt)
 {
     const bool allowed = attempt.ran == execution::NotRun || attempt.repeatable;
     if (!allowed || attempt.quarantined || attempt.kind == outcome_kind::Cancelled) {
-        return false;
+        return retry_decision::NotAllowed;
     }
     if (attempt.kind == outcome_kind::ConnectionLost && attempt.ran == execution::Unknown && !attempt.staleConnection) {
-        return false;
+        return retry_decision::NotAllowed;
     }
     if (attempt.attemptsMade >= limits.maxAttempts || attempt.timeLeft < limits.minTimeLeft) {
-        return false;
+        return retry_decision::NotAllowed;
     }
-    return attempt.kind == outcome_kind::ConnectFailed || takeRetryToken(budget);
+    const bool granted = attempt.kind == outcome_kind::ConnectFailed || takeRetryToken(budget);
+    return granted ? retry_decision::Retry : retry_decision::BudgetSpent;
+}
+
+bool shouldRetry(retry_budget &budget, const retry_limits &limits, const failed_attempt &attempt)
+{
+    return decideRetry(budget, limits, attempt) == retry_decision::Retry;
 }
 
 duration silenceTimeout(duration typicalLatency)
--- a/src/coordination/routing/affinity.cpp
+++ b/src/coordination/routing/affinity.cpp
@@ -130,10 +130,10 @@
     return request.repeatable && request.mayBeRetried ? trial_use::Repeatable : trial_use::Unrepeatable;
 }
 
-/// The instance that the request is sent to as a trial; nothing when there is none.
-std::optional<instance_id> findTrial(const std::vector<ranked_member> &ranked, const avoidance &avoidedInstances,
-                                     vm_id self, const choice_request &request, instant now,
-                                     const affinity_parameters &parameters)
+/// The trial that the request is; nothing when there is none.
+std::optional<trial_choice> findTrial(const std::vector<ranked_member> &ranked, const avoidance &avoidedInstances,
+                                      vm_id self, const choice_request &request, instant now,
+                                      const affinity_parameters &parameters)
 {
     static const episode_lengths noLengths;
     std::vector<trial_candidate> candidates;
@@ -181,13 +181,13 @@
 {
     std::vector<ranked_member> ranked = rankedMembers(set, avoidedInstances, self, request, now);
     if (const auto onTrial = findTrial(ranked, avoidedInstances, self, request, now, parameters)) {
-        return affinity_choice{*onTrial, true};
+        return affinity_choice{onTrial->instance, true, onTrial->reason};
     }
     if (request.retry) {
         keepProvenMembers(ranked, avoidedInstances, now);
     }
     if (const ranked_member *best = findCheapestOpen(ranked, set, now, parameters)) {
-        return affinity_choice{best->member->instance, false};
+        return affinity_choice{.instance = best->member->instance};
     }
     // All members are avoided: the one whose last failure is the oldest is the most likely to have recovered.
     const auto oldestFailure = std::ranges::min_element(ranked, {}, [&avoidedInstances](const ranked_member &each) {
@@ -196,7 +196,7 @@
     if (oldestFailure == ranked.end()) {
         return std::nullopt;
     }
-    return affinity_choice{oldestFailure->member->instance, true};
+    return affinity_choice{oldestFailure->member->instance, true, trial_reason::NoneOpen};
 }
 
 } // namespace guavafront
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -149,6 +149,7 @@
     caller.service = effect.service;
     caller.instanceName = effect.instanceName;
     caller.trial = effect.trial;
+    caller.trialReason = effect.trialReason;
     const duration timeLeft = std::max(effect.deadline - loop::now(), duration(1));
     const std::vector<http_header> headers = m_options.dialect.upstreamHeaders(caller.request, effect, timeLeft);
     const std::string target = m_options.dialect.upstreamTarget(caller.request);
@@ -189,6 +190,10 @@
     }
     if (const auto found = m_requests.find(id); found != m_requests.end()) {
         m_counters.countAttempt(found->second.service, result.outcome);
+        const std::string_view reason = trialReasonName(found->second.trialReason);
+        if (found->second.trial) {
+            m_counters.countTrial(found->second.service, reason, result.outcome);
+        }
         m_log.write("try", loop::now(),
                     {{"id", requestIdOf(found->second)},
                      {"service", found->second.service},
@@ -197,6 +202,7 @@
                      {"status", std::int64_t{result.status}},
                      {"new_connection", std::int64_t{newConnection}},
                      {"trial", std::int64_t{found->second.trial}},
+                     {"trial_reason", reason},
                      {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
     }
     std::vector<std::byte> forResends = answerForResends(id, outcome);
@@ -295,6 +301,17 @@
                  {"leaving", std::int64_t{effect.standing.leaving}}});
 }
 
+void entry_task::perform(const report_retry_refused &effect)
+{
+    const auto found = m_requests.find(effect.id);
+    m_counters.countRefusedRetry(effect.service);
+    m_log.write("retry_refused", loop::now(),
+                {{"id", found == m_requests.end() ? std::string_view() : requestIdOf(found->second)},
+                 {"service", effect.service},
+                 {"tokens", double{effect.tokens}},
+                 {"capacity", double{effect.capacity}}});
+}
+
 void entry_task::perform(const report_notice &effect)
 {
     const auto found = m_requests.find(effect.id);
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -65,6 +65,10 @@
                       .Help("From a request's arrival to its end.")
                       .Register(m_registry))
     , m_attempts(counterFamily(m_registry, "guavafront_attempts_total", "Tries at upstreams by service and outcome."))
+    , m_trials(counterFamily(m_registry, "guavafront_trials_total",
+                             "Trials of avoided instances by service, reason and outcome."))
+    , m_refusedRetries(counterFamily(m_registry, "guavafront_retries_refused_total",
+                                     "Requests not sent again because the retry budget was spent, by service."))
     , m_notices(counterFamily(m_registry, "guavafront_instance_notices_total",
                               "Instances' words on themselves in answers, by service and notice."))
     , m_announcements(counterFamily(m_registry, "guavafront_announcements_total", "Announcements by result."))
@@ -122,6 +126,20 @@
         .Increment();
 }
 
+void daemon_counters::countTrial(std::string_view service, std::string_view reason, attempt_outcome outcome)
+{
+    m_trials
+        .Add({{"service", std::string(service)},
+              {"reason", std::string(reason)},
+              {"outcome", std::string(attemptOutcomeName(outcome))}})
+        .Increment();
+}
+
+void daemon_counters::countRefusedRetry(std::string_view service)
+{
+    m_refusedRetries.Add({{"service", std::string(service)}}).Increment();
+}
+
 void daemon_counters::setInstanceCounts(std::string_view service, const service_instance_counts &counts)
 {
     const auto set = [this, service](const char *name, std::uint32_t count) {
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -46,6 +46,12 @@
     /// Counts an attempt that has ended.
     void countAttempt(std::string_view service, attempt_outcome outcome);
 
+    /// Counts a trial of an avoided instance that has ended; reason is its stable name.
+    void countTrial(std::string_view service, std::string_view reason, attempt_outcome outcome);
+
+    /// Counts a request that wasn't sent again because the service's retry budget was spent.
+    void countRefusedRetry(std::string_view service);
+
     /// Sets how many instances of a service are open, on trial, avoided, paused and leaving in this VM's view.
     void setInstanceCounts(std::string_view service, const service_instance_counts &counts);
 
@@ -88,6 +94,8 @@
     prometheus::Family<prometheus::Counter> &m_accountRequests; ///< Callers' requests by client account and result.
     prometheus::Family<prometheus::Histogram> &m_latencies; ///< Request times in seconds by service.
     prometheus::Family<prometheus::Counter> &m_attempts; ///< Attempts by service and outcome.
+    prometheus::Family<prometheus::Counter> &m_trials; ///< Trials by service, reason and outcome.
+    prometheus::Family<prometheus::Counter> &m_refusedRetries; ///< Retries refused for want of budget, by service.
     prometheus::Family<prometheus::Counter> &m_notices; ///< Instances' words on themselves by service and notice.
     prometheus::Family<prometheus::Counter> &m_announcements; ///< Announcements by result.
     prometheus::Family<prometheus::Counter> &m_departures; ///< Departures by result.
