Replay short failure episodes of a repeatable service in the floor's test

Guards against the trials that cost 0.36% of the requests, and against healthy instances that wait for a learned length while most others fail.

--- a/tests/avoidance_floor/avoidance_floor_test.cpp
+++ b/tests/avoidance_floor/avoidance_floor_test.cpp
@@ -27,6 +27,15 @@
                                                            << least.requests << " requests unserved");
     }
 
+    /// Has instances fail 85 of 100 requests for about 3 s at a time, while requests may be repeated.
+    void useShortEpisodes()
+    {
+        options.repeatable = true;
+        options.noiseShare = 0.1;
+        options.noiseLength = 3s;
+        options.noiseFailedShare = 0.85;
+    }
+
     /// Checks the two seconds with the least share of several runs.
     void requireFloor()
     {
@@ -97,6 +106,46 @@
     }
 }
 
+// Guards against trials that fail and whose retries are trials again: 0.36% of the requests were not served when an
+// instance was tried 1.5 s after each failure.
+BOOST_AUTO_TEST_CASE(trials_repeatableShortEpisodes_nearlyAllServedAndFloorOfHealthyUsed)
+{
+    constexpr double unservedShare = 0.001;
+    useShortEpisodes();
+    std::uint64_t requests = 0;
+    std::uint64_t unserved = 0;
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+        const bench::avoidance_result result = run(options);
+        requests += result.requests;
+        unserved += result.unserved;
+        requireFloor(leastUsed(result));
+    }
+    BOOST_TEST(static_cast<double>(unserved) <= unservedShare * static_cast<double>(requests));
+}
+
+// Guards against healthy instances without requests while much is lost, since trials wait for the learned length of
+// episodes: most instances fail at once, and for longer than the episodes before.
+BOOST_AUTO_TEST_CASE(trials_repeatableMostFailAtOnce_floorOfHealthyUsedUnderLoss)
+{
+    useShortEpisodes();
+    options.grayEvents = {{.from = 9s, .to = 15s, .instanceShare = 0.8, .failedShare = 0.85}};
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+        requireFloor(leastUsedUnderLoss(run(options)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(trials_repeatableManyFailUnderBurst_floorOfHealthyUsedUnderLoss)
+{
+    useShortEpisodes();
+    options.grayEvents = {{.from = 9s, .to = 15s, .instanceShare = 0.4, .failedShare = 0.85}};
+    options.burstFactor = 3;
+    options.burstFrom = 12s;
+    options.burstTo = 17s;
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+        requireFloor(leastUsedUnderLoss(run(options)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
