Set the limits of an attempt by its own kind where routes differ in cost

A request of a long kind counted as overdue after four times the typical latency of its service, while one of a short kind was given as long. Where the routes of a service differ in cost, both limits now follow the mean and the tail of the request's own kind; the least limits stay as they were.

--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -102,11 +102,7 @@
 /// Whether a reused connection was lost sooner than an answer could be expected, so that it was probably closed before.
 bool isStaleConnection(const entry &state, const exchange &request, const attempt_result &result)
 {
-    const candidate_set *candidates = findCandidates(state.selection, state.upstreams, request.service);
-    if (result.newConnection || !candidates) {
-        return false;
-    }
-    return static_cast<float>(result.latency.count()) * 2 < candidates->typicalLatencyUs;
+    return !result.newConnection && result.latency * 2 < usualTime(state, request).mean;
 }
 
 } // namespace
@@ -119,6 +115,15 @@
             .bodyBytes = request.bodyBytes};
 }
 
+work_estimate usualTime(const entry &state, const exchange &request)
+{
+    if (doRoutesDiffer(state.work, request.service)) {
+        return estimateWork(state.work, workKeyOf(request));
+    }
+    const candidate_set *candidates = findCandidates(state.selection, state.upstreams, request.service);
+    return {.mean = duration(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0), .tail = {}};
+}
+
 request_fingerprint fingerprintOf(const exchange &request)
 {
     return fingerprintOf(request.accountId, request.routeId, request.digest);
@@ -159,16 +164,16 @@
 namespace
 {
 
-/// Whether the current attempt takes far longer than is usual for its service. The expected wait behind earlier
+/// Whether the current attempt takes far longer than is usual for its kind. The expected wait behind earlier
 /// requests extends the limit, since load is no fault, but at most doubles it, since a slow instance gathers requests,
 /// too.
 bool isOverdue(const step_context &context, const exchange &request)
 {
     constexpr std::int64_t overdueFactor = 4;
     constexpr duration least = std::chrono::milliseconds(1'500);
-    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
-    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
-    const duration limit = std::max(least, usual * overdueFactor);
+    constexpr std::int64_t tailFactor = 2; // One in twenty takes longer than the tail, few twice as long.
+    const work_estimate usual = usualTime(context.state, request);
+    const duration limit = std::max({least, usual.mean * overdueFactor, usual.tail * tailFactor});
     return context.now - request.attemptStartedAt > limit + std::min(request.expectedWait, limit);
 }
 
--- a/src/coordination/entry/attempt_evidence.h
+++ b/src/coordination/entry/attempt_evidence.h
@@ -11,6 +11,10 @@
 /// What is visible of a request before it runs, for the estimate of its work.
 work_key workKeyOf(const exchange &request);
 
+/// What the request usually takes: by its own kind where the service's routes differ in cost, otherwise the service's
+/// typical latency, without a tail.
+work_estimate usualTime(const entry &state, const exchange &request);
+
 /// Fingerprint that identifies equal requests in the quarantine.
 request_fingerprint fingerprintOf(const exchange &request);
 
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -51,18 +51,19 @@
 /// closed; 0 for no limit but the deadline.
 duration silenceLimitFor(const step_context &context, const exchange &request)
 {
-    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
-    if (!request.mayBeRepeated || !candidates) {
+    constexpr int tailFactor = 2; // One in twenty takes longer than the tail, few twice as long.
+    if (!request.mayBeRepeated || !findCandidates(context.state.selection, context.state.upstreams, request.service)) {
         return {};
     }
-    const duration usual(static_cast<std::int64_t>(candidates->typicalLatencyUs));
+    const work_estimate usual = usualTime(context.state, request);
+    const duration silence = std::max(silenceTimeout(usual.mean), usual.tail * tailFactor);
     if (context.state.selection.policy == balancing_policy::Affinity) {
         // With affinity a VM sees few answers, so a short limit would be a guess. The expected wait is added, since a
         // request that waits in the instance's queue doesn't mean a dead connection.
-        const duration limit = std::max(silenceTimeout(usual), minAffinitySilenceLimit);
+        const duration limit = std::max(silence, minAffinitySilenceLimit);
         return limit + std::min(request.expectedWait, limit);
     }
-    return silenceTimeout(usual);
+    return silence;
 }
 
 /// Credits the service's retry budget on a request's first attempt.
@@ -120,9 +121,8 @@
 bool mayBeRetried(const step_context &context, const exchange &request)
 {
     constexpr int usualTimes = 4; // Two attempts, each of which takes up to twice the usual time.
-    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
     const retry_budget *budget = findRetryBudget(context.state.selection, context.state.upstreams, request.service);
-    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
+    const duration usual = usualTime(context.state, request).mean;
     return request.maxAttempts != 1 && budget && budget->tokens >= 1
            && request.deadline - context.now > usualTimes * usual;
 }
@@ -131,8 +131,7 @@
 bool canEndBeforeStop(const step_context &context, const exchange &request)
 {
     constexpr int usualTimes = 2;
-    const candidate_set *candidates = findCandidates(context.state.selection, context.state.upstreams, request.service);
-    const duration usual(candidates ? static_cast<std::int64_t>(candidates->typicalLatencyUs) : 0);
+    const duration usual = usualTime(context.state, request).mean;
     return context.state.runsEndAt == instant::max() || context.now + usualTimes * usual < context.state.runsEndAt;
 }
 
