Carry the limit of cold instances in the configuration

An operator's configuration gives WarmupS and WarmupPerS for each cluster, which were ignored. They are translated to configuration::warmups, ordered by service, and reach every VM with the configuration and with differences, as a last field that is left out while no service has a limit. WarmupOvershoot and WarmupSlack of the Bounds become settings of the entry VM. Nothing uses them yet.

--- a/include/guavafront/coordination/configuration/configuration.h
+++ b/include/guavafront/coordination/configuration/configuration.h
@@ -113,6 +113,16 @@
     bool operator==(const caller_limits &) const = default;
 };
 
+/// Limit of a service's cold instances, which are slow after their start and crash well above the limit.
+struct service_warmup {
+    std::string service; ///< Name of the service.
+    std::uint32_t warmupMs = 0; ///< Time in ms for which an instance is cold after its start.
+    double perSecond = 0; ///< Requests per second that a cold instance can handle, from all entry VMs together.
+
+    /// Memberwise equality.
+    bool operator==(const service_warmup &) const = default;
+};
+
 /// The whole accepted configuration at one revision.
 struct configuration {
     revision atRevision; ///< Revision of this configuration; 0 for the empty configuration.
@@ -126,6 +136,7 @@
     caller_limits limits; ///< Limits on what callers may send.
     std::uint64_t externalVersion = 0; ///< Version that an outside operator gave with replace_all; 0 before the first.
     std::string document; ///< What the outside operator sent, kept for reading it back; empty before the first.
+    std::vector<service_warmup> warmups; ///< Services with a limit for cold instances, ordered by name.
 
     /// Memberwise equality.
     bool operator==(const configuration &) const = default;
--- a/include/guavafront/coordination/configuration/configuration_difference.h
+++ b/include/guavafront/coordination/configuration/configuration_difference.h
@@ -26,6 +26,7 @@
     account_id lastAccountId; ///< Highest account id ever assigned.
     route_id lastRouteId; ///< Highest route id ever assigned.
     std::uint64_t externalVersion = 0; ///< External version of the later configuration.
+    std::optional<std::vector<service_warmup>> warmups; ///< The whole new list; empty when unchanged.
 
     /// Memberwise equality.
     bool operator==(const configuration_difference &) const = default;
--- a/src/coordination/configuration/change.cpp
+++ b/src/coordination/configuration/change.cpp
@@ -200,6 +200,7 @@
     current.limits = edit.value.limits;
     current.externalVersion = edit.value.externalVersion;
     current.document = edit.value.document;
+    current.warmups = edit.value.warmups;
 }
 
 void apply(configuration &current, const configuration_difference &edit)
--- a/src/coordination/configuration/configuration_difference.cpp
+++ b/src/coordination/configuration/configuration_difference.cpp
@@ -63,7 +63,8 @@
                                         .exceptions = changed(before.exceptions, after.exceptions),
                                         .lastAccountId = after.lastAccountId,
                                         .lastRouteId = after.lastRouteId,
-                                        .externalVersion = after.externalVersion};
+                                        .externalVersion = after.externalVersion,
+                                        .warmups = changed(before.warmups, after.warmups)};
     compare(before.accounts, after.accounts, &account::id, difference.removedAccounts, difference.accounts);
     compare(before.keys, after.keys, &account_key::label, difference.removedKeys, difference.keys);
     compare(before.routes, after.routes, &route::id, difference.removedRoutes, difference.routes);
@@ -77,6 +78,9 @@
     if (difference.exceptions) {
         current.exceptions = *difference.exceptions;
     }
+    if (difference.warmups) {
+        current.warmups = *difference.warmups;
+    }
     merge(current.accounts, &account::id, difference.removedAccounts, difference.accounts);
     merge(current.keys, &account_key::label, difference.removedKeys, difference.keys);
     merge(current.routes, &route::id, difference.removedRoutes, difference.routes);
--- a/src/coordination/configuration/validation.cpp
+++ b/src/coordination/configuration/validation.cpp
@@ -166,6 +166,21 @@
     requireDistinct(std::move(places), "exception subject and setting");
 }
 
+void validateWarmups(const configuration &candidate)
+{
+    constexpr double highestRate = 1e6;
+    constexpr std::uint32_t longestMs = 600'000;
+    std::vector<std::string_view> services;
+    for (const service_warmup &each : candidate.warmups) {
+        require(isValidName(each.service), "warm-up limit of service", each.service);
+        require(each.perSecond > 0 && each.perSecond <= highestRate && each.warmupMs <= longestMs,
+                "warm-up limit out of range", each.service);
+        services.emplace_back(each.service);
+    }
+    require(std::ranges::is_sorted(services), "warm-up limits are out of order", "warm-ups");
+    requireDistinct(std::move(services), "service with a warm-up limit");
+}
+
 } // namespace
 
 bool isValidName(std::string_view name)
@@ -190,6 +205,7 @@
     validateKeys(candidate);
     validateRoutes(candidate);
     validateExceptions(candidate);
+    validateWarmups(candidate);
 }
 
 } // namespace guavafront
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -86,6 +86,8 @@
     bool strictConfiguration = false; ///< Requests are refused while the configuration is known to be outdated.
     /// Chooses instances by affinity; for fleets in which one VM sends less than one request per second to an instance.
     bool sparse = false;
+    double warmupOvershoot = 1; ///< Factor by which all VMs together may exceed the limit of a cold instance.
+    double warmupSlack = 0; ///< Requests in a second by which they may exceed it besides.
 };
 
 /// All settings of one daemon, grouped as in the settings file.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -56,6 +56,8 @@
     visitor.field("entry.unackedTimeoutMs", values.entry.unackedTimeoutMs, number_range{0, 3'600'000});
     visitor.field("entry.strictConfiguration", values.entry.strictConfiguration, presence::Optional);
     visitor.field("entry.sparse", values.entry.sparse, presence::Optional);
+    visitor.field("entry.warmupOvershoot", values.entry.warmupOvershoot, number_range{0, 1'000});
+    visitor.field("entry.warmupSlack", values.entry.warmupSlack, number_range{0, 1'000'000});
 }
 
 } // namespace guavafront
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -9,6 +9,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <array>
+#include <type_traits>
 #include <utility>
 
 namespace guavafront
@@ -143,6 +144,9 @@
 change readAs(const json &value)
 {
     edit_type edit;
+    if constexpr (std::is_same_v<edit_type, configuration_difference>) {
+        expectOptionalFields(edit, value.size());
+    }
     cbor_fields fields(value, "change", fieldsOf(edit).size());
     read(fields, edit);
     return edit;
@@ -300,6 +304,21 @@
     return limits;
 }
 
+json toJson(const service_warmup &value)
+{
+    return json::array({value.service, value.warmupMs, value.perSecond});
+}
+
+service_warmup warmupFromJson(const json &value)
+{
+    cbor_fields fields(value, "warm-up limit", 3);
+    service_warmup limit;
+    limit.service = fields.text(maxNameBytes);
+    limit.warmupMs = fields.integer<std::uint32_t>();
+    limit.perSecond = fields.floatingPoint();
+    return limit;
+}
+
 json toJson(const change &edit)
 {
     return json::array({edit.index(), std::visit([](const auto &value) { return fieldsOf(value); }, edit)});
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -50,6 +50,9 @@
         fields.push_back(toJson(value.limits));
         fields.push_back(value.externalVersion);
         fields.push_back(value.document);
+        if (!value.warmups.empty()) {
+            fields.push_back(listToJson(value.warmups));
+        }
     }
     return fields;
 }
@@ -57,8 +60,11 @@
 configuration configurationFromJson(const json &encoded)
 {
     constexpr std::size_t commonFieldCount = 9;
+    constexpr std::size_t externalFieldCount = commonFieldCount + 3;
     const bool hasExternalFields = encoded.is_array() && encoded.size() > commonFieldCount;
-    cbor_fields fields(encoded, "configuration", hasExternalFields ? commonFieldCount + 3 : commonFieldCount);
+    const bool hasWarmups = encoded.is_array() && encoded.size() > externalFieldCount;
+    const std::size_t fieldCount = hasExternalFields ? externalFieldCount : commonFieldCount;
+    cbor_fields fields(encoded, "configuration", fieldCount + (hasWarmups ? 1 : 0));
     fields.checkVersion(configurationFormatVersion);
     configuration value;
     value.atRevision.value = fields.integer<std::uint64_t>();
@@ -73,6 +79,9 @@
         value.limits = limitsFromJson(fields.array(unbounded));
         value.externalVersion = fields.integer<std::uint64_t>();
         value.document = fields.text(maxConfigurationBytes);
+        if (hasWarmups) {
+            value.warmups = listFromJson(fields.array(unbounded), warmupFromJson);
+        }
     }
     validate(value);
     return value;
--- a/src/wire/difference_json.cpp
+++ b/src/wire/difference_json.cpp
@@ -92,10 +92,23 @@
     if (difference.exceptions) {
         exceptions.push_back(listOf(*difference.exceptions));
     }
-    return json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
-                        numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
-                        listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
-                        difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
+    json fields =
+        json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
+                     numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
+                     listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
+                     difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
+    if (difference.warmups) {
+        fields.push_back(listOf(*difference.warmups));
+    }
+    return fields;
+}
+
+void expectOptionalFields(configuration_difference &difference, std::size_t fieldCount)
+{
+    constexpr std::size_t commonFieldCount = 12;
+    if (fieldCount > commonFieldCount) {
+        difference.warmups.emplace();
+    }
 }
 
 void read(cbor_fields &fields, configuration_difference &difference)
@@ -116,6 +129,9 @@
     difference.lastAccountId.value = fields.integer<std::uint32_t>();
     difference.lastRouteId.value = fields.integer<std::uint32_t>();
     difference.externalVersion = fields.integer<std::uint64_t>();
+    if (difference.warmups) {
+        difference.warmups = readList(fields, warmupFromJson);
+    }
 }
 
 } // namespace guavafront
--- a/tests/configuration/configuration_difference_test.cpp
+++ b/tests/configuration/configuration_difference_test.cpp
@@ -39,6 +39,10 @@
             }
             value.routes.push_back(std::move(each));
         }
+        if (random() % 2 == 0) {
+            value.warmups = {
+                {.service = "s0", .warmupMs = 3'000, .perSecond = 1.0 + static_cast<double>(random() % 3)}};
+        }
         value.limits.idleTimeoutMs = static_cast<std::uint32_t>(random() % 3) * 1'000;
         return value;
     }
--- a/tests/platform/platform_configuration_test.cpp
+++ b/tests/platform/platform_configuration_test.cpp
@@ -51,6 +51,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(platform_configuration_test, platform_configuration_fixture)
 
+BOOST_AUTO_TEST_CASE(configuration_limitsOfColdInstances_translatedAndCarried)
+{
+    const std::string edited = with(R"({"Name":"kafi"},{"Name":"wuno"})",
+                                    R"({"Name":"wuno","WarmupS":3,"WarmupPerS":5.8},{"Name":"kafi","WarmupS":2})");
+    const replace_all translated = configurationFromPlatform(edited, keyValidityMs);
+    BOOST_TEST((translated.value.warmups
+                == std::vector<service_warmup>{{.service = "wuno", .warmupMs = 3'000, .perSecond = 5.8}}));
+    BOOST_TEST((decodeConfiguration(encodeConfiguration(translated.value)) == translated.value));
+    BOOST_TEST(isRefused(with(R"({"Name":"kafi"})", R"({"Name":"kafi","WarmupPerS":-1})")));
+    BOOST_TEST(isRefused(with(R"({"Name":"kafi"})", R"({"Name":"kafi","WarmupPerS":"5"})")));
+}
+
 BOOST_AUTO_TEST_CASE(configuration_complete_translated)
 {
     const configuration translated = configurationFromPlatform(body, keyValidityMs).value;
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -47,6 +47,19 @@
     BOOST_TEST(keyValidityWith(R"({"StrictRevocation":false,"RevokeMs":5000})") == 60'000U);
 }
 
+BOOST_AUTO_TEST_CASE(warmupBounds_fractions_kept)
+{
+    const auto entryWith = [](const std::string &bounds) {
+        return settingsWith("Bounds", bounds).daemon.entry;
+    };
+    const entry_settings entry = entryWith(R"({"WarmupOvershoot":1.5,"WarmupSlack":8})");
+    BOOST_TEST(entry.warmupOvershoot == 1.5);
+    BOOST_TEST(entry.warmupSlack == 8);
+    // Without bounds nothing above the limit itself is allowed.
+    BOOST_TEST(entryWith("{}").warmupOvershoot == 1);
+    BOOST_TEST(entryWith("{}").warmupSlack == 0);
+}
+
 BOOST_AUTO_TEST_CASE(toleratedDiskLosses_machinesOfTheTolerance_atLeastOne)
 {
     BOOST_TEST(toleratedWith(R"({"Machines":2,"Zones":0,"Regions":0})") == 2U);
