Hold each entry VM to its part of a cold instance's limit

Cold instances crash well above 5.8 requests a second and must get at most 16.7 in any second from all entry VMs, but 17 and 18 were seen: only the VM that hears an instance's announcement knew that it is cold, and nothing limited what the VMs send together.

Of a service with a limit, a few entry VMs for each cold instance may send to it, chosen by rendezvous hashing, with at least 1.1 s between two requests of one VM. All of them together stay within half of the limit, so that both sides of a partition stay within all of it. First attempts, retries and trials go to other instances otherwise; where only cold ones are left, the request is refused as not run with the time until this VM's turn. Two senders, and later the others, send their first request at once, so that no instance starves.

Without limits in the configuration nothing changes.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -13,8 +13,10 @@
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/catch_up.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
+#include <guavafront/coordination/warmup/warmup.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -33,6 +35,7 @@
     std::string accountName; ///< Client account to name in the upstream request; empty on a route open to all.
     instant deadline; ///< Time when the attempt is given up.
     bool trial = false; ///< The attempt is a trial that shows whether an avoided instance is healthy again.
+    bool cold = false; ///< The instance is cold.
     duration silenceLimit{}; ///< Time without an answer before a reused connection is given up; 0 for no limit.
 };
 
@@ -145,6 +148,18 @@
     duration pause{}; ///< Time in which it wants no request from this VM; 0 when it said that it leaves.
 };
 
+/// Tell other VMs which instances are cold.
+struct send_warmups {
+    std::optional<vm_id> to; ///< VM that gets the notices; nothing for all entry and control VMs.
+    std::vector<warmup_notice> notices; ///< The cold instances.
+};
+
+/// Report to operators what concerned the cold instances of a service since the last report.
+struct report_warmups {
+    std::string service; ///< Name of the service.
+    warmup_counts counts; ///< Present number of cold instances, and requests since the last report.
+};
+
 /// Report to operators that other VMs passed on that an instance takes no more requests.
 struct report_departure {
     departure what; ///< The departure.
@@ -156,6 +171,6 @@
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
                  report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
-                 report_departure>;
+                 report_departure, send_warmups, report_warmups>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -85,6 +85,7 @@
 /// The fleet's membership changed.
 struct fleet_changed {
     fleet_summary view; ///< Live VMs.
+    entry_vm_view entries; ///< The entry VMs, this one included.
 };
 
 /// Another VM reported its view of the upstream instances' health.
@@ -161,6 +162,11 @@
     std::uint64_t fingerprint = 0; ///< Fingerprint of the instances that the other VM knows.
 };
 
+/// Another VM told which instances are cold.
+struct warmups_reported {
+    std::vector<warmup_notice> notices; ///< Cold instances, some of which this VM may not know yet.
+};
+
 /// The time given by the last wake_at has come, or the front end wakes the entry earlier.
 struct time_passed {
 };
@@ -173,6 +179,6 @@
                  stop_planned, stop_requested, intake_closed, runs_ended, time_passed, limit_members_changed,
                  limit_message_received, claim_message_received, claims_view_changed, publications_lost,
                  evidence_received, ledger_owners_changed, ledger_statement_received, hub_loads_received,
-                 known_instances_requested, departure_reported>;
+                 known_instances_requested, departure_reported, warmups_reported>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/admission/admission_queue.h>
 #include <guavafront/coordination/limits/limit_settings.h>
 #include <guavafront/coordination/routing/balancer.h>
+#include <guavafront/coordination/warmup/warmup.h>
 
 #include <cstdint>
 
@@ -21,6 +22,7 @@
     admission_settings admission; ///< Settings of the queue in front of each service.
     balancing_policy balancing = balancing_policy::ExpectedLatency; ///< Policy for choosing an instance.
     bool strictConfiguration = false; ///< Refuse requests while the active configuration is outdated.
+    warmup_bounds warmup; ///< By how much the limit of a cold instance may be exceeded.
     entry_bounds bounds; ///< Limits beyond which the requests that cost least to refuse are shed.
 };
 
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -50,6 +50,7 @@
     instance_id currentInstance; ///< Instance of the current attempt.
     instant attemptStartedAt{}; ///< Time when the current attempt began.
     duration expectedWait{}; ///< Expected wait for a slot at the instance of the current attempt.
+    bool isCold = false; ///< The instance of the current attempt was cold at its start.
     bool isTrial = false; ///< The current attempt is a trial that shows whether an avoided instance is healthy again.
     bool overdueReported = false; ///< The other entry VMs were told that the current attempt's answer is overdue.
     std::vector<instance_id> attemptedInstances; ///< Instances of all attempts so far.
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -12,6 +12,7 @@
 #include <guavafront/coordination/routing/balancer.h>
 #include <guavafront/coordination/upstreams/recent_losses.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
+#include <guavafront/coordination/warmup/warmup.h>
 
 #include <optional>
 #include <string>
@@ -36,6 +37,8 @@
     episode_lengths episodes; ///< Lengths of the instances' last failure episodes.
     recent_losses losses; ///< Ends of the service's last requests at this VM.
     service_instance_counts shownCounts; ///< Counts that were last shown to operators.
+    warmup_counts warmups; ///< What concerned cold instances since it was last shown to operators.
+    std::uint32_t shownCold = 0; ///< Number of cold instances that was last shown to operators.
     std::uint64_t registryGeneration = 0; ///< Generation of the registry's instance list that candidates reflects.
 };
 
@@ -60,6 +63,7 @@
     std::string dataCentre; ///< Data centre of this VM.
     balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
     avoidance avoidedInstances; ///< Instances that the fleet avoids; used by balancing_policy::Affinity.
+    warmup warmups; ///< Cold instances; used by balancing_policy::Affinity.
     instance_notices notices; ///< What instances said of themselves in their answers.
     std::uint32_t floorPercent = 70; ///< Default share of a service's capacity that ejection leaves, in percent.
     std::vector<service_floor> floors; ///< Services with a floor other than floorPercent.
@@ -95,12 +99,17 @@
 struct selected_instance {
     affinity_choice choice; ///< The instance, and whether the request is a trial.
     duration expectedWait{}; ///< Time that the request is expected to wait there for a slot.
+    bool cold = false; ///< The instance is cold.
 };
 
 /// Does the same as selectInstance() for balancing_policy::Affinity, but doesn't require a free slot.
 std::optional<selected_instance> selectByAffinity(upstream_selection &selection, const registry &known,
                                                   std::string_view service, const choice_request &request, instant now);
 
+/// When a cold instance of the service may get a request from this VM; nothing when the service has no cold instance.
+std::optional<instant> nextWarmupTurn(const upstream_selection &selection, const registry &known,
+                                      std::string_view service, instant now);
+
 /// Records loads that a hub reported for the fleet's VMs.
 void applyReportedLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads,
                         instant now);
--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -195,6 +195,7 @@
         return;
     }
     state.nextStandingReport = context.now + standingReportInterval;
+    reportWarmups(context);
     for (std::size_t index = 0; index < state.selection.services.size(); ++index) {
         const service_instances &group = state.upstreams.services[index];
         const service_instance_counts standing =
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -112,7 +112,11 @@
 duration retryAfterNoInstance(const step_context &context, const exchange &request)
 {
     const duration left = pauseLeft(context, request.service);
-    return left > duration::zero() ? withSpread(context, left, pauseEndSpread) : retryAfterNoUpstream;
+    if (left > duration::zero()) {
+        return withSpread(context, left, pauseEndSpread);
+    }
+    const auto turn = nextWarmupTurn(context.state.selection, context.state.upstreams, request.service, context.now);
+    return turn ? withSpread(context, *turn - context.now, pauseEndSpread) : retryAfterNoUpstream;
 }
 
 /// Whether an attempt that begins now and fails can be followed by another one: the route, the time left and the
@@ -163,6 +167,7 @@
 {
     entry &state = context.state;
     request.isTrial = false;
+    request.isCold = false;
     if (state.selection.policy != balancing_policy::Affinity) {
         return selectInstance(state.selection, state.upstreams, request.service, choice, context.random());
     }
@@ -171,6 +176,7 @@
         return std::nullopt;
     }
     request.isTrial = chosen->choice.trial;
+    request.isCold = chosen->cold;
     request.expectedWait = chosen->expectedWait;
     state.ownLoads.changed = true;
     if (chosen->choice.trial) {
@@ -215,6 +221,7 @@
                                                .accountName = request.accountName,
                                                .deadline = request.deadline - attemptMargin,
                                                .trial = request.isTrial,
+                                               .cold = request.isCold,
                                                .silenceLimit = silenceLimitFor(context, request)});
     return stage_verdict::Continue;
 }
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -21,6 +21,7 @@
     }
     state.activeConfiguration = std::move(value);
     updateHealthyFloors(state.selection, *state.activeConfiguration);
+    applyWarmupLimits(state.selection.warmups, *state.activeConfiguration);
     state.routes = buildRouteTable(state.activeConfiguration->routes);
     state.keys = buildKeyTable(state.activeConfiguration->keys);
     state.idempotencyClaims.homeSide.options.retention =
@@ -124,6 +125,7 @@
 void handle(step_context &context, const fleet_changed &event)
 {
     context.state.selection.fleet = event.view;
+    updateEntryVms(context.state.selection.warmups, event.entries);
     context.state.rateLedger.spenders = std::max(event.view.vms, 1U);
 }
 
@@ -152,6 +154,7 @@
 void handle(step_context &context, const hub_loads_received &event)
 {
     applyReportedLoads(context.state.selection, context.state.upstreams, event.loads, context.now);
+    context.state.selection.warmups.lastNewsAt = context.now;
 }
 
 void handle(step_context &context, const ledger_owners_changed &event)
@@ -169,6 +172,11 @@
     sendKnownInstances(context, event);
 }
 
+void handle(step_context &context, const warmups_reported &event)
+{
+    updateWarmups(context, event);
+}
+
 void handle(step_context &context, const death_reported &event)
 {
     recordDeath(context.state.requestQuarantine, event.death, context.now);
@@ -268,6 +276,7 @@
 void trackAcceptedRevision(entry &state, instant now)
 {
     state.startedAt = state.startedAt.value_or(now);
+    state.selection.warmups.startedAt = state.startedAt;
     if (state.freshness.accepted > state.activeConfiguration->atRevision) {
         state.outdatedSince = state.outdatedSince.value_or(now);
         return;
@@ -300,6 +309,8 @@
     state.settings = settings;
     state.upstreams.self = identity.self;
     state.selection.self = identity.self;
+    state.selection.warmups.self = identity.self;
+    state.selection.warmups.bounds = settings.warmup;
     state.selection.dataCentre = identity.dataCentre;
     state.selection.policy = settings.balancing;
     state.idempotencyClaims = makeClaims(identity.self, identity.life, {}, {});
--- a/src/coordination/entry/entry_step.h
+++ b/src/coordination/entry/entry_step.h
@@ -67,6 +67,10 @@
 void updateUpstreams(step_context &context, const instance_announced &event);
 /// Adds or renews an instance of another VM. Withdraws it here when the other VM now receives its announcements.
 void updateUpstreams(step_context &context, const instance_reported &event);
+/// Records which instances another VM said are cold.
+void updateWarmups(step_context &context, const warmups_reported &event);
+/// Reports to operators what concerned cold instances since the last report.
+void reportWarmups(step_context &context);
 /// Stops new requests to an instance that departs.
 void updateUpstreams(step_context &context, const departure_reported &event);
 /// Removes an instance that another VM has withdrawn.
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -1,12 +1,35 @@
 #include "coordination/entry/attempt_evidence.h"
 #include "coordination/entry/entry_step.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace guavafront
 {
 
+namespace
+{
+
+/// Records the warm-up time of an instance that announced itself here, and tells all VMs while it is cold. It is told
+/// with each announcement, so that a lost message matters for the time between two announcements at most, and before
+/// the announcement, so that no VM knows the instance without its warm-up.
+void publishWarmup(step_context &context, const announcement &received)
+{
+    const warmup_notice notice{received.instance, received.warmupLeft};
+    recordWarmup(context.state.selection.warmups, notice, context.now);
+    if (notice.left > duration::zero() && received.state < instance_state::Draining) {
+        context.effects.emplace_back(send_warmups{std::nullopt, {notice}});
+    }
+}
+
+} // namespace
+
 void updateUpstreams(step_context &context, const instance_announced &event)
 {
     const registry_change change = announce(context.state.upstreams, event.announced, context.now);
+    if (change != registry_change::None) {
+        publishWarmup(context, event.announced);
+    }
     syncSelection(context);
     switch (change) {
     case registry_change::Changed:
@@ -22,6 +45,7 @@
 
 void updateUpstreams(step_context &context, const instance_reported &event)
 {
+    context.state.selection.warmups.lastNewsAt = context.now;
     if (learn(context.state.upstreams, event.registrar, event.announced, context.now) == registry_change::HandedOver) {
         context.effects.emplace_back(withdraw_instance{event.announced.instance});
     }
@@ -63,8 +87,42 @@
     }
 }
 
+void updateWarmups(step_context &context, const warmups_reported &event)
+{
+    warmup &warmups = context.state.selection.warmups;
+    warmups.lastNewsAt = context.now;
+    for (const warmup_notice &each : event.notices) {
+        recordWarmup(warmups, each, context.now);
+    }
+}
+
+void reportWarmups(step_context &context)
+{
+    upstream_selection &selection = context.state.selection;
+    removeOldWarmups(selection.warmups, context.now);
+    for (std::size_t index = 0; index < selection.services.size(); ++index) {
+        const service_instances &group = context.state.upstreams.services[index];
+        upstream_service &service = selection.services[index];
+        warmup_counts counts = std::exchange(service.warmups, {});
+        if (findWarmupLimit(selection.warmups, group.service)) {
+            counts.cold = static_cast<std::uint32_t>(
+                std::ranges::count_if(group.instances, [&selection, &context](const registered_instance &each) {
+                    return isCold(selection.warmups, each.last.instance, context.now);
+                }));
+        }
+        const bool isNews = counts.cold != std::exchange(service.shownCold, counts.cold);
+        if (isNews || counts.sent + counts.heldBack > 0) {
+            context.effects.emplace_back(report_warmups{group.service, counts});
+        }
+    }
+}
+
 void sendKnownInstances(step_context &context, const known_instances_requested &event)
 {
+    auto cold = coldInstances(context.state.selection.warmups, context.now);
+    if (!cold.empty()) {
+        context.effects.emplace_back(send_warmups{event.from, std::move(cold)});
+    }
     if (auto instances = instancesForCatchUp(context.state.upstreams, event.fingerprint); !instances.empty()) {
         context.effects.emplace_back(send_known_instances{event.from, std::move(instances)});
     }
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -91,6 +91,36 @@
     return std::nullopt;
 }
 
+/// Chooses by affinity an instance of a service with a limit for cold instances, as far as this VM's part allows.
+std::optional<affinity_choice> chooseWithWarmup(const upstream_selection &selection, upstream_service &service,
+                                                const service_warmup &limit, const registry &known,
+                                                const choice_request &request, instant now)
+{
+    const warmup_decision decision = decideWarmup(selection.warmups, limit, service.candidates.members, known, now);
+    service.warmups.heldBack += decision.heldBack.empty() ? 0 : 1;
+    for (const instance_id instance : decision.due) {
+        const bool isOpen = avoidanceStatusOf(selection.avoidedInstances, instance, now) == avoidance_status::Open
+                            && std::ranges::find(request.excluded, instance) == request.excluded.end();
+        if (isOpen && !request.retry) { // A retry goes to an instance that has answered lately.
+            return affinity_choice{instance, false};
+        }
+    }
+    std::vector<instance_id> excluded(request.excluded.begin(), request.excluded.end());
+    excluded.insert(excluded.end(), decision.heldBack.begin(), decision.heldBack.end());
+    const std::size_t required = excluded.size();
+    excluded.insert(excluded.end(), decision.doubtful.begin(), decision.doubtful.end());
+    std::optional<affinity_choice> chosen;
+    for (const std::size_t count : {excluded.size(), required + decision.restingCount, required}) {
+        choice_request allowed = request;
+        allowed.excluded = std::span(excluded).first(count);
+        chosen = chooseByAffinity(service.candidates, selection.avoidedInstances, selection.self, allowed, now);
+        if (chosen) {
+            break;
+        }
+    }
+    return chosen;
+}
+
 std::uint32_t floorPercentOf(const upstream_selection &selection, std::string_view service)
 {
     const auto found = std::ranges::find(selection.floors, service, &service_floor::service);
@@ -185,14 +215,40 @@
     choice_request informed = request;
     informed.loss = lossOf(selected->losses, now);
     informed.lengths = &selected->episodes;
+    const service_warmup *limit = findWarmupLimit(selection.warmups, service);
     const auto chosen =
-        chooseByAffinity(selected->candidates, selection.avoidedInstances, selection.self, informed, now);
+        limit ? chooseWithWarmup(selection, *selected, *limit, known, informed, now)
+              : chooseByAffinity(selected->candidates, selection.avoidedInstances, selection.self, informed, now);
     if (!chosen) {
         return std::nullopt;
     }
     candidate &member = *findCandidate(selected->candidates, chosen->instance);
     onRequestSent(member);
-    return selected_instance{*chosen, expectedWait(selected->candidates, member, now)};
+    const bool cold = limit && isCold(selection.warmups, chosen->instance, now);
+    if (limit) {
+        recordSent(selection.warmups, chosen->instance, now);
+        selected->warmups.sent += cold ? 1 : 0;
+    }
+    return selected_instance{*chosen, expectedWait(selected->candidates, member, now), cold};
+}
+
+std::optional<instant> nextWarmupTurn(const upstream_selection &selection, const registry &known,
+                                      std::string_view service, instant now)
+{
+    const service_warmup *limit = findWarmupLimit(selection.warmups, service);
+    const candidate_set *candidates = limit ? findCandidates(selection, known, service) : nullptr;
+    std::optional<instant> earliest;
+    if (!candidates) {
+        return earliest;
+    }
+    for (const candidate &member : candidates->members) {
+        const registered_instance *entry = findInstance(known, member.instance);
+        if (entry && isCold(selection.warmups, member.instance, now)) {
+            const instant turn = nextTurn(selection.warmups, *limit, member.instance, entry->last.dataCentre, now);
+            earliest = std::min(earliest.value_or(turn), turn);
+        }
+    }
+    return earliest;
 }
 
 bool recordEvidence(upstream_selection &selection, const registry &known, const instance_report &report, instant now)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -89,6 +89,7 @@
     options.policy.strictConfiguration = settings.entry.strictConfiguration;
     options.policy.limits.fleetSizeKnown = settings.peers.fleetSize > 0;
     options.policy.balancing = settings.entry.sparse ? balancing_policy::Affinity : balancing_policy::ExpectedLatency;
+    options.policy.warmup = {.overshoot = settings.entry.warmupOvershoot, .slack = settings.entry.warmupSlack};
     options.seed = self.value;
     return options;
 }
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -10,6 +10,7 @@
 #include "wire/limits_codec.h"
 #include "wire/load_codec.h"
 #include "wire/registry_codec.h"
+#include "wire/warmup_codec.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -77,6 +78,10 @@
     });
     const bool isControl = hasRole(settings, vm_role::Control);
     subscribe(options, channel::Registry, wiring, [isControl, &wiring](vm_id from, const envelope &message) {
+        if (message.version == warmupVersion) {
+            wiring.entries.post(warmups_reported{decodeWarmups(message.body)});
+            return;
+        }
         if (message.version != departureVersion) {
             wiring.entries.post(instance_reported{from, decodeAnnouncement(message.body)});
             return;
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -149,6 +149,7 @@
     caller.service = effect.service;
     caller.instanceName = effect.instanceName;
     caller.trial = effect.trial;
+    caller.cold = effect.cold;
     const duration timeLeft = std::max(effect.deadline - loop::now(), duration(1));
     const std::vector<http_header> headers = m_options.dialect.upstreamHeaders(caller.request, effect, timeLeft);
     const std::string target = m_options.dialect.upstreamTarget(caller.request);
@@ -197,6 +198,7 @@
                      {"status", std::int64_t{result.status}},
                      {"new_connection", std::int64_t{newConnection}},
                      {"trial", std::int64_t{found->second.trial}},
+                     {"cold", std::int64_t{found->second.cold}},
                      {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
     }
     std::vector<std::byte> forResends = answerForResends(id, outcome);
@@ -295,6 +297,17 @@
                  {"leaving", std::int64_t{effect.standing.leaving}}});
 }
 
+void entry_task::perform(const report_warmups &effect)
+{
+    m_counters.setWarmupCounts(effect.service, effect.counts);
+    m_log.write("warmup", loop::now(),
+                {{"service", effect.service},
+                 {"cold", std::int64_t{effect.counts.cold}},
+                 {"sent", std::int64_t{effect.counts.sent}},
+                 {"held_back", std::int64_t{effect.counts.heldBack}},
+                 {"entry_vms", static_cast<std::int64_t>(m_state.selection.warmups.vms.size())}});
+}
+
 void entry_task::perform(const report_notice &effect)
 {
     const auto found = m_requests.find(effect.id);
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -63,6 +63,7 @@
         instant arrived; ///< Time of arrival.
         std::string instanceName; ///< Instance of the last attempt; its id if it announced no name.
         bool trial = false; ///< The last attempt tries whether an avoided instance works again.
+        bool cold = false; ///< The last attempt's instance was cold.
     };
 
     void receive(exchange_id id, const http_request &request);
@@ -90,6 +91,8 @@
     void perform(const send_known_instances &effect);
     void perform(const report_standing &effect);
     void perform(const report_notice &effect);
+    void perform(const send_warmups &effect);
+    void perform(const report_warmups &effect);
     void perform(const report_departure &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, upstream_outcome outcome, bool newConnection);
--- a/src/daemon/entry/entry_task_messages.cpp
+++ b/src/daemon/entry/entry_task_messages.cpp
@@ -77,6 +77,11 @@
     sendKnownInstances(m_peers, effect.to, effect.instances);
 }
 
+void entry_task::perform(const send_warmups &effect)
+{
+    sendWarmups(m_peers, effect);
+}
+
 void entry_task::perform(const send_ledger_report &effect)
 {
     m_peers.post(send_to_vm{effect.to, {.kind = channel::Ledger, .body = encodeLedgerMessage(effect.report)}});
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -130,7 +130,7 @@
     entries.insert(std::ranges::upper_bound(entries, m_self.id), m_self.id);
     postToEntryTask(limit_members_changed{std::move(entries)});
     postToEntryTask(ledger_owners_changed{otherVmsWithRoles(view, ControlRole, m_self.id)});
-    postToEntryTask(fleet_changed{summaryOf(view, m_self.dataCentre)});
+    postToEntryTask(fleet_changed{summaryOf(view, m_self.dataCentre), entryVmViewOf(view)});
     postClaimsMembers();
 }
 
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -82,6 +82,10 @@
                                           "Other VMs' messages that could not be decoded, by reason."))
     , m_instances(gaugeFamily(m_registry, "guavafront_instances",
                               "Serving instances by service and standing: open, trial, avoided, paused or leaving."))
+    , m_coldInstances(gaugeFamily(m_registry, "guavafront_cold_instances",
+                                  "Instances by service that are cold, in this VM's view."))
+    , m_coldRequests(counterFamily(m_registry, "guavafront_cold_instance_requests_total",
+                                   "Requests by service and decision: sent to a cold instance, or held back from one."))
     , m_leaderKnown(gaugeFamily(m_registry, "guavafront_control_leader_known",
                                 "1 while this control VM knows a leader of the control cluster."))
     , m_leaderlessSeconds(gaugeFamily(m_registry, "guavafront_control_leaderless_seconds",
@@ -134,6 +138,13 @@
     set("leaving", counts.leaving);
 }
 
+void daemon_counters::setWarmupCounts(std::string_view service, const warmup_counts &counts)
+{
+    m_coldInstances.Add({{"service", std::string(service)}}).Set(counts.cold);
+    m_coldRequests.Add({{"service", std::string(service)}, {"decision", "sent"}}).Increment(counts.sent);
+    m_coldRequests.Add({{"service", std::string(service)}, {"decision", "held_back"}}).Increment(counts.heldBack);
+}
+
 void daemon_counters::countNotice(std::string_view service, std::string_view notice)
 {
     m_notices.Add({{"service", std::string(service)}, {"notice", std::string(notice)}}).Increment();
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/core/result_code.h>
 #include <guavafront/coordination/entry/attempt_result.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
+#include <guavafront/coordination/warmup/warmup.h>
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -49,6 +50,9 @@
     /// Sets how many instances of a service are open, on trial, avoided, paused and leaving in this VM's view.
     void setInstanceCounts(std::string_view service, const service_instance_counts &counts);
 
+    /// Sets how many instances of a service are cold, and counts the requests sent to them and held back from them.
+    void setWarmupCounts(std::string_view service, const warmup_counts &counts);
+
     /// Counts what an instance said of itself for the first time; notice is its stable name.
     void countNotice(std::string_view service, std::string_view notice);
 
@@ -96,6 +100,9 @@
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< Operators' requests by result.
     prometheus::Family<prometheus::Counter> &m_droppedPeerMessages; ///< Dropped messages of other VMs by reason.
     prometheus::Family<prometheus::Gauge> &m_instances; ///< Serving instances by service and standing.
+    prometheus::Family<prometheus::Gauge> &m_coldInstances; ///< Cold instances by service.
+    prometheus::Family<prometheus::Counter>
+        &m_coldRequests; ///< Requests by service: sent to cold instances or held back.
     prometheus::Family<prometheus::Gauge> &m_leaderKnown; ///< Whether a leader is known; control VMs only.
     prometheus::Family<prometheus::Gauge> &m_leaderlessSeconds; ///< Time without a leader; control VMs only.
     prometheus::Family<prometheus::Gauge> &m_quorumSize; ///< Votes that make a majority; control VMs only.
--- a/src/daemon/registry/known_instances.cpp
+++ b/src/daemon/registry/known_instances.cpp
@@ -1,8 +1,10 @@
 #include "daemon/registry/known_instances.h"
 
 #include "wire/catch_up_codec.h"
+#include "wire/warmup_codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavafront
 {
@@ -17,4 +19,19 @@
     }
 }
 
+void sendWarmups(mailbox<peers_message> &peers, const send_warmups &effect)
+{
+    std::span<const warmup_notice> notices = effect.notices;
+    while (!notices.empty()) {
+        const std::span part = notices.first(std::min(notices.size(), maxWarmupNotices));
+        notices = notices.subspan(part.size());
+        envelope message{.kind = channel::Registry, .version = warmupVersion, .body = encodeWarmups(part)};
+        if (effect.to) {
+            peers.post(send_to_vm{*effect.to, std::move(message)});
+        } else {
+            peers.post(send_to_roles{EntryRole | ControlRole, std::move(message)});
+        }
+    }
+}
+
 } // namespace guavafront
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -32,7 +32,11 @@
 
 void registry_task::handle(const instance_announced &event)
 {
-    if (announce(m_state, event.announced, loop::now()) == registry_change::Changed) {
+    const registry_change change = announce(m_state, event.announced, loop::now());
+    if (change != registry_change::None) {
+        publishWarmup(event.announced);
+    }
+    if (change == registry_change::Changed) {
         publish(event.announced);
     }
     publishEarlyDeparture(event.announced);
@@ -45,6 +49,25 @@
     }
 }
 
+/// Tells all VMs for how much longer the instance is cold. It is told with each announcement, so that a lost message
+/// matters for the time between two announcements at most, and before the announcement, so that no VM knows the
+/// instance without its warm-up.
+void registry_task::publishWarmup(const announcement &received)
+{
+    const warmup_notice notice{received.instance, received.warmupLeft};
+    recordWarmup(m_warmups, notice, loop::now());
+    if (notice.left > duration::zero() && received.state < instance_state::Draining) {
+        sendWarmups(m_peers, {std::nullopt, {notice}});
+    }
+}
+
+void registry_task::handle(const warmups_reported &event)
+{
+    for (const warmup_notice &each : event.notices) {
+        recordWarmup(m_warmups, each, loop::now());
+    }
+}
+
 /// Sends the announcement to all VMs at once, and also publishes it in the spread map, which repairs losses. Departures
 /// are sent by the departures task.
 void registry_task::publish(const announcement &published)
@@ -105,11 +128,15 @@
 
 void registry_task::handle(const known_instances_requested &event)
 {
+    if (const auto cold = coldInstances(m_warmups, loop::now()); !cold.empty()) {
+        sendWarmups(m_peers, {event.from, cold});
+    }
     sendKnownInstances(m_peers, event.from, instancesForCatchUp(m_state, event.fingerprint));
 }
 
 void registry_task::tick()
 {
+    removeOldWarmups(m_warmups, loop::now());
     for (const instance_id instance : expire(m_state, loop::now())) {
         m_peers.post(publicationOf(withdraw_instance{instance}));
     }
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -28,17 +28,20 @@
     void handle(const vm_reachability_changed &event);
     void handle(const publications_lost &event);
     void handle(const known_instances_requested &event);
+    void handle(const warmups_reported &event);
     template<class ignored_event>
     void handle(const ignored_event & /*event*/)
     {
     }
 
     void publish(const announcement &published);
+    void publishWarmup(const announcement &received);
     void publishEarlyDeparture(const announcement &received);
     void tick();
 
     mailbox<peers_message> &m_peers; ///< Inbox of the peers task; not owned.
     registry m_state; ///< All known instances.
+    warmup m_warmups; ///< Cold instances, to tell VMs that lack them; limits and entry VMs are unused.
     timer m_timer; ///< Checks for expired leases.
     mailbox_attachment<entry_event> m_attachment;
 };
