--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -4,6 +4,7 @@
 #include <guavafront/coordination/limits/limit_settings.h>
 #include <guavafront/coordination/retries/retry_share.h>
 #include <guavafront/coordination/routing/balancer.h>
+#include <guavafront/coordination/warmup/warmup.h>
 
 #include <cstdint>
 
@@ -23,6 +24,7 @@
     balancing_policy balancing = balancing_policy::ExpectedLatency; ///< Policy for choosing an instance.
     retry_rule retries; ///< Rule for the retries of all VMs together; none by default.
     bool strictConfiguration = false; ///< Refuse requests while the active configuration is outdated.
+    warmup_bounds warmup; ///< By how much the limit of a cold instance may be exceeded.
     entry_bounds bounds; ///< Limits beyond which the requests that cost least to refuse are shed.
 };
 
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -52,6 +52,7 @@
     instant attemptStartedAt{}; ///< Time when the current attempt began.
     duration expectedWait{}; ///< Expected wait for a slot at the instance of the current attempt.
     duration expectedWork{}; ///< Expected service time when the current attempt began; 0 when it wasn't known.
+    bool isCold = false; ///< The instance of the current attempt was cold at its start.
     bool isTrial = false; ///< The current attempt is a trial that shows whether an avoided instance is healthy again.
     trial_reason trialReason = trial_reason::None; ///< Why the current attempt is a trial.
     bool overdueReported = false; ///< The other entry VMs were told that the current attempt's answer is overdue.
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -126,6 +126,10 @@
     if (left > duration::zero()) {
         return withSpread(context, left, pauseEndSpread);
     }
+    if (const auto turn =
+            nextWarmupTurn(context.state.selection, context.state.upstreams, request.service, context.now)) {
+        return withSpread(context, *turn - context.now, pauseEndSpread);
+    }
     // An evacuation refuses all callers of a service at the same time.
     const bool evacuated = evacuatedInstancesOf(context.state.selection, context.state.upstreams, request.service) > 0;
     return evacuated ? withSpread(context, retryAfterNoUpstream, evacuatedRetrySpread) : retryAfterNoUpstream;
@@ -178,6 +182,7 @@
     entry &state = context.state;
     request.isTrial = false;
     request.trialReason = trial_reason::None;
+    request.isCold = false;
     if (state.selection.policy != balancing_policy::Affinity) {
         return selectInstance(state.selection, state.upstreams, request.service, choice, context.random());
     }
@@ -187,6 +192,7 @@
     }
     request.isTrial = chosen->choice.trial;
     request.trialReason = chosen->choice.reason;
+    request.isCold = chosen->cold;
     request.expectedWait = chosen->expectedWait;
     state.ownLoads.changed = true;
     if (chosen->choice.trial) {
@@ -246,6 +252,7 @@
                                                .deadline = request.deadline - attemptMargin,
                                                .trial = request.isTrial,
                                                .trialReason = request.trialReason,
+                                               .cold = request.isCold,
                                                .silenceLimit = silenceLimitFor(context, request)});
     return stage_verdict::Continue;
 }
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -64,6 +64,7 @@
         std::string instanceName; ///< Instance of the last attempt; its id if it announced no name.
         bool trial = false; ///< The last attempt tries whether an avoided instance works again.
         trial_reason trialReason = trial_reason::None; ///< Why the last attempt is a trial.
+        bool cold = false; ///< The last attempt's instance was cold.
     };
 
     void receive(exchange_id id, const http_request &request);
@@ -92,6 +93,8 @@
     void perform(const report_standing &effect);
     void perform(const report_notice &effect);
     void perform(const report_retry_refused &effect);
+    void perform(const send_warmups &effect);
+    void perform(const report_warmups &effect);
     void perform(const report_departure &effect);
     void perform(const report_evacuation &effect);
     void perform(const count_evacuated_request &effect);
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -87,6 +87,10 @@
     , m_instances(gaugeFamily(m_registry, "guavafront_instances",
                               "Serving instances by service and standing: open, trial, avoided, paused, leaving "
                               "or evacuated."))
+    , m_coldInstances(gaugeFamily(m_registry, "guavafront_cold_instances",
+                                  "Instances by service that are cold, in this VM's view."))
+    , m_coldRequests(counterFamily(m_registry, "guavafront_cold_instance_requests_total",
+                                   "Requests by service and decision: sent to a cold instance, or held back from one."))
     , m_leaderKnown(gaugeFamily(m_registry, "guavafront_control_leader_known",
                                 "1 while this control VM knows a leader of the control cluster."))
     , m_leaderlessSeconds(gaugeFamily(m_registry, "guavafront_control_leaderless_seconds",
@@ -185,6 +189,13 @@
     m_configurationAge.Add({}).Set(seconds);
 }
 
+void daemon_counters::setWarmupCounts(std::string_view service, const warmup_counts &counts)
+{
+    m_coldInstances.Add({{"service", std::string(service)}}).Set(counts.cold);
+    m_coldRequests.Add({{"service", std::string(service)}, {"decision", "sent"}}).Increment(counts.sent);
+    m_coldRequests.Add({{"service", std::string(service)}, {"decision", "held_back"}}).Increment(counts.heldBack);
+}
+
 void daemon_counters::countNotice(std::string_view service, std::string_view notice)
 {
     m_notices.Add({{"service", std::string(service)}, {"notice", std::string(notice)}}).Increment();
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -90,6 +90,8 @@
     /// seconds, beyond retryPercent of the requests. 0 leaves retries to the configuration's percentage at each VM.
     std::uint32_t retrySlack = 0;
     std::uint32_t retryPercent = 20; ///< Such arrivals in percent of the requests; applies with retrySlack.
+    double warmupOvershoot = 1; ///< Factor by which all VMs together may exceed the limit of a cold instance.
+    double warmupSlack = 0; ///< Requests in a second by which they may exceed it besides.
 };
 
 /// All settings of one daemon, grouped as in the settings file.
--- a/src/wire/change_json.cpp
+++ b/src/wire/change_json.cpp
@@ -9,6 +9,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <array>
+#include <type_traits>
 #include <utility>
 
 namespace guavafront
@@ -158,10 +159,11 @@
     return fieldsOf(edit).size();
 }
 
-/// The last field of a difference is absent when no evacuation changes, so that VMs of earlier builds can read it.
+/// The last two fields of a difference are absent when neither evacuations nor warm-up limits change, so that VMs of
+/// earlier builds can read it.
 std::size_t fieldCountOf(const configuration_difference & /*edit*/, const json &encoded)
 {
-    return encoded.size() == differenceFieldCount + 1 ? differenceFieldCount + 1 : differenceFieldCount;
+    return encoded.size() == differenceFieldCount + 2 ? differenceFieldCount + 2 : differenceFieldCount;
 }
 
 template<class edit_type>
@@ -341,6 +343,21 @@
     return result;
 }
 
+json toJson(const service_warmup &value)
+{
+    return json::array({value.service, value.warmupMs, value.perSecond});
+}
+
+service_warmup warmupFromJson(const json &value)
+{
+    cbor_fields fields(value, "warm-up limit", 3);
+    service_warmup limit;
+    limit.service = fields.text(maxNameBytes);
+    limit.warmupMs = fields.integer<std::uint32_t>();
+    limit.perSecond = fields.floatingPoint();
+    return limit;
+}
+
 json toJson(const change &edit)
 {
     return json::array({edit.index(), std::visit([](const auto &value) { return fieldsOf(value); }, edit)});
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -46,13 +46,16 @@
     json fields = json::array({configurationFormatVersion, value.atRevision.value, toJson(value.defaults),
                                listToJson(value.accounts), listToJson(value.keys), listToJson(value.routes),
                                listToJson(value.exceptions), value.lastAccountId.value, value.lastRouteId.value});
-    if (value.externalVersion > 0 || !value.evacuations.empty()) {
+    // VMs of earlier builds can read only a configuration without the last two fields.
+    const bool hasLaterFields = !value.evacuations.empty() || !value.warmups.empty();
+    if (value.externalVersion > 0 || hasLaterFields) {
         fields.push_back(toJson(value.limits));
         fields.push_back(value.externalVersion);
         fields.push_back(value.document);
     }
-    if (!value.evacuations.empty()) { // VMs of earlier builds can read only a configuration without this field.
+    if (hasLaterFields) {
         fields.push_back(listToJson(value.evacuations));
+        fields.push_back(listToJson(value.warmups));
     }
     return fields;
 }
@@ -63,9 +66,9 @@
     constexpr std::size_t externalFieldCount = commonFieldCount + 3;
     const std::size_t size = encoded.is_array() ? encoded.size() : 0;
     const bool hasExternalFields = size > commonFieldCount;
-    const bool hasEvacuations = size > externalFieldCount;
-    cbor_fields fields(encoded, "configuration",
-                       (hasExternalFields ? externalFieldCount : commonFieldCount) + (hasEvacuations ? 1 : 0));
+    const bool hasLaterFields = size > externalFieldCount;
+    const std::size_t fieldCount = hasExternalFields ? externalFieldCount : commonFieldCount;
+    cbor_fields fields(encoded, "configuration", fieldCount + (hasLaterFields ? 2 : 0));
     fields.checkVersion(configurationFormatVersion);
     configuration value;
     value.atRevision.value = fields.integer<std::uint64_t>();
@@ -81,8 +84,9 @@
         value.externalVersion = fields.integer<std::uint64_t>();
         value.document = fields.text(maxConfigurationBytes);
     }
-    if (hasEvacuations) {
+    if (hasLaterFields) {
         value.evacuations = listFromJson(fields.array(maxEvacuations), evacuationFromJson);
+        value.warmups = listFromJson(fields.array(unbounded), warmupFromJson);
     }
     validate(value);
     return value;
--- a/src/wire/difference_json.cpp
+++ b/src/wire/difference_json.cpp
@@ -44,6 +44,17 @@
     return value ? json::array({toJson(*value)}) : json::array();
 }
 
+/// Encodes an optional list as an array of one list, or an empty array when there is none.
+template<class item>
+json optionalListOf(const std::optional<std::vector<item>> &items)
+{
+    json encoded = json::array();
+    if (items) {
+        encoded.push_back(listOf(*items));
+    }
+    return encoded;
+}
+
 template<class identifier>
 std::vector<identifier> readNumbers(cbor_fields &fields)
 {
@@ -77,6 +88,19 @@
     return items;
 }
 
+/// Reads what optionalListOf() wrote.
+template<class reader>
+auto readOptionalList(cbor_fields &fields, reader readItem)
+{
+    const json &encoded = fields.array(1);
+    std::optional<decltype(readList(fields, readItem))> items;
+    if (!encoded.empty()) {
+        cbor_fields only(encoded, "optional list", 1);
+        items = readList(only, readItem);
+    }
+    return items;
+}
+
 /// Reads what optionalOf() wrote: the only element, or nothing when there is none.
 template<class item>
 std::optional<item> firstOf(std::vector<item> items)
@@ -88,17 +112,14 @@
 
 json fieldsOf(const configuration_difference &difference)
 {
-    json exceptions = json::array();
-    if (difference.exceptions) {
-        exceptions.push_back(listOf(*difference.exceptions));
-    }
-    json fields =
-        json::array({optionalOf(difference.defaults), optionalOf(difference.limits), std::move(exceptions),
-                     numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
-                     listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
-                     difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
-    if (difference.evacuations) { // VMs of earlier builds can read only a difference without this field.
-        fields.push_back(listOf(*difference.evacuations));
+    json fields = json::array(
+        {optionalOf(difference.defaults), optionalOf(difference.limits), optionalListOf(difference.exceptions),
+         numbersOf(difference.removedAccounts), listOf(difference.accounts), difference.removedKeys,
+         listOf(difference.keys), numbersOf(difference.removedRoutes), listOf(difference.routes),
+         difference.lastAccountId.value, difference.lastRouteId.value, difference.externalVersion});
+    if (difference.evacuations || difference.warmups) { // VMs of earlier builds can read only what lacks these fields.
+        fields.push_back(optionalListOf(difference.evacuations));
+        fields.push_back(optionalListOf(difference.warmups));
     }
     return fields;
 }
@@ -122,7 +143,8 @@
     difference.lastRouteId.value = fields.integer<std::uint32_t>();
     difference.externalVersion = fields.integer<std::uint64_t>();
     if (fields.hasMore()) {
-        difference.evacuations = readList(fields, evacuationFromJson);
+        difference.evacuations = readOptionalList(fields, evacuationFromJson);
+        difference.warmups = readOptionalList(fields, warmupFromJson);
     }
 }
 
--- a/src/wire/difference_json.h
+++ b/src/wire/difference_json.h
@@ -4,10 +4,12 @@
 
 #include <guavafront/coordination/configuration/configuration_difference.h>
 
+#include <cstddef>
+
 namespace guavafront
 {
 
-/// Number of fields of an encoded difference in which no evacuation changes; one more with evacuations.
+/// Number of fields of an encoded difference in which neither evacuations nor warm-up limits change; two more otherwise.
 constexpr std::size_t differenceFieldCount = 12;
 
 /// Encodes a difference of configurations as an array of its fields, the form in which a list of changes contains it.
