Order waiting requests by urgency and share a service's capacity between VMs

With 47 entry VMs nothing waited at the VMs until an instance refused, since each VM took the slots of all instances as its own. After a refusal a VM's limit shrank although other instances had room.

With entry.urgencyOrder, which the platform sets where its contracts contain "pressure", a VM derives from the slots of usable instances and the hubs' sums how many of its requests may be at instances: all while capacity is ample, its fair share when it is scarce, with a boost for what others leave unused. What waits is ordered by priorities and slack, with a guaranteed part for each route and account. A request whose predicted wait doesn't fit is refused at once, with a Retry-After within a third of what its caller has left. A refusal by an instance no longer shrinks the limit. Without the setting nothing changes.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <guavafront/coordination/admission/capacity_share.h>
 #include <guavafront/coordination/avoidance/avoidance.h>
 #include <guavafront/coordination/claims/claim_message.h>
 #include <guavafront/coordination/core/identifiers.h>
@@ -164,12 +165,40 @@
     bool placed = false; ///< An attempt starts at another instance; otherwise the request is refused without one.
 };
 
+/// Why a request that waited for capacity was refused.
+enum class admission_refusal : std::uint8_t {
+    WaitTooLong, ///< Its turn would come too late to be answered before its deadline.
+    QueueFull, ///< Too many requests of its account, or of all accounts, wait at this VM.
+};
+
+/// Report to operators that a request was refused for want of capacity; only with entry_policy::urgencyOrder.
+struct report_admission_refusal {
+    std::string service; ///< Service of the request.
+    std::uint32_t rank = 0; ///< Rank of the request by priorities.
+    admission_refusal reason = admission_refusal::WaitTooLong; ///< Why it was refused.
+    duration predictedWait{}; ///< Time until its turn would have come.
+    duration left{}; ///< Time to its deadline.
+    duration work{}; ///< Its expected service time.
+    service_capacity capacity; ///< Available capacity of the service.
+    double limit = 0; ///< This VM's share of the slots.
+    std::uint32_t waiting = 0; ///< Requests of the service that wait at this VM.
+};
+
+/// Report to operators that a request got its turn after a wait; only with entry_policy::urgencyOrder.
+struct report_admission_wait {
+    std::string service; ///< Service of the request.
+    std::uint32_t rank = 0; ///< Rank of the request by priorities.
+    duration predicted{}; ///< Wait that was predicted when the request arrived.
+    duration waited{}; ///< Wait until its turn came.
+};
+
 /// Everything that the entry's decisions can ask the front end to do.
 using entry_effect =
     std::variant<start_attempt, cancel_attempt, deliver_answer, replay_answer, refuse_request, publish_instance,
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
                  report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
-                 report_departure, report_evacuation, count_evacuated_request>;
+                 report_departure, report_evacuation, count_evacuated_request, report_admission_refusal,
+                 report_admission_wait>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_policy.h
+++ b/include/guavafront/coordination/entry/entry_policy.h
@@ -23,6 +23,10 @@
     balancing_policy balancing = balancing_policy::ExpectedLatency; ///< Policy for choosing an instance.
     retry_rule retries; ///< Rule for the retries of all VMs together; none by default.
     bool strictConfiguration = false; ///< Refuse requests while the active configuration is outdated.
+    /// Requests wait at the entry VMs, in order of urgency, once the capacity of their service is scarce, and are
+    /// refused as soon as it is known that their turn comes too late. Needs the hubs' sums, so
+    /// balancing_policy::Affinity.
+    bool urgencyOrder = false;
     entry_bounds bounds; ///< Limits beyond which the requests that cost least to refuse are shed.
 };
 
--- a/include/guavafront/coordination/entry/entry_queues.h
+++ b/include/guavafront/coordination/entry/entry_queues.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <guavafront/coordination/admission/admission_queue.h>
+#include <guavafront/coordination/admission/capacity_share.h>
+#include <guavafront/coordination/admission/urgency_queue.h>
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
 
@@ -34,6 +36,11 @@
     admission_queue queue; ///< Requests that wait for a slot.
     std::uint32_t running = 0; ///< Number of requests that hold a slot.
     double concurrencyLimit = 0; ///< Adaptive limit on used slots; 0 (no limit) until the service sheds load.
+    urgency_queue urgent; ///< Waiting requests with entry_policy::urgencyOrder, in place of queue.
+    capacity_share share; ///< This VM's share of the capacity with entry_policy::urgencyOrder.
+    service_capacity capacity; ///< Available capacity when it was last counted.
+    instant capacityAt{}; ///< Time of that count.
+    instant nextTryAt = instant::max(); ///< When waiting requests are tried again without another event.
 };
 
 /// Admission queues of all services.
--- a/include/guavafront/coordination/upstreams/upstream_selection.h
+++ b/include/guavafront/coordination/upstreams/upstream_selection.h
@@ -5,6 +5,7 @@
 #include <guavafront/coordination/health/ejection.h>
 #include <guavafront/coordination/health/service_health.h>
 #include <guavafront/coordination/health/shared_evidence.h>
+#include <guavafront/coordination/loads/fleet_loads.h>
 #include <guavafront/coordination/loads/load_totals.h>
 #include <guavafront/coordination/notices/instance_notices.h>
 #include <guavafront/coordination/registry/registry.h>
@@ -62,6 +63,7 @@
     std::string dataCentre; ///< Data centre of this VM.
     balancing_policy policy = balancing_policy::ExpectedLatency; ///< How instances are chosen.
     avoidance avoidedInstances; ///< Instances that the fleet avoids; used by balancing_policy::Affinity.
+    fleet_loads fleetLoads; ///< Loads of all instances by the hubs' sums.
     instance_notices notices; ///< What instances said of themselves in their answers.
     std::uint32_t floorPercent = 70; ///< Default share of a service's capacity that ejection leaves, in percent.
     std::vector<service_floor> floors; ///< Services with a floor other than floorPercent.
--- a/src/coordination/entry/admit_stage.cpp
+++ b/src/coordination/entry/admit_stage.cpp
@@ -1,4 +1,5 @@
 #include "coordination/entry/entry_queue_step.h"
+#include "coordination/entry/urgency_stage.h"
 
 #include <algorithm>
 #include <limits>
@@ -79,6 +80,9 @@
 
 stage_verdict queueForSlot(step_context &context, exchange &request)
 {
+    if (context.state.settings.urgencyOrder) {
+        return queueByUrgency(context, request);
+    }
     const auto [place, created] = context.state.admissions.byService.try_emplace(request.service);
     service_admission &admission = place->second;
     if (created) {
@@ -105,6 +109,13 @@
         return;
     }
     service_admission &admission = found->second;
+    if (state.settings.urgencyOrder) {
+        leaveByUrgency(admission, request, now);
+        if (!admission.urgent.waiting.empty()) {
+            state.admissions.servicesToServe.insert(request.service);
+        }
+        return;
+    }
     if (request.holdsSlot) {
         request.holdsSlot = false;
         --admission.running;
@@ -117,6 +128,9 @@
 
 void updateConcurrencyLimit(entry &state, const exchange &request, attempt_outcome outcome)
 {
+    if (state.settings.urgencyOrder) {
+        return; // The share of the capacity bounds the requests, and one instance's refusal says nothing of the others.
+    }
     service_admission &admission = state.admissions.byService.at(request.service);
     if (outcome == attempt_outcome::RefusedNotRun) {
         admission.concurrencyLimit = std::max(1.0, shedFactor * admission.running);
@@ -134,8 +148,9 @@
             admission_effects effects;
             dropExpired(admission.queue, context.now, effects);
             refuseDropped(context, effects);
+            removeIdle(admission.urgent, context.now);
         }
-        if (admission.queue.waitingCount > 0) {
+        if (admission.queue.waitingCount > 0 || !admission.urgent.waiting.empty()) {
             admissions.servicesToServe.insert(service);
         }
     }
@@ -149,7 +164,11 @@
     while (!services.empty()) {
         const std::string service = *services.begin();
         services.erase(services.begin());
-        admitIntoFreeSlots(context, service);
+        if (context.state.settings.urgencyOrder) {
+            admitByUrgency(context, service);
+        } else {
+            admitIntoFreeSlots(context, service);
+        }
         retryAccounts(context);
     }
 }
--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -145,6 +145,7 @@
                         withWork);
     }
     if (!report.empty()) {
+        expectSums(state.selection.fleetLoads, context.now);
         context.effects.emplace_back(report_loads{std::move(report)});
     }
 }
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -287,6 +287,9 @@
     if (state.selection.policy == balancing_policy::Affinity) {
         next = std::min(next, nextQueryAt(state.catchUp));
     }
+    for (const auto &[service, admission] : state.admissions.byService) {
+        next = std::min(next, admission.nextTryAt);
+    }
     if (!state.upstreams.services.empty()) {
         next = std::min(next, state.nextHealthUpdate);
     }
--- a/src/coordination/entry/stages.cpp
+++ b/src/coordination/entry/stages.cpp
@@ -1,4 +1,5 @@
 #include "coordination/entry/entry_queue_step.h"
+#include "coordination/entry/urgency_stage.h"
 
 #include <algorithm>
 #include <cassert>
@@ -30,6 +31,13 @@
     }
 }
 
+/// Whether a refusal says that the instances have no room for the request at present.
+bool isForWantOfCapacity(result_code code)
+{
+    return code == result_code::NoCapacity || code == result_code::NoUpstream || code == result_code::UpstreamRefused
+           || code == result_code::ConnectFailed;
+}
+
 stage_verdict runStage(step_context &context, exchange &request)
 {
     switch (request.stage) {
@@ -63,6 +71,9 @@
     assert(ran == execution::Unknown || !request.mayHaveRun);
     if (!request.callerLeft) {
         recordEnd(context, request, false);
+        if (context.state.settings.urgencyOrder && retryAfter > duration::zero() && isForWantOfCapacity(code)) {
+            retryAfter = boundedRetryAfter(context, request, retryAfter);
+        }
         context.effects.emplace_back(
             refuse_request{request.id, {code, ran, retryAfter}, request.service, request.accountName});
     }
--- a/src/coordination/upstreams/upstream_selection.cpp
+++ b/src/coordination/upstreams/upstream_selection.cpp
@@ -242,6 +242,7 @@
 void applyReportedLoads(upstream_selection &selection, const registry &known, std::span<const instance_load> loads,
                         instant now)
 {
+    recordSums(selection.fleetLoads, loads, now);
     for (const instance_load &each : loads) {
         const auto service = known.serviceIndexByInstance.find(each.instance);
         if (service == known.serviceIndexByInstance.end() || service->second >= selection.services.size()) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -90,6 +90,7 @@
     options.policy.limits.fleetSizeKnown = settings.peers.fleetSize > 0;
     options.policy.balancing = settings.entry.sparse ? balancing_policy::Affinity : balancing_policy::ExpectedLatency;
     options.policy.retries = {.percent = settings.entry.retryPercent, .slack = settings.entry.retrySlack};
+    options.policy.urgencyOrder = settings.entry.urgencyOrder && settings.entry.sparse;
     options.seed = self.value;
     return options;
 }
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -93,6 +93,8 @@
     void perform(const report_departure &effect);
     void perform(const report_evacuation &effect);
     void perform(const count_evacuated_request &effect);
+    void perform(const report_admission_refusal &effect);
+    void perform(const report_admission_wait &effect);
     std::vector<std::byte> answerForResends(exchange_id id, const upstream_outcome &outcome) const;
     void attemptEnded(exchange_id id, upstream_outcome outcome, bool newConnection);
     std::string_view requestIdOf(const caller_request &request) const;
--- a/src/daemon/entry/entry_task_messages.cpp
+++ b/src/daemon/entry/entry_task_messages.cpp
@@ -9,6 +9,8 @@
 #include "wire/limits_codec.h"
 #include "wire/load_codec.h"
 
+#include <chrono>
+
 namespace guavafront
 {
 
@@ -105,4 +107,26 @@
     m_peers.post(publicationOf(effect));
 }
 
+void entry_task::perform(const report_admission_refusal &effect)
+{
+    m_counters.countAdmissionRefusal(effect.service, effect.rank, effect.reason);
+    m_log.write("admission", loop::now(),
+                {{"service", effect.service},
+                 {"rank", std::int64_t{effect.rank}},
+                 {"reason", admissionRefusalName(effect.reason)},
+                 {"predicted_ms", std::chrono::duration<double, std::milli>(effect.predictedWait).count()},
+                 {"left_ms", std::chrono::duration<double, std::milli>(effect.left).count()},
+                 {"work_ms", std::chrono::duration<double, std::milli>(effect.work).count()},
+                 {"slots", std::int64_t{effect.capacity.slots}},
+                 {"requests", std::int64_t{effect.capacity.requests}},
+                 {"vms", std::int64_t{effect.capacity.vms}},
+                 {"limit", effect.limit},
+                 {"waiting", std::int64_t{effect.waiting}}});
+}
+
+void entry_task::perform(const report_admission_wait &effect)
+{
+    m_counters.observeAdmissionWait(effect.service, effect.rank, effect.predicted, effect.waited);
+}
+
 } // namespace guavafront
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -1,5 +1,8 @@
 #include "daemon/metrics/daemon_counters.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace guavafront
 {
 
@@ -10,6 +13,19 @@
 const prometheus::Histogram::BucketBoundaries latencyBoundsSeconds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                                    0.2,   0.3,   0.5,   1.0,  2.0,  5.0,  10.0};
 
+/// Upper bounds of the buckets of predicted minus actual waits, in seconds.
+const prometheus::Histogram::BucketBoundaries errorBoundsSeconds{-2.0, -1.0, -0.5, -0.2, -0.1, -0.05, 0.0,
+                                                                 0.05, 0.1,  0.2,  0.5,  1.0,  2.0};
+
+/// Label of a rank: the priorities of account and route, each bounded so that the number of labels is.
+std::string rankLabel(std::uint32_t rank)
+{
+    constexpr std::uint32_t routeRanks = 1'000;
+    constexpr std::uint32_t lastShown = 4;
+    return std::to_string(std::min(rank / routeRanks, lastShown)) + "."
+           + std::to_string(std::min(rank % routeRanks, lastShown));
+}
+
 prometheus::Family<prometheus::Counter> &counterFamily(prometheus::Registry &registry, const std::string &name,
                                                        const std::string &help)
 {
@@ -56,6 +72,11 @@
     return "cancelled";
 }
 
+std::string_view admissionRefusalName(admission_refusal reason)
+{
+    return reason == admission_refusal::WaitTooLong ? "wait_too_long" : "queue_full";
+}
+
 daemon_counters::daemon_counters()
     : m_requests(counterFamily(m_registry, "guavafront_requests_total", "Callers' requests by service and result."))
     , m_accountRequests(counterFamily(m_registry, "guavafront_account_requests_total",
@@ -67,6 +88,18 @@
     , m_attempts(counterFamily(m_registry, "guavafront_attempts_total", "Tries at upstreams by service and outcome."))
     , m_notices(counterFamily(m_registry, "guavafront_instance_notices_total",
                               "Instances' words on themselves in answers, by service and notice."))
+    , m_admissionRefusals(counterFamily(m_registry, "guavafront_admission_refusals_total",
+                                        "Requests refused while they waited for capacity, by service, reason and "
+                                        "rank."))
+    , m_admissionWaits(prometheus::BuildHistogram()
+                           .Name("guavafront_admission_wait_seconds")
+                           .Help("Wait for capacity of the requests that had to wait and were sent, by service and "
+                                 "rank.")
+                           .Register(m_registry))
+    , m_admissionErrors(prometheus::BuildHistogram()
+                            .Name("guavafront_admission_prediction_error_seconds")
+                            .Help("Predicted minus actual wait for capacity, by service.")
+                            .Register(m_registry))
     , m_announcements(counterFamily(m_registry, "guavafront_announcements_total", "Announcements by result."))
     , m_departures(counterFamily(m_registry, "guavafront_departures_total",
                                  "Departures that instances told this VM: acknowledged, or refused because too few "
@@ -172,6 +205,24 @@
     m_notices.Add({{"service", std::string(service)}, {"notice", std::string(notice)}}).Increment();
 }
 
+void daemon_counters::countAdmissionRefusal(std::string_view service, std::uint32_t rank, admission_refusal reason)
+{
+    m_admissionRefusals
+        .Add({{"service", std::string(service)},
+              {"reason", std::string(admissionRefusalName(reason))},
+              {"rank", rankLabel(rank)}})
+        .Increment();
+}
+
+void daemon_counters::observeAdmissionWait(std::string_view service, std::uint32_t rank, duration predicted,
+                                           duration waited)
+{
+    m_admissionWaits.Add({{"service", std::string(service)}, {"rank", rankLabel(rank)}}, latencyBoundsSeconds)
+        .Observe(std::chrono::duration<double>(waited).count());
+    m_admissionErrors.Add({{"service", std::string(service)}}, errorBoundsSeconds)
+        .Observe(std::chrono::duration<double>(predicted - waited).count());
+}
+
 void daemon_counters::setRevision(std::uint64_t value)
 {
     m_revision.Set(static_cast<double>(value));
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/core/result_code.h>
 #include <guavafront/coordination/entry/attempt_result.h>
+#include <guavafront/coordination/entry/entry_effect.h>
 #include <guavafront/coordination/evacuation/evacuation.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
 
@@ -62,6 +63,12 @@
     /// Counts what an instance said of itself for the first time; notice is its stable name.
     void countNotice(std::string_view service, std::string_view notice);
 
+    /// Counts a request that was refused while it waited for capacity.
+    void countAdmissionRefusal(std::string_view service, std::uint32_t rank, admission_refusal reason);
+
+    /// Records how long a request waited for capacity, and the error of the wait predicted for it.
+    void observeAdmissionWait(std::string_view service, std::uint32_t rank, duration predicted, duration waited);
+
     /// Sets the revision of the configuration in force on this VM.
     void setRevision(std::uint64_t value);
 
@@ -99,6 +106,9 @@
     prometheus::Family<prometheus::Histogram> &m_latencies; ///< Request times in seconds by service.
     prometheus::Family<prometheus::Counter> &m_attempts; ///< Attempts by service and outcome.
     prometheus::Family<prometheus::Counter> &m_notices; ///< Instances' words on themselves by service and notice.
+    prometheus::Family<prometheus::Counter> &m_admissionRefusals; ///< Refusals at the queues by reason and rank.
+    prometheus::Family<prometheus::Histogram> &m_admissionWaits; ///< Waits for capacity in seconds by rank.
+    prometheus::Family<prometheus::Histogram> &m_admissionErrors; ///< Predicted minus actual waits in seconds.
     prometheus::Family<prometheus::Counter> &m_announcements; ///< Announcements by result.
     prometheus::Family<prometheus::Counter> &m_departures; ///< Departures by result.
     prometheus::Family<prometheus::Counter> &m_coveredVms; ///< VMs told of departures in place of their homes.
@@ -122,4 +132,7 @@
 /// Name of an outcome in metrics and in the decision log; stable.
 std::string_view attemptOutcomeName(attempt_outcome outcome);
 
+/// Name of a reason in metrics and in the decision log; stable.
+std::string_view admissionRefusalName(admission_refusal reason);
+
 } // namespace guavafront
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -90,6 +90,9 @@
     /// seconds, beyond retryPercent of the requests. 0 leaves retries to the configuration's percentage at each VM.
     std::uint32_t retrySlack = 0;
     std::uint32_t retryPercent = 20; ///< Such arrivals in percent of the requests; applies with retrySlack.
+    /// Orders waiting requests by urgency and bounds what a VM has at instances by its share of the capacity; see
+    /// entry_policy::urgencyOrder. Only together with sparse.
+    bool urgencyOrder = false;
 };
 
 /// All settings of one daemon, grouped as in the settings file.
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -71,6 +71,15 @@
     BOOST_TEST(settingsWith("Bounds", "{}").daemon.entry.retrySlack == 0U);
 }
 
+/// Guards against the order by urgency in deployments whose contracts don't call for it.
+BOOST_AUTO_TEST_CASE(urgencyOrder_contractsOfTheDeployment_onlyWithPressure)
+{
+    BOOST_TEST(settingsWith("Contracts", R"(["calm","pressure"])").daemon.entry.urgencyOrder);
+    BOOST_TEST(!settingsWith("Contracts", R"(["calm"])").daemon.entry.urgencyOrder);
+    BOOST_TEST(!settingsWith("Contracts", R"("pressure")").daemon.entry.urgencyOrder);
+    BOOST_TEST(!settingsWith("Bounds", "{}").daemon.entry.urgencyOrder);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
