--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -91,6 +91,7 @@
     options.policy.balancing = settings.entry.sparse ? balancing_policy::Affinity : balancing_policy::ExpectedLatency;
     options.policy.retries = {.percent = settings.entry.retryPercent, .slack = settings.entry.retrySlack};
     options.policy.warmup = {.overshoot = settings.entry.warmupOvershoot, .slack = settings.entry.warmupSlack};
+    options.policy.urgencyOrder = settings.entry.urgencyOrder && settings.entry.sparse;
     options.seed = self.value;
     return options;
 }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -92,6 +92,9 @@
     std::uint32_t retryPercent = 20; ///< Such arrivals in percent of the requests; applies with retrySlack.
     double warmupOvershoot = 1; ///< Factor by which all VMs together may exceed the limit of a cold instance.
     double warmupSlack = 0; ///< Requests in a second by which they may exceed it besides.
+    /// Orders waiting requests by urgency and bounds what a VM has at instances by its share of the capacity; see
+    /// entry_policy::urgencyOrder. Only together with sparse.
+    bool urgencyOrder = false;
 };
 
 /// All settings of one daemon, grouped as in the settings file.
--- a/src/settings/settings_fields.h
+++ b/src/settings/settings_fields.h
@@ -60,6 +60,7 @@
     visitor.field("entry.retryPercent", values.entry.retryPercent, number_range{0, 100});
     visitor.field("entry.warmupOvershoot", values.entry.warmupOvershoot, number_range{0, 1'000});
     visitor.field("entry.warmupSlack", values.entry.warmupSlack, number_range{0, 1'000'000});
+    visitor.field("entry.urgencyOrder", values.entry.urgencyOrder, presence::Optional);
 }
 
 } // namespace guavafront
