Evacuate a data centre in the soak

The soak didn't order evacuations, so that orders under lost and frozen control VMs, restarts and changes of the configuration were untested. The faults and changes of a seed stay as they were.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -6,6 +6,7 @@
 #include "runtime/loop.h"
 #include "soak/soak_bounds.h"
 #include "soak/soak_configuration.h"
+#include "soak/soak_evacuations.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -227,7 +228,8 @@
 {
     constexpr int slots = 64;
     std::size_t control = 0;
-    for (heartbeat beat{.sequence = 2, .slots = slots}; !stop.stop_requested(); ++beat.sequence) {
+    for (heartbeat beat{.sequence = 2, .slots = slots, .zone = zoneOf(scene, instance)}; !stop.stop_requested();
+         ++beat.sequence) {
         for (std::size_t tries = 0; tries < scene.controls.size(); ++tries) {
             if (scene.fleet.sendHeartbeatTo(scene.controls[control], instance, beat) == statusOk) {
                 break;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_checks.h"
 
 #include "soak/soak_bounds.h"
+#include "soak/soak_evacuations.h"
 
 #include <algorithm>
 #include <array>
@@ -331,9 +332,9 @@
 findings checkAll(const soak_record &record)
 {
     findings all;
-    for (const auto &check :
-         {checkApplied, checkReadsNotOlder, checkNotRolledBack, checkInvalidRefused, checkContentKept, checkNotRefused,
-          checkLaterRoutesServed, checkFinalReads, checkPlannedWorkCutsNothing, checkRunOnce, checkNoneEnded}) {
+    for (const auto &check : {checkApplied, checkReadsNotOlder, checkNotRolledBack, checkInvalidRefused,
+                              checkContentKept, checkNotRefused, checkLaterRoutesServed, checkFinalReads,
+                              checkPlannedWorkCutsNothing, checkRunOnce, checkNoneEnded, checkEvacuated}) {
         findings broken = check(record);
         const std::size_t shown = std::min(broken.size(), mostShown);
         all.insert(all.end(), broken.begin(), broken.begin() + static_cast<std::ptrdiff_t>(shown));
--- a/tests/soak/soak_checks_test.cpp
+++ b/tests/soak/soak_checks_test.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_bounds.h"
 #include "soak/soak_checks.h"
+#include "soak/soak_evacuations.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -280,6 +281,21 @@
     BOOST_TEST(checkNoneEnded(record).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(evacuated_arrivalAfterTheBound_broken)
+{
+    record.evacuations = {{.acknowledgedAt = at(20), .revokedAt = at(28), .instances = {"instance-3"}}};
+    const auto arrive = [this](double time, const std::string &instance) {
+        record.arrivals.push_back({.at = at(time), .instance = instance, .id = request(0, time, 200).id});
+    };
+    arrive(19, "instance-3");
+    arrive(24.9, "instance-3"); // Within EvacMs.
+    arrive(27, "instance-1");
+    arrive(28.1, "instance-3"); // After the revocation.
+    BOOST_TEST(checkEvacuated(record).empty());
+    arrive(25.1, "instance-3");
+    BOOST_TEST(checkEvacuated(record).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -144,6 +144,17 @@
                        .downtime = milliseconds(1'000)};
 }
 
+/// Adds evacuations, each long enough to be checked. They have random numbers of their own, so that the other parts of
+/// a seed's plan don't depend on them.
+void addEvacuations(const soak_size &size, soak_plan &plan)
+{
+    generator random(plan.seed ^ 0x65766163U);
+    for (duration at = between(random, 1'000, 6'000); at < size.orderTime; at += between(random, 5'000, 9'000)) {
+        plan.evacuations.push_back({.at = at, .length = between(random, 6'000, 12'000)});
+        at += plan.evacuations.back().length;
+    }
+}
+
 std::string inSeconds(duration time)
 {
     std::ostringstream text;
@@ -167,6 +178,7 @@
     soak_plan plan{.seed = seed};
     addOrders(random, size, plan);
     addFaults(random, size, plan);
+    addEvacuations(size, plan);
     return plan;
 }
 
@@ -183,6 +195,9 @@
         text << "  " << describe(fault) << '\n';
     }
     text << "  at the end: " << describe(plan.finalFault) << '\n';
+    for (const planned_evacuation &each : plan.evacuations) {
+        text << "  " << inSeconds(each.at) << " evacuation for " << inSeconds(each.length) << '\n';
+    }
     for (const planned_order &order : plan.orders) {
         const planned_change &change = plan.changes[order.change];
         text << "  " << inSeconds(order.at) << " operator " << order.sender << ' '
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -82,12 +82,19 @@
     duration pause{}; ///< Time after it is back until the next fault.
 };
 
+/// One evacuation of a data centre.
+struct planned_evacuation {
+    duration at{}; ///< Earliest time of the order after the start of the plan.
+    duration length{}; ///< Time from its acknowledgement to the revocation.
+};
+
 /// All that is played with one seed.
 struct soak_plan {
     std::uint64_t seed = 0; ///< What it was made from.
     std::vector<planned_change> changes; ///< In the order of versions, except those with other content.
     std::vector<planned_order> orders; ///< By time.
     std::vector<planned_fault> faults; ///< One after the other.
+    std::vector<planned_evacuation> evacuations; ///< One after the other.
     std::size_t finalChange = 0; ///< Index of the change that is acknowledged right before the final fault.
     planned_fault finalFault; ///< Final fault.
 };
--- a/tests/soak/soak_plan_test.cpp
+++ b/tests/soak/soak_plan_test.cpp
@@ -101,6 +101,24 @@
     BOOST_TEST(documents.size() == 1U + defectCount);
 }
 
+// Guards against evacuations that end before anything can be checked, and against orders so close that one counts as a
+// copy of an earlier one.
+BOOST_AUTO_TEST_CASE(planOf_anySeed_evacuationsCanBeChecked)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        const soak_plan plan = planOf(seed);
+        BOOST_TEST(!plan.evacuations.empty(), "seed " << seed);
+        for (std::size_t index = 0; index < plan.evacuations.size(); ++index) {
+            const planned_evacuation &each = plan.evacuations[index];
+            BOOST_TEST((each.length >= std::chrono::seconds(6)), "seed " << seed);
+            BOOST_TEST((index == 0
+                        || each.at >= plan.evacuations[index - 1].at + plan.evacuations[index - 1].length
+                                          + std::chrono::seconds(5)),
+                       "seed " << seed);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/soak/soak_player.cpp
+++ b/tests/soak/soak_player.cpp
@@ -7,6 +7,7 @@
 #include "runtime/loop.h"
 #include "soak/soak_bounds.h"
 #include "soak/soak_callers.h"
+#include "soak/soak_evacuations.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
 
@@ -224,7 +225,7 @@
         return sendChange(scene, 0, scene.plan.changes.front().version, false, firstTries, 0, sent);
     });
     for (const std::string &instance : scene.instances) {
-        fleet.startInstance(instance, {"--slots", "64"}, {.slots = 64});
+        fleet.startInstance(instance, {"--slots", "64"}, {.slots = 64, .zone = zoneOf(scene, instance)});
     }
     for (const std::string &entry : scene.entries) {
         fleet.waitUntilServed(entry, "/safe/first");
@@ -292,6 +293,7 @@
         for (const std::string &instance : scene.instances) {
             callers.emplace_back(playInstance, std::cref(scene), instance);
         }
+        senders.emplace_back(playEvacuations, std::cref(scene), std::ref(record.evacuations));
         std::this_thread::sleep_for(settleWindow); // The VMs were just started.
         for (const planned_fault &fault : plan.faults) {
             playFault(player, fault);
@@ -337,6 +339,9 @@
     for (const seen_request &each : record.requests) {
         text << describe(record, each) << '\n';
     }
+    for (const seen_evacuation &each : record.evacuations) {
+        text << timeText(record, each.acknowledgedAt) << " to " << timeText(record, each.revokedAt) << " evacuation\n";
+    }
     for (const seen_arrival &each : record.arrivals) {
         text << timeText(record, each.at) << " arrival at " << each.instance << ' ' << each.id << '\n';
     }
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -65,6 +65,13 @@
     std::string id; ///< Its Request-Id.
 };
 
+/// An evacuation that was acknowledged.
+struct seen_evacuation {
+    instant acknowledgedAt{}; ///< When the order was acknowledged.
+    instant revokedAt = instant::max(); ///< When the revocation was sent first.
+    std::vector<std::string> instances; ///< Instances in the data centre.
+};
+
 /// What every control VM gave after the final fault.
 struct final_read {
     std::string vm; ///< Control VM.
@@ -85,6 +92,7 @@
     std::vector<seen_request> requests; ///< Requests to entry VMs.
     std::vector<disturbance> disturbances; ///< Faults and planned work.
     std::vector<seen_arrival> arrivals; ///< Requests at instances.
+    std::vector<seen_evacuation> evacuations; ///< Acknowledged evacuations.
     std::vector<std::string> ended; ///< VMs whose process ended by itself.
     bool finalAcknowledged = false; ///< Whether the last change, sent in calm, was acknowledged.
     std::vector<final_read> finalReads; ///< Answers after the final fault.
