Share what requests cost, and outstanding work, through hubs

An entry VM that sees 12 requests a second learns alone, and after a restart anew, and loads of other VMs are known as numbers of requests alone. Entry VMs now send their hub the service times of each route once a second, and the expected work of their requests beside the numbers; hubs pass both on and publish estimates and work.

The previous build refuses a longer list, so these are messages of version 2 on the channel of loads, which it drops; the numbers go in version 1 as well.

--- a/bench/model/placement_run.cpp
+++ b/bench/model/placement_run.cpp
@@ -1,6 +1,7 @@
 #include "model/placement_run.h"
 
 #include "model/event_queue.h"
+#include "model/placement_state.h"
 
 #include <guavafront/coordination/loads/load_reporter.h>
 #include <guavafront/coordination/routing/affinity.h>
@@ -26,29 +27,6 @@
 constexpr duration instanceReportPeriod = milliseconds(200);
 constexpr std::size_t hubs = 3; ///< One hub in each data centre.
 
-struct instance_model {
-    std::size_t dataCentre = 0; ///< Index of its data centre.
-    std::uint32_t running = 0; ///< Requests in its slots.
-    std::vector<std::size_t> waiting; ///< Indexes of the requests in its queue, oldest first.
-};
-
-struct vm_model {
-    std::size_t dataCentre = 0; ///< Index of its data centre.
-    candidate_set set; ///< Candidates with the loads that the VM knows.
-    load_reporter reporter; ///< Loads that the VM has reported to its hub.
-    std::map<instance_id, instance_load> instanceLoads; ///< Loads that instances reported since the last report.
-    work_estimates work; ///< What requests cost.
-};
-
-struct request_model {
-    std::size_t vm = 0; ///< Entry VM.
-    std::size_t instance = 0; ///< Index of the instance that it was sent to.
-    instant arrived{}; ///< When the request arrived.
-    std::size_t kind = 0; ///< Index of its kind.
-    duration work{}; ///< Work that the VM expected of it.
-    duration wait{}; ///< Wait that the VM expected of it.
-};
-
 class placement_model
 {
 public:
@@ -156,19 +134,6 @@
         return anyVm(m_random);
     }
 
-    std::size_t drawKind()
-    {
-        if (m_options.kinds.size() == 1) {
-            return 0;
-        }
-        double part = std::uniform_real_distribution<double>(0, 1)(m_random);
-        std::size_t kind = 0;
-        while (kind + 1 < m_options.kinds.size() && part >= m_options.kinds[kind].share) {
-            part -= m_options.kinds[kind++].share;
-        }
-        return kind;
-    }
-
     static work_key keyOf(std::size_t kind)
     {
         return {.service = "service", .route = {static_cast<std::uint32_t>(kind + 1)}, .account = {}};
@@ -195,7 +160,7 @@
     {
         const instant now = m_events.now();
         vm_model &sender = m_vms[vm];
-        const std::size_t kind = drawKind();
+        const std::size_t kind = drawKind(m_options.kinds, m_random);
         const bool isKnown = isWorkKnown(workOf(sender), keyOf(kind));
         const choice_request choice{.excluded = {},
                                     .work = isKnown ? estimateWork(workOf(sender), keyOf(kind)).mean : duration(),
@@ -207,7 +172,7 @@
         onRequestSent(member, choice.work);
         m_requests[index].work = choice.work;
         m_requests[index].wait = expectedWait(sender.set, member, choice, now);
-        countSlow(m_requests[index]);
+        countSlow(m_slow, m_options, m_requests[index].instance, now - start);
         sender.reporter.changed = true;
         const duration delay = oneWayDelayTo(m_requests[index]);
         m_sentToOtherDataCentres += delay == m_options.oneWayDelay ? 1 : 0;
@@ -233,22 +198,6 @@
         return instance < m_options.slowInstances && since >= m_options.slowFrom && since < m_options.slowTo;
     }
 
-    /// Counts a request that is sent in the second half of the slowness or 10 s after its end.
-    void countSlow(const request_model &request)
-    {
-        const duration since = request.arrived - start;
-        const duration end = std::min(m_options.slowTo, m_options.length);
-        const auto add = [&](std::pair<double, double> &share) {
-            share.first += request.instance < m_options.slowInstances ? 1 : 0;
-            share.second += 1;
-        };
-        if (since >= (m_options.slowFrom + end) / 2 && since < end) {
-            add(m_whileSlow);
-        } else if (since >= end + std::chrono::seconds(10)) {
-            add(m_afterSlow);
-        }
-    }
-
     void beginService(std::size_t index)
     {
         const placement_kind &kind = m_options.kinds[m_requests[index].kind];
@@ -406,8 +355,8 @@
         result.p99Ms = m_latencies.empty() ? 0 : m_latencies[m_latencies.size() * 99 / 100];
         result.farShare = static_cast<double>(m_sentToOtherDataCentres)
                           / static_cast<double>(std::max<std::size_t>(m_requests.size(), 1));
-        result.slowShareLate = m_whileSlow.first / std::max(1.0, m_whileSlow.second);
-        result.fromSlowShare = m_afterSlow.first / std::max(1.0, m_afterSlow.second);
+        result.slowShareLate = m_slow.whileSlow.first / std::max(1.0, m_slow.whileSlow.second);
+        result.fromSlowShare = m_slow.afterwards.first / std::max(1.0, m_slow.afterwards.second);
         return result;
     }
 
@@ -425,19 +374,12 @@
     std::map<std::int64_t, std::pair<int, int>> m_windows;
     std::size_t m_sentToOtherDataCentres = 0; ///< Requests sent to another data centre.
     work_estimates m_sharedWork; ///< What requests cost, learned from the requests of all VMs.
-    std::pair<double, double> m_whileSlow; ///< Requests to slow instances and all, in the second half of the slowness.
-    std::pair<double, double> m_afterSlow; ///< The same from 10 s after the end of the slowness on.
+    slow_counts m_slow; ///< Requests to slow instances.
     placement_result m_result; ///< Counts of the run so far.
 };
 
 } // namespace
 
-std::string_view nameOf(load_source loadSource)
-{
-    constexpr std::array<std::string_view, 3> names{"own only", "reported", "sums"};
-    return names[static_cast<std::size_t>(loadSource)];
-}
-
 placement_result run(const placement_options &options)
 {
     return placement_model(options).run();
--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -61,6 +61,7 @@
     std::set<std::pair<instant, exchange_id>> deadlines; ///< Deadlines of the requests in progress.
     std::optional<limiter> rateLimiter; ///< Enforces rates if limit_settings::bySize; set by the first step.
     load_reporter ownLoads; ///< This VM's requests at instances, as last reported to its hub.
+    work_report ownWork; ///< Service times that are yet to be reported to the hub.
     work_estimates work; ///< What requests cost, by what is visible of them before they run.
     ledger rateLedger; ///< Enforces rates without limit_settings::bySize, as the fleet's size isn't known.
     token_waits tokenWaits; ///< Requests that wait for a token of their account's rate.
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -15,6 +15,7 @@
 #include <guavafront/coordination/registry/catch_up.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
 #include <guavafront/coordination/warmup/warmup.h>
+#include <guavafront/coordination/work/work_sharing.h>
 
 #include <cstdint>
 #include <optional>
@@ -114,9 +115,10 @@
     ledger_report report; ///< Tokens spent since the last report.
 };
 
-/// Report the number of this VM's requests at instances to its hub.
+/// Report the number of this VM's requests at instances, and what requests took, to its hub.
 struct report_loads {
     std::vector<instance_load> loads; ///< Requests of this VM, by instance.
+    std::vector<route_samples> samples; ///< Service times observed since the last report.
 };
 
 /// Ask the hubs for all instances if theirs differ from those that this VM knows.
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -12,6 +12,7 @@
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/departure.h>
 #include <guavafront/coordination/upstreams/upstream_selection.h>
+#include <guavafront/coordination/work/work_sharing.h>
 
 #include <memory>
 #include <variant>
@@ -154,6 +155,7 @@
 /// A hub sent the load of instances.
 struct hub_loads_received {
     std::vector<instance_load> loads; ///< Number of requests at each instance, summed over VMs by the hub.
+    std::vector<shared_estimate> estimates; ///< What requests of routes take, as all VMs observed.
 };
 
 /// Another VM asked for all known instances, in case they differ from its own.
--- a/include/guavafront/coordination/work/work_estimates.h
+++ b/include/guavafront/coordination/work/work_estimates.h
@@ -3,6 +3,7 @@
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/work/work_samples.h>
+#include <guavafront/coordination/work/work_sharing.h>
 
 #include <compare>
 #include <cstdint>
@@ -26,6 +27,9 @@
 struct route_work {
     std::string service; ///< Service that the route names.
     work_samples samples; ///< Service times that this VM observed.
+    work_estimate shared; ///< What all VMs observed, as a hub sent it.
+    float sharedWeight = 0; ///< Weight of the samples of shared.
+    instant sharedAt{}; ///< When shared arrived.
 };
 
 /// A property of requests that may explain why some of a route cost more than others.
@@ -46,11 +50,13 @@
     instant updatedAt{}; ///< Time of the last sample.
 };
 
-/// What requests cost, learned from the attempts of this VM. Bounded: what was observed least recently is dropped.
+/// What requests cost, learned from the attempts of this VM and from what hubs sum up over all VMs. Bounded: what was
+/// observed least recently is dropped.
 struct work_estimates {
     std::map<std::string, work_samples, std::less<>> services; ///< By service.
     std::unordered_map<route_id, route_work> routes; ///< By route.
     std::map<work_trait, trait_work> traits; ///< By account or class of body size within a route.
+    instant latestAt{}; ///< Latest time of a sample or a shared estimate.
 };
 
 /// Estimate before anything was observed; as short as the first latency that the balancing assumes.
@@ -63,6 +69,9 @@
 /// Whether enough of the request's route or service was observed for an estimate.
 bool isWorkKnown(const work_estimates &state, const work_key &key);
 
+/// Applies what a hub sent of a route. It is used in place of this VM's own samples until it is 10 s old.
+void applyShared(work_estimates &state, std::string_view service, const shared_estimate &shared, instant now);
+
 /// Whether routes of the service differ so much in their expected work that requests are placed by it. Otherwise one
 /// typical latency describes all of them.
 bool doRoutesDiffer(const work_estimates &state, std::string_view service);
--- a/src/coordination/entry/attempt_evidence.cpp
+++ b/src/coordination/entry/attempt_evidence.cpp
@@ -95,8 +95,11 @@
     // The wait is estimated by loads that are up to 0.2 s old, so that part of the time always counts as work.
     constexpr int leastWorkPart = 4;
     const duration took = std::max(duration::zero(), result.latency - result.connectTime);
-    recordWork(context.state.work, workKeyOf(request), std::max(took / leastWorkPart, took - request.expectedWait),
-               context.now);
+    const duration worked = std::max(took / leastWorkPart, took - request.expectedWait);
+    recordWork(context.state.work, workKeyOf(request), worked, context.now);
+    if (context.state.selection.policy == balancing_policy::Affinity) {
+        addToReport(context.state.ownWork, request.routeId, worked);
+    }
 }
 
 /// Whether a reused connection was lost sooner than an answer could be expected, so that it was probably closed before.
@@ -151,7 +154,10 @@
     }
     if (!report.empty()) {
         expectSums(state.selection.fleetLoads, context.now);
-        context.effects.emplace_back(report_loads{std::move(report)});
+    }
+    std::vector<route_samples> samples = takeDueSamples(state.ownWork, context.now);
+    if (!report.empty() || !samples.empty()) {
+        context.effects.emplace_back(report_loads{std::move(report), std::move(samples)});
     }
 }
 
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -192,6 +192,13 @@
 {
     applyReportedLoads(context.state.selection, context.state.upstreams, event.loads, context.now);
     context.state.selection.warmups.lastNewsAt = context.now;
+    const std::vector<route> &routes = context.state.activeConfiguration->routes;
+    for (const shared_estimate &each : event.estimates) {
+        const auto found = std::ranges::find(routes, each.route, &route::id);
+        if (found != routes.end()) {
+            applyShared(context.state.work, found->service, each, context.now);
+        }
+    }
 }
 
 void handle(step_context &context, const ledger_owners_changed &event)
--- a/src/coordination/loads/load_totals.cpp
+++ b/src/coordination/loads/load_totals.cpp
@@ -42,10 +42,12 @@
     for (const instance_load &each : loads) {
         auto &loadsByVm = totals.loadsByInstance[each.instance];
         load_totals::vm_load &load = loadsByVm[reporter];
-        if (load.requests != each.requests || load.work != each.work) {
+        // A message without work precedes the one with it; the work known before stands until then.
+        const duration work = each.work == duration::zero() ? load.work : each.work;
+        if (load.requests != each.requests || load.work != work) {
             totals.changedInstances.insert(each.instance);
         }
-        load = {.requests = each.requests, .work = each.work, .reportedAt = now};
+        load = {.requests = each.requests, .work = work, .reportedAt = now};
         if (each.requests == 0) {
             loadsByVm.erase(reporter);
         }
--- a/src/coordination/work/work_estimates.cpp
+++ b/src/coordination/work/work_estimates.cpp
@@ -57,16 +57,18 @@
     return state.services[std::string(service)];
 }
 
-work_samples &routeSamples(work_estimates &state, const work_key &key)
+/// The state of a route; a route that changed its service starts anew.
+route_work &routeOf(work_estimates &state, route_id id, std::string_view service)
 {
-    if (!state.routes.contains(key.route)) {
-        makeRoom(state.routes, maxRoutes, [](const route_work &each) { return each.samples.updatedAt; });
+    if (!state.routes.contains(id)) {
+        makeRoom(state.routes, maxRoutes,
+                 [](const route_work &each) { return std::max(each.samples.updatedAt, each.sharedAt); });
     }
-    route_work &route = state.routes[key.route];
-    if (route.service != key.service) {
-        route = {.service = std::string(key.service), .samples = {}};
+    route_work &route = state.routes[id];
+    if (route.service != service) {
+        route = {.service = std::string(service), .samples = {}, .shared = {}};
     }
-    return route.samples;
+    return route;
 }
 
 void recordTrait(work_estimates &state, const work_trait &trait, float ratio, instant now)
@@ -111,21 +113,35 @@
     return duration(std::llround(static_cast<double>(time.count()) * factor));
 }
 
-/// The route's samples if there are enough of them; otherwise null.
-const work_samples *findRouteSamples(const work_estimates &state, const work_key &key)
+/// Whether the hub's sums are used for a route: they are recent, or this VM's own samples are too few.
+bool usesShared(const work_estimates &state, const route_work &route)
+{
+    constexpr duration sharedValidity = std::chrono::seconds(10);
+    const bool isFresh = state.latestAt - route.sharedAt < sharedValidity;
+    return route.sharedWeight >= minRouteWeight && (isFresh || route.samples.weight < minComparedWeight);
+}
+
+/// Weight of the samples that a route's estimate rests on.
+float weightOf(const work_estimates &state, const route_work &route)
+{
+    return usesShared(state, route) ? route.sharedWeight : route.samples.weight;
+}
+
+/// The route's state if enough of it was observed; otherwise null.
+const route_work *findRoute(const work_estimates &state, const work_key &key)
 {
     const auto route = state.routes.find(key.route);
     const bool known = route != state.routes.end() && route->second.service == key.service
-                       && route->second.samples.weight >= minRouteWeight;
-    return known ? &route->second.samples : nullptr;
+                       && weightOf(state, route->second) >= minRouteWeight;
+    return known ? &route->second : nullptr;
 }
 
 } // namespace
 
 work_estimate estimateWork(const work_estimates &state, const work_key &key)
 {
-    if (const work_samples *route = findRouteSamples(state, key)) {
-        const work_estimate estimate = summarize(*route);
+    if (const route_work *route = findRoute(state, key)) {
+        const work_estimate estimate = usesShared(state, *route) ? route->shared : summarize(route->samples);
         const float ratio = ratioToRoute(state, key);
         return {.mean = scaled(estimate.mean, ratio), .tail = scaled(estimate.tail, ratio)};
     }
@@ -135,7 +151,16 @@
 
 bool isWorkKnown(const work_estimates &state, const work_key &key)
 {
-    return findRouteSamples(state, key) || state.services.contains(key.service);
+    return findRoute(state, key) || state.services.contains(key.service);
+}
+
+void applyShared(work_estimates &state, std::string_view service, const shared_estimate &shared, instant now)
+{
+    state.latestAt = std::max(state.latestAt, now);
+    route_work &route = routeOf(state, shared.route, service);
+    route.shared = shared.work;
+    route.sharedWeight = static_cast<float>(shared.weight);
+    route.sharedAt = now;
 }
 
 bool doRoutesDiffer(const work_estimates &state, std::string_view service)
@@ -143,8 +168,9 @@
     double least = std::numeric_limits<double>::max();
     double most = 0;
     for (const auto &[id, route] : state.routes) {
-        if (route.service == service && route.samples.weight >= minComparedWeight) {
-            const double mean = route.samples.sumUs / route.samples.weight;
+        if (route.service == service && weightOf(state, route) >= minComparedWeight) {
+            const double mean = usesShared(state, route) ? static_cast<double>(route.shared.mean.count())
+                                                         : route.samples.sumUs / route.samples.weight;
             least = std::min(least, mean);
             most = std::max(most, mean);
         }
@@ -159,7 +185,8 @@
         discountSamples(samples, now);
         addSamples(samples, workBinOf(bounded), 1, static_cast<double>(bounded.count()));
     };
-    work_samples &route = routeSamples(state, key);
+    state.latestAt = std::max(state.latestAt, now);
+    work_samples &route = routeOf(state, key.route, key.service).samples;
     if (route.weight >= minRouteWeight) {
         const duration mean = std::max(duration(1), summarize(route).mean);
         const auto ratio = static_cast<float>(static_cast<double>(boundedSample(route, took).count())
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -69,11 +69,11 @@
         }
     });
     subscribe(options, channel::Loads, wiring, [&settings, &wiring](vm_id from, const envelope &message) {
-        load_message decoded = decodeLoads(message.body);
+        load_message decoded = decodeLoads(message.body, message.version);
         if (decoded.stage == load_stage::Published) {
-            wiring.entries.post(hub_loads_received{std::move(decoded.loads)});
+            wiring.entries.post(hub_loads_received{std::move(decoded.loads), std::move(decoded.estimates)});
         } else if (hasRole(settings, vm_role::Control)) {
-            wiring.hub.post(loads_received{from, std::move(decoded)});
+            wiring.hub.post(loads_received{from, std::move(decoded), message.version == workVersion});
         }
     });
     const bool isControl = hasRole(settings, vm_role::Control);
--- a/src/daemon/entry/entry_task_messages.cpp
+++ b/src/daemon/entry/entry_task_messages.cpp
@@ -82,8 +82,16 @@
 
 void entry_task::perform(const report_loads &effect)
 {
-    m_peers.post(send_to_hubs{
-        .count = 1, .message = {.kind = channel::Loads, .body = encodeLoads({load_stage::Reported, effect.loads})}});
+    load_message report{.stage = load_stage::Reported, .loads = effect.loads, .samples = {}, .estimates = {}};
+    if (!report.loads.empty()) {
+        m_peers.post(send_to_hubs{.count = 1, .message = {.kind = channel::Loads, .body = encodeLoads(report)}});
+    }
+    std::erase_if(report.loads, [](const instance_load &each) { return each.work == duration::zero(); });
+    report.samples = effect.samples;
+    if (!report.loads.empty() || !report.samples.empty()) {
+        m_peers.post(send_to_hubs{
+            .count = 1, .message = {.kind = channel::Loads, .version = workVersion, .body = encodeWork(report)}});
+    }
 }
 
 void entry_task::perform(const request_known_instances &effect)
--- a/src/daemon/hub/hub_message.h
+++ b/src/daemon/hub/hub_message.h
@@ -14,6 +14,7 @@
 struct loads_received {
     vm_id from; ///< VM that sent the loads.
     load_message message; ///< Loads and the stage of their distribution.
+    bool withWork = false; ///< The message has workVersion, so that its sender can decode it.
 };
 
 /// Another VM sent evidence on upstream instances.
--- a/src/daemon/hub/hub_task.cpp
+++ b/src/daemon/hub/hub_task.cpp
@@ -34,7 +34,12 @@
 {
     const instant now = loop::now();
     recordLoads(m_fleetLoads, received.from, received.message.loads, now);
+    recordSamples(m_fleetWork, received.message.samples, now);
     if (received.message.stage == load_stage::Reported) {
+        if (received.withWork) {
+            m_workReporters[received.from] = now;
+        }
+        m_ownSamples.insert(m_ownSamples.end(), received.message.samples.begin(), received.message.samples.end());
         recordLoads(m_ownLoads, received.from, received.message.loads, now);
         m_reporters[received.from] = now;
     }
@@ -48,20 +53,44 @@
 {
     m_loadsTimerArmed = false;
     const instant now = loop::now();
-    if (const auto own = takeChangedLoads(m_ownLoads, now); !own.empty()) {
-        m_peers.post(
-            send_to_roles{ControlRole, {.kind = channel::Loads, .body = encodeLoads({load_stage::Gathered, own})}});
-    }
-    std::erase_if(m_reporters, [now](const auto &each) { return each.second + reporterTimeout < now; });
-    const auto all = takeChangedLoads(m_fleetLoads, now);
-    if (all.empty() || m_reporters.empty()) {
+    sendToHubs(now);
+    const auto isOld = [now](const auto &each) {
+        return each.second + reporterTimeout < now;
+    };
+    std::erase_if(m_reporters, isOld);
+    std::erase_if(m_workReporters, isOld);
+    const load_message all{.stage = load_stage::Published,
+                           .loads = takeChangedLoads(m_fleetLoads, now),
+                           .samples = {},
+                           .estimates = takeDueEstimates(m_fleetWork, now)};
+    if (all.loads.empty() && all.estimates.empty()) {
         return;
     }
-    send_to_vms published{.message = {.kind = channel::Loads, .body = encodeLoads({load_stage::Published, all})}};
+    send_to_vms plain{.message = {.kind = channel::Loads, .body = encodeLoads(all)}};
+    send_to_vms withWork{.message = {.kind = channel::Loads, .version = workVersion, .body = encodeWork(all)}};
     for (const auto &[vm, reportedAt] : m_reporters) {
-        published.to.push_back(vm);
+        (m_workReporters.contains(vm) ? withWork : plain).to.push_back(vm);
+    }
+    for (send_to_vms *each : {&plain, &withWork}) {
+        if (!each->to.empty()) {
+            m_peers.post(std::move(*each));
+        }
+    }
+}
+
+void hub_task::sendToHubs(instant now)
+{
+    load_message own{
+        .stage = load_stage::Gathered, .loads = takeChangedLoads(m_ownLoads, now), .samples = {}, .estimates = {}};
+    if (!own.loads.empty()) {
+        m_peers.post(send_to_roles{ControlRole, {.kind = channel::Loads, .body = encodeLoads(own)}});
+    }
+    std::erase_if(own.loads, [](const instance_load &each) { return each.work == duration::zero(); });
+    own.samples = std::exchange(m_ownSamples, {});
+    if (!own.loads.empty() || !own.samples.empty()) {
+        m_peers.post(
+            send_to_roles{ControlRole, {.kind = channel::Loads, .version = workVersion, .body = encodeWork(own)}});
     }
-    m_peers.post(std::move(published));
 }
 
 void hub_task::handle(const evidence_from_peer &message)
--- a/src/daemon/hub/hub_task.h
+++ b/src/daemon/hub/hub_task.h
@@ -27,14 +27,19 @@
     void handle(const evidence_from_peer &message);
     void handle(const hub_fleet_changed &message);
     void publishLoads();
+    void sendToHubs(instant now);
     void publishEvidence();
     void send(const send_evidence &effect);
 
     mailbox<peers_message> &m_peers; ///< Mailbox of the peers task, which sends to other VMs; not owned.
     load_totals m_fleetLoads; ///< Sums over all VMs of the fleet, as reported here or gathered by other hubs.
     load_totals m_ownLoads; ///< Sums over the entry VMs that report to this hub; sent to the other hubs.
-    std::unordered_map<vm_id, instant>
-        m_reporters; ///< Time of the last report of each entry VM that reports to this hub.
+    /// Time of the last report of each entry VM that reports to this hub.
+    std::unordered_map<vm_id, instant> m_reporters;
+    /// Time of the last report with work of each entry VM that reports to this hub; the others run the previous build.
+    std::unordered_map<vm_id, instant> m_workReporters;
+    work_totals m_fleetWork; ///< What requests take, as all VMs of the fleet observe it.
+    std::vector<route_samples> m_ownSamples; ///< Samples that entry VMs reported here, not yet sent to the other hubs.
     evidence_relay m_evidence; ///< State of the relay of evidence.
     timer m_loadsTimer; ///< Runs publishLoads(); armed by the first loads received after the last publication.
     bool m_loadsTimerArmed = false; ///< m_loadsTimer is armed.
--- a/src/wire/load_codec.h
+++ b/src/wire/load_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <guavafront/coordination/loads/load_totals.h>
+#include <guavafront/coordination/work/work_sharing.h>
 
 #include <cstddef>
 #include <span>
@@ -20,13 +21,23 @@
 struct load_message {
     load_stage stage = load_stage::Reported; ///< Sender and receiver of the message.
     std::vector<instance_load> loads; ///< Load of each instance.
+    std::vector<route_samples> samples; ///< Service times that VMs observed; empty in Published.
+    std::vector<shared_estimate> estimates; ///< What requests take; only in Published.
     bool operator==(const load_message &) const = default; ///< Memberwise equality.
 };
 
-/// Encodes a load message as CBOR.
+/// Version of load messages with work, samples and estimates. A VM of the previous build can't decode them and drops
+/// them, so that it gets the loads in version 1 as well or instead.
+constexpr std::uint8_t workVersion = 2;
+
+/// Encodes a load message as CBOR in version 1, with the numbers of requests alone.
 std::vector<std::byte> encodeLoads(const load_message &message);
 
-/// Decodes what encodeLoads() wrote. Throws coordination_error (MessageMalformed, MessageTooLarge).
-load_message decodeLoads(std::span<const std::byte> encoded);
+/// Encodes a load message as CBOR in workVersion.
+std::vector<std::byte> encodeWork(const load_message &message);
+
+/// Decodes what encodeLoads() or encodeWork() wrote, by the version. Throws coordination_error (MessageMalformed,
+/// MessageTooLarge).
+load_message decodeLoads(std::span<const std::byte> encoded, std::uint8_t version = 1);
 
 } // namespace guavafront
