--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -307,28 +307,6 @@
                  {"evacuated", std::int64_t{effect.standing.evacuated}}});
 }
 
-void entry_task::perform(const report_retry_refused &effect)
-{
-    const auto found = m_requests.find(effect.id);
-    m_counters.countRefusedRetry(effect.service);
-    m_log.write("retry_refused", loop::now(),
-                {{"id", found == m_requests.end() ? std::string_view() : requestIdOf(found->second)},
-                 {"service", effect.service},
-                 {"tokens", double{effect.tokens}},
-                 {"capacity", double{effect.capacity}}});
-}
-
-void entry_task::perform(const report_warmups &effect)
-{
-    m_counters.setWarmupCounts(effect.service, effect.counts);
-    m_log.write("warmup", loop::now(),
-                {{"service", effect.service},
-                 {"cold", std::int64_t{effect.counts.cold}},
-                 {"sent", std::int64_t{effect.counts.sent}},
-                 {"held_back", std::int64_t{effect.counts.heldBack}},
-                 {"entry_vms", static_cast<std::int64_t>(m_state.selection.warmups.vms.size())}});
-}
-
 void entry_task::perform(const report_notice &effect)
 {
     const auto found = m_requests.find(effect.id);
--- a/tests/fleet/platform_processes.cpp
+++ b/tests/fleet/platform_processes.cpp
@@ -9,7 +9,6 @@
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <nlohmann/json.hpp>
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -295,40 +294,6 @@
     }
 }
 
-int platform_processes::orderEvacuation(std::string_view call, std::string_view zone) const
-{
-    constexpr int maxRedirects = 2;
-    constexpr std::string_view scheme = "http://";
-    const instant end = loop::now() + std::chrono::seconds(4);
-    std::string path = "/api/rpc?call=" + std::string(call) + "&of=" + std::string(zone);
-    int status = 0;
-    for (std::size_t number = 0; loop::now() < end; ++number) {
-        endpoint server = controlEndpoint(m_controls[number % m_controls.size()]);
-        std::string target = path;
-        try {
-            for (int redirects = 0; redirects <= maxRedirects; ++redirects) {
-                const http_answer answer =
-                    httpCall(server, {.method = "POST", .target = target, .body = "", .timeout = operatorPatience});
-                status = answer.status;
-                const std::string location(headerValue(viewsOf(answer.headers), "Location"));
-                if (status != statusRedirect || !location.starts_with(scheme)) {
-                    break;
-                }
-                const std::size_t slash = location.find('/', scheme.size());
-                server = parseEndpoint(location.substr(scheme.size(), slash - scheme.size())).value();
-                target = location.substr(slash);
-            }
-        } catch (const coordination_error &) {
-            status = 0; // The control VM isn't running, or doesn't answer.
-        }
-        if (status != 0 && status != statusRedirect && status < firstServerError) {
-            return status;
-        }
-        poll(nullptr, 0, 50);
-    }
-    return status;
-}
-
 int platform_processes::callControl(std::string_view call, std::string_view of, std::string_view body) const
 {
     int status = 0;
--- a/tests/http/upstream_connection_test.cpp
+++ b/tests/http/upstream_connection_test.cpp
@@ -54,24 +54,6 @@
     script{"earlyHints", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false,
            upstream_result::Answered},
     script{"noHttp", "220 mail.example ready\r\n", false, upstream_result::AnswerIncomplete},
-    // An instance in trouble sent status 000, and callers got it as an answer.
-    script{"status000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"status099", "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", false, upstream_result::AnswerIncomplete},
-    script{"statusTwoDigits", "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", false, upstream_result::AnswerIncomplete},
-    script{"statusFourDigits", "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok", false,
-           upstream_result::AnswerIncomplete},
-    script{"status1000", "HTTP/1.1 1000 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"status600", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"status700", "HTTP/1.1 700 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"status999", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"statusNegative", "HTTP/1.1 -1 OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"statusLetters", "HTTP/1.1 2OO OK\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"statusMissing", "HTTP/1.1\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::AnswerIncomplete},
-    script{"status000AfterContinue", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
-           false, upstream_result::AnswerIncomplete},
-    script{"interimOnly", "HTTP/1.1 150 Wait\r\n\r\n", true, upstream_result::AnswerIncomplete},
-    script{"noReasonPhrase", "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::Answered},
-    script{"status599", "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", false, upstream_result::Answered},
     script{"closesWithoutAnswer", "", true, upstream_result::Closed},
     script{"silent", "", false, upstream_result::TimedOut},
 };
@@ -247,18 +229,6 @@
     BOOST_TEST(!outcome.reusable);
 }
 
-// Guards against passing an answer without a valid status on to a caller after the connection has served others.
-BOOST_AUTO_TEST_CASE(exchange_status000OnKeptConnection_incompleteAndNotReusable)
-{
-    connect(upstream.port);
-    exchange("GET", longTimeout);
-    BOOST_REQUIRE(connection->usable());
-    reply = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok";
-    const upstream_outcome outcome = exchange("GET", longTimeout);
-    BOOST_TEST(static_cast<int>(outcome.result) == static_cast<int>(upstream_result::AnswerIncomplete));
-    BOOST_TEST(!outcome.reusable);
-}
-
 BOOST_AUTO_TEST_CASE(exchange_closedAtEachByteOfTheHead_neverWhole)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n";
