Test revoked evacuations and the last fields of differences

The fields of evacuations and warm-up limits at the end of an encoded difference or configuration could be taken for each other when one of them is absent, and nothing tested that the instances of a data centre count as cold once its evacuation is revoked.

--- a/tests/configuration/configuration_difference_test.cpp
+++ b/tests/configuration/configuration_difference_test.cpp
@@ -79,6 +79,28 @@
     }
 }
 
+// Guards against fields at the end that are taken for each other when some of them are left out.
+BOOST_AUTO_TEST_CASE(encoding_lastFieldsLeftOut_sameValue)
+{
+    for (unsigned set = 0; set < 4; ++set) {
+        for (const bool empty : {false, true}) {
+            configuration_difference difference;
+            configuration whole;
+            if ((set & 1U) != 0) {
+                whole.evacuations = {{.dataCentre = "occ-a", .inForce = true, .startedMs = 7}};
+                difference.evacuations = empty ? std::vector<evacuation>() : whole.evacuations;
+            }
+            if ((set & 2U) != 0) {
+                whole.warmups = {{.service = "s0", .warmupMs = 3'000, .perSecond = 5.8}};
+                difference.warmups = empty ? std::vector<service_warmup>() : whole.warmups;
+            }
+            const std::vector<change> changes{difference};
+            BOOST_TEST((decodeChanges(encodeChanges(changes)) == changes), "set " << set);
+            BOOST_TEST((decodeConfiguration(encodeConfiguration(whole)) == whole), "set " << set);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(difference_oneOfManyRoutesChanged_small)
 {
     std::mt19937_64 random(5);
--- a/tests/warmup/entry_warmup_test.cpp
+++ b/tests/warmup/entry_warmup_test.cpp
@@ -131,6 +131,19 @@
     BOOST_TEST(sentByOneOfMany <= 6U);
 }
 
+// All VMs return to the instances at once, which have had no requests meanwhile.
+BOOST_AUTO_TEST_CASE(evacuation_revoked_instancesCold)
+{
+    applyOrder(draft->evacuations, {"gdl-a", evacuation_action::Start, 1'000});
+    applyDraft();
+    BOOST_TEST(!isCold(state.selection.warmups, {3}, now));
+    applyOrder(draft->evacuations, {"gdl-a", evacuation_action::End, 9'000});
+    applyDraft();
+    BOOST_TEST(isCold(state.selection.warmups, {3}, now));
+    BOOST_TEST(!isCold(state.selection.warmups, {3}, now + seconds(3)));
+    BOOST_TEST(!isCold(state.selection.warmups, {1}, now)); // Its service has no limit.
+}
+
 BOOST_AUTO_TEST_CASE(service_withoutLimit_servedAsBefore)
 {
     draft->warmups.clear();
