--- a/src/wire/difference_json.h
+++ b/src/wire/difference_json.h
@@ -9,7 +9,7 @@
 namespace guavafront
 {
 
-/// Number of fields of an encoded difference in which neither evacuations nor warm-up limits change; two more otherwise.
+/// Number of fields of an encoded difference that changes neither evacuations nor warm-up limits; two more otherwise.
 constexpr std::size_t differenceFieldCount = 12;
 
 /// Encodes a difference of configurations as an array of its fields, the form in which a list of changes contains it.
