--- a/tests/fleet/platform_orders.cpp
+++ b/tests/fleet/platform_orders.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_call.h"
 #include "http/http_message.h"
+#include "runtime/loop.h"
 #include "settings/endpoint.h"
 
 #include <guavafront/coordination/core/coordination_error.h>
