Limit an attempt's silence only while another attempt can follow

The limit now applies only if a quarter of the request's time remains after it; else the deadline ends the attempt. silenceLimit_wouldLeaveNoTimeForRetry_none failed before; all of test_entry passes.

--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -57,6 +57,14 @@
     return decision == retry_decision::Retry;
 }
 
+/// Whether an attempt that is given up after the time leaves enough for another one. A limit later than that would only
+/// end a slow answer early, for example while a planned stop allows no further attempt.
+bool leavesTimeForRetry(const step_context &context, const exchange &request, duration time)
+{
+    constexpr int parts = 4; // One of them is left for the other attempt.
+    return time <= (request.deadline - context.now) * (parts - 1) / parts;
+}
+
 /// How long a repeatable request waits for an answer on a reused connection, which may be dead without having been
 /// closed; 0 for no limit but the deadline.
 duration silenceLimitFor(const step_context &context, const exchange &request)
@@ -70,8 +78,9 @@
     if (context.state.selection.policy == balancing_policy::Affinity) {
         // With affinity a VM sees few answers, so a short limit would be a guess. The expected wait is added, since a
         // request that waits in the instance's queue doesn't mean a dead connection.
-        const duration limit = std::max(silence, minAffinitySilenceLimit);
-        return limit + std::min(request.expectedWait, limit);
+        const duration least = std::max(silence, minAffinitySilenceLimit);
+        const duration limit = least + std::min(request.expectedWait, least);
+        return leavesTimeForRetry(context, request, limit) ? limit : duration::zero();
     }
     return silence;
 }
--- a/tests/entry/expected_wait_test.cpp
+++ b/tests/entry/expected_wait_test.cpp
@@ -78,6 +78,23 @@
     BOOST_TEST((find<start_attempt>()->silenceLimit > usual + 1s));
 }
 
+// Guards against giving up a slow answer so late that no other attempt can follow, as in a planned stop: the caller got
+// 504 while the instance was at work.
+BOOST_AUTO_TEST_CASE(silenceLimit_wouldLeaveNoTimeForRetry_none)
+{
+    const auto limitWithin = [this](duration timeLimit) {
+        run(request_arrived{{.id = {++lastExchange},
+                             .method = "GET",
+                             .host = "any.example",
+                             .path = "/flags",
+                             .key = std::nullopt,
+                             .timeLimit = timeLimit}});
+        return find<start_attempt>()->silenceLimit;
+    };
+    BOOST_TEST(limitWithin(10s).count() > 0);
+    BOOST_TEST(limitWithin(3500ms).count() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
