--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -137,7 +137,7 @@
     const std::string_view code = line.substr(codeAt, codeLength);
     const bool digits = std::ranges::all_of(code, [](char each) { return each >= '0' && each <= '9'; });
     const char next = line[codeAt + codeLength];
-    const int status = m_parser.status_code;
+    const auto status = static_cast<int>(m_parser.status_code);
     return digits && (next == ' ' || next == '\r' || next == '\n') && status >= firstStatus && status <= lastStatus;
 }
 
