Log how news of departed instances reaches an entry VM

Cause: for a request that reached an instance after its departure, the logs could tell neither whether the entry VM had been told, by whom, nor what made the instance usable again. The line 'departure' had no sender, was written only if the instance took requests, and was left out beyond 200 lines a second.

Change: 'departure' is written for every word and never left out, with its sender and what the registry held; the new line 'instance' says whose news, and by which path, made an instance serve, and when it was removed. Control VMs log what they pass on, and mailboxes that refuse a departure. expire() returns all removed instances for that.

Result: no decision changes.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -13,6 +13,8 @@
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/catch_up.h>
+#include <guavafront/coordination/registry/departure.h>
+#include <guavafront/coordination/registry/instance_news.h>
 #include <guavafront/coordination/upstreams/service_instance_counts.h>
 #include <guavafront/coordination/warmup/warmup.h>
 #include <guavafront/coordination/work/work_sharing.h>
@@ -181,9 +183,31 @@
     warmup_counts counts; ///< Present number of cold instances, and requests since the last report.
 };
 
-/// Report to operators that other VMs passed on that an instance takes no more requests.
+/// Report to operators that another VM passed on that an instance takes no more requests.
 struct report_departure {
     departure what; ///< The departure.
+    vm_id from; ///< VM that passed it on; 0 for a task of this VM.
+    std::optional<held_instance> before; ///< What was known of the instance; nothing if it was unknown.
+    bool changed = false; ///< The instance took requests before.
+};
+
+/// What happened to an instance in this VM's registry.
+enum class registry_step : std::uint8_t {
+    Serving, ///< It was unknown or took no requests, and takes requests now.
+    Withdrawn, ///< Its registrar withdrew it, or is dead.
+    LeaseEnded, ///< Its lease ended.
+};
+
+/// Report to operators that an instance takes requests, or isn't known any more.
+struct report_instance {
+    std::string name; ///< Name of the instance.
+    std::uint64_t processStartMs = 0; ///< Start of its process in Unix milliseconds.
+    registry_step step = registry_step::Serving; ///< What happened.
+    vm_id registrar; ///< VM that receives its announcements by the news.
+    std::uint64_t sequence = 0; ///< Sequence number of the announcement; 0 if the instance isn't known any more.
+    news_path path = news_path::SpreadMap; ///< How the news came.
+    vm_id from; ///< VM that sent the news; 0 if the replicated map brought it.
+    std::optional<held_instance> before; ///< What was known of the instance; nothing if it was unknown.
 };
 
 /// Report to operators that this VM stops to send requests to the instances of a data centre, or may again.
@@ -233,7 +257,7 @@
                  withdraw_instance, wake_at, limit_send, send_claim_message, drop_connections, publish_health,
                  publish_death, publish_release, publish_claims_member, broadcast_evidence, send_ledger_report,
                  report_loads, request_known_instances, send_known_instances, report_standing, report_notice,
-                 report_departure, report_evacuation, count_evacuated_request, report_retry_refused, send_warmups,
-                 report_warmups, report_admission_refusal, report_admission_wait>;
+                 report_departure, report_instance, report_evacuation, count_evacuated_request, report_retry_refused,
+                 send_warmups, report_warmups, report_admission_refusal, report_admission_wait>;
 
 } // namespace guavafront
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -11,6 +11,7 @@
 #include <guavafront/coordination/quarantine/quarantine.h>
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/departure.h>
+#include <guavafront/coordination/registry/instance_news.h>
 #include <guavafront/coordination/upstreams/upstream_selection.h>
 #include <guavafront/coordination/work/work_sharing.h>
 
@@ -64,6 +65,8 @@
 struct instance_reported {
     vm_id registrar; ///< VM that receives the announcements.
     announcement announced; ///< Latest announcement.
+    news_path path = news_path::SpreadMap; ///< How this VM learned of it; for operators.
+    vm_id from; ///< VM that sent it; 0 if the replicated map brought it.
 };
 
 /// Another VM no longer receives the announcements of an instance.
@@ -75,6 +78,7 @@
 /// Another VM, or another task of this one, was told that an instance takes no more requests.
 struct departure_reported {
     departure what; ///< The departure.
+    vm_id from; ///< VM that passed it on; 0 for a task of this VM.
 };
 
 /// A VM that receives announcements became unreachable or reachable again.
--- a/include/guavafront/coordination/registry/registry.h
+++ b/include/guavafront/coordination/registry/registry.h
@@ -95,9 +95,9 @@
 /// The registrar is reachable again and keeps the leases of its instances.
 void onRegistrarReachable(registry &state, vm_id registrar);
 
-/// Removes the instances whose lease has ended. Returns those that were announced to this VM; the caller must withdraw
-/// their publication.
-std::vector<instance_id> expire(registry &state, instant now);
+/// Removes the instances whose lease has ended and returns them. The caller must withdraw the publication of those that
+/// were announced to this VM.
+std::vector<registered_instance> expire(registry &state, instant now);
 
 /// Earliest end of a lease; nothing when no lease is running.
 std::optional<instant> nextExpiry(const registry &state);
@@ -105,6 +105,10 @@
 /// Instances of a service, ordered by id. The span is valid until the registry's next change.
 std::span<const registered_instance> instancesOf(const registry &state, std::string_view service);
 
+/// The instance with this name and start of its process in Unix milliseconds, the one that started last if the start is
+/// 0; null when it is unknown. The pointer is valid until the registry's next change.
+const registered_instance *findNamed(const registry &state, std::string_view name, std::uint64_t processStartMs);
+
 /// One instance; null when it is unknown. The pointer is valid until the registry's next change.
 const registered_instance *findInstance(const registry &state, instance_id instance);
 
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -22,6 +22,40 @@
     }
 }
 
+std::optional<held_instance> heldInstance(const registry &state, instance_id instance)
+{
+    const registered_instance *known = findInstance(state, instance);
+    return known ? std::optional(held_instance{known->last.state, known->last.sequence, known->registrar})
+                 : std::nullopt;
+}
+
+/// Reports an instance that takes requests after news of it and took none before.
+void reportServing(step_context &context, const instance_reported &event, const std::optional<held_instance> &before)
+{
+    const registered_instance *known = findInstance(context.state.upstreams, event.announced.instance);
+    const bool served = before && before->state == instance_state::Serving;
+    if (!served && known && known->last.state == instance_state::Serving) {
+        context.effects.emplace_back(report_instance{.name = known->last.name,
+                                                     .processStartMs = known->last.processStartMs,
+                                                     .registrar = event.registrar,
+                                                     .sequence = known->last.sequence,
+                                                     .path = event.path,
+                                                     .from = event.from,
+                                                     .before = before});
+    }
+}
+
+/// Reports an instance that was removed.
+void reportRemoved(step_context &context, const registered_instance &removed, registry_step step)
+{
+    context.effects.emplace_back(
+        report_instance{.name = removed.last.name,
+                        .processStartMs = removed.last.processStartMs,
+                        .step = step,
+                        .registrar = removed.registrar,
+                        .before = held_instance{removed.last.state, removed.last.sequence, removed.registrar}});
+}
+
 } // namespace
 
 void updateUpstreams(step_context &context, const instance_announced &event)
@@ -46,27 +80,36 @@
 void updateUpstreams(step_context &context, const instance_reported &event)
 {
     context.state.selection.warmups.lastNewsAt = context.now;
+    const std::optional<held_instance> before = heldInstance(context.state.upstreams, event.announced.instance);
     if (learn(context.state.upstreams, event.registrar, event.announced, context.now) == registry_change::HandedOver) {
         context.effects.emplace_back(withdraw_instance{event.announced.instance});
     }
+    reportServing(context, event, before);
     syncSelection(context);
 }
 
 void updateUpstreams(step_context &context, const departure_reported &event)
 {
+    const registered_instance *known = findNamed(context.state.upstreams, event.what.name, event.what.processStartMs);
+    std::optional<held_instance> before =
+        known ? heldInstance(context.state.upstreams, known->last.instance) : std::nullopt;
     const departure_result result = depart(context.state.upstreams, event.what, context.now);
     if (result.toPublish) {
         context.effects.emplace_back(publish_instance{*result.toPublish});
     }
     if (result.changed) {
         syncSelection(context);
-        context.effects.emplace_back(report_departure{event.what});
     }
+    context.effects.emplace_back(report_departure{event.what, event.from, before, result.changed});
 }
 
 void updateUpstreams(step_context &context, const instance_withdrawn &event)
 {
-    forget(context.state.upstreams, event.registrar, event.instance);
+    const registered_instance *known = findInstance(context.state.upstreams, event.instance);
+    const std::optional<registered_instance> before = known ? std::optional(*known) : std::nullopt;
+    if (forget(context.state.upstreams, event.registrar, event.instance) != registry_change::None) {
+        reportRemoved(context, *before, registry_step::Withdrawn);
+    }
     syncSelection(context);
 }
 
@@ -148,8 +191,11 @@
 
 void expireInstances(step_context &context)
 {
-    for (const instance_id instance : expire(context.state.upstreams, context.now)) {
-        context.effects.emplace_back(withdraw_instance{instance});
+    for (const registered_instance &each : expire(context.state.upstreams, context.now)) {
+        reportRemoved(context, each, registry_step::LeaseEnded);
+        if (each.registrar == context.state.identity.self) {
+            context.effects.emplace_back(withdraw_instance{each.last.instance});
+        }
     }
     syncSelection(context);
 }
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -156,23 +156,6 @@
     state.earlyDepartures.push_back(std::move(kept));
 }
 
-/// The instance with this name and start of its process, the newest of that name if the start is 0; null when it is
-/// unknown.
-registered_instance *findNamed(registry &state, std::string_view name, std::uint64_t processStartMs)
-{
-    registered_instance *newest = nullptr;
-    for (service_instances &group : state.services) {
-        for (registered_instance &entry : group.instances) {
-            const bool matches =
-                entry.last.name == name && (processStartMs == 0 || entry.last.processStartMs == processStartMs);
-            if (matches && (!newest || newest->last.processStartMs < entry.last.processStartMs)) {
-                newest = &entry;
-            }
-        }
-    }
-    return newest;
-}
-
 /// Whether the departure says more than what is known of the instance.
 bool isNews(const announcement &known, const departure &told)
 {
@@ -214,7 +197,7 @@
 
 departure_result depart(registry &state, const departure &told, instant now)
 {
-    registered_instance *known = findNamed(state, told.name, told.processStartMs);
+    auto *known = const_cast<registered_instance *>(findNamed(state, told.name, told.processStartMs));
     if (!known) {
         if (told.processStartMs != 0) {
             keepEarlyDeparture(state, {.what = told, .expires = now + earlyDepartureRetention});
@@ -286,17 +269,15 @@
     forEachRegisteredAt(state, registrar, [](registered_instance &entry) { entry.expires.reset(); });
 }
 
-std::vector<instance_id> expire(registry &state, instant now)
+std::vector<registered_instance> expire(registry &state, instant now)
 {
-    std::vector<instance_id> withdrawn;
+    std::vector<registered_instance> removed;
     for (service_instances &group : state.services) {
         const auto isExpired = [&](const registered_instance &entry) {
             if (!entry.expires || *entry.expires > now) {
                 return false;
             }
-            if (entry.registrar == state.self) {
-                withdrawn.push_back(idOf(entry));
-            }
+            removed.push_back(entry);
             state.serviceIndexByInstance.erase(idOf(entry));
             return true;
         };
@@ -304,7 +285,7 @@
             ++group.generation;
         }
     }
-    return withdrawn;
+    return removed;
 }
 
 std::optional<instant> nextExpiry(const registry &state)
@@ -329,6 +310,21 @@
     return state.services[found->second].instances;
 }
 
+const registered_instance *findNamed(const registry &state, std::string_view name, std::uint64_t processStartMs)
+{
+    const registered_instance *newest = nullptr;
+    for (const service_instances &group : state.services) {
+        for (const registered_instance &entry : group.instances) {
+            const bool matches =
+                entry.last.name == name && (processStartMs == 0 || entry.last.processStartMs == processStartMs);
+            if (matches && (!newest || newest->last.processStartMs < entry.last.processStartMs)) {
+                newest = &entry;
+            }
+        }
+    }
+    return newest;
+}
+
 const registered_instance *findInstance(const registry &state, instance_id instance)
 {
     const auto known = state.serviceIndexByInstance.find(instance);
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -14,6 +14,8 @@
 
 #include <guavafront/coordination/core/coordination_error.h>
 
+#include <glog/logging.h>
+
 #include <memory>
 #include <utility>
 #include <variant>
@@ -83,7 +85,7 @@
             return;
         }
         if (message.version != departureVersion) {
-            wiring.entries.post(instance_reported{from, decodeAnnouncement(message.body)});
+            wiring.entries.post(instance_reported{from, decodeAnnouncement(message.body), news_path::Registrar, from});
             return;
         }
         departure_message decoded = decodeDepartures(message.body);
@@ -91,7 +93,9 @@
             wiring.departures.post(departure_message_received{from, std::move(decoded)});
         } else if (const auto *passedOn = std::get_if<departures_passed_on>(&decoded)) {
             for (const departure &each : passedOn->departures) {
-                wiring.entries.post(departure_reported{each});
+                if (!wiring.entries.post(departure_reported{each, from})) {
+                    LOG(ERROR) << "departure of " << each.name << " is lost on this VM: the entry task is behind";
+                }
             }
         }
     });
@@ -102,7 +106,7 @@
             return;
         }
         for (const instance_record &each : std::get<instances_list>(decoded).instances) {
-            wiring.entries.post(instance_reported{each.registrar, each.last});
+            wiring.entries.post(instance_reported{each.registrar, each.last, news_path::CatchUp, from});
         }
     });
 }
--- a/src/daemon/departures/departures_task.cpp
+++ b/src/daemon/departures/departures_task.cpp
@@ -86,7 +86,7 @@
 
 void departures_task::perform(const apply_departure &effect)
 {
-    if (!m_registry.post(departure_reported{effect.what})) {
+    if (!m_registry.post(departure_reported{.what = effect.what, .from = {}})) {
         LOG(ERROR) << "departure of " << effect.what.name << " is lost on this VM: the registry is behind";
     }
 }
@@ -104,8 +104,18 @@
 
 void departures_task::perform(const send_departures &effect)
 {
-    m_peers.post(send_to_vms{
+    if (const auto *passedOn = std::get_if<departures_passed_on>(&effect.message)) {
+        std::ostringstream names;
+        for (const departure &each : passedOn->departures) {
+            names << ' ' << each.name;
+        }
+        LOG(INFO) << "departures passed on to " << effect.to.size() << " VMs:" << names.str();
+    }
+    const bool posted = m_peers.post(send_to_vms{
         effect.to, {.kind = channel::Registry, .version = departureVersion, .body = encodeDepartures(effect.message)}});
+    if (!posted) {
+        LOG(ERROR) << "a message about departures to " << effect.to.size() << " VMs is lost: the peers task is behind";
+    }
 }
 
 } // namespace guavafront
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -326,14 +326,6 @@
                  {"ms", std::chrono::duration<double, std::milli>(effect.pause).count()}});
 }
 
-void entry_task::perform(const report_departure &effect)
-{
-    m_log.write("departure", loop::now(),
-                {{"instance", effect.what.name},
-                 {"state", effect.what.state == instance_state::Leaving ? "leaving" : "draining"},
-                 {"start", static_cast<std::int64_t>(effect.what.processStartMs)}});
-}
-
 std::string_view entry_task::requestIdOf(const caller_request &request) const
 {
     return m_options.dialect.requestId(request.request);
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -97,6 +97,7 @@
     void perform(const send_warmups &effect);
     void perform(const report_warmups &effect);
     void perform(const report_departure &effect);
+    void perform(const report_instance &effect);
     void perform(const report_evacuation &effect);
     void perform(const count_evacuated_request &effect);
     void perform(const report_admission_refusal &effect);
--- a/src/daemon/log/decision_log.cpp
+++ b/src/daemon/log/decision_log.cpp
@@ -80,9 +80,10 @@
     return true;
 }
 
-void decision_log::write(std::string_view decision, instant now, std::initializer_list<log_field> fields)
+void decision_log::write(std::string_view decision, instant now, std::initializer_list<log_field> fields,
+                         line_rate rate)
 {
-    if (!admitLine(now)) {
+    if (rate == line_rate::Limited && !admitLine(now)) {
         return;
     }
     m_line.assign("{\"t\":");
--- a/src/daemon/log/decision_log.h
+++ b/src/daemon/log/decision_log.h
@@ -18,6 +18,12 @@
     std::variant<std::string_view, std::int64_t, double> value; ///< Value; text is escaped when it is written.
 };
 
+/// Whether a line counts against the lines of a second.
+enum class line_rate : std::uint8_t {
+    Limited, ///< It is left out when there are too many.
+    Exempt, ///< It is rare, and others can't be understood without it.
+};
+
 /// Writes each decision as one line of JSON to standard output. Never blocks: lines that the reader of the output
 /// doesn't take at once are dropped and counted, and so are lines beyond linesPerSecond. To be used by one thread only.
 class decision_log
@@ -27,7 +33,8 @@
     decision_log(std::string vm, std::uint32_t linesPerSecond);
 
     /// Writes a line with the time of day, the VM, the decision and the fields; now is for the rate limit.
-    void write(std::string_view decision, instant now, std::initializer_list<log_field> fields);
+    void write(std::string_view decision, instant now, std::initializer_list<log_field> fields,
+               line_rate rate = line_rate::Limited);
 
     /// Number of lines dropped so far.
     std::uint64_t dropped() const;
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -137,8 +137,10 @@
 void registry_task::tick()
 {
     removeOldWarmups(m_warmups, loop::now());
-    for (const instance_id instance : expire(m_state, loop::now())) {
-        m_peers.post(publicationOf(withdraw_instance{instance}));
+    for (const registered_instance &each : expire(m_state, loop::now())) {
+        if (each.registrar == m_state.self) {
+            m_peers.post(publicationOf(withdraw_instance{each.last.instance}));
+        }
     }
     m_timer.arm(expiryPeriod);
 }
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -80,7 +80,10 @@
 
 BOOST_AUTO_TEST_CASE(expire_silentOwnInstance_withdrawn)
 {
-    BOOST_TEST((expire(state, instant(3s)) == std::vector<instance_id>{{7}}));
+    const std::vector<registered_instance> removed = expire(state, instant(3s));
+    BOOST_TEST_REQUIRE(removed.size() == 1U);
+    BOOST_TEST((removed[0].last.instance == instance_id{7}));
+    BOOST_TEST((removed[0].registrar == state.self));
     BOOST_TEST(known() == 1);
     BOOST_TEST(findInstance(state, {7}) == nullptr);
 }
