Keep departures apart from the instances that they concern

What callers saw: requests reached an instance seconds after its departure had been acknowledged, through an entry VM that had been told.

Cause: a departure was kept only in the registry's entry of the instance. The entry goes when the registrar withdraws it, which it does as soon as it learns that the instance called another VM, when the lease ends, and 10 s after the registrar's death. A control VM that was frozen or cut off then answers the entry VM's query for instances out of its own old registry, and the instance serves again until another answer comes, 10 s later or more.

An announcement that isn't newer than its departure counts as the departure, from whichever VM and by whichever way it comes. It replaces the early departures, which were used once; tests of those check the same through learn(). Outdated news is logged.

--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -196,6 +196,7 @@
     Serving, ///< It was unknown or took no requests, and takes requests now.
     Withdrawn, ///< Its registrar withdrew it, or is dead.
     LeaseEnded, ///< Its lease ended.
+    Outdated, ///< It was unknown, and an announcement from before its departure came.
 };
 
 /// Report to operators that an instance takes requests, or isn't known any more.
--- a/include/guavafront/coordination/registry/registry.h
+++ b/include/guavafront/coordination/registry/registry.h
@@ -2,6 +2,7 @@
 
 #include <guavafront/coordination/registry/announcement.h>
 #include <guavafront/coordination/registry/departure.h>
+#include <guavafront/coordination/registry/departure_record.h>
 #include <guavafront/coordination/routing/route_table.h>
 
 #include <cstdint>
@@ -30,13 +31,6 @@
     std::uint64_t generation = 0; ///< Incremented by each change other than a lease renewal or a load report.
 };
 
-/// Departure of an instance that this VM doesn't know yet, as after its own restart.
-struct early_departure {
-    departure what; ///< The departure.
-    bool toldHere = false; ///< The instance told this VM; otherwise another VM passed it on.
-    instant expires{}; ///< Time at which the departure is forgotten.
-};
-
 /// All announced instances of the fleet. Each instance announces itself to one VM, its registrar. The registrar keeps
 /// the instance's lease and publishes the instance to the other VMs.
 struct registry {
@@ -46,7 +40,7 @@
     std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>> serviceIndexByName;
     /// Index into services for each known instance.
     std::unordered_map<instance_id, std::uint32_t> serviceIndexByInstance;
-    std::vector<early_departure> earlyDepartures; ///< Departures of unknown instances, oldest first.
+    departure_record departures; ///< Departures of the last minutes, of known and unknown instances.
 };
 
 /// Effect of an announcement, or of another VM's message about one, on the registry.
@@ -58,13 +52,14 @@
     HandedOver, ///< An instance of this VM has another registrar now; this VM must withdraw its publication.
 };
 
-/// Applies an announcement that an instance made to this VM.
+/// Applies an announcement that an instance made to this VM. One that is older than the instance's departure counts as
+/// the departure, and what the registry holds afterwards is to be published.
 registry_change announce(registry &state, const announcement &received, instant now);
 
 /// Marks an instance as leaving at its own request; none of its later announcements counts. The instance is found by
 /// its name and, unless it is 0, the start of its process in Unix milliseconds. Returns the announcement to publish, or
-/// nothing when the instance isn't known or is leaving already. The deregistration of an unknown instance is kept for
-/// takeEarlyDeparture().
+/// nothing when the instance isn't known or is leaving already. That of an unknown instance is published once another
+/// VM reports the instance.
 std::optional<announcement> deregister(registry &state, std::string_view name, std::uint64_t processStartMs,
                                        instant now);
 
@@ -74,15 +69,12 @@
     std::optional<announcement> toPublish; ///< Set if it changed and this VM is its registrar.
 };
 
-/// Applies a departure that another VM passed on. That of an unknown instance is kept for takeEarlyDeparture().
+/// Applies a departure that another VM passed on. It binds older announcements, also those that come later.
 departure_result depart(registry &state, const departure &told, instant now);
 
-/// Applies the departure of an instance that came before this VM knew it. To be called after each announcement. Returns
-/// the announcement to publish, or nothing when there is none.
-std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now);
-
 /// Applies an announcement that another VM published. The highest sequence number wins; at the same sequence number
-/// the present registrar stays.
+/// the present registrar stays. One that is older than the instance's departure counts as the departure. Returns
+/// Changed if this VM must publish the departure, which the instance told it before it knew the instance.
 registry_change learn(registry &state, vm_id registrar, const announcement &received, instant now);
 
 /// Removes an instance whose publication the registrar has withdrawn, unless it has another registrar by now.
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -115,19 +115,9 @@
     context.state.freshness = event;
 }
 
-void publishEarlyDeparture(step_context &context, const announcement &received)
-{
-    const auto last = takeEarlyDeparture(context.state.upstreams, received, context.now);
-    syncSelection(context);
-    if (last) {
-        context.effects.emplace_back(publish_instance{*last});
-    }
-}
-
 void handle(step_context &context, const instance_announced &event)
 {
     updateUpstreams(context, event);
-    publishEarlyDeparture(context, event.announced);
 }
 
 void handle(step_context &context, const instance_left &event)
@@ -146,7 +136,6 @@
 void handle(step_context &context, const instance_reported &event)
 {
     updateUpstreams(context, event);
-    publishEarlyDeparture(context, event.announced);
 }
 
 void handle(step_context &context, const instance_withdrawn &event)
--- a/src/coordination/entry/upstreams.cpp
+++ b/src/coordination/entry/upstreams.cpp
@@ -29,19 +29,24 @@
                  : std::nullopt;
 }
 
-/// Reports an instance that takes requests after news of it and took none before.
-void reportServing(step_context &context, const instance_reported &event, const std::optional<held_instance> &before)
+/// Reports an instance that takes requests after news of it and took none before, and news that is older than the
+/// instance's departure and would have added it.
+void reportNews(step_context &context, const instance_reported &event, const std::optional<held_instance> &before)
 {
     const registered_instance *known = findInstance(context.state.upstreams, event.announced.instance);
     const bool served = before && before->state == instance_state::Serving;
-    if (!served && known && known->last.state == instance_state::Serving) {
-        context.effects.emplace_back(report_instance{.name = known->last.name,
-                                                     .processStartMs = known->last.processStartMs,
-                                                     .registrar = event.registrar,
-                                                     .sequence = known->last.sequence,
-                                                     .path = event.path,
-                                                     .from = event.from,
-                                                     .before = before});
+    const bool serves = known && known->last.state == instance_state::Serving;
+    const bool outdated = !before && known && !serves && event.announced.state == instance_state::Serving;
+    if ((serves && !served) || outdated) {
+        context.effects.emplace_back(
+            report_instance{.name = event.announced.name,
+                            .processStartMs = event.announced.processStartMs,
+                            .step = outdated ? registry_step::Outdated : registry_step::Serving,
+                            .registrar = event.registrar,
+                            .sequence = event.announced.sequence,
+                            .path = event.path,
+                            .from = event.from,
+                            .before = before});
     }
 }
 
@@ -61,19 +66,14 @@
 void updateUpstreams(step_context &context, const instance_announced &event)
 {
     const registry_change change = announce(context.state.upstreams, event.announced, context.now);
-    if (change != registry_change::None) {
-        publishWarmup(context, event.announced);
-    }
     syncSelection(context);
-    switch (change) {
-    case registry_change::Changed:
-        context.effects.emplace_back(publish_instance{event.announced});
-        break;
-    case registry_change::None:
-    case registry_change::Renewed:
-    case registry_change::Learned:
-    case registry_change::HandedOver:
-        break;
+    if (change == registry_change::None) {
+        return;
+    }
+    const announcement &held = findInstance(context.state.upstreams, event.announced.instance)->last;
+    publishWarmup(context, held);
+    if (change == registry_change::Changed) {
+        context.effects.emplace_back(publish_instance{held});
     }
 }
 
@@ -81,10 +81,14 @@
 {
     context.state.selection.warmups.lastNewsAt = context.now;
     const std::optional<held_instance> before = heldInstance(context.state.upstreams, event.announced.instance);
-    if (learn(context.state.upstreams, event.registrar, event.announced, context.now) == registry_change::HandedOver) {
+    const registry_change change = learn(context.state.upstreams, event.registrar, event.announced, context.now);
+    if (change == registry_change::HandedOver) {
         context.effects.emplace_back(withdraw_instance{event.announced.instance});
+    } else if (change == registry_change::Changed) {
+        const announcement &held = findInstance(context.state.upstreams, event.announced.instance)->last;
+        context.effects.emplace_back(publish_instance{held});
     }
-    reportServing(context, event, before);
+    reportNews(context, event, before);
     syncSelection(context);
 }
 
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -139,23 +139,6 @@
     return false;
 }
 
-/// An instance that has left is announced for at most a lease by VMs that haven't heard of it.
-constexpr duration earlyDepartureRetention = std::chrono::seconds(60);
-constexpr std::size_t maxEarlyDepartures = 1'024;
-
-/// Keeps the departure in place of an earlier one of the same process.
-void keepEarlyDeparture(registry &state, early_departure kept)
-{
-    std::erase_if(state.earlyDepartures, [&kept](const early_departure &each) {
-        return each.what.name == kept.what.name && each.what.processStartMs == kept.what.processStartMs
-               && each.what.state <= kept.what.state;
-    });
-    if (state.earlyDepartures.size() >= maxEarlyDepartures) {
-        state.earlyDepartures.erase(state.earlyDepartures.begin());
-    }
-    state.earlyDepartures.push_back(std::move(kept));
-}
-
 /// Whether the departure says more than what is known of the instance.
 bool isNews(const announcement &known, const departure &told)
 {
@@ -169,12 +152,13 @@
 
 registry_change announce(registry &state, const announcement &received, instant now)
 {
-    const registered_instance *known = findInstance(state, received.instance);
-    if ((known && known->last.sequence >= received.sequence) || resolveAddressConflict(state, received)) {
+    const announcement effective = applyDepartures(state.departures, received, now);
+    const registered_instance *known = findInstance(state, effective.instance);
+    if ((known && known->last.sequence >= effective.sequence) || resolveAddressConflict(state, effective)) {
         return registry_change::None;
     }
-    return store(state, state.self, received, now + received.lease, now) ? registry_change::Changed
-                                                                         : registry_change::Renewed;
+    return store(state, state.self, effective, now + effective.lease, now) ? registry_change::Changed
+                                                                           : registry_change::Renewed;
 }
 
 std::optional<announcement> deregister(registry &state, std::string_view name, std::uint64_t processStartMs,
@@ -183,14 +167,14 @@
     const registered_instance *known = findNamed(state, name, processStartMs);
     if (!known && processStartMs != 0) {
         const departure left{.name = std::string(name), .processStartMs = processStartMs};
-        keepEarlyDeparture(state, {.what = left, .toldHere = true, .expires = now + earlyDepartureRetention});
+        recordDeparture(state.departures, left, true, now);
     }
     if (!known || known->last.state == instance_state::Leaving) {
         return std::nullopt;
     }
     announcement last = known->last;
     last.state = instance_state::Leaving;
-    last.sequence = std::numeric_limits<std::uint64_t>::max();
+    last = applyDepartures(state.departures, last, now);
     store(state, state.self, last, now + last.lease, now);
     return last;
 }
@@ -198,13 +182,12 @@
 departure_result depart(registry &state, const departure &told, instant now)
 {
     auto *known = const_cast<registered_instance *>(findNamed(state, told.name, told.processStartMs));
-    if (!known) {
-        if (told.processStartMs != 0) {
-            keepEarlyDeparture(state, {.what = told, .expires = now + earlyDepartureRetention});
-        }
-        return {};
+    departure resolved = told;
+    resolved.processStartMs = known ? known->last.processStartMs : told.processStartMs;
+    if (resolved.processStartMs != 0) {
+        recordDeparture(state.departures, resolved, false, now);
     }
-    if (!isNews(known->last, told)) {
+    if (!known || !isNews(known->last, told)) {
         return {};
     }
     known->last.state = told.state;
@@ -214,31 +197,21 @@
     return {true, known->registrar == state.self ? std::optional(known->last) : std::nullopt};
 }
 
-std::optional<announcement> takeEarlyDeparture(registry &state, const announcement &received, instant now)
-{
-    std::erase_if(state.earlyDepartures, [now](const early_departure &each) { return each.expires <= now; });
-    const auto found = std::ranges::find_if(state.earlyDepartures, [&received](const early_departure &each) {
-        return each.what.name == received.name && each.what.processStartMs == received.processStartMs;
-    });
-    if (found == state.earlyDepartures.end()) {
-        return std::nullopt;
-    }
-    const early_departure taken = *found;
-    state.earlyDepartures.erase(found);
-    return taken.toldHere ? deregister(state, received.name, received.processStartMs, now)
-                          : depart(state, taken.what, now).toPublish;
-}
-
 registry_change learn(registry &state, vm_id registrar, const announcement &received, instant now)
 {
-    const registered_instance *known = findInstance(state, received.instance);
-    if (registrar == state.self || (known && known->last.sequence >= received.sequence)
-        || resolveAddressConflict(state, received)) {
+    const announcement effective = applyDepartures(state.departures, received, now);
+    const registered_instance *known = findInstance(state, effective.instance);
+    if (registrar == state.self || (known && known->last.sequence >= effective.sequence)
+        || resolveAddressConflict(state, effective)) {
         return registry_change::None;
     }
-    known = findInstance(state, received.instance);
+    if (takeUnpublished(state.departures, effective)) {
+        store(state, state.self, effective, now + effective.lease, now);
+        return registry_change::Changed;
+    }
+    known = findInstance(state, effective.instance);
     const bool handedOver = known && known->registrar == state.self;
-    store(state, registrar, received, std::nullopt, now);
+    store(state, registrar, effective, std::nullopt, now);
     return handedOver ? registry_change::HandedOver : registry_change::Learned;
 }
 
@@ -271,6 +244,7 @@
 
 std::vector<registered_instance> expire(registry &state, instant now)
 {
+    sweepDepartures(state.departures, now);
     std::vector<registered_instance> removed;
     for (service_instances &group : state.services) {
         const auto isExpired = [&](const registered_instance &entry) {
--- a/src/daemon/entry/entry_task_instances.cpp
+++ b/src/daemon/entry/entry_task_instances.cpp
@@ -35,7 +35,7 @@
 
 std::string_view stepName(registry_step step)
 {
-    constexpr std::array<std::string_view, 3> names{"serving", "withdrawn", "lease_ended"};
+    constexpr std::array<std::string_view, 4> names{"serving", "withdrawn", "lease_ended", "outdated"};
     return names.at(static_cast<std::size_t>(step));
 }
 
@@ -66,7 +66,7 @@
 void entry_task::perform(const report_instance &effect)
 {
     const held_instance before = effect.before.value_or(held_instance{});
-    const bool hadDeparted = effect.before && before.state >= instance_state::Draining;
+    const bool hadDeparted = before.state >= instance_state::Draining || effect.step == registry_step::Outdated;
     m_log.write("instance", loop::now(),
                 {{"instance", effect.name},
                  {"change", stepName(effect.step)},
--- a/src/daemon/registry/registry_task.cpp
+++ b/src/daemon/registry/registry_task.cpp
@@ -33,13 +33,14 @@
 void registry_task::handle(const instance_announced &event)
 {
     const registry_change change = announce(m_state, event.announced, loop::now());
-    if (change != registry_change::None) {
-        publishWarmup(event.announced);
+    if (change == registry_change::None) {
+        return;
     }
+    const announcement &held = findInstance(m_state, event.announced.instance)->last;
+    publishWarmup(held);
     if (change == registry_change::Changed) {
-        publish(event.announced);
+        publish(held);
     }
-    publishEarlyDeparture(event.announced);
 }
 
 void registry_task::handle(const instance_left &event)
@@ -81,10 +82,12 @@
 
 void registry_task::handle(const instance_reported &event)
 {
-    if (learn(m_state, event.registrar, event.announced, loop::now()) == registry_change::HandedOver) {
+    const registry_change change = learn(m_state, event.registrar, event.announced, loop::now());
+    if (change == registry_change::HandedOver) {
         m_peers.post(publicationOf(withdraw_instance{event.announced.instance}));
+    } else if (change == registry_change::Changed) {
+        publish(findInstance(m_state, event.announced.instance)->last);
     }
-    publishEarlyDeparture(event.announced);
 }
 
 void registry_task::handle(const departure_reported &event)
@@ -94,13 +97,6 @@
     }
 }
 
-void registry_task::publishEarlyDeparture(const announcement &received)
-{
-    if (const auto last = takeEarlyDeparture(m_state, received, loop::now())) {
-        publish(*last);
-    }
-}
-
 void registry_task::handle(const instance_withdrawn &event)
 {
     forget(m_state, event.registrar, event.instance);
--- a/src/daemon/registry/registry_task.h
+++ b/src/daemon/registry/registry_task.h
@@ -36,7 +36,6 @@
 
     void publish(const announcement &published);
     void publishWarmup(const announcement &received);
-    void publishEarlyDeparture(const announcement &received);
     void tick();
 
     mailbox<peers_message> &m_peers; ///< Inbox of the peers task; not owned.
--- a/tests/departures/departing_fleet.cpp
+++ b/tests/departures/departing_fleet.cpp
@@ -122,9 +122,10 @@
                 runDepartures(ids[slot], departure_time_passed{});
             }
         }
-        const auto open = std::ranges::partition(troubles, [this](const auto &each) { return each.ends > now(); });
-        const std::vector<open_trouble> ended(open.begin(), open.end());
-        troubles.erase(open.begin(), open.end());
+        const auto open = std::partition(troubles.begin(), troubles.end(),
+                                         [this](const open_trouble &each) { return each.ends > now(); });
+        const std::vector<open_trouble> ended(open, troubles.end());
+        troubles.erase(open, troubles.end());
         std::ranges::for_each(ended, [this](const open_trouble &each) { this->end(each); });
         if (!ended.empty()) {
             resend();
@@ -233,10 +234,7 @@
         }
     } else {
         if (announce(known, caller.last, now()) == registry_change::Changed) {
-            publish(control, caller.last);
-        }
-        if (const auto last = takeEarlyDeparture(known, caller.last, now())) {
-            publish(control, *last);
+            publish(control, findInstance(known, caller.last.instance)->last);
         }
     }
     if (!departs) {
@@ -315,11 +313,11 @@
 void departing_fleet::report(vm_id id, vm_id registrar, const announcement &reported)
 {
     registry &known = vms.at(id).instances;
-    if (learn(known, registrar, reported, now()) == registry_change::HandedOver) {
+    const registry_change change = learn(known, registrar, reported, now());
+    if (change == registry_change::HandedOver) {
         spread.react(id, publicationOf(withdraw_instance{reported.instance}));
-    }
-    if (const auto last = takeEarlyDeparture(known, reported, now())) {
-        publish(id, *last);
+    } else if (change == registry_change::Changed) {
+        publish(id, findInstance(known, reported.instance)->last);
     }
 }
 
@@ -408,9 +406,9 @@
     }
     std::vector<fleet_vm> hubs;
     std::ranges::copy_if(self.seen, std::back_inserter(hubs), &fleet_vm::isControl);
-    std::ranges::stable_partition(hubs, [home = memory_fleet::dataCentreOf(slotOf(id))](const fleet_vm &each) {
-        return each.dataCentre == home;
-    });
+    std::stable_partition(
+        hubs.begin(), hubs.end(),
+        [home = memory_fleet::dataCentreOf(slotOf(id))](const fleet_vm &each) { return each.dataCentre == home; });
     hubs.resize(std::min<std::size_t>(hubs.size(), 2));
     const std::uint64_t fingerprint = registryFingerprint(self.instances);
     for (const fleet_vm &hub : hubs) {
--- a/tests/registry/departure_test.cpp
+++ b/tests/registry/departure_test.cpp
@@ -85,8 +85,8 @@
 {
     BOOST_TEST(!depart(state, drains(6), instant(1s)).changed);
     BOOST_TEST(!depart(state, leaves(), instant(1s)).changed);
-    learn(state, registrar, known, instant(2s));
-    BOOST_TEST(!takeEarlyDeparture(state, known, instant(2s)).has_value()); // Its registrar publishes it.
+    BOOST_TEST(
+        (learn(state, registrar, known, instant(2s)) == registry_change::Learned)); // Its registrar publishes it.
     BOOST_TEST((stateOf(7) == instance_state::Leaving));
 }
 
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -59,12 +59,12 @@
     others.name = "i-8";
     others.processStartMs = 1'000;
     BOOST_TEST(!deregister(restarted, "i-8", 1'000, instant(1s)).has_value());
-    learn(restarted, {2}, others, instant(2s));
-    const auto published = takeEarlyDeparture(restarted, others, instant(2s));
-    BOOST_REQUIRE(published.has_value());
-    BOOST_TEST((published->state == instance_state::Leaving));
+    BOOST_TEST((learn(restarted, {2}, others, instant(2s)) == registry_change::Changed));
+    BOOST_TEST((findInstance(restarted, {8})->last.state == instance_state::Leaving));
+    BOOST_TEST((findInstance(restarted, {8})->registrar == restarted.self));
+    forget(restarted, {3}, {8});
+    BOOST_TEST((learn(restarted, {2}, others, instant(2s)) == registry_change::Learned));
     BOOST_TEST((findInstance(restarted, {8})->last.state == instance_state::Leaving));
-    BOOST_TEST(!takeEarlyDeparture(restarted, others, instant(2s)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(deregister_unknownThenBornAgain_newProcessServes)
@@ -73,8 +73,7 @@
     others.name = "i-8";
     others.processStartMs = 2'000;
     deregister(restarted, "i-8", 1'000, instant(1s));
-    learn(restarted, {2}, others, instant(2s));
-    BOOST_TEST(!takeEarlyDeparture(restarted, others, instant(2s)).has_value());
+    BOOST_TEST((learn(restarted, {2}, others, instant(2s)) == registry_change::Learned));
     BOOST_TEST((findInstance(restarted, {8})->last.state == instance_state::Serving));
 }
 
