Have VMs confirm the departures that are passed on to them

What callers saw: requests may reach an instance after its acknowledged departure through an entry VM that was never told.

Cause: homes passed a departure on once. A message is dropped when its link waits to be opened again, ended as too slow or was away for more than 10 s, or when the receiver's mailbox is full, and then nobody told the VM until it got another home.

That the users' case was this one isn't shown.

Change: a VM confirms departures by their fingerprints once its own task has them; the control VM that passed them on tells it again after 0.4 s and then up to each 2 s, until it confirms them, is held dead or the lease is over. The registrar that tells VMs in place of their homes does so, too. Logged and counted. VMs of earlier builds drop the confirmations and go on without them.

--- a/include/guavafront/coordination/departures/departures.h
+++ b/include/guavafront/coordination/departures/departures.h
@@ -24,6 +24,11 @@
     /// A control VM that hasn't confirmed a departure by then is taken to be held up: the VM that was told it passes it
     /// on in its place.
     duration receiptTime = std::chrono::milliseconds(200);
+    /// A VM that hasn't confirmed the departures passed on to it is sent them again after this time, then after twice
+    /// as long each time. Two repetitions fit into the two seconds for which instances go on taking requests.
+    duration repeatFirst = std::chrono::milliseconds(400);
+    /// Longest time between two repetitions, so that a VM that comes back is told within seconds.
+    duration repeatLongest = std::chrono::seconds(2);
     /// Time for which a departure is passed on to VMs that come within reach; as long as an announcement's lease.
     duration retention = std::chrono::seconds(60);
     /// Time in which the same state of the same process isn't passed on again. Draining instances repeat their word.
@@ -51,10 +56,23 @@
     bool covered = false; ///< It was passed on in place of the homes that hadn't confirmed it.
 };
 
+/// A departure that was passed on to a VM.
+struct undelivered_departure {
+    departure what; ///< The departure.
+    instant since{}; ///< When it was first passed on to the VM.
+};
+
+/// Departures that were passed on to a VM, which hasn't confirmed them.
+struct departure_delivery {
+    std::map<std::uint64_t, undelivered_departure> unconfirmed; ///< The departures, by fingerprint.
+    duration pause{}; ///< Time from the last to the next repetition.
+    instant nextRepeat{}; ///< When they are passed on again.
+};
+
 /// Departures at a control VM. One that an instance tells this VM is acknowledged once a majority of the voting control
 /// VMs hold it, so that the loss of any minority loses no acknowledged departure. Each control VM that hears of a
-/// departure passes it on to the VMs that have it as a home. VMs none of whose homes confirms it in time are told by
-/// the control VM that the instance called.
+/// departure passes it on to the VMs that have it as a home, until they confirm it. VMs none of whose homes confirms it
+/// in time are told by the control VM that the instance called.
 struct departure_table {
     vm_id self; ///< This VM.
     std::string dataCentre; ///< Data centre of this VM.
@@ -70,6 +88,7 @@
     std::vector<departure> unpassed; ///< Departures that haven't been passed on to the receivers.
     std::map<vm_id, std::vector<std::uint64_t>> receipts; ///< Numbers to confirm, by the VM that sent them.
     std::vector<vm_id> newReceivers; ///< Receivers that haven't been sent the known departures.
+    std::map<vm_id, departure_delivery> deliveries; ///< Unconfirmed departures, by the VM that they were passed on to.
     instant gatheredAt = instant::max(); ///< When what is gathered is sent; the end of time while nothing is.
 };
 
@@ -92,14 +111,26 @@
     bool operator==(const departures_held &) const = default; ///< Memberwise equality.
 };
 
-/// Message: departures that are passed on, without a receipt.
+/// Message: departures that are passed on. The receiver confirms those that it has taken.
 struct departures_passed_on {
     std::vector<departure> departures; ///< The departures.
     bool operator==(const departures_passed_on &) const = default; ///< Memberwise equality.
 };
 
+/// Message: the sender has the departures that were passed on to it.
+struct departures_confirmed {
+    std::vector<std::uint64_t> fingerprints; ///< Their fingerprints, by departureFingerprint().
+    bool operator==(const departures_confirmed &) const = default; ///< Memberwise equality.
+};
+
 /// Message between VMs about departures.
-using departure_message = std::variant<departures_to_hold, departures_held, departures_passed_on>;
+using departure_message = std::variant<departures_to_hold, departures_held, departures_passed_on, departures_confirmed>;
+
+/// Fingerprint of a departure, the same on all VMs and in all builds.
+std::uint64_t departureFingerprint(const departure &what);
+
+/// The confirmation of departures that were passed on to this VM.
+departures_confirmed confirmationOf(const departures_passed_on &message);
 
 /// Largest number of departures in one message.
 constexpr std::size_t maxDeparturesPerMessage = 64;
@@ -155,6 +186,13 @@
     std::size_t departures = 0; ///< Number of departures.
 };
 
+/// Effect: a VM hasn't confirmed departures in time, so that they are passed on to it once more.
+struct repeat_departures {
+    vm_id to; ///< VM that gets them.
+    std::size_t departures = 0; ///< Number of departures.
+    duration waited{}; ///< Time since the first of them was passed on.
+};
+
 /// Effect: a message is to be sent to other VMs.
 struct send_departures {
     std::vector<vm_id> to; ///< VMs that get it.
@@ -162,7 +200,8 @@
 };
 
 /// Every effect of the departures.
-using departure_effect = std::variant<answer_departure, apply_departure, cover_homes, send_departures>;
+using departure_effect =
+    std::variant<answer_departure, apply_departure, cover_homes, repeat_departures, send_departures>;
 
 /// Handles one event and appends the effects.
 void step(departure_table &state, const departure_event &event, instant now, std::vector<departure_effect> &effects);
--- a/src/coordination/departures/departures.cpp
+++ b/src/coordination/departures/departures.cpp
@@ -1,4 +1,4 @@
-#include <guavafront/coordination/departures/departures.h>
+#include "coordination/departures/departure_steps.h"
 
 #include <algorithm>
 #include <iterator>
@@ -12,13 +12,6 @@
 namespace
 {
 
-/// State, time and effects of one step.
-struct departure_step {
-    departure_table &state;
-    instant now;
-    std::vector<departure_effect> &effects;
-};
-
 bool isSameProcess(const departure &a, const departure &b)
 {
     return a.name == b.name && a.processStartMs == b.processStartMs;
@@ -171,11 +164,17 @@
     }
 }
 
-void receive(departure_step &context, vm_id /*from*/, const departures_passed_on &message)
+void receive(departure_step &context, vm_id from, const departures_passed_on &message)
 {
     for (const departure &each : message.departures) {
         learn(context, each);
     }
+    context.effects.emplace_back(send_departures{{from}, confirmationOf(message)});
+}
+
+void receive(departure_step &context, vm_id from, const departures_confirmed &message)
+{
+    confirmDelivery(context.state, from, message.fingerprints);
 }
 
 void handle(departure_step &context, const departure_message_received &event)
@@ -216,17 +215,6 @@
     }
 }
 
-/// Appends an effect for each part of the items that fits into a message.
-template<class message_type, class item>
-void sendParts(departure_step &context, std::span<const vm_id> to, std::span<const item> items)
-{
-    while (!to.empty() && !items.empty()) {
-        const std::span part = items.first(std::min(items.size(), maxDeparturesPerMessage));
-        items = items.subspan(part.size());
-        context.effects.emplace_back(send_departures{{to.begin(), to.end()}, message_type{{part.begin(), part.end()}}});
-    }
-}
-
 void sendToHolders(departure_step &context)
 {
     std::vector<numbered_departure> departures;
@@ -259,10 +247,10 @@
     std::vector<vm_id> settled;
     std::ranges::copy_if(state.receivers, std::back_inserter(settled),
                          [&fresh](vm_id each) { return std::ranges::find(fresh, each) == fresh.end(); });
-    sendParts<departures_passed_on, departure>(context, settled, std::exchange(state.unpassed, {}));
+    deliver(context, settled, std::exchange(state.unpassed, {}));
     std::vector<departure> known;
     std::ranges::transform(state.known, std::back_inserter(known), &known_departure::what);
-    sendParts<departures_passed_on, departure>(context, fresh, known);
+    deliver(context, fresh, known);
 }
 
 void sendGathered(departure_step &context)
@@ -326,7 +314,7 @@
         const std::vector<vm_id> receivers = findUncovered(state, silent);
         if (!receivers.empty()) {
             context.effects.emplace_back(cover_homes{receivers, silent, departures.size()});
-            sendParts<departures_passed_on, departure>(context, receivers, departures);
+            deliver(context, receivers, departures);
         }
     }
 }
@@ -349,6 +337,7 @@
         sendGathered(context);
     }
     coverSilentHomes(context);
+    repeatDeliveries(context);
     expirePending(context);
     std::erase_if(context.state.known, [&context](const known_departure &each) {
         return each.learnedAt + context.state.limits.retention <= context.now;
@@ -365,7 +354,7 @@
 
 instant nextWake(const departure_table &state)
 {
-    instant next = state.gatheredAt;
+    instant next = std::min(state.gatheredAt, nextRepeat(state));
     for (const auto &[number, each] : state.pending) {
         next = std::min(next, each.toldAt + (each.covered ? state.limits.answerTime : state.limits.receiptTime));
     }
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -54,6 +54,20 @@
     };
 }
 
+/// Hands departures to the entry task and confirms them. Without a confirmation they are passed on again.
+void takeDepartures(const departures_passed_on &message, vm_id from, daemon_wiring &wiring)
+{
+    for (const departure &each : message.departures) {
+        if (!wiring.entries.post(departure_reported{each, from})) {
+            LOG(ERROR) << "departure of " << each.name << " isn't taken: the entry task is behind";
+            return;
+        }
+    }
+    wiring.peers.post(send_to_vm{
+        from,
+        {.kind = channel::Registry, .version = departureVersion, .body = encodeDepartures(confirmationOf(message))}});
+}
+
 /// Subscribes the tasks that keep what is known of upstream instances.
 void subscribeInstances(peers_task_options &options, const daemon_settings &settings, vm_id self, daemon_wiring &wiring)
 {
@@ -92,11 +106,7 @@
         if (isControl) {
             wiring.departures.post(departure_message_received{from, std::move(decoded)});
         } else if (const auto *passedOn = std::get_if<departures_passed_on>(&decoded)) {
-            for (const departure &each : passedOn->departures) {
-                if (!wiring.entries.post(departure_reported{each, from})) {
-                    LOG(ERROR) << "departure of " << each.name << " is lost on this VM: the entry task is behind";
-                }
-            }
+            takeDepartures(*passedOn, from, wiring);
         }
     });
     subscribe(options, channel::CatchUp, wiring, [&wiring](vm_id from, const envelope &message) {
--- a/src/daemon/departures/departures_task.cpp
+++ b/src/daemon/departures/departures_task.cpp
@@ -102,6 +102,14 @@
     m_counters.countCoveredVms(effect.receivers.size());
 }
 
+void departures_task::perform(const repeat_departures &effect)
+{
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(effect.waited).count();
+    LOG(WARNING) << effect.departures << " departures told to VM " << std::hex << effect.to.value << std::dec
+                 << " again: not confirmed for " << waitedMs << " ms";
+    m_counters.countRepeatedDepartures(effect.departures);
+}
+
 void departures_task::perform(const send_departures &effect)
 {
     if (const auto *passedOn = std::get_if<departures_passed_on>(&effect.message)) {
--- a/src/daemon/departures/departures_task.h
+++ b/src/daemon/departures/departures_task.h
@@ -41,6 +41,7 @@
     void perform(const answer_departure &effect);
     void perform(const apply_departure &effect);
     void perform(const cover_homes &effect);
+    void perform(const repeat_departures &effect);
     void perform(const send_departures &effect);
 
     mailbox<peers_message> &m_peers; ///< Inbox of the peers task; not owned.
--- a/src/daemon/metrics/daemon_counters.cpp
+++ b/src/daemon/metrics/daemon_counters.cpp
@@ -117,6 +117,8 @@
     , m_coveredVms(counterFamily(m_registry, "guavafront_departures_covered_total",
                                  "VMs that this VM told of a departure because none of their homes confirmed it in "
                                  "time."))
+    , m_repeatedDepartures(counterFamily(m_registry, "guavafront_departures_repeated_total",
+                                         "Departures passed on again to VMs that hadn't confirmed them."))
     , m_heldUpSeconds(counterFamily(m_registry, "guavafront_control_held_up_seconds_total",
                                     "Time by which the control task of this VM ran late."))
     , m_operatorRequests(
@@ -284,6 +286,11 @@
     m_departures.Add({{"result", acknowledged ? "acknowledged" : "refused"}}).Increment();
 }
 
+void daemon_counters::countRepeatedDepartures(std::size_t departures)
+{
+    m_repeatedDepartures.Add({}).Increment(static_cast<double>(departures));
+}
+
 void daemon_counters::countCoveredVms(std::size_t vms)
 {
     m_coveredVms.Add({}).Increment(static_cast<double>(vms));
--- a/src/daemon/metrics/daemon_counters.h
+++ b/src/daemon/metrics/daemon_counters.h
@@ -98,6 +98,9 @@
     /// Counts VMs that this one told of a departure in place of their homes.
     void countCoveredVms(std::size_t vms);
 
+    /// Counts departures that were passed on again to a VM that hadn't confirmed them.
+    void countRepeatedDepartures(std::size_t departures);
+
     /// Counts time for which the control task of this VM stood still.
     void countHeldUp(double seconds);
 
@@ -131,6 +134,7 @@
     prometheus::Family<prometheus::Counter> &m_announcements; ///< Announcements by result.
     prometheus::Family<prometheus::Counter> &m_departures; ///< Departures by result.
     prometheus::Family<prometheus::Counter> &m_coveredVms; ///< VMs told of departures in place of their homes.
+    prometheus::Family<prometheus::Counter> &m_repeatedDepartures; ///< Departures passed on again.
     prometheus::Family<prometheus::Counter> &m_heldUpSeconds; ///< Time for which the control task stood still.
     prometheus::Family<prometheus::Counter> &m_operatorRequests; ///< Operators' requests by result.
     prometheus::Family<prometheus::Counter> &m_droppedPeerMessages; ///< Dropped messages of other VMs by reason.
--- a/src/wire/departure_codec.cpp
+++ b/src/wire/departure_codec.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t maxMessageBytes = std::size_t{32} << 10;
 constexpr std::size_t maxNameBytes = 128;
 
-enum class message_kind : std::uint8_t { ToHold, Held, PassedOn };
+enum class message_kind : std::uint8_t { ToHold, Held, PassedOn, Confirmed };
 
 json toJson(const departure &value)
 {
@@ -45,6 +45,11 @@
     return list;
 }
 
+json toJson(const departures_confirmed &message)
+{
+    return message.fingerprints;
+}
+
 departure departureFrom(const json &encoded)
 {
     cbor_fields fields(encoded, "departure", 4);
@@ -70,14 +75,14 @@
     return message;
 }
 
-departure_message heldFrom(const json &content)
+std::vector<std::uint64_t> numbersFrom(const json &content)
 {
-    departures_held message;
-    cbor_fields numbers(content, "receipts", content.size());
+    std::vector<std::uint64_t> numbers;
+    cbor_fields fields(content, "receipts", content.size());
     for (std::size_t index = 0; index < content.size(); ++index) {
-        message.numbers.push_back(numbers.integer<std::uint64_t>());
+        numbers.push_back(fields.integer<std::uint64_t>());
     }
-    return message;
+    return numbers;
 }
 
 departure_message passedOnFrom(const json &content)
@@ -101,17 +106,19 @@
 {
     const json value = parseCbor(encoded, maxMessageBytes);
     cbor_fields fields(value, "departures", 2);
-    const auto kind = fields.enumerator(message_kind::PassedOn);
+    const auto kind = fields.enumerator(message_kind::Confirmed);
     const json &content = fields.array(maxDeparturesPerMessage);
     switch (kind) {
     case message_kind::ToHold:
         return toHoldFrom(content);
     case message_kind::Held:
-        return heldFrom(content);
+        return departures_held{numbersFrom(content)};
     case message_kind::PassedOn:
+        return passedOnFrom(content);
+    case message_kind::Confirmed:
         break;
     }
-    return passedOnFrom(content);
+    return departures_confirmed{numbersFrom(content)};
 }
 
 } // namespace guavafront
--- a/tests/departures/departing_fleet.cpp
+++ b/tests/departures/departing_fleet.cpp
@@ -338,6 +338,9 @@
                     if (isControl(slotOf(to))) {
                         runDepartures(to, departure_message_received{id, message});
                     } else if (const auto *passedOn = std::get_if<departures_passed_on>(&message)) {
+                        send(to, id, [this, id, to, receipt = confirmationOf(*passedOn)](vm_state &) {
+                            runDepartures(id, departure_message_received{to, receipt});
+                        });
                         for (const departure &each : passedOn->departures) {
                             receiver.told.insert(each.name);
                             depart(receiver.instances, each, now());
--- a/tests/departures/departures_test.cpp
+++ b/tests/departures/departures_test.cpp
@@ -27,6 +27,7 @@
     std::vector<fleet_vm> fleet; ///< All VMs.
     std::map<vm_id, departure_table> controls; ///< State of each control VM.
     std::set<vm_id> lost; ///< VMs that neither send nor receive.
+    std::set<vm_id> silent; ///< Entry VMs whose confirmations are lost.
     std::map<vm_id, std::size_t> heard; ///< Departures that reached each VM.
     std::map<std::uint64_t, bool> answers; ///< Answered calls, by ticket.
     instant now{10s};
@@ -89,6 +90,8 @@
             }
             if (controls.contains(to)) {
                 run(to, departure_message_received{from, message});
+            } else if (passedOn && !silent.contains(to)) {
+                run(from, departure_message_received{to, confirmationOf(*passedOn)});
             }
         }
     }
@@ -217,6 +220,35 @@
     BOOST_TEST(heard.contains({10}));
 }
 
+// Guards against a departure that a VM is never told, since the message to it was lost.
+BOOST_AUTO_TEST_CASE(departure_messageToAnEntryVmLost_toldAgainUntilConfirmed)
+{
+    lost = {{10}};
+    run({1}, departure_told{7, leaving});
+    pass(300ms);
+    lost.clear();
+    silent = {{10}};
+    pass(2s);
+    BOOST_TEST(heard[{10}] >= 2U);
+    silent.clear();
+    pass(2s);
+    heard.clear();
+    pass(10s);
+    BOOST_TEST(heard.empty());
+}
+
+BOOST_AUTO_TEST_CASE(departure_entryVmHeldDead_notToldAgain)
+{
+    lost = {{10}};
+    run({1}, departure_told{7, leaving});
+    pass(300ms);
+    showFleet();
+    pass(10s);
+    for (const auto &[id, state] : controls) {
+        BOOST_TEST(state.deliveries.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(draining_repeatedByTheInstance_acknowledgedWithoutMessages)
 {
     departure draining{.name = "i-1", .processStartMs = 1'000, .sequence = 4, .state = instance_state::Draining};
@@ -287,6 +319,14 @@
     BOOST_CHECK_THROW(decodeDepartures({}), coordination_error);
 }
 
+BOOST_AUTO_TEST_CASE(confirmation_encoded_namesTheDepartures)
+{
+    const departures_passed_on message{{leaving, {.name = "i-2", .processStartMs = 1'000}}};
+    const departure_message encoded = confirmationOf(message);
+    BOOST_TEST((decodeDepartures(encodeDepartures(encoded)) == encoded));
+    BOOST_TEST(departureFingerprint(message.departures[0]) != departureFingerprint(message.departures[1]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
