Count and log the messages that full mailboxes drop

Cause: mailboxes count what they drop, but nothing read the count, and most senders don't look at the result of a post. Whether a revision of the configuration, a departure or a view of the fleet was lost inside a VM couldn't be told from its logs.

Change: each second the peers task exports guavafront_mailbox_dropped_total{mailbox} and logs each increase.

--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -6,6 +6,7 @@
 #include "daemon/departures/departures_message.h"
 #include "daemon/hub/hub_message.h"
 #include "daemon/metrics/daemon_counters.h"
+#include "daemon/metrics/mailbox_counters.h"
 #include "daemon/metrics/metrics_message.h"
 #include "daemon/operators/operators_message.h"
 #include "daemon/peers/peers_counters.h"
@@ -28,6 +29,7 @@
 
     daemon_counters counters; ///< Exported by the metrics task.
     peers_counters peerCounters{counters.registry()}; ///< Updated by the peers task.
+    mailbox_counters mailboxCounters{counters.registry()}; ///< Updated by the peers task.
     mailbox<metrics_message> metrics{smallCapacity}; ///< Inbox of the metrics task.
     mailbox<peers_message> peers{largeCapacity}; ///< Inbox of the peers task.
     mailbox<configuration_message> configurations{largeCapacity}; ///< Inbox of the configuration task.
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -92,6 +92,20 @@
     return addresses;
 }
 
+/// Exports the messages that full mailboxes have dropped. Most senders can't do anything about one that is lost.
+void countDroppedMessages(daemon_wiring &wiring)
+{
+    wiring.mailboxCounters.set("peers", wiring.peers.rejected());
+    wiring.mailboxCounters.set("configuration", wiring.configurations.rejected());
+    wiring.mailboxCounters.set("control", wiring.control.rejected());
+    wiring.mailboxCounters.set("operators", wiring.operators.rejected());
+    wiring.mailboxCounters.set("entries", wiring.entries.rejected());
+    wiring.mailboxCounters.set("departures", wiring.departures.rejected());
+    wiring.mailboxCounters.set("addresses", wiring.addresses.rejected());
+    wiring.mailboxCounters.set("hub", wiring.hub.rejected());
+    wiring.mailboxCounters.set("announcements", wiring.announcements.rejected());
+}
+
 /// Returns the entry VMs whose confirmation of a configuration a control VM waits for.
 entry_vm_view entryVmViewOf(const fleet_view &view)
 {
@@ -237,6 +251,7 @@
     }};
     watchers.statistics = {[&wiring](const peers_statistics &latest) {
         wiring.peerCounters.set(latest);
+        countDroppedMessages(wiring);
     }};
     return watchers;
 }
