--- a/src/coordination/departures/deliveries.cpp
+++ b/src/coordination/departures/deliveries.cpp
@@ -43,7 +43,11 @@
 
 void deliver(departure_step &context, std::span<const vm_id> to, std::span<const departure> departures)
 {
-    if (departures.empty()) {
+    std::map<std::uint64_t, undelivered_departure> unconfirmed;
+    for (const departure &each : departures) {
+        unconfirmed.try_emplace(departureFingerprint(each), undelivered_departure{each, context.now});
+    }
+    if (unconfirmed.empty()) {
         return;
     }
     for (const vm_id each : to) {
@@ -53,9 +57,7 @@
             delivery.pause = context.state.limits.repeatFirst;
             delivery.nextRepeat = context.now + delivery.pause;
         }
-        for (const departure &what : departures) {
-            delivery.unconfirmed.try_emplace(departureFingerprint(what), undelivered_departure{what, context.now});
-        }
+        delivery.unconfirmed.insert(unconfirmed.begin(), unconfirmed.end());
     }
     sendParts<departures_passed_on, departure>(context, to, departures);
 }
