Let a newer announcement end one that said the instance leaves

Cause: departure_record took a Leaving that an announcement had said for final, as only a deregistration is, so that instances which announced themselves again stayed out.

Change: a recorded departure binds announcements up to its sequence number, and a deregistration has the highest one. An instance that only outdated news brought into the registry has a lease, since its registrar may have withdrawn it.

--- a/include/guavafront/coordination/registry/departure_record.h
+++ b/include/guavafront/coordination/registry/departure_record.h
@@ -25,7 +25,7 @@
 
 /// Departure of a process, as this VM was told it.
 struct recorded_departure {
-    std::uint64_t sequence = 0; ///< Number of the announcement that said it; unused for Leaving.
+    std::uint64_t sequence = 0; ///< Number of the announcement that said it; the highest of all if it is final.
     instance_state state = instance_state::Leaving; ///< Draining or Leaving.
     bool toPublish = false; ///< The instance told this VM, which didn't know it yet: it is to be published later.
     instant expires{}; ///< Time at which the departure is forgotten.
--- a/src/coordination/registry/departure_record.cpp
+++ b/src/coordination/registry/departure_record.cpp
@@ -25,8 +25,10 @@
             std::ranges::min_element(state.byProcess, {}, [](const auto &each) { return each.second.expires; }));
     }
     recorded_departure &known = state.byProcess.try_emplace(process, told).first->second;
-    known.state = std::max(known.state, told.state);
-    known.sequence = std::max(known.sequence, told.sequence);
+    if (told.sequence >= known.sequence) {
+        known.state = told.sequence > known.sequence ? told.state : std::max(known.state, told.state);
+        known.sequence = told.sequence;
+    }
     known.toPublish = known.toPublish || told.toPublish;
     known.expires = told.expires;
 }
@@ -35,8 +37,12 @@
 
 void recordDeparture(departure_record &state, const departure &told, bool toPublish, instant now)
 {
+    const bool isFinal = told.state == instance_state::Leaving;
     record(state, {.name = told.name, .startMs = told.processStartMs},
-           {.sequence = told.sequence, .state = told.state, .toPublish = toPublish, .expires = now + state.retention});
+           {.sequence = isFinal ? std::numeric_limits<std::uint64_t>::max() : told.sequence,
+            .state = told.state,
+            .toPublish = toPublish,
+            .expires = now + state.retention});
 }
 
 announcement applyDepartures(departure_record &state, const announcement &received, instant now)
@@ -51,13 +57,9 @@
     if (departed == state.byProcess.end() || departed->second.expires <= now) {
         return result;
     }
-    const recorded_departure &known = departed->second;
-    if (known.state == instance_state::Leaving) {
-        result.state = instance_state::Leaving;
-        result.sequence = std::numeric_limits<std::uint64_t>::max();
-    } else if (received.sequence <= known.sequence) {
-        result.state = instance_state::Draining;
-        result.sequence = known.sequence;
+    if (received.sequence <= departed->second.sequence) {
+        result.state = departed->second.state;
+        result.sequence = departed->second.sequence;
     }
     return result;
 }
--- a/src/coordination/registry/registry.cpp
+++ b/src/coordination/registry/registry.cpp
@@ -174,7 +174,8 @@
     }
     announcement last = known->last;
     last.state = instance_state::Leaving;
-    last = applyDepartures(state.departures, last, now);
+    last.sequence = std::numeric_limits<std::uint64_t>::max();
+    applyDepartures(state.departures, last, now);
     store(state, state.self, last, now + last.lease, now);
     return last;
 }
@@ -211,7 +212,9 @@
     }
     known = findInstance(state, effective.instance);
     const bool handedOver = known && known->registrar == state.self;
-    store(state, registrar, effective, std::nullopt, now);
+    // Who sent outdated news may not know that the registrar has withdrawn the instance.
+    const bool outdated = effective.state != received.state;
+    store(state, registrar, effective, outdated ? std::optional(now + effective.lease) : std::nullopt, now);
     return handedOver ? registry_change::HandedOver : registry_change::Learned;
 }
 
--- a/tests/registry/departed_instance_test.cpp
+++ b/tests/registry/departed_instance_test.cpp
@@ -73,6 +73,8 @@
     BOOST_TEST(!servesAfterOlderNews(instant(2s)));
     forget(state, secondRegistrar, ready.instance);
     BOOST_TEST(!servesAfterOlderNews(instant(3s)));
+    expire(state, instant(64s)); // Its registrar may have withdrawn it long ago.
+    BOOST_TEST(findInstance(state, ready.instance) == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(drainingByAnnouncement_withdrawnThenOlderNews_takesNoRequests)
@@ -97,6 +99,21 @@
     BOOST_TEST((findInstance(state, ready.instance)->last.state == instance_state::Serving));
 }
 
+BOOST_AUTO_TEST_CASE(leavingByAnnouncement_newerAnnouncement_takesRequestsAgain)
+{
+    ready.state = instance_state::Leaving;
+    learn(state, firstRegistrar, ready, instant(1s));
+    BOOST_TEST((findInstance(state, ready.instance)->last.state == instance_state::Leaving));
+    ready.state = instance_state::Serving;
+    ready.sequence = 11;
+    learn(state, firstRegistrar, ready, instant(2s));
+    BOOST_TEST((findInstance(state, ready.instance)->last.state == instance_state::Serving));
+    depart(state, departs(instance_state::Leaving), instant(3s));
+    ready.sequence = 20;
+    learn(state, secondRegistrar, ready, instant(4s));
+    BOOST_TEST((findInstance(state, ready.instance)->last.state == instance_state::Leaving));
+}
+
 BOOST_AUTO_TEST_CASE(departed_laterProcessOfTheName_takesRequests)
 {
     learn(state, firstRegistrar, ready, instant(1s));
