--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -2,8 +2,8 @@
 # addresses of their own, plays the platform's operator, and sends the heartbeats of instances.
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 program=$root/target/src/guavafront # "run" of deploy/system.toml, in the repository's root
-stand_in=$root/target/review-2/tests/stand_in/stand_in_upstream
-quota=$root/target/review-2/quota
+stand_in=$root/build-review-2/tests/stand_in/stand_in_upstream
+quota=$root/build-review-2/quota
 [ -x "$program" ] && [ -x "$stand_in" ] && [ -x "$quota" ] || { echo "not built: run review/build-2.sh"; exit 2; }
 work=$(mktemp -d) || exit 2
 net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
@@ -21,6 +21,7 @@
 finish() { # Ends all that was started, by its process id.
   local each
   trap - EXIT INT TERM
+  declare -F before_finish > /dev/null && before_finish
   for each in "${helpers[@]}"; do kill "$each" 2> /dev/null; done
   for each in "${pid_of[@]}"; do kill -CONT "$each" 2> /dev/null; kill -KILL "$each" 2> /dev/null; done
   wait 2> /dev/null
