--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -6,8 +6,13 @@
 quota=$root/build-review-2/quota
 [ -x "$program" ] && [ -x "$stand_in" ] && [ -x "$quota" ] || { echo "not built: run review/build-2.sh"; exit 2; }
 work=$(mktemp -d) || exit 2
-net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
-control_port=$((RANDOM % 2000 + 21000))
+# in_use PORT: whether something on this machine answers there, by the address of the first VM.
+in_use() { (exec 3<> "/dev/tcp/$net.1/$1") 2> /dev/null; }
+while :; do
+  net=127.$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
+  control_port=$((RANDOM % 2000 + 21000))
+  in_use $control_port || in_use $((control_port + 1)) || in_use $((control_port + 2)) || in_use $((control_port + 3)) || break
+done
 front_port=$((control_port + 1))
 ready_port=$((control_port + 2))
 peer_port=$((control_port + 3))
