Log what tells apart why a leader's messages come late

Only the control task reported that it ran late, and it was on time.

The peers task logs and counts when its timer is 0.2 s late (guavafront_peers_held_up_seconds_total). Control VMs log each link to one another that becomes ready or ends, with identity, address, reason and what may not have arrived on it, and each VM logs when it opens a link in place of a silent one.

--- a/src/daemon/peers/link_recovery.cpp
+++ b/src/daemon/peers/link_recovery.cpp
@@ -106,6 +106,8 @@
     const recovery first{.address = address, .pause = m_options.recoveryFirst, .nextAttempt = loop::now()};
     if (m_recoveries.try_emplace(peer, first).second) {
         ++m_counters.recoveries;
+        LOG(WARNING) << "link to VM " << std::hex << peer.value << std::dec << " at " << address
+                     << " is silent or ended with messages for it; opening another";
         m_recoveryTimer.arm({});
     }
 }
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peers/link_table.h"
 
+#include <guavafront/coordination/membership/member.h>
+
 #include <event2/bufferevent.h>
 #include <glog/logging.h>
 
@@ -174,11 +176,22 @@
     return m_links.emplace(*slot, std::move(link)).first->second.get();
 }
 
+/// Whether each change of the links to a VM is logged: between control VMs, whose votes depend on them.
+bool link_table::isLogged(const peer_identity &peer) const
+{
+    return (peer.roles & self().roles & ControlRole) != 0;
+}
+
 void link_table::handleReady(peer_link &link, const std::string &address)
 {
     ++m_counters.ready;
     const peer_identity peer = link.peer();
     m_ready[peer.id].push_back(&link);
+    if (isLogged(peer)) {
+        LOG(INFO) << "link to VM " << std::hex << peer.id.value << std::dec << " at " << peer.address
+                  << " is ready, opened by " << (link.isInitiator() ? "this VM" : "the peer") << "; "
+                  << m_ready[peer.id].size() << " in all";
+    }
     replaceSilentLinks(link);
     offerResumptions(link);
     std::deque<pending_message> pending;
@@ -225,6 +238,14 @@
         return;
     }
     const bool isLast = ready->second.empty();
+    const bool isNotable =
+        isLast && (reason == link_end::Silent || reason == link_end::TooSlow || reason == link_end::Malformed);
+    if (isNotable || isLogged(link.peer())) {
+        LOG(WARNING) << "link to VM " << std::hex << peer.value << std::dec << " at " << link.peer().address
+                     << " ended: " << linkEndName(reason) << "; " << link.unconfirmed().kept.size() << " messages ("
+                     << link.unconfirmed().keptBytes << " bytes) may not have arrived; " << ready->second.size()
+                     << " links left";
+    }
     if (isLast) {
         m_ready.erase(ready);
     }
@@ -232,9 +253,6 @@
     if (!isLast) {
         return;
     }
-    if (reason == link_end::Silent || reason == link_end::TooSlow || reason == link_end::Malformed) {
-        LOG(WARNING) << "link to VM " << std::hex << peer.value << std::dec << " ended: " << linkEndName(reason);
-    }
     m_events.lost(peer);
 }
 
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -129,6 +129,7 @@
     bool needsRecovery(vm_id peer) const;
     void runRecoveries();
     void forgetExpired();
+    bool isLogged(const peer_identity &peer) const;
 
     loop &m_loop; ///< Loop that runs all links; not owned.
     link_table_options m_options; ///< Settings; the bound port replaces port 0 in the own address.
--- a/src/daemon/peers/peers_counters.cpp
+++ b/src/daemon/peers/peers_counters.cpp
@@ -46,6 +46,8 @@
                                   "Links that went silent, or ended with messages that hadn't arrived."))
     , m_unhandledMessages(addCounter(registry, "guavafront_peer_messages_unclaimed_total",
                                      "Messages that no task of this VM takes, and refused publications."))
+    , m_heldUp(addCounter(registry, "guavafront_peers_held_up_seconds_total",
+                          "Time by which the task that owns the links to other VMs ran late."))
 {
     prometheus::Family<prometheus::Counter> &ended = prometheus::BuildCounter()
                                                          .Name("guavafront_links_ended_total")
@@ -72,6 +74,8 @@
     advanceCounter(m_messagesResent, latest.links.messagesResent, m_lastSet.links.messagesResent);
     advanceCounter(m_linkRecoveries, latest.links.recoveries, m_lastSet.links.recoveries);
     advanceCounter(m_unhandledMessages, latest.unhandledMessages, m_lastSet.unhandledMessages);
+    const duration heldUp = latest.heldUp - m_lastSet.heldUp;
+    m_heldUp.Increment(std::chrono::duration<double>(heldUp < duration{} ? latest.heldUp : heldUp).count());
     for (std::size_t i = 0; i < m_ended.size(); ++i) {
         advanceCounter(*m_ended[i], latest.links.ended[i], m_lastSet.links.ended[i]);
     }
--- a/src/daemon/peers/peers_counters.h
+++ b/src/daemon/peers/peers_counters.h
@@ -37,6 +37,7 @@
     prometheus::Counter &m_messagesResent; ///< Messages sent again over another link than the one they were lost on.
     prometheus::Counter &m_linkRecoveries; ///< Links that went silent, or ended with messages that hadn't arrived.
     prometheus::Counter &m_unhandledMessages; ///< Messages without a subscriber, and refused publications.
+    prometheus::Counter &m_heldUp; ///< Time in seconds by which the peers task ran late.
     std::array<prometheus::Counter *, static_cast<std::size_t>(link_end::Count)> m_ended{}; ///< Ended links, by reason.
     peers_statistics m_lastSet; ///< Statistics already added to the counters.
 };
--- a/src/daemon/peers/peers_options.h
+++ b/src/daemon/peers/peers_options.h
@@ -36,6 +36,7 @@
     std::size_t spreadEntries = 0; ///< Number of entries held in the spread map.
     std::optional<duration> beaconAge; ///< Upper bound of the newest beacon's age; empty without a beacon.
     std::uint64_t unhandledMessages = 0; ///< Messages on channels without a subscriber, and refused publications.
+    duration heldUp{}; ///< Time by which the task's timer ran late, if by 0.2 s or more, since the start of the task.
 };
 
 /// Callback for the messages of one channel. It runs on the peers task's thread and posts each message to the mailbox
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -21,6 +21,8 @@
 {
 
 constexpr duration tickPeriod = std::chrono::milliseconds(100);
+/// The task is said to have stood still when its tick is this late.
+constexpr duration noticedDelay = std::chrono::milliseconds(200);
 constexpr duration statisticsPeriod = std::chrono::seconds(1);
 /// Time for the leave messages to be sent before the loop stops.
 constexpr duration leaveSendTime = std::chrono::milliseconds(200);
@@ -301,8 +303,23 @@
     stepSpread(spread_peers_changed{std::move(peers)});
 }
 
+/// Logs and counts for how long this task handled other events than its timer.
+void peers_task::noteStandstill()
+{
+    const instant now = loop::now();
+    const duration late = m_tickDue == instant{} ? duration{} : now - m_tickDue;
+    m_tickDue = now + tickPeriod;
+    if (late < noticedDelay) {
+        return;
+    }
+    m_heldUp += late;
+    LOG(WARNING) << "peers: this task ran " << std::chrono::duration_cast<std::chrono::milliseconds>(late).count()
+                 << " ms late";
+}
+
 void peers_task::tick()
 {
+    noteStandstill();
     m_tickTimer.arm(tickPeriod);
     stepMembership(membership_tick{});
     if (takeRenewal(m_beacon, loop::now())) {
@@ -356,7 +373,8 @@
                                       .aliveShare = aliveShare(m_membership, now),
                                       .spreadEntries = m_spread.entries.size(),
                                       .beaconAge = beaconAge(m_beacon, now),
-                                      .unhandledMessages = m_unhandledMessages};
+                                      .unhandledMessages = m_unhandledMessages,
+                                      .heldUp = m_heldUp};
     for (const auto &watcher : m_options.watchers.statistics) {
         watcher(statistics);
     }
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -49,6 +49,7 @@
     void applyMemberChange(const member_record &record);
     void updateSpreadPeers();
     void tick();
+    void noteStandstill();
     void publishView(bool always);
     void publishFreshness();
     void publishStatistics();
@@ -67,6 +68,8 @@
     double m_publishedShare = -1; ///< Alive share last passed to the watchers; -1 before the first time.
     bool m_viewChanged = true; ///< The fleet view has changed since it was last passed to the watchers.
     std::uint64_t m_unhandledMessages = 0; ///< Counter for peers_statistics::unhandledMessages.
+    instant m_tickDue; ///< Time at which tick() is due; the epoch before its first call.
+    duration m_heldUp{}; ///< Counter for peers_statistics::heldUp.
     instant m_nextStatistics; ///< Time of the next publication of statistics.
     timer m_tickTimer; ///< Runs tick() every tickPeriod.
     timer m_stopDelay; ///< Stops the loop once the leave messages have had time to be sent.
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -184,6 +184,11 @@
     return isInitiator() ? m_handshake.ownNonce : m_handshake.peerNonce;
 }
 
+const link_delivery &peer_link::unconfirmed() const
+{
+    return m_delivery;
+}
+
 link_delivery peer_link::takeDelivery()
 {
     assert(m_closed);
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -106,6 +106,9 @@
     /// Identity of the link, the same at both ends.
     const link_identity &identity() const;
 
+    /// Messages that may not have arrived.
+    const link_delivery &unconfirmed() const;
+
     /// Takes the messages that may not have arrived, after the link's end.
     link_delivery takeDelivery();
 
