Let leaders send records again only when a follower refuses

Cause: a heartbeat to a VM that hadn't answered the one before carried all that it lacked once more, up to 128 KiB, whatever was under way to it. During a cut a leader wrote 128 KiB in each 0.15 s for each VM beyond it; the links kept 1 MB of it for each of them and delivered it after the cut, before anything else, and one thread writes and reads all links.

Change: a heartbeat follows what was sent before; a follower that lacks something refuses it and says what it holds, and only then are records sent again, once for all refusals of what left before. Records under way to one member are bounded by maxMessageBytes.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -38,8 +38,8 @@
     duration heldUpLimit = std::chrono::milliseconds(150); ///< A replica whose timer fires this late stood still.
                                                            ///< Messages that came meanwhile may not have been read,
                                                            ///< so that silence proves nothing yet.
-    std::size_t maxMessageBytes = std::size_t{128} << 10; ///< Size in bytes from which on an append takes no more
-                                                          ///< records; maximum size of a snapshot chunk.
+    std::size_t maxMessageBytes = std::size_t{128} << 10; ///< Size in bytes of unanswered records from which on a
+                                                          ///< member is sent no more; maximum size of a snapshot chunk.
     std::size_t maxUncommittedRecords = 4'096; ///< Commands beyond this number are refused.
     std::size_t snapshotAfterRecords = 4'096; ///< Number of applied records after which a snapshot is taken.
     std::size_t keptRecords = 1'024; ///< Records kept before the snapshot, for slow followers.
@@ -82,7 +82,9 @@
     log_index matchIndex; ///< Index of the last record known to be on the member's disk.
     instant lastContact; ///< Time of the member's latest answer, or of its addition to the list.
     std::uint64_t answeredRound = 0; ///< Latest heartbeat round that the member has answered.
-    bool answeredSinceHeartbeat = true; ///< The member has answered since the latest heartbeat.
+    log_index sentFrom; ///< Index of the first record that the member is sent, by its latest refusal.
+    std::optional<std::uint64_t> sentAgainRound; ///< Heartbeat round in which records from sentFrom on were sent again,
+                                                 ///< or the latest chunk of a snapshot.
     log_index snapshotIndex; ///< Index of the snapshot that is being sent; 0 for none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of that snapshot that the member has confirmed.
 };
--- a/src/coordination/replication/leader.cpp
+++ b/src/coordination/replication/leader.cpp
@@ -29,10 +29,22 @@
 void markAnswered(const replica_step &step, peer_progress &peer, const replication_message &message)
 {
     peer.lastContact = step.now;
-    peer.answeredSinceHeartbeat = true;
     peer.answeredRound = std::max(peer.answeredRound, std::min(message.heartbeatRound, step.self.heartbeatRound));
 }
 
+/// Notes that the peer is sent records from this index on, or their snapshot, once more.
+void noteSentAgain(const replica_step &step, peer_progress &peer, log_index from)
+{
+    peer.sentAgainRound = step.self.heartbeatRound;
+    peer.sentFrom = from;
+}
+
+/// Whether a refusal answers a message that left before the records from this index on were sent again.
+bool isOutdated(const peer_progress &peer, const replication_message &message, log_index from)
+{
+    return peer.sentAgainRound && message.heartbeatRound <= *peer.sentAgainRound && from >= peer.sentFrom;
+}
+
 template<class body>
 void sendBeforeSync(replica_step &step, vm_id to, body content)
 {
@@ -59,25 +71,70 @@
                                   {part.begin(), part.end()}});
 }
 
-/// Sends the peer as many of the records that it lacks as one message holds, or an append without records when it lacks
-/// none. A peer that needs records that are no longer kept gets a chunk of the snapshot.
-void replicateTo(replica_step &step, peer_progress &peer)
+/// Whether the peer needs records that are no longer kept.
+bool needsSnapshot(const replica &self, const peer_progress &peer)
+{
+    return peer.nextIndex <= self.log.precedingIndex;
+}
+
+/// Returns the size of the records that were sent to the peer and that it hasn't confirmed.
+std::size_t bytesUnderWay(const replica &self, const peer_progress &peer)
+{
+    std::size_t bytes = 0;
+    const log_index unconfirmed{std::max(peer.matchIndex, self.log.precedingIndex).value + 1};
+    for (log_index index = std::max(unconfirmed, peer.sentFrom); index < peer.nextIndex; ++index.value) {
+        bytes += estimatedBytes(recordAt(self.log, index));
+    }
+    return bytes;
+}
+
+/// Takes the records that the peer is to be sent next. Records that are under way count, so that a peer that doesn't
+/// answer, or answers slowly, doesn't keep the other peers' messages waiting.
+std::vector<log_record> takeRecords(const replica &self, peer_progress &peer)
+{
+    std::vector<log_record> records;
+    const log_index last = lastIndex(self.log);
+    std::size_t bytes = bytesUnderWay(self, peer);
+    while (peer.nextIndex <= last && (bytes == 0 || bytes < self.options.maxMessageBytes)) {
+        records.push_back(recordAt(self.log, peer.nextIndex));
+        bytes += estimatedBytes(records.back());
+        ++peer.nextIndex.value;
+    }
+    return records;
+}
+
+void sendAppend(replica_step &step, const peer_progress &peer, log_index previous, std::vector<log_record> records)
 {
     const replica &self = step.self;
-    if (peer.nextIndex <= self.log.precedingIndex) {
+    sendBeforeSync(step, peer.id,
+                   append_request{previous, *termAt(self.log, previous), self.commitIndex, std::move(records)});
+}
+
+/// Sends the peer what it lacks and has room for, if anything.
+void sendMore(replica_step &step, peer_progress &peer)
+{
+    if (needsSnapshot(step.self, peer)) {
+        noteSentAgain(step, peer, peer.nextIndex);
         sendSnapshotChunk(step, peer);
         return;
     }
     const log_index previous{peer.nextIndex.value - 1};
-    append_request request{previous, *termAt(self.log, previous), self.commitIndex, {}};
-    const log_index last = lastIndex(self.log);
-    std::size_t bytes = 0;
-    while (peer.nextIndex <= last && (bytes == 0 || bytes < self.options.maxMessageBytes)) {
-        request.records.push_back(recordAt(self.log, peer.nextIndex));
-        bytes += estimatedBytes(request.records.back());
-        ++peer.nextIndex.value;
+    if (std::vector<log_record> records = takeRecords(step.self, peer); !records.empty()) {
+        sendAppend(step, peer, previous, std::move(records));
     }
-    sendBeforeSync(step, peer.id, std::move(request));
+}
+
+/// Sends the peer an append, which it answers: with what it lacks and has room for, or without records. Follows what
+/// was sent before, so that a peer that lacks something of it refuses.
+void sendAppendOrHeartbeat(replica_step &step, peer_progress &peer)
+{
+    const replica &self = step.self;
+    const log_index previous = needsSnapshot(self, peer) ? lastIndex(self.log) : log_index{peer.nextIndex.value - 1};
+    std::vector<log_record> records;
+    if (!needsSnapshot(self, peer)) {
+        records = takeRecords(self, peer);
+    }
+    sendAppend(step, peer, previous, std::move(records));
 }
 
 } // namespace
@@ -94,7 +151,7 @@
     }
     for (peer_progress &peer : self.peers) {
         if (peer.nextIndex == index) {
-            replicateTo(step, peer);
+            sendMore(step, peer);
         }
     }
     return index;
@@ -103,7 +160,7 @@
 void broadcast(replica_step &step)
 {
     for (peer_progress &peer : step.self.peers) {
-        replicateTo(step, peer);
+        sendAppendOrHeartbeat(step, peer);
     }
 }
 
@@ -116,12 +173,6 @@
     if (self.heartbeatTimes.size() > maxHeartbeatTimes) {
         self.heartbeatTimes.pop_front();
     }
-    for (peer_progress &peer : self.peers) {
-        if (!peer.answeredSinceHeartbeat) {
-            peer.nextIndex = {peer.matchIndex.value + 1}; // Records sent since matchIndex may have been lost.
-        }
-        peer.answeredSinceHeartbeat = false;
-    }
     broadcast(step);
     advanceMembership(step);
 }
@@ -136,8 +187,12 @@
     markAnswered(step, *peer, message);
     if (!answer.accepted) {
         const log_index retry{std::min(answer.matchIndex.value + 1, peer->nextIndex.value)};
-        peer->nextIndex = std::max(retry, log_index{peer->matchIndex.value + 1});
-        replicateTo(step, *peer);
+        const log_index lacked = std::max(retry, log_index{peer->matchIndex.value + 1});
+        if (!isOutdated(*peer, message, lacked)) {
+            peer->nextIndex = lacked;
+            noteSentAgain(step, *peer, lacked);
+            sendMore(step, *peer);
+        }
         return;
     }
     peer->matchIndex = std::max(peer->matchIndex, answer.matchIndex);
@@ -147,7 +202,7 @@
     // Committing a membership without this replica ends its leadership and clears the peers.
     peer = findPeer(self, message.from);
     if (peer != nullptr && peer->nextIndex <= lastIndex(self.log)) {
-        replicateTo(step, *peer);
+        sendMore(step, *peer);
     }
 }
 
@@ -160,12 +215,12 @@
     }
     markAnswered(step, *peer, message);
     const std::uint64_t total = self.log.snapshot.state.size();
-    if (answer.index != self.log.snapshot.index || answer.index != peer->snapshotIndex
-        || answer.receivedBytes >= total) {
+    if (answer.index != self.log.snapshot.index || answer.index != peer->snapshotIndex || answer.receivedBytes >= total
+        || answer.receivedBytes == peer->snapshotOffset) {
         return;
     }
     peer->snapshotOffset = answer.receivedBytes;
-    sendSnapshotChunk(step, *peer);
+    sendMore(step, *peer);
 }
 
 void advanceCommit(replica_step &step)
--- a/src/coordination/replication/members.cpp
+++ b/src/coordination/replication/members.cpp
@@ -95,8 +95,8 @@
     for (const member &each : self.members.members) {
         const bool known = std::ranges::find(self.peers, each.id, &peer_progress::id) != self.peers.end();
         if (!known && each.id != self.options.self) {
-            self.peers.push_back(
-                {.id = each.id, .nextIndex = {lastIndex(self.log).value + 1}, .lastContact = step.now});
+            const log_index next{lastIndex(self.log).value + 1};
+            self.peers.push_back({.id = each.id, .nextIndex = next, .lastContact = step.now, .sentFrom = next});
         }
     }
 }
