Don't let links send the replicas' messages again

Cause: a link keeps up to 1 MB of what may not have arrived and sends it again over its successor, before all new messages. The replicas' messages were kept, too, though a replica repeats itself what is lost: appends of an earlier term and heartbeats of seconds ago were decompressed, compressed and written again, and the new heartbeats waited for the peer's statement on the ended link.

Change: messages on the replication channel are counted, so that builds with and without this change agree on numbers, and their arrival is asked about, so that a silent link shows as soon as before. They aren't kept, and go over a new link at once.

Test: link_silence_test/replication_linksSilent_notSentAgainWhileOthersAre fails with the sources before and passes with these; replication_linkSilent_anotherOpenedInTime passes with both. test_links and the link tests of test_wire pass.

--- a/include/guavafront/coordination/links/link_delivery.h
+++ b/include/guavafront/coordination/links/link_delivery.h
@@ -43,6 +43,7 @@
     std::uint64_t lastReceived = 0; ///< Number of the last message received.
     std::deque<kept_message> kept; ///< Messages that aren't known to have arrived, oldest first.
     std::size_t keptBytes = 0; ///< Size of the kept messages.
+    std::size_t unkeptBytes = 0; ///< Size of the messages that were sent and not kept since the last question.
     std::optional<instant> askedAt; ///< Time of the question that isn't answered; empty if all are.
     std::size_t bytesAsked = 0; ///< Bytes that the answer to the open question has to wait for.
     instant lastQuestion{}; ///< Time of the last question.
@@ -53,6 +54,10 @@
 /// Counts and keeps a message that is being sent.
 void keepSent(link_delivery &state, std::vector<std::byte> bytes, delivery_urgency urgency, instant now);
 
+/// Counts a message that is being sent and isn't kept, since its sender repeats what is lost. A question becomes due as
+/// for a kept one, so that a silent link shows.
+void countSent(link_delivery &state, std::size_t bytes, instant now);
+
 /// Makes a question due as soon as the interval allows, though nothing is kept.
 void requestAnswer(link_delivery &state, instant now);
 
--- a/src/coordination/links/link_delivery.cpp
+++ b/src/coordination/links/link_delivery.cpp
@@ -40,6 +40,13 @@
     makeQuestionDue(state, atOnce ? now : now + state.relaxedDelay);
 }
 
+void countSent(link_delivery &state, std::size_t bytes, instant now)
+{
+    ++state.lastSent;
+    state.unkeptBytes += bytes;
+    makeQuestionDue(state, now);
+}
+
 void requestAnswer(link_delivery &state, instant now)
 {
     makeQuestionDue(state, now);
@@ -51,7 +58,7 @@
         return std::nullopt;
     }
     state.askedAt = now;
-    state.bytesAsked = state.keptBytes;
+    state.bytesAsked = state.keptBytes + std::exchange(state.unkeptBytes, 0);
     state.lastQuestion = now;
     state.questionDue = instant::max();
     return state.lastSent;
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -117,7 +117,7 @@
 
 void link_table::transmit(peer_link &link, const envelope &message)
 {
-    detached_link *earlier = awaitedResumption(m_detached, link.peer().id);
+    detached_link *earlier = isResentByLinks(message.kind) ? awaitedResumption(m_detached, link.peer().id) : nullptr;
     if (earlier && message.body.size() <= m_options.link.limits.messageBytes) {
         // The messages of the ended link go first.
         keepSent(earlier->delivery, encodeEnvelope(message), delivery_urgency::AtOnce, loop::now());
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -45,8 +45,9 @@
 /// Time between two reports that a link is silent.
 constexpr duration silentReportPeriod = std::chrono::milliseconds(400);
 
-/// Whether messages of the channel are sent again when their link ends. The others are periodic and worthless later.
-bool isResent(channel kind)
+/// Whether messages of the channel count among those of which the peer states how many have arrived. The others are
+/// periodic and worthless later.
+bool isCounted(channel kind)
 {
     return kind != channel::Membership && kind != channel::Loads && kind != channel::Health;
 }
@@ -58,6 +59,11 @@
 
 } // namespace
 
+bool isResentByLinks(channel kind)
+{
+    return isCounted(kind) && kind != channel::Replication;
+}
+
 std::string_view linkEndName(link_end reason)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(link_end::Count)> names{
@@ -119,9 +125,17 @@
     m_lastUsed = loop::now();
     byte_buffer bytes = encodeEnvelope(message, m_resumable ? body_compression::IfSmaller : body_compression::Never);
     const std::string_view text = asText(bytes);
-    if (!isResumable() || !isResent(message.kind)) {
+    if (!isResumable() || !isCounted(message.kind)) {
         return m_session->send(text) && !m_closed;
     }
+    if (!isResentByLinks(message.kind)) {
+        countSent(m_delivery, bytes.size(), loop::now());
+        if (!m_session->send(text) || m_closed) {
+            return false;
+        }
+        checkDelivery();
+        return true;
+    }
     // Moving the bytes leaves them where they are; a link that ends while it sends takes the message along.
     keepSent(m_delivery, std::move(bytes), urgencyOf(message.kind), loop::now());
     if (m_session->send(text) && !m_closed) {
@@ -250,7 +264,7 @@
             handleControl(message);
             return;
         }
-        m_delivery.lastReceived += isResent(message.kind) ? 1 : 0;
+        m_delivery.lastReceived += isCounted(message.kind) ? 1 : 0;
         m_lastUsed = m_lastReceived;
         m_events.received(std::move(message));
     } catch (const coordination_error &error) {
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -44,6 +44,10 @@
     Count, ///< Number of reasons.
 };
 
+/// Whether messages of the channel are sent again when their link ends. Replicas repeat themselves what is lost, and
+/// what they sent during a cut would keep their other messages waiting after it.
+bool isResentByLinks(channel kind);
+
 /// Name of a reason for logs and counters. The names are the same in all versions of the program.
 std::string_view linkEndName(link_end reason);
 
--- a/tests/links/link_delivery_test.cpp
+++ b/tests/links/link_delivery_test.cpp
@@ -46,6 +46,17 @@
     BOOST_TEST((nextDeliveryCheck(state) == instant::max()));
 }
 
+BOOST_AUTO_TEST_CASE(question_messageThatIsntKept_askedAtOnceWithTimeForItsBytes)
+{
+    countSent(state, 10 * state.slowBytesPerSecond, now);
+    BOOST_TEST(state.kept.empty());
+    BOOST_TEST(takeQuestion(state, now).value_or(0) == 1U);
+    now += std::chrono::seconds(10);
+    BOOST_TEST(!isSilent(state, now));
+    now += state.maxAnswerTime;
+    BOOST_TEST(isSilent(state, now));
+}
+
 BOOST_AUTO_TEST_CASE(question_relaxedMessage_askedWithinASecond)
 {
     send(delivery_urgency::Relaxed);
--- a/tests/wire/link_silence_test.cpp
+++ b/tests/wire/link_silence_test.cpp
@@ -135,6 +135,32 @@
     checkDelivery();
 }
 
+// Guards against replicas whose messages wait behind all that a leader sent into a cut.
+BOOST_AUTO_TEST_CASE(replication_linksSilent_notSentAgainWhileOthersAre)
+{
+    silenceAll(direction::Both);
+    send(first, 2, 1, channel::Replication);
+    send(first, 2, 2);
+    send(first, 2, 3, channel::Replication);
+    runUntil(bound, [this] { return !second.received.empty(); });
+    send(first, 2, 4, channel::Replication);
+    runUntil(bound, [this] { return second.received.size() >= 2; });
+    wait(std::chrono::seconds(2));
+    BOOST_TEST(second.received == (std::vector<unsigned>{2, 4}), boost::test_tools::per_element());
+}
+
+// Replication alone must show that a link is silent.
+BOOST_AUTO_TEST_CASE(replication_linkSilent_anotherOpenedInTime)
+{
+    silenceAll(direction::Both);
+    const instant end = loop::now() + bound;
+    while (second.received.empty() && loop::now() < end) {
+        send(first, 2, 1, channel::Replication);
+        wait(std::chrono::milliseconds(150));
+    }
+    BOOST_TEST(!second.received.empty());
+}
+
 BOOST_AUTO_TEST_CASE(links_silentTowardsTheAcceptor_messagesArriveInTimeAndOnce)
 {
     silenceAll(direction::ToTarget);
