Handle the links between control VMs before all others

Cause: one task reads and writes all links of a VM, in the order in which events come, and takes all requests of other tasks at once. The handshakes, news of members and state of a hundred VMs go before heartbeats, votes and answers, while the control task itself is on time. The class: traffic on which a failure detector depends shares a queue with traffic of any volume.

Change: on control VMs the loop of the peers task looks for urgent events after each eight others: the bytes of links to other control VMs, and a mailbox of its own for the replica's messages. Its other requests are taken 32 at a time. All other loops are as before.

--- a/src/daemon/control_tree.cpp
+++ b/src/daemon/control_tree.cpp
@@ -82,7 +82,10 @@
                                     .secret = secrets.fleet,
                                     .replica = {.targetVoters = settings.control.voters,
                                                 .minVoters = 2 * settings.control.toleratedDiskLosses + 1},
-                                    .send = vmSender(wiring),
+                                    .send =
+                                        [&wiring](vm_id to, envelope message) {
+                                            wiring.urgentPeers.post(send_to_vm{to, std::move(message)});
+                                        },
                                     .onLeadershipProof = beaconIssuer(wiring),
                                     .onClaimsViewAgreed = claimsPublisher(settings, wiring),
                                     .onMembersChanged = votersReporter(wiring)},
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -119,9 +119,11 @@
     return {.name = "peers",
             .body =
                 [&settings, &secrets, self, &wiring](loop &owner) {
-                    const peers_task task(owner, peersOptions(settings, secrets, self, wiring), wiring.peers);
+                    const peers_task task(owner, peersOptions(settings, secrets, self, wiring),
+                                          {.requests = wiring.peers, .urgent = wiring.urgentPeers});
                     owner.run();
                 },
+            .eventLoop = {.urgentFirst = hasRole(settings, vm_role::Control)},
             .shutdownLimit = taskShutdownLimit};
 }
 
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -136,6 +136,7 @@
         options.seeds.push_back(toText(seed));
     }
     if (hasRole(settings, vm_role::Control)) {
+        options.links.urgentRoles = ControlRole;
         options.book = readAddressBook(settings.vm.dataFolder).addresses;
     }
     options.watchers = makePeersWatchers(std::make_shared<fleet_watch>(options.links.link.self, wiring), wiring);
--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -32,6 +32,7 @@
     mailbox_counters mailboxCounters{counters.registry()}; ///< Updated by the peers task.
     mailbox<metrics_message> metrics{smallCapacity}; ///< Inbox of the metrics task.
     mailbox<peers_message> peers{largeCapacity}; ///< Inbox of the peers task.
+    mailbox<peers_message> urgentPeers{largeCapacity}; ///< Inbox of the peers task that goes before the one above.
     mailbox<configuration_message> configurations{largeCapacity}; ///< Inbox of the configuration task.
     mailbox<control_message> control{smallCapacity}; ///< Inbox of the control task.
     mailbox<operators_message> operators{largeCapacity}; ///< Inbox of the operators task.
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -96,6 +96,7 @@
 void countDroppedMessages(daemon_wiring &wiring)
 {
     wiring.mailboxCounters.set("peers", wiring.peers.rejected());
+    wiring.mailboxCounters.set("urgent_peers", wiring.urgentPeers.rejected());
     wiring.mailboxCounters.set("configuration", wiring.configurations.rejected());
     wiring.mailboxCounters.set("control", wiring.control.rejected());
     wiring.mailboxCounters.set("operators", wiring.operators.rejected());
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -187,6 +187,9 @@
     ++m_counters.ready;
     const peer_identity peer = link.peer();
     m_ready[peer.id].push_back(&link);
+    if ((peer.roles & m_options.urgentRoles) != 0) {
+        link.setUrgency(event_urgency::Urgent);
+    }
     if (isLogged(peer)) {
         LOG(INFO) << "link to VM " << std::hex << peer.id.value << std::dec << " at " << peer.address
                   << " is ready, opened by " << (link.isInitiator() ? "this VM" : "the peer") << "; "
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -26,6 +26,7 @@
     peer_link_options link; ///< Identity of this VM, fleet secret and limits of each link.
     std::string listenAddress = "127.0.0.1:0"; ///< "IP:port" on which links are accepted.
     std::size_t maxHandshakes = 256; ///< Connections are refused while this many links aren't ready.
+    std::uint8_t urgentRoles = 0; ///< Links to VMs with one of these roles, as bits of member_role, are handled first.
     std::size_t pendingMessages = 64; ///< Messages that may wait for one link; beyond, the oldest is dropped.
     duration backoffFirst = std::chrono::milliseconds(100); ///< Wait after the first failed attempt to connect.
     duration backoffLongest = std::chrono::seconds(5); ///< Longest wait between attempts to connect.
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -26,6 +26,8 @@
 constexpr duration statisticsPeriod = std::chrono::seconds(1);
 /// Time for the leave messages to be sent before the loop stops.
 constexpr duration leaveSendTime = std::chrono::milliseconds(200);
+/// Requests of other tasks that are handled before urgent ones are looked for.
+constexpr std::size_t requestBatch = 32;
 /// Change of the alive share from which the fleet view is published again.
 constexpr double minShareChange = 0.05;
 /// Version of the body of membership and spread messages.
@@ -58,7 +60,7 @@
 
 } // namespace
 
-peers_task::peers_task(loop &owner, peers_task_options options, mailbox<peers_message> &inbox)
+peers_task::peers_task(loop &owner, peers_task_options options, const peers_inboxes &inboxes)
     : m_loop(owner)
     , m_options(std::move(options))
     , m_random(systemSeededRandom())
@@ -72,7 +74,10 @@
     , m_spread(makeSpreadTable(m_links.self().id, m_options.spreadLimits))
     , m_tickTimer(owner, [this] { tick(); })
     , m_stopDelay(owner, [this] { m_loop.stop(); })
-    , m_inbox(inbox, owner, [this](peers_message message) { dispatch(std::move(message)); })
+    , m_urgentInbox(inboxes.urgent, owner, [this](peers_message message) { dispatch(std::move(message)); },
+                    {.urgency = event_urgency::Urgent})
+    , m_inbox(inboxes.requests, owner, [this](peers_message message) { dispatch(std::move(message)); },
+              {.batch = requestBatch})
 {
     owner.onStopRequested([this] { stop(); });
     m_tickTimer.arm({});
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -11,14 +11,20 @@
 namespace guavafront
 {
 
+/// Mailboxes of the peers task; not owned.
+struct peers_inboxes {
+    mailbox<peers_message> &requests; ///< Requests of other tasks.
+    mailbox<peers_message> &urgent; ///< Requests that go before all other work, such as messages of the replicas.
+};
+
 /// Owns the links to other VMs and runs the membership protocol and the spread map over them. It decodes messages into
 /// events and encodes effects into messages; the decisions are made in coordination/membership and coordination/spread.
 class peers_task
 {
 public:
-    /// Starts to listen and to join the fleet, and handles the requests that arrive in inbox. Throws coordination_error
-    /// (SettingInvalid).
-    peers_task(loop &owner, peers_task_options options, mailbox<peers_message> &inbox);
+    /// Starts to listen and to join the fleet, and handles the requests that arrive in the inboxes. Throws
+    /// coordination_error (SettingInvalid).
+    peers_task(loop &owner, peers_task_options options, const peers_inboxes &inboxes);
     peers_task(const peers_task &) = delete;
     peers_task &operator=(const peers_task &) = delete;
 
@@ -73,7 +79,8 @@
     instant m_nextStatistics; ///< Time of the next publication of statistics.
     timer m_tickTimer; ///< Runs tick() every tickPeriod.
     timer m_stopDelay; ///< Stops the loop once the leave messages have had time to be sent.
-    mailbox_attachment<peers_message> m_inbox; ///< Delivers requests of other tasks to dispatch().
+    mailbox_attachment<peers_message> m_urgentInbox; ///< Delivers urgent requests to dispatch().
+    mailbox_attachment<peers_message> m_inbox; ///< Delivers the other requests to dispatch().
 };
 
 } // namespace guavafront
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -23,7 +23,7 @@
     load_runner(const load_options &options, const std::function<void(duration, const load_result &)> &onProgress)
         : m_options(options)
         , m_onProgress(onProgress)
-        , m_loop(timer_precision::Microseconds)
+        , m_loop({.precision = timer_precision::Microseconds})
         , m_sendTimer(m_loop, [this] { sendDueArrivals(); })
         , m_progressTimer(m_loop, [this] { reportProgress(); })
         , m_signals(m_loop, {SIGINT, SIGTERM}, [this] { interrupt(); })
--- a/src/runtime/child_spec.h
+++ b/src/runtime/child_spec.h
@@ -24,6 +24,7 @@
     /// until that is stopped and returns. It throws when the child fails.
     std::function<void(loop &)> body;
 
+    loop_options eventLoop; ///< Settings of the child's loop.
     restart_policy restart = restart_policy::Permanent; ///< When the child is restarted.
     /// Time that the child has to end after a stop request. A child that runs longer aborts the whole process.
     duration shutdownLimit = std::chrono::seconds(10);
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -14,16 +14,28 @@
 namespace
 {
 
-event_base *makeBase(timer_precision precision)
+/// Number of normal events that are handled before urgent ones are looked for.
+constexpr int maxNormalEvents = 8;
+constexpr int priorities = 2;
+
+event_base *makeBase(const loop_options &loopOptions)
 {
     const std::unique_ptr<event_config, decltype(&event_config_free)> options(event_config_new(), event_config_free);
     if (!options) {
         return nullptr;
     }
-    if (precision == timer_precision::Microseconds) {
+    if (loopOptions.precision == timer_precision::Microseconds) {
         event_config_set_flag(options.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     }
-    return event_base_new_with_config(options.get());
+    if (loopOptions.urgentFirst) {
+        event_config_set_max_dispatch_interval(options.get(), nullptr, maxNormalEvents,
+                                               static_cast<int>(event_urgency::Normal));
+    }
+    event_base *base = event_base_new_with_config(options.get());
+    if (base != nullptr) {
+        event_base_priority_init(base, priorities); // New events get the lower one.
+    }
+    return base;
 }
 
 } // namespace
@@ -33,8 +45,8 @@
     event_free(owned);
 }
 
-loop::loop(timer_precision precision)
-    : m_base(makeBase(precision))
+loop::loop(const loop_options &options)
+    : m_base(makeBase(options))
     , m_wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     , m_stopHandler([this] { stop(); })
 {
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -20,12 +20,24 @@
     Microseconds, ///< Timers are as precise as the kernel's.
 };
 
+/// Order in which a loop handles events that have come.
+enum class event_urgency : std::uint8_t {
+    Urgent, ///< Before all others, if the loop's urgentFirst is set.
+    Normal, ///< In the order in which they came.
+};
+
+/// Settings of a loop.
+struct loop_options {
+    timer_precision precision = timer_precision::Milliseconds; ///< Precision of its timers.
+    bool urgentFirst = false; ///< Looks for urgent events after every few normal ones. Costs a system call each time.
+};
+
 /// A libevent loop that is run by one thread. Only requestStop() may be called from other threads.
 class loop
 {
 public:
     /// Creates a loop without events. Throws std::runtime_error when no file descriptors are left.
-    explicit loop(timer_precision precision = timer_precision::Milliseconds);
+    explicit loop(const loop_options &options = {});
     ~loop();
     loop(const loop &) = delete;
     loop &operator=(const loop &) = delete;
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -13,6 +13,12 @@
 namespace guavafront
 {
 
+/// How a mailbox hands messages to its owner.
+struct delivery_options {
+    event_urgency urgency = event_urgency::Normal; ///< Order of the messages among the owner's other events.
+    std::size_t batch = SIZE_MAX; ///< Messages that are handled before the owner's other events have their turn.
+};
+
 /// Bounded queue of messages to one task, the mailbox's owner. The mailbox outlives restarts of the task: messages
 /// posted while the task isn't running are delivered to its next run.
 template<class message>
@@ -45,10 +51,12 @@
     }
 
     /// Calls handler with each message, in posting order, on the thread of the given loop until detach().
-    void attach(loop &owner, std::function<void(message)> handler)
+    void attach(loop &owner, std::function<void(message)> handler, const delivery_options &options = {})
     {
         m_handler = std::move(handler);
-        m_wakeup.attach(owner, [this] { deliver(); });
+        m_batch = options.batch;
+        m_wakeup.attach(
+            owner, [this] { deliver(); }, options.urgency);
         m_wakeup.notify();
     }
 
@@ -68,19 +76,32 @@
 private:
     void deliver()
     {
-        std::vector<message> batch;
-        {
+        if (m_next == m_taken.size()) {
+            m_taken.clear();
+            m_next = 0;
             const std::lock_guard lock(m_mutex);
-            batch.swap(m_messages);
+            m_taken.swap(m_messages);
+        }
+        for (std::size_t count = 0; count < m_batch && m_next < m_taken.size(); ++count) {
+            m_handler(std::move(m_taken[m_next++]));
         }
-        for (message &next : batch) {
-            m_handler(std::move(next));
+        if (hasMore()) {
+            m_wakeup.notify();
         }
     }
 
+    bool hasMore() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_next < m_taken.size() || !m_messages.empty();
+    }
+
     const std::size_t m_capacity; ///< Largest number of messages held.
     mutable std::mutex m_mutex; ///< Guards m_messages and m_rejected.
-    std::vector<message> m_messages; ///< Messages not yet delivered, oldest first.
+    std::vector<message> m_messages; ///< Messages that the owner hasn't taken, oldest first.
+    std::vector<message> m_taken; ///< Messages that the owner has taken; used on its thread only.
+    std::size_t m_next = 0; ///< Position in m_taken of the next message to deliver.
+    std::size_t m_batch = SIZE_MAX; ///< Messages that are delivered at a time.
     std::uint64_t m_rejected = 0; ///< Messages dropped because the mailbox was full.
     std::function<void(message)> m_handler; ///< Called on the owner's thread with each message.
     wakeup m_wakeup; ///< Wakes the owner's loop when messages are posted.
@@ -92,10 +113,11 @@
 {
 public:
     /// Attaches the mailbox to the loop. Both must outlive the attachment.
-    mailbox_attachment(mailbox<message> &box, loop &owner, std::function<void(message)> handler)
+    mailbox_attachment(mailbox<message> &box, loop &owner, std::function<void(message)> handler,
+                       const delivery_options &options = {})
         : m_box(box)
     {
-        m_box.attach(owner, std::move(handler));
+        m_box.attach(owner, std::move(handler), options);
     }
 
     ~mailbox_attachment()
--- a/src/runtime/supervisor.cpp
+++ b/src/runtime/supervisor.cpp
@@ -63,7 +63,7 @@
 void supervisor::start(std::size_t index)
 {
     child &each = m_children[index];
-    each.eventLoop = std::make_unique<loop>();
+    each.eventLoop = std::make_unique<loop>(each.spec.eventLoop);
     each.thread = std::thread([this, index, &body = each.spec.body, &eventLoop = *each.eventLoop] {
         child_exit exit{.index = index, .failed = false, .text = {}};
         try {
--- a/src/runtime/wakeup.cpp
+++ b/src/runtime/wakeup.cpp
@@ -24,12 +24,13 @@
     close(m_descriptor);
 }
 
-void wakeup::attach(loop &owner, std::function<void()> action)
+void wakeup::attach(loop &owner, std::function<void()> action, event_urgency urgency)
 {
     detach();
     m_loop = &owner;
     m_action = std::move(action);
     m_event = event_new(owner.base(), m_descriptor, EV_READ | EV_PERSIST, callback, this);
+    event_priority_set(m_event, static_cast<int>(urgency));
     event_add(m_event, nullptr);
 }
 
--- a/src/runtime/wakeup.h
+++ b/src/runtime/wakeup.h
@@ -19,7 +19,7 @@
 
     /// Runs action on the given loop's thread after notify() until detach(), and once if notify() was called while no
     /// loop was attached. Several notifications may be answered by one run.
-    void attach(loop &owner, std::function<void()> action);
+    void attach(loop &owner, std::function<void()> action, event_urgency urgency = event_urgency::Normal);
 
     /// Stops running the action. Call it on the loop's thread only.
     void detach();
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -175,6 +175,11 @@
     return m_lastUsed;
 }
 
+void peer_link::setUrgency(event_urgency urgency)
+{
+    bufferevent_priority_set(m_socket, static_cast<int>(urgency));
+}
+
 void peer_link::verify()
 {
     if (isResumable()) {
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -98,6 +98,9 @@
     /// Time at which an envelope was last sent or received.
     instant lastUsed() const;
 
+    /// Sets the order in which the link's bytes are handled among the loop's other events.
+    void setUrgency(event_urgency urgency);
+
     /// Asks the peer to show that the link works in both directions.
     void verify();
 
