Pass configurations on to the announcements task only where it runs

Cause: the subscriber of the configuration task posted each configuration in force to the inbox of the announcements task. That task runs only on entry VMs with listen.announcements, which the platform's settings don't give, so that on all other VMs the inbox kept the first 256 configurations whole.

Change: configurationSubscriber() posts there only if the announcements task runs, by the condition that also starts the task and reads its token (receivesAnnouncements).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -38,6 +38,12 @@
 /// Used in place of a secret if the settings say that the fleet has none; it is public and authenticates nobody.
 constexpr std::string_view privateNetworkText = "private network without a secret";
 
+/// Returns whether the announcements task runs on this VM.
+bool receivesAnnouncements(const daemon_settings &settings)
+{
+    return hasRole(settings, vm_role::Entry) && !settings.listen.announcements.ip.empty();
+}
+
 vm_id randomVmId()
 {
     vm_id id;
@@ -143,10 +149,7 @@
                     options.sendToSeeds = [&wiring](envelope message) {
                         wiring.peers.post(send_to_seeds{std::move(message)});
                     };
-                    options.subscriber = [&wiring](const std::shared_ptr<const configuration> &current) {
-                        wiring.entries.post(configuration_changed{current});
-                        wiring.announcements.post(current);
-                    };
+                    options.subscriber = configurationSubscriber(settings, wiring);
                     const configuration_task task(owner, std::move(options), wiring.configurations);
                     wiring.control.post(accepted_configuration_requested{});
                     owner.run();
@@ -197,7 +200,7 @@
     // Announcements stop first when the VM stops, so that upstreams turn to other VMs while the entry task can still
     // process the last announcements of its own instances.
     std::vector<child_spec> children{std::move(entries)};
-    if (!settings.listen.announcements.ip.empty()) {
+    if (receivesAnnouncements(settings)) {
         children.push_back(std::move(announcements));
     }
     return supervisorChild({.name = "entry"}, std::move(children));
@@ -215,7 +218,7 @@
     } else {
         secrets.fleet = deriveFleetSecret(readSecretFile(settings.secrets.fleetSecretFile));
     }
-    if (hasRole(settings, vm_role::Entry) && !settings.listen.announcements.ip.empty()) {
+    if (receivesAnnouncements(settings)) {
         secrets.serviceToken = readSecretFile(settings.secrets.serviceTokenFile);
     }
     if (hasRole(settings, vm_role::Control) && !settings.listen.operators.ip.empty()) {
@@ -224,6 +227,18 @@
     return secrets;
 }
 
+configuration_subscriber configurationSubscriber(const daemon_settings &settings, daemon_wiring &wiring)
+{
+    // Where no task reads the inbox, up to smallCapacity whole configurations would stay in memory.
+    return [&wiring,
+            announcementsRun = receivesAnnouncements(settings)](const std::shared_ptr<const configuration> &current) {
+        wiring.entries.post(configuration_changed{current});
+        if (announcementsRun) {
+            wiring.announcements.post(current);
+        }
+    };
+}
+
 std::vector<child_spec> makeSupervisionTree(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                                             daemon_wiring &wiring, const front_end &front)
 {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/configuration/configuration_task.h"
 #include "daemon/daemon_wiring.h"
 #include "daemon/entry/caller_dialect.h"
 #include "daemon/operators/operator_tokens.h"
@@ -36,6 +37,9 @@
 /// Reads the files that the settings name. Throws coordination_error (FileUnreadable, FileExposed, SettingInvalid).
 daemon_secrets readSecrets(const daemon_settings &settings);
 
+/// Returns what passes each configuration in force on to the tasks of this VM that read it. The wiring must outlive it.
+configuration_subscriber configurationSubscriber(const daemon_settings &settings, daemon_wiring &wiring);
+
 /// Returns the children of the daemon's root supervisor in start order. All arguments must outlive the tree.
 std::vector<child_spec> makeSupervisionTree(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                                             daemon_wiring &wiring, const front_end &front = {});
