Cut the replicated log by size, not only by number of records

A record of a large configuration has some 100 KB, so that logs grew to tens of MB. A start applies them in one piece, a learner is sent and applies all of them before it counts as caught up, and the store and the replica each hold them in memory.

Records of up to 1 KB reach the limits by number first, as before.

Limit: with a state of several MB the log grows to three times that size; the time of a start then grows with the state.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -42,7 +42,13 @@
                                                           ///< member is sent no more; maximum size of a snapshot chunk.
     std::size_t maxUncommittedRecords = 4'096; ///< Commands beyond this number are refused.
     std::size_t snapshotAfterRecords = 4'096; ///< Number of applied records after which a snapshot is taken.
-    std::size_t keptRecords = 1'024; ///< Records kept before the snapshot, for slow followers.
+    std::size_t snapshotAfterBytes = std::size_t{4} << 20; ///< Size in bytes of applied records after which a snapshot
+                                                           ///< is taken, if they are also larger than
+                                                           ///< snapshotAfterStates states.
+    std::size_t snapshotAfterStates = 3; ///< A large state isn't written for a few records, and followers get the whole
+                                         ///< snapshot before a later one replaces it.
+    std::size_t keptRecords = 1'024; ///< Largest number of records kept before the snapshot, for slow followers.
+    std::size_t keptBytes = std::size_t{1} << 20; ///< Largest size in bytes of the records kept before the snapshot.
     std::size_t targetVoters = 3; ///< While there are fewer voters, learners that have caught up become voters. A
                                   ///< voter is removed without replacement only if at least this number remains,
                                   ///< or if it is absent (absentVoterLimit, minVoters).
@@ -114,6 +120,7 @@
     log_index membersIndex; ///< Index of the record or snapshot that set members.
     log_index commitIndex; ///< Index of the last record known to be committed.
     log_index appliedIndex; ///< Index of the last record handed to the state machine.
+    std::size_t appliedBytes = 0; ///< Size in bytes of the records after the snapshot up to appliedIndex.
     replica_role role = replica_role::Follower; ///< Current role.
     vm_id leader; ///< Leader of currentTerm; 0 when not known.
     instant lastLeaderContact; ///< Time of the latest message from a leader; the epoch before the first one.
--- a/include/guavafront/coordination/replication/replicated_log.h
+++ b/include/guavafront/coordination/replication/replicated_log.h
@@ -62,6 +62,16 @@
 /// Returns the kept record at the index. The record must be kept; this is asserted.
 const log_record &recordAt(const replicated_log &log, log_index index);
 
+/// Returns the estimated size in bytes of a record in a message or on the disk.
+std::size_t estimatedBytes(const log_record &record);
+
+/// Returns the estimated size in bytes of the kept records after one index, up to and with another.
+std::size_t estimatedBytes(const replicated_log &log, log_index after, log_index last);
+
+/// Returns the index up to which the records before the snapshot are removed, so that at most maxRecords of them with
+/// together at most maxBytes are kept. It isn't beyond the snapshot.
+log_index compactionIndex(const replicated_log &log, std::size_t maxRecords, std::size_t maxBytes);
+
 /// Returns whether another log, which ends with this record, is at least as up to date as log (Ongaro & Ousterhout
 /// 2014, section 5.4.1).
 bool isAtLeastAsUpToDate(const replicated_log &log, log_index otherLastIndex, term otherLastTerm);
--- a/src/coordination/replication/follower.cpp
+++ b/src/coordination/replication/follower.cpp
@@ -105,6 +105,7 @@
     }
     self.commitIndex = snapshot.index;
     self.appliedIndex = snapshot.index;
+    self.appliedBytes = 0;
     self.snapshotRequested = false;
     adoptMembership(step, membershipAt(self.log, lastIndex(self.log)));
     step.writes.emplace_back(write_snapshot{snapshot, snapshot.index, snapshot.indexTerm, !keepsSuffix});
@@ -123,6 +124,16 @@
     return *self.incomingSnapshot;
 }
 
+/// Returns whether enough records were applied since the latest snapshot, by number or by size, to take another one.
+bool isSnapshotDue(const replica &self)
+{
+    const replica_options &options = self.options;
+    const std::uint64_t records = self.appliedIndex.value - self.log.snapshot.index.value;
+    const std::size_t maxBytes =
+        std::max(options.snapshotAfterBytes, options.snapshotAfterStates * self.log.snapshot.state.size());
+    return records >= options.snapshotAfterRecords || self.appliedBytes > maxBytes;
+}
+
 } // namespace
 
 void handleAppendRequest(replica_step &step, const replication_message &message, const append_request &request)
@@ -177,7 +188,9 @@
     self.commitIndex = std::max(self.commitIndex, committed);
     while (self.appliedIndex < self.commitIndex) {
         ++self.appliedIndex.value;
-        step.afterSync.emplace_back(apply_record{recordAt(self.log, self.appliedIndex)});
+        const log_record &applied = recordAt(self.log, self.appliedIndex);
+        self.appliedBytes += estimatedBytes(applied);
+        step.afterSync.emplace_back(apply_record{applied});
     }
     const bool removed =
         self.membersIndex <= self.commitIndex && findMember(self.members, self.options.self) == nullptr;
@@ -185,8 +198,7 @@
         broadcast(step);
         becomeFollower(step, self.currentTerm, {});
     }
-    const std::uint64_t sinceSnapshot = self.appliedIndex.value - self.log.snapshot.index.value;
-    if (!self.snapshotRequested && sinceSnapshot >= self.options.snapshotAfterRecords) {
+    if (!self.snapshotRequested && isSnapshotDue(self)) {
         self.snapshotRequested = true;
         step.afterSync.emplace_back(take_snapshot{self.appliedIndex});
     }
--- a/src/coordination/replication/leader.cpp
+++ b/src/coordination/replication/leader.cpp
@@ -9,14 +9,6 @@
 namespace
 {
 
-constexpr std::size_t recordOverheadBytes = 64; ///< Estimated bytes of a record in a message besides its payload.
-
-std::size_t estimatedBytes(const log_record &record)
-{
-    const auto *stored = std::get_if<command>(&record.content);
-    return recordOverheadBytes + (stored ? stored->payload.size() : 0);
-}
-
 /// Number of latest heartbeats whose times are kept.
 constexpr std::size_t maxHeartbeatTimes = 64;
 
--- a/src/coordination/replication/replicated_log.cpp
+++ b/src/coordination/replication/replicated_log.cpp
@@ -6,6 +6,13 @@
 namespace guavafront
 {
 
+namespace
+{
+
+constexpr std::size_t recordOverheadBytes = 64; ///< Estimated bytes of a record besides its payload.
+
+} // namespace
+
 log_index lastIndex(const replicated_log &log)
 {
     return {log.precedingIndex.value + log.records.size()};
@@ -36,6 +43,37 @@
     return log.records[index.value - log.precedingIndex.value - 1];
 }
 
+std::size_t estimatedBytes(const log_record &record)
+{
+    const auto *stored = std::get_if<command>(&record.content);
+    return recordOverheadBytes + (stored ? stored->payload.size() : 0);
+}
+
+std::size_t estimatedBytes(const replicated_log &log, log_index after, log_index last)
+{
+    std::size_t bytes = 0;
+    for (log_index index{after.value + 1}; index <= last; ++index.value) {
+        bytes += estimatedBytes(recordAt(log, index));
+    }
+    return bytes;
+}
+
+log_index compactionIndex(const replicated_log &log, std::size_t maxRecords, std::size_t maxBytes)
+{
+    log_index index = log.snapshot.index;
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    while (index > log.precedingIndex && records < maxRecords) {
+        bytes += estimatedBytes(recordAt(log, index));
+        if (bytes > maxBytes) {
+            break;
+        }
+        ++records;
+        --index.value;
+    }
+    return index;
+}
+
 bool isAtLeastAsUpToDate(const replicated_log &log, log_index otherLastIndex, term otherLastTerm)
 {
     const term ownTerm = lastTerm(log);
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -155,9 +155,8 @@
     }
     const membership members = membershipAt(self.log, event.index).members;
     self.log.snapshot = {event.index, *termAt(self.log, event.index), members, event.state};
-    if (event.index.value > self.options.keptRecords) {
-        compactTo(self.log, {event.index.value - self.options.keptRecords});
-    }
+    self.appliedBytes = estimatedBytes(self.log, event.index, self.appliedIndex);
+    compactTo(self.log, compactionIndex(self.log, self.options.keptRecords, self.options.keptBytes));
     step.writes.emplace_back(write_snapshot{self.log.snapshot, self.log.precedingIndex, self.log.precedingTerm, false});
 }
 
