Say in the log of elections which VM an identity is and what awaits a silent one

Cause: the lines of elections name VMs by identities only, which on-call can't tie to a VM (incident of 2026-12-07), and the line of a given-up leadership doesn't say for how long each voter was silent nor how much was sent to it. A follower logged no line that says whom it lost and when it heard that leader.

Change: - Lines of the control task give the address of a known VM beside its identity, before the marks `live` and `this VM`. The records are counted where the bytes for flow control were counted; what is sent doesn't change. - A new effect leader_lost and its line: who the lost leader was and how long ago it was heard. Once a loss, not with each round. - The daemon's line at its start has the address at which peers reach it.

Tests: the expected lines of control_log_test changed where the lines did: `the vote went to VM a` has `(this VM)` now, and the line of a given-up leadership has the figures. The check of the silent voters compares the whole report. New cases cover known, partly known and unknown addresses, what is under way to each voter, the lost leader, and the task itself in a cluster.

--- a/include/guavafront/coordination/replication/election_reports.h
+++ b/include/guavafront/coordination/replication/election_reports.h
@@ -4,6 +4,7 @@
 #include <guavafront/coordination/core/time.h>
 #include <guavafront/coordination/replication/message.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -50,12 +51,37 @@
     std::vector<vm_id> silent; ///< Voters that didn't answer.
 };
 
+/// What a leader has sent to a member that hasn't confirmed it.
+struct unconfirmed_data {
+    std::size_t records = 0; ///< Number of records; 0 while the member is sent a snapshot.
+    std::size_t bytes = 0; ///< Size of the records, estimated as for replica_options::maxMessageBytes, or of the
+                           ///< snapshot's chunk.
+    bool operator==(const unconfirmed_data &) const = default; ///< Memberwise equality.
+};
+
+/// A voter that hasn't answered its leader.
+struct silent_voter {
+    vm_id id; ///< Identity of the voter.
+    duration silence{}; ///< Time since its latest answer, or since the leader was elected or the voter added.
+    unconfirmed_data underWay; ///< What was sent to it and isn't confirmed.
+    bool operator==(const silent_voter &) const = default; ///< Memberwise equality.
+};
+
 /// Effect: tell the host that this leader gives up the leadership, since no quorum answered within the election
 /// timeout.
 struct quorum_lost {
     term inTerm; ///< Term that the replica led.
     std::vector<vm_id> answered; ///< Voters that answered within the election timeout, this replica included.
-    std::vector<vm_id> silent; ///< Voters that didn't.
+    std::vector<silent_voter> silent; ///< Voters that didn't.
+};
+
+/// Effect: tell the host that this follower has lost its leader: the election deadline passed without a message of it,
+/// and the replica asks for pre-votes.
+struct leader_lost {
+    vm_id leader; ///< Leader that was lost.
+    term inTerm; ///< Term of that leader.
+    duration sinceLeader{}; ///< Time since the leader's latest message.
+    bool operator==(const leader_lost &) const = default; ///< Memberwise equality.
 };
 
 } // namespace guavafront
--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -274,9 +274,10 @@
 };
 
 /// All effects that a replica asks its host to perform.
-using replica_effect = std::variant<write_vote, append_records, remove_records, write_snapshot, sync_writes,
-                                    send_message, apply_record, load_snapshot, take_snapshot, proposal_appended,
-                                    proposal_refused, role_changed, vote_refused, election_failed, quorum_lost>;
+using replica_effect =
+    std::variant<write_vote, append_records, remove_records, write_snapshot, sync_writes, send_message, apply_record,
+                 load_snapshot, take_snapshot, proposal_appended, proposal_refused, role_changed, vote_refused,
+                 election_failed, quorum_lost, leader_lost>;
 
 /// Returns a replica at its start, built from the state on its disk. random is uniform over 64 bits.
 replica restore(const replica_options &options, const stored_state &stored, instant now, std::uint64_t random);
--- a/src/coordination/replication/election.cpp
+++ b/src/coordination/replication/election.cpp
@@ -80,6 +80,15 @@
     step.afterSync.emplace_back(std::move(failed));
 }
 
+/// Reports that a follower has lost its leader, if it has one. Later rounds are those of a pre-candidate or candidate.
+void reportLostLeader(replica_step &step)
+{
+    const replica &self = step.self;
+    if (self.role == replica_role::Follower && self.leader.value != 0) {
+        step.afterSync.emplace_back(leader_lost{self.leader, self.currentTerm, step.now - self.lastLeaderContact});
+    }
+}
+
 void becomeLeader(replica_step &step)
 {
     replica &self = step.self;
@@ -203,6 +212,7 @@
 void startPreVote(replica_step &step)
 {
     replica &self = step.self;
+    reportLostLeader(step);
     reportFailedRound(step);
     if (self.role == replica_role::PreCandidate) {
         ++self.failedPreVotes;
@@ -248,8 +258,12 @@
     }
     for (const peer_progress &peer : self.peers) {
         if (isVoter(self.members, peer.id)) {
-            const bool answered = step.now - peer.lastContact < timeout;
-            (answered ? lost.answered : lost.silent).push_back(peer.id);
+            const duration silence = step.now - peer.lastContact;
+            if (silence < timeout) {
+                lost.answered.push_back(peer.id);
+            } else {
+                lost.silent.push_back({peer.id, silence, dataUnderWay(self, peer)});
+            }
         }
     }
     step.afterSync.emplace_back(std::move(lost));
--- a/src/coordination/replication/leader.cpp
+++ b/src/coordination/replication/leader.cpp
@@ -1,7 +1,9 @@
 #include "coordination/replication/replica_step.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
+#include <span>
 
 namespace guavafront
 {
@@ -45,6 +47,13 @@
     step.beforeSync.emplace_back(send_message{std::move(message)});
 }
 
+/// Returns the bytes of the snapshot that the next chunk to the peer holds, or of the chunk that it hasn't confirmed.
+std::span<const std::byte> currentChunk(const replica &self, const peer_progress &peer)
+{
+    const std::span rest = std::span(self.log.snapshot.state).subspan(peer.snapshotOffset);
+    return rest.first(std::min(rest.size(), self.options.maxMessageBytes));
+}
+
 void sendSnapshotChunk(replica_step &step, peer_progress &peer)
 {
     const log_snapshot &snapshot = step.self.log.snapshot;
@@ -52,8 +61,7 @@
         peer.snapshotIndex = snapshot.index;
         peer.snapshotOffset = 0;
     }
-    const std::span rest = std::span(snapshot.state).subspan(peer.snapshotOffset);
-    const std::span part = rest.first(std::min(rest.size(), step.self.options.maxMessageBytes));
+    const std::span<const std::byte> part = currentChunk(step.self, peer);
     sendBeforeSync(step, peer.id,
                    snapshot_chunk{snapshot.index,
                                   snapshot.indexTerm,
@@ -69,15 +77,16 @@
     return peer.nextIndex <= self.log.precedingIndex;
 }
 
-/// Returns the size of the records that were sent to the peer and that it hasn't confirmed.
-std::size_t bytesUnderWay(const replica &self, const peer_progress &peer)
+/// Returns the records that were sent to the peer and that it hasn't confirmed.
+unconfirmed_data recordsUnderWay(const replica &self, const peer_progress &peer)
 {
-    std::size_t bytes = 0;
+    unconfirmed_data underWay;
     const log_index unconfirmed{std::max(peer.matchIndex, self.log.precedingIndex).value + 1};
     for (log_index index = std::max(unconfirmed, peer.sentFrom); index < peer.nextIndex; ++index.value) {
-        bytes += estimatedBytes(recordAt(self.log, index));
+        ++underWay.records;
+        underWay.bytes += estimatedBytes(recordAt(self.log, index));
     }
-    return bytes;
+    return underWay;
 }
 
 /// Takes the records that the peer is to be sent next. Records that are under way count, so that a peer that doesn't
@@ -86,7 +95,7 @@
 {
     std::vector<log_record> records;
     const log_index last = lastIndex(self.log);
-    std::size_t bytes = bytesUnderWay(self, peer);
+    std::size_t bytes = recordsUnderWay(self, peer).bytes;
     while (peer.nextIndex <= last && (bytes == 0 || bytes < self.options.maxMessageBytes)) {
         records.push_back(recordAt(self.log, peer.nextIndex));
         bytes += estimatedBytes(records.back());
@@ -215,6 +224,15 @@
     sendMore(step, *peer);
 }
 
+unconfirmed_data dataUnderWay(const replica &self, const peer_progress &peer)
+{
+    if (!needsSnapshot(self, peer)) {
+        return recordsUnderWay(self, peer);
+    }
+    const bool chunkSent = peer.snapshotIndex.value != 0 && peer.snapshotIndex == self.log.snapshot.index;
+    return {.records = 0, .bytes = chunkSent ? currentChunk(self, peer).size() : 0};
+}
+
 void advanceCommit(replica_step &step)
 {
     replica &self = step.self;
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -25,7 +25,8 @@
 
 /// Becomes a follower of leader (0 when not known) in a term that isn't lower than the current one.
 void becomeFollower(replica_step &step, term newTerm, vm_id leader);
-/// Becomes a pre-candidate, which asks the voters whether they would elect this replica.
+/// Becomes a pre-candidate, which asks the voters whether they would elect this replica. Reports the loss of the leader
+/// that a follower had.
 void startPreVote(replica_step &step);
 /// Makes a leader a follower, and reports who was silent, when it hasn't got answers of a quorum within the leader
 /// timeout. One that stood still has that time once more.
@@ -66,6 +67,8 @@
 void handleAppendAnswer(replica_step &step, const replication_message &message, const append_answer &answer);
 /// Sends the next chunk of a snapshot when a follower has received the previous ones.
 void handleSnapshotAnswer(replica_step &step, const replication_message &message, const snapshot_answer &answer);
+/// Returns what was sent to the peer and isn't confirmed.
+unconfirmed_data dataUnderWay(const replica &self, const peer_progress &peer);
 /// Commits the records that a quorum has on its disks.
 void advanceCommit(replica_step &step);
 
--- a/src/daemon/control/control_log.cpp
+++ b/src/daemon/control/control_log.cpp
@@ -37,24 +37,25 @@
     return std::to_string(count) + " " + std::string(noun) + (count == 1 ? "" : "s");
 }
 
-std::string namesOf(std::span<const vm_id> vms)
+/// Returns the identity of a VM and in parentheses, where there are any, its address, a mark and details.
+std::string textOf(vm_id vm, const control_vms_view &view, std::string_view mark, std::string_view details)
 {
-    std::string text;
-    for (const vm_id vm : vms) {
-        text += " " + hexOf(vm);
+    const auto known = view.addresses.find(vm);
+    std::string notes = known == view.addresses.end() ? std::string() : known->second;
+    if (!mark.empty()) {
+        notes += std::string(notes.empty() ? "" : ", ") + std::string(mark);
     }
-    return text;
+    if (!details.empty()) {
+        notes += std::string(notes.empty() ? "" : "; ") + std::string(details);
+    }
+    return hexOf(vm) + (notes.empty() ? "" : " (" + notes + ")");
 }
 
-/// Returns the names, those in marked followed by the mark.
-std::string namesOf(std::span<const vm_id> vms, std::span<const vm_id> marked, std::string_view mark)
+std::string namesOf(std::span<const vm_id> vms, const replica &self, const control_vms_view &view)
 {
     std::string text;
     for (const vm_id vm : vms) {
-        text += " " + hexOf(vm);
-        if (std::ranges::find(marked, vm) != marked.end()) {
-            text += " (" + std::string(mark) + ")";
-        }
+        text += " " + describeVm(self, view, vm);
     }
     return text;
 }
@@ -70,13 +71,22 @@
     return text;
 }
 
-/// Returns the voters without an answer as a part of a line; those that the failure detector holds alive are marked.
-std::string silenceOf(std::span<const vm_id> silent, std::span<const vm_id> live)
+std::string_view liveMark(vm_id vm, const control_vms_view &view)
+{
+    return std::ranges::find(view.live, vm) == view.live.end() ? "" : "live";
+}
+
+std::string underWayText(const unconfirmed_data &underWay)
 {
-    return silent.empty() ? std::string() : "; no answer from" + namesOf(silent, live, "live");
+    if (underWay.bytes == 0) {
+        return "nothing under way";
+    }
+    const std::string bytes = countOf(underWay.bytes, "byte");
+    return (underWay.records == 0 ? bytes + " of a snapshot" : countOf(underWay.records, "record") + " of " + bytes)
+           + " under way";
 }
 
-std::string reasonOf(const replica &self, const vote_refused &refused)
+std::string reasonOf(const replica &self, const vote_refused &refused, const control_vms_view &view)
 {
     std::ostringstream text;
     switch (refused.reason) {
@@ -84,8 +94,8 @@
         if (refused.preferred == self.options.self) {
             text << "this VM leads term " << refused.ownTerm.value;
         } else {
-            text << "VM " << hexOf(refused.preferred) << " leads term " << refused.ownTerm.value << ", heard "
-                 << secondsOf(refused.sinceLeader) << " ago";
+            text << "VM " << describeVm(self, view, refused.preferred) << " leads term " << refused.ownTerm.value
+                 << ", heard " << secondsOf(refused.sinceLeader) << " ago";
         }
         break;
     case vote_refusal::TermNotHigher:
@@ -97,7 +107,7 @@
              << refused.ownLog.lastTerm.value << ")";
         break;
     case vote_refusal::VoteTaken:
-        text << "the vote went to VM " << hexOf(refused.preferred);
+        text << "the vote went to VM " << describeVm(self, view, refused.preferred);
         break;
     case vote_refusal::OtherCluster:
         text << (self.cluster.value == 0 ? "this VM has joined no cluster" : "it is of another cluster");
@@ -130,7 +140,12 @@
     return log.leaderKnown ? duration(0) : now - log.leaderKnownAt;
 }
 
-std::optional<std::string> noteLeader(control_log &log, const replica &self, instant now)
+std::string describeVm(const replica &self, const control_vms_view &view, vm_id vm)
+{
+    return textOf(vm, view, vm == self.options.self ? "this VM" : "", {});
+}
+
+std::optional<std::string> noteLeader(control_log &log, const replica &self, const control_vms_view &view, instant now)
 {
     const duration absence = timeWithoutLeader(log, now);
     const bool wasKnown = std::exchange(log.leaderKnown, isCurrent(self, now));
@@ -142,45 +157,72 @@
         return std::nullopt;
     }
     log.nextRoundLine = now; // The first round after the next loss of the leader is logged at once.
-    return "VM " + hexOf(self.leader) + " leads term " + std::to_string(self.currentTerm.value)
+    return "VM " + describeVm(self, view, self.leader) + " leads term " + std::to_string(self.currentTerm.value)
            + "; no leader was known for " + secondsOf(absence);
 }
 
-std::optional<std::string> refusalLine(control_log &log, const replica &self, const vote_refused &refused, instant now)
+std::optional<std::string> refusalLine(control_log &log, const replica &self, const vote_refused &refused,
+                                       const control_vms_view &view, instant now)
 {
     std::erase_if(log.nextRefusalLines, [now](const auto &each) { return each.second <= now; });
     if (!takeTurn(log.nextRefusalLines[{refused.candidate, refused.preVote, refused.reason}], now)) {
         return std::nullopt;
     }
-    return std::string("refused ") + (refused.preVote ? "pre-vote" : "vote") + " of VM " + hexOf(refused.candidate)
-           + " in term " + std::to_string(refused.inTerm.value) + ": " + reasonOf(self, refused);
+    return std::string("refused ") + (refused.preVote ? "pre-vote" : "vote") + " of VM "
+           + describeVm(self, view, refused.candidate) + " in term " + std::to_string(refused.inTerm.value) + ": "
+           + reasonOf(self, refused, view);
 }
 
 std::optional<std::string> failedRoundLine(control_log &log, const replica &self, const election_failed &failed,
-                                           std::span<const vm_id> live, instant now)
+                                           const control_vms_view &view, instant now)
 {
     if (!takeTurn(log.nextRoundLine, now)) {
         return std::nullopt;
     }
     std::string text = "no leader for " + secondsOf(timeWithoutLeader(log, now)) + " in term "
                        + std::to_string(failed.inTerm.value) + ": " + quorumOf(self.members) + "; "
-                       + (failed.preVote ? "pre-vote" : "vote") + " granted by"
-                       + namesOf(failed.granted, std::span(&self.options.self, 1), "this VM");
+                       + (failed.preVote ? "pre-vote" : "vote") + " granted by" + namesOf(failed.granted, self, view);
     if (!failed.refused.empty()) {
-        text += "; refused by" + namesOf(failed.refused);
+        text += "; refused by" + namesOf(failed.refused, self, view);
     }
-    return text + silenceOf(failed.silent, live);
+    text += failed.silent.empty() ? "" : "; no answer from";
+    for (const vm_id vm : failed.silent) {
+        text += " " + textOf(vm, view, liveMark(vm, view), {});
+    }
+    return text;
+}
+
+std::string lostQuorumLine(const replica &self, const quorum_lost &lost, const control_vms_view &view,
+                           std::size_t reads)
+{
+    std::string text = "gave up leading term " + std::to_string(lost.inTerm.value) + ": " + quorumOf(self.members)
+                       + "; answered by" + namesOf(lost.answered, self, view);
+    text += lost.silent.empty() ? "" : "; no answer from";
+    for (const silent_voter &voter : lost.silent) {
+        text += " "
+                + textOf(voter.id, view, liveMark(voter.id, view),
+                         secondsOf(voter.silence) + ", " + underWayText(voter.underWay));
+    }
+    return text + "; " + countOf(reads, "read") + " not confirmed";
 }
 
-std::string lostQuorumLine(const replica &self, const quorum_lost &lost, std::span<const vm_id> live, std::size_t reads)
+std::string lostLeaderLine(const replica &self, const leader_lost &lost, const control_vms_view &view)
 {
-    return "gave up leading term " + std::to_string(lost.inTerm.value) + ": " + quorumOf(self.members) + "; answered by"
-           + namesOf(lost.answered, std::span(&self.options.self, 1), "this VM") + silenceOf(lost.silent, live) + "; "
-           + countOf(reads, "read") + " not confirmed";
+    return "lost the leader of term " + std::to_string(lost.inTerm.value) + ", VM "
+           + describeVm(self, view, lost.leader) + ", heard " + secondsOf(lost.sinceLeader) + " ago";
+}
+
+std::string membersLine(const replica &self, const control_vms_view &view)
+{
+    std::string text = "quorum of " + std::to_string(quorumSize(self.members)) + " among";
+    for (const member &each : self.members.members) {
+        text += (each.role == voting_role::Voter ? " voter " : " learner ") + describeVm(self, view, each.id);
+    }
+    return text;
 }
 
-std::optional<std::string> unconfirmedReadsLine(control_log &log, const replica &self, std::size_t reads,
-                                                duration limit, instant now)
+std::optional<std::string> unconfirmedReadsLine(control_log &log, const replica &self, const control_vms_view &view,
+                                                std::size_t reads, duration limit, instant now)
 {
     if (reads == 0 || !takeTurn(log.nextReadLine, now)) {
         return std::nullopt;
@@ -191,7 +233,7 @@
     for (const peer_progress &peer : self.peers) {
         const duration silence = now - peer.lastContact;
         if (silence >= self.options.electionTimeout) {
-            silent += " " + hexOf(peer.id) + " (" + secondsOf(silence) + ")";
+            silent += " " + textOf(peer.id, view, {}, secondsOf(silence));
         }
     }
     text += silent.empty() ? "; all members answered lately" : "; no answer lately from" + silent;
@@ -201,7 +243,7 @@
     return text;
 }
 
-std::optional<std::string> outsideLine(control_log &log, const replica &self, std::span<const vm_id> live, instant now)
+std::optional<std::string> outsideLine(control_log &log, const replica &self, const control_vms_view &view, instant now)
 {
     const bool isMember = findMember(self.members, self.options.self) != nullptr;
     const bool isOutside = !isMember || (!isVoter(self.members, self.options.self) && !log.leaderKnown);
@@ -214,9 +256,10 @@
     if (now - *log.outsideSince < outsideLogDelay) {
         return std::nullopt;
     }
-    const std::string what = (log.leaderKnown ? "VM " + hexOf(self.leader) + " leads" : "no leader has spoken to it")
-                             + "; its log has " + countOf(self.members.members.size(), "member") + ", "
-                             + quorumOf(self.members) + "; live control VMs" + (live.empty() ? " none" : namesOf(live));
+    const std::string what =
+        (log.leaderKnown ? "VM " + describeVm(self, view, self.leader) + " leads" : "no leader has spoken to it")
+        + "; its log has " + countOf(self.members.members.size(), "member") + ", " + quorumOf(self.members)
+        + "; live control VMs" + (view.live.empty() ? " none" : namesOf(view.live, self, view));
     const duration interval = what == log.outsideLine ? outsideLogInterval : minLineInterval;
     if (!log.outsideLine.empty() && now - log.outsideLoggedAt < interval) {
         return std::nullopt;
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -123,14 +123,14 @@
             .leaderVm = replica.leader,
             .redirectAddress = nextRedirectAddress(),
             .members = replica.members,
-            .waiting = waitingVms(replica, {m_liveControlVms, m_addresses}),
+            .waiting = waitingVms(replica, knownControlVms()),
             .accepted = m_accepted};
 }
 
 /// Returns the address of the VM to which the next caller turns for the leader; empty if none is known.
 std::string control_task::nextRedirectAddress()
 {
-    return addressOf(vmTowardsLeader(m_host.state(), {m_liveControlVms, m_addresses}, m_redirects++));
+    return addressOf(vmTowardsLeader(m_host.state(), knownControlVms(), m_redirects++));
 }
 
 std::string control_task::addressOf(vm_id vm) const
@@ -139,6 +139,12 @@
     return found == m_addresses.end() ? std::string() : found->second;
 }
 
+/// Returns a view that is valid until the next live_control_vms_changed.
+control_vms_view control_task::knownControlVms() const
+{
+    return {m_liveControlVms, m_addresses};
+}
+
 void control_task::handle(const replacement_submitted &message)
 {
     const std::uint64_t ticket = addPending(message.answer);
@@ -202,6 +208,7 @@
             .voteRefused = [this](const vote_refused &refused) { reportRefusedVote(refused); },
             .electionFailed = [this](const election_failed &failed) { reportFailedRound(failed); },
             .quorumLost = [this](const quorum_lost &lost) { reportLostQuorum(lost); },
+            .leaderLost = [this](const leader_lost &lost) { reportLostLeader(lost); },
             .flushed =
                 [this] {
                     logMembership();
@@ -284,8 +291,8 @@
 
 void control_task::handleRoleChange(const role_changed &role)
 {
-    LOG(INFO) << "control: " << nameOf(role.role) << " in term " << role.inTerm.value << ", leader VM " << std::hex
-              << role.leader.value;
+    LOG(INFO) << "control: " << nameOf(role.role) << " in term " << role.inTerm.value << ", leader VM "
+              << describeVm(m_host.state(), knownControlVms(), role.leader);
     if (role.role != replica_role::Leader) {
         failProposals(failed_proposals::Appended);
         failPendingReads();
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -101,6 +101,7 @@
     control_status makeStatus(bool isLeader);
     std::string nextRedirectAddress();
     std::string addressOf(vm_id vm) const;
+    control_vms_view knownControlVms() const;
     void admitWaitingVm();
     void removeLostMember();
     void reportMembership() const;
@@ -112,6 +113,7 @@
     void reportRefusedVote(const vote_refused &refused);
     void reportFailedRound(const election_failed &failed);
     void reportLostQuorum(const quorum_lost &lost);
+    void reportLostLeader(const leader_lost &lost);
     void reportUnconfirmedReads(duration limit);
     void proposeClaimsView();
     void publishClaimsView();
--- a/src/daemon/control/control_task_log.cpp
+++ b/src/daemon/control/control_task_log.cpp
@@ -25,7 +25,7 @@
 /// Logs when a leader is known again.
 void control_task::watchLeader()
 {
-    if (const std::optional<std::string> line = noteLeader(m_log, m_host.state(), loop::now())) {
+    if (const std::optional<std::string> line = noteLeader(m_log, m_host.state(), knownControlVms(), loop::now())) {
         LOG(INFO) << "control: " << *line;
     }
 }
@@ -62,7 +62,7 @@
     noteStandstill();
     watchLeader();
     setGauges();
-    logWarning(outsideLine(m_log, m_host.state(), m_liveControlVms, loop::now()));
+    logWarning(outsideLine(m_log, m_host.state(), knownControlVms(), loop::now()));
     forgetRevokedEvacuations();
     m_watchTimer.arm(watchInterval);
 }
@@ -70,23 +70,29 @@
 void control_task::reportRefusedVote(const vote_refused &refused)
 {
     m_counters.countVoteRefusal(refusalName(refused.reason));
-    logWarning(refusalLine(m_log, m_host.state(), refused, loop::now()));
+    logWarning(refusalLine(m_log, m_host.state(), refused, knownControlVms(), loop::now()));
 }
 
 void control_task::reportFailedRound(const election_failed &failed)
 {
     watchLeader();
-    logWarning(failedRoundLine(m_log, m_host.state(), failed, m_liveControlVms, loop::now()));
+    logWarning(failedRoundLine(m_log, m_host.state(), failed, knownControlVms(), loop::now()));
 }
 
 void control_task::reportLostQuorum(const quorum_lost &lost)
 {
-    logWarning(lostQuorumLine(m_host.state(), lost, m_liveControlVms, m_pendingReads.size()));
+    logWarning(lostQuorumLine(m_host.state(), lost, knownControlVms(), m_pendingReads.size()));
+}
+
+void control_task::reportLostLeader(const leader_lost &lost)
+{
+    logWarning(lostLeaderLine(m_host.state(), lost, knownControlVms()));
 }
 
 void control_task::reportUnconfirmedReads(duration limit)
 {
-    logWarning(unconfirmedReadsLine(m_log, m_host.state(), m_pendingReads.size(), limit, loop::now()));
+    logWarning(
+        unconfirmedReadsLine(m_log, m_host.state(), knownControlVms(), m_pendingReads.size(), limit, loop::now()));
 }
 
 } // namespace guavafront
--- a/src/daemon/control/control_task_members.cpp
+++ b/src/daemon/control/control_task_members.cpp
@@ -1,12 +1,9 @@
 #include "daemon/control/control_task.h"
 
-#include "wire/replacement_json.h"
-
 #include <guavafront/coordination/replication/absent_voters.h>
 
 #include <glog/logging.h>
 
-#include <sstream>
 #include <utility>
 
 namespace guavafront
@@ -23,13 +20,16 @@
 /// Proposes a waiting VM as a learner; a proposal that fails is made again later.
 void control_task::admitWaitingVm()
 {
-    const auto admitted = vmToAdmit(m_host.state(), {m_liveControlVms, m_addresses}, loop::now());
+    const auto admitted = vmToAdmit(m_host.state(), knownControlVms(), loop::now());
     if (!admitted) {
         return;
     }
     if (admitted != std::exchange(m_loggedAdmission, admitted)) {
-        LOG(INFO) << "control: VM " << std::hex << admitted->id.value << " joins as a learner"
-                  << (admitted->replaces.value == 0 ? "" : " in place of VM " + toHex(admitted->replaces));
+        LOG(INFO) << "control: VM " << describeVm(m_host.state(), knownControlVms(), admitted->id)
+                  << " joins as a learner"
+                  << (admitted->replaces.value == 0
+                          ? ""
+                          : " in place of VM " + describeVm(m_host.state(), knownControlVms(), admitted->replaces));
     }
     m_host.post(learner_proposed{addPending({}), admitted->id, admitted->replaces});
 }
@@ -41,8 +41,9 @@
     if (now < m_nextRemovalAt) {
         return;
     }
-    if (const auto lost = memberToRemove(m_host.state(), {m_liveControlVms, m_addresses}, now)) {
-        LOG(WARNING) << "control: VM " << std::hex << lost->value << " is presumed lost; proposing to remove it";
+    if (const auto lost = memberToRemove(m_host.state(), knownControlVms(), now)) {
+        LOG(WARNING) << "control: VM " << describeVm(m_host.state(), knownControlVms(), *lost)
+                     << " is presumed lost; proposing to remove it";
         m_nextRemovalAt = now + minRemovalInterval;
         m_host.post(removal_proposed{addPending({}), *lost, true});
     }
@@ -69,11 +70,7 @@
     }
     m_loggedMembers = members;
     reportMembership();
-    std::ostringstream text;
-    for (const member &each : members.members) {
-        text << (each.role == voting_role::Voter ? " voter " : " learner ") << std::hex << each.id.value;
-    }
-    LOG(INFO) << "control: quorum of " << quorumSize(members) << " among" << text.str();
+    LOG(INFO) << "control: " << membersLine(m_host.state(), knownControlVms());
 }
 
 } // namespace guavafront
--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -142,6 +142,8 @@
         m_callbacks.electionFailed(*failed);
     } else if (const auto *lost = std::get_if<quorum_lost>(&effect)) {
         m_callbacks.quorumLost(*lost);
+    } else if (const auto *leader = std::get_if<leader_lost>(&effect)) {
+        m_callbacks.leaderLost(*leader);
     }
 }
 
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -27,6 +27,7 @@
     std::function<void(const vote_refused &)> voteRefused; ///< The replica refused a vote or pre-vote.
     std::function<void(const election_failed &)> electionFailed; ///< The replica's vote or pre-vote failed.
     std::function<void(const quorum_lost &)> quorumLost; ///< The replica gave up its leadership.
+    std::function<void(const leader_lost &)> leaderLost; ///< The replica lost the leader that it followed.
     std::function<void()> flushed; ///< All effects of the last events were carried out.
     std::function<void()> failed; ///< The store failed; proposals that weren't applied have no known outcome.
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -317,8 +317,8 @@
         root.requestStop();
     });
     const signal_watch ignoreReload(root, {SIGHUP}, [] { LOG(INFO) << "SIGHUP ignored: there is nothing to reload"; });
-    LOG(INFO) << settings.vm.name << ": VM " << std::hex << self.value << " in " << settings.vm.dataCentre
-              << " is starting";
+    LOG(INFO) << settings.vm.name << ": VM " << std::hex << self.value << " at " << advertisedAddress(settings)
+              << " in " << settings.vm.dataCentre << " is starting";
     supervisor(supervisor_options{.name = "root"}, makeSupervisionTree(settings, secrets, self, wiring, front))
         .run(root);
     LOG(INFO) << settings.vm.name << " has stopped";
--- a/src/daemon/daemon_links.cpp
+++ b/src/daemon/daemon_links.cpp
@@ -123,14 +123,20 @@
 
 } // namespace
 
+std::string advertisedAddress(const daemon_settings &settings)
+{
+    return toText(settings.peers.advertise.ip.empty() ? settings.listen.peers : settings.peers.advertise);
+}
+
 peers_task_options peersOptions(const daemon_settings &settings, const daemon_secrets &secrets, vm_id self,
                                 daemon_wiring &wiring)
 {
     peers_task_options options;
     options.links.listenAddress = toText(settings.listen.peers);
-    const endpoint &advertised = settings.peers.advertise.ip.empty() ? settings.listen.peers : settings.peers.advertise;
-    options.links.link.self = {
-        .id = self, .address = toText(advertised), .dataCentre = settings.vm.dataCentre, .roles = roleBits(settings)};
+    options.links.link.self = {.id = self,
+                               .address = advertisedAddress(settings),
+                               .dataCentre = settings.vm.dataCentre,
+                               .roles = roleBits(settings)};
     options.links.link.secret = secrets.fleet;
     for (const endpoint &seed : settings.peers.seeds) {
         options.seeds.push_back(toText(seed));
--- a/tests/control/control_log_test.cpp
+++ b/tests/control/control_log_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace guavafront
@@ -19,11 +20,15 @@
     instant start{seconds(100)};
     control_log log = startControlLog(start);
     replica self;
+    std::unordered_map<vm_id, std::string> addresses; ///< Known addresses; none at first.
     election_failed failed{.preVote = true,
                            .inTerm = {2},
                            .granted = {{0xa}, {0xb}},
                            .refused = {{0xc}},
                            .silent = {{0xd}}};
+    quorum_lost lost{.inTerm = {2},
+                     .answered = {{0xa}, {0xb}},
+                     .silent = {{{0xc}, milliseconds(800), {3, 81920}}, {{0xd}, milliseconds(1'500), {}}}};
     vote_refused refused{.reason = vote_refusal::LogBehind,
                          .preVote = true,
                          .candidate = {0xb},
@@ -42,27 +47,39 @@
         }
     }
 
+    /// Returns what VM 0xa knows of the others; live must outlive the view.
+    control_vms_view viewOf(const std::vector<vm_id> &live) const
+    {
+        return {live, addresses};
+    }
+
+    /// Makes the address of a VM known.
+    void learnAddress(std::uint64_t vm)
+    {
+        addresses[{vm}] = "10.1.0." + std::to_string(vm) + ":7500";
+    }
+
     /// Notes that VM 0xb leads and was heard at a time.
     std::optional<std::string> hearLeader(instant at)
     {
         self.leader = {0xb};
         self.lastLeaderContact = at;
-        return noteLeader(log, self, at);
+        return noteLeader(log, self, viewOf({}), at);
     }
 
     std::optional<std::string> refusalAt(instant at)
     {
-        return refusalLine(log, self, refused, at);
+        return refusalLine(log, self, refused, viewOf({}), at);
     }
 
     std::optional<std::string> roundAt(instant at, const std::vector<vm_id> &live = {})
     {
-        return failedRoundLine(log, self, failed, live, at);
+        return failedRoundLine(log, self, failed, viewOf(live), at);
     }
 
     std::optional<std::string> outsideAt(instant at, const std::vector<vm_id> &live = {})
     {
-        return outsideLine(log, self, live, at);
+        return outsideLine(log, self, viewOf(live), at);
     }
 };
 
@@ -77,6 +94,16 @@
                   "refused by c; no answer from d (live)");
 }
 
+BOOST_AUTO_TEST_CASE(failedRound_addressesKnown_besideMarks)
+{
+    learnAddress(0xb);
+    learnAddress(0xc);
+    learnAddress(0xd);
+    BOOST_TEST(roundAt(start, {{0xd}}).value()
+               == "no leader for 0.0 s in term 2: quorum of 3 among voters a b c d; pre-vote granted by a (this VM) b "
+                  "(10.1.0.11:7500); refused by c (10.1.0.12:7500); no answer from d (10.1.0.13:7500, live)");
+}
+
 BOOST_AUTO_TEST_CASE(failedRound_nobodyRefusedOrSilent_partsLeftOut)
 {
     failed.refused.clear();
@@ -103,13 +130,28 @@
 BOOST_AUTO_TEST_CASE(leader_knownAgain_absenceSinceItsLastMessage)
 {
     hearLeader(start);
-    noteLeader(log, self, start + seconds(3));
+    noteLeader(log, self, viewOf({}), start + seconds(3));
     BOOST_CHECK(timeWithoutLeader(log, start + seconds(4)) == seconds(4));
     BOOST_TEST(hearLeader(start + seconds(5)).value() == "VM b leads term 2; no leader was known for 5.0 s");
     BOOST_CHECK(timeWithoutLeader(log, start + seconds(5)) == duration(0));
     BOOST_CHECK(!hearLeader(start + milliseconds(5'100)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(leader_addressKnown_besideItsIdentity)
+{
+    learnAddress(0xb);
+    BOOST_TEST(hearLeader(start).value() == "VM b (10.1.0.11:7500) leads term 2; no leader was known for 0.0 s");
+}
+
+BOOST_AUTO_TEST_CASE(leader_thisVm_marked)
+{
+    self.members = withMember({}, {{0xa}, voting_role::Voter, {}});
+    self.role = replica_role::Leader;
+    self.leader = {0xa};
+    BOOST_TEST(noteLeader(log, self, viewOf({}), start + seconds(1)).value()
+               == "VM a (this VM) leads term 2; no leader was known for 1.0 s");
+}
+
 BOOST_AUTO_TEST_CASE(refusal_logBehind_saysBothEnds)
 {
     BOOST_TEST(refusalAt(start).value()
@@ -126,13 +168,29 @@
     refused.preferred = {0xa};
     BOOST_TEST(refusalAt(start).value() == "refused vote of VM b in term 3: this VM leads term 2");
     refused.reason = vote_refusal::VoteTaken;
-    BOOST_TEST(refusalAt(start).value() == "refused vote of VM b in term 3: the vote went to VM a");
+    BOOST_TEST(refusalAt(start).value() == "refused vote of VM b in term 3: the vote went to VM a (this VM)");
     refused.reason = vote_refusal::TermNotHigher;
     BOOST_TEST(refusalAt(start).value() == "refused vote of VM b in term 3: its term is too low (own 2)");
     refused.reason = vote_refusal::OtherCluster;
     BOOST_TEST(refusalAt(start).value() == "refused vote of VM b in term 3: it is of another cluster");
 }
 
+BOOST_AUTO_TEST_CASE(refusal_addressesKnown_besideCandidateLeaderAndVote)
+{
+    learnAddress(0xb);
+    learnAddress(0xd);
+    refused.sinceLeader = milliseconds(200);
+    refused.reason = vote_refusal::LeaderKnown;
+    refused.preferred = {0xd};
+    BOOST_TEST(refusalAt(start).value()
+               == "refused pre-vote of VM b (10.1.0.11:7500) in term 3: VM d (10.1.0.13:7500) leads term 2, heard "
+                  "0.2 s ago");
+    refused.preVote = false;
+    refused.reason = vote_refusal::VoteTaken;
+    BOOST_TEST(refusalAt(start).value()
+               == "refused vote of VM b (10.1.0.11:7500) in term 3: the vote went to VM d (10.1.0.13:7500)");
+}
+
 BOOST_AUTO_TEST_CASE(refusal_same_oneLineInTwoSeconds)
 {
     BOOST_CHECK(refusalAt(start).has_value());
@@ -161,34 +219,91 @@
 
 BOOST_AUTO_TEST_CASE(quorumLost_readsWaiting_saysWhoWasSilent)
 {
-    const quorum_lost lost{.inTerm = {2}, .answered = {{0xa}, {0xb}}, .silent = {{0xc}, {0xd}}};
     const std::vector<vm_id> live{{0xc}};
-    BOOST_TEST(lostQuorumLine(self, lost, live, 1)
+    BOOST_TEST(lostQuorumLine(self, lost, viewOf(live), 1)
                == "gave up leading term 2: quorum of 3 among voters a b c d; answered by a (this VM) b; no answer from "
-                  "c (live) d; 1 read not confirmed");
+                  "c (live; 0.8 s, 3 records of 81920 bytes under way) d (1.5 s, nothing under way); 1 read not "
+                  "confirmed");
+}
+
+BOOST_AUTO_TEST_CASE(quorumLost_addressesKnown_besideMarksAndFigures)
+{
+    learnAddress(0xb);
+    learnAddress(0xc);
+    learnAddress(0xd);
+    lost.silent[1].underWay = {1, 64};
+    const std::vector<vm_id> live{{0xc}};
+    BOOST_TEST(lostQuorumLine(self, lost, viewOf(live), 0)
+               == "gave up leading term 2: quorum of 3 among voters a b c d; answered by a (this VM) b "
+                  "(10.1.0.11:7500); no answer from c (10.1.0.12:7500, live; 0.8 s, 3 records of 81920 bytes under "
+                  "way) d (10.1.0.13:7500; 1.5 s, 1 record of 64 bytes under way); 0 reads not confirmed");
+}
+
+// Guards against a voter that is sent a snapshot and is logged as if it were sent nothing.
+BOOST_AUTO_TEST_CASE(quorumLost_snapshotUnderWay_saidWithItsBytes)
+{
+    lost.silent = {{{0xc}, seconds(2), {0, 4096}}};
+    BOOST_TEST(lostQuorumLine(self, lost, viewOf({}), 0)
+               == "gave up leading term 2: quorum of 3 among voters a b c d; answered by a (this VM) b; no answer from "
+                  "c (2.0 s, 4096 bytes of a snapshot under way); 0 reads not confirmed");
+}
+
+BOOST_AUTO_TEST_CASE(quorumLost_nobodySilent_partLeftOut)
+{
+    lost.silent.clear();
+    BOOST_TEST(lostQuorumLine(self, lost, viewOf({}), 0)
+               == "gave up leading term 2: quorum of 3 among voters a b c d; answered by a (this VM) b; 0 reads not "
+                  "confirmed");
+}
+
+BOOST_AUTO_TEST_CASE(leader_lost_saysWhoAndForHowLongItWasSilent)
+{
+    const leader_lost lostLeader{{0xb}, {2}, milliseconds(840)};
+    BOOST_TEST(lostLeaderLine(self, lostLeader, viewOf({})) == "lost the leader of term 2, VM b, heard 0.8 s ago");
+    learnAddress(0xb);
+    BOOST_TEST(lostLeaderLine(self, lostLeader, viewOf({}))
+               == "lost the leader of term 2, VM b (10.1.0.11:7500), heard 0.8 s ago");
+}
+
+BOOST_AUTO_TEST_CASE(members_someAddressesKnown_besideTheirIdentities)
+{
+    self.members = withMember(self.members, {{0xd}, voting_role::Learner, {}});
+    learnAddress(0xb);
+    learnAddress(0xd);
+    BOOST_TEST(membersLine(self, viewOf({}))
+               == "quorum of 2 among voter a (this VM) voter b (10.1.0.11:7500) voter c learner d (10.1.0.13:7500)");
 }
 
 BOOST_AUTO_TEST_CASE(unconfirmedReads_membersSilent_namedWithTheirSilence)
 {
     self.peers = {{.id = {0xb}, .lastContact = start}, {.id = {0xc}, .lastContact = start - seconds(3)}};
-    BOOST_TEST(unconfirmedReadsLine(log, self, 2, milliseconds(800), start).value()
+    BOOST_TEST(unconfirmedReadsLine(log, self, viewOf({}), 2, milliseconds(800), start).value()
                == "2 reads not confirmed within 0.8 s in term 2: quorum of 3 among voters a b c d; no answer lately "
                   "from c (3.0 s)");
-    BOOST_CHECK(!unconfirmedReadsLine(log, self, 2, milliseconds(800), start + seconds(1)).has_value());
+    BOOST_CHECK(!unconfirmedReadsLine(log, self, viewOf({}), 2, milliseconds(800), start + seconds(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(unconfirmedReads_addressKnown_besideTheSilence)
+{
+    self.peers = {{.id = {0xc}, .lastContact = start - seconds(3)}, {.id = {0xd}, .lastContact = start - seconds(4)}};
+    learnAddress(0xc);
+    BOOST_TEST(unconfirmedReadsLine(log, self, viewOf({}), 1, milliseconds(800), start).value()
+               == "1 read not confirmed within 0.8 s in term 2: quorum of 3 among voters a b c d; no answer lately "
+                  "from c (10.1.0.12:7500; 3.0 s) d (4.0 s)");
 }
 
 BOOST_AUTO_TEST_CASE(unconfirmedReads_firstRecordUncommitted_saysSo)
 {
     self.role = replica_role::Leader;
     self.termStartIndex = {16};
-    BOOST_TEST(unconfirmedReadsLine(log, self, 1, milliseconds(800), start).value()
+    BOOST_TEST(unconfirmedReadsLine(log, self, viewOf({}), 1, milliseconds(800), start).value()
                == "1 read not confirmed within 0.8 s in term 2: quorum of 3 among voters a b c d; all members answered "
                   "lately; record 16, the first of the term, isn't committed");
 }
 
 BOOST_AUTO_TEST_CASE(unconfirmedReads_none_nothingLogged)
 {
-    BOOST_CHECK(!unconfirmedReadsLine(log, self, 0, milliseconds(800), start).has_value());
+    BOOST_CHECK(!unconfirmedReadsLine(log, self, viewOf({}), 0, milliseconds(800), start).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(outside_voter_nothingLogged)
@@ -208,6 +323,17 @@
     BOOST_CHECK(outsideAt(start + seconds(65), {{0xb}}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(outside_addressesKnown_besideLeaderAndLiveVms)
+{
+    self.options.self = {0xe};
+    learnAddress(0xb);
+    hearLeader(start);
+    outsideAt(start);
+    BOOST_TEST(outsideAt(start + seconds(5), {{0xb}, {0xc}}).value()
+               == "this VM waits for a place for 5.0 s: VM b (10.1.0.11:7500) leads; its log has 4 members, quorum of "
+                  "3 among voters a b c d; live control VMs b (10.1.0.11:7500) c");
+}
+
 BOOST_AUTO_TEST_CASE(outside_liveVmsChange_loggedAgainAfterTwoSeconds)
 {
     self.options.self = {0xe};
--- a/tests/control/leaderless_cluster_test.cpp
+++ b/tests/control/leaderless_cluster_test.cpp
@@ -86,6 +86,24 @@
         return text.str();
     }
 
+    static std::string addressOf(std::size_t vm)
+    {
+        return "10.0.0." + std::to_string(vm) + ":7500";
+    }
+
+    /// Tells a VM the addresses of the others.
+    void learnAddresses(std::size_t vm)
+    {
+        live_control_vms_changed seen;
+        for (std::size_t other = 0; other < voters.size(); ++other) {
+            if (other != vm) {
+                seen.vms.push_back(voters[other]);
+                seen.addresses.push_back(addressOf(other));
+            }
+        }
+        cluster.inboxOf(vm).post(seen);
+    }
+
     /// Waits until a line with all these parts is logged.
     void waitForLine(const std::vector<std::string> &parts)
     {
@@ -150,6 +168,29 @@
         {"control: gave up leading term ", "answered by " + hexOf(voters[leader]) + " (this VM);", "no answer from "});
 }
 
+// Guards against lines whose identities on-call can't tie to a VM, although the control task knows the addresses.
+BOOST_AUTO_TEST_CASE(leader_majorityStoppedAddressesKnown_logsThemWithTheSilence)
+{
+    const std::size_t leader = cluster.waitForLeader();
+    const std::size_t first = (leader + 1) % voters.size();
+    const std::size_t second = (leader + 2) % voters.size();
+    learnAddresses(leader);
+    cluster.stop(first);
+    cluster.stop(second);
+    waitForLine({"control: gave up leading term ", hexOf(voters[first]) + " (" + addressOf(first),
+                 hexOf(voters[second]) + " (" + addressOf(second), " s, ", " under way"});
+}
+
+BOOST_AUTO_TEST_CASE(followers_leaderStopped_logItsAddressAndWhenTheyHeardIt)
+{
+    const std::size_t leader = cluster.waitForLeader();
+    learnAddresses((leader + 1) % voters.size());
+    learnAddresses((leader + 2) % voters.size());
+    cluster.stop(leader);
+    waitForLine({"control: lost the leader of term ",
+                 ", VM " + hexOf(voters[leader]) + " (" + addressOf(leader) + "), heard ", " s ago"});
+}
+
 BOOST_AUTO_TEST_CASE(voter_askedWhileALeaderLives_logsAndCountsTheRefusal)
 {
     const std::size_t leader = cluster.waitForLeader();
--- a/tests/replication/election_reports_test.cpp
+++ b/tests/replication/election_reports_test.cpp
@@ -74,6 +74,17 @@
         receive(leader, self.currentTerm.value, append_request{{2}, {3}, {0}, {}});
     }
 
+    /// Makes replica 1 the leader of term 4; its first record there is record 3.
+    void lead()
+    {
+        passDeadline();
+        receive(2, 4, vote_answer{true, true});
+        receive(3, 4, vote_answer{true, true});
+        receive(2, 4, vote_answer{false, true});
+        receive(3, 4, vote_answer{false, true});
+        BOOST_REQUIRE(self.role == replica_role::Leader);
+    }
+
     template<class effect_type>
     const effect_type *find() const
     {
@@ -262,12 +273,7 @@
 
 BOOST_AUTO_TEST_CASE(leader_noQuorumAnswers_silentVotersReported)
 {
-    passDeadline();
-    receive(2, 4, vote_answer{true, true});
-    receive(3, 4, vote_answer{true, true});
-    receive(2, 4, vote_answer{false, true});
-    receive(3, 4, vote_answer{false, true});
-    BOOST_REQUIRE(self.role == replica_role::Leader);
+    lead();
     sendHeartbeats(options.electionTimeout / 2);
     receive(3, 4, append_answer{true, {2}});
     sendHeartbeats(options.electionTimeout / 2);
@@ -275,7 +281,81 @@
     BOOST_REQUIRE(find<quorum_lost>() != nullptr);
     BOOST_CHECK(find<quorum_lost>()->inTerm == term{4});
     BOOST_CHECK(find<quorum_lost>()->answered == vmIds({1, 3}));
-    BOOST_CHECK(find<quorum_lost>()->silent == vmIds({2, 4, 5}));
+    // Each was sent the leader's first record, of 64 bytes as estimated.
+    const duration silence = options.electionTimeout;
+    const std::vector<silent_voter> silent{{{2}, silence, {1, 64}}, {{4}, silence, {1, 64}}, {{5}, silence, {1, 64}}};
+    BOOST_CHECK(find<quorum_lost>()->silent == silent);
+}
+
+BOOST_AUTO_TEST_CASE(leader_votersConfirmedDifferently_whatIsUnderWayCounted)
+{
+    lead();
+    receive(2, 4, append_answer{true, {3}});
+    run(command_proposed{1, std::vector<std::byte>(100)});
+    receive(4, 4, append_answer{true, {4}});
+    sendHeartbeats(options.electionTimeout / 2);
+    receive(3, 4, append_answer{true, {3}});
+    sendHeartbeats(options.electionTimeout / 2);
+    BOOST_REQUIRE(find<quorum_lost>() != nullptr);
+    const duration silence = options.electionTimeout;
+    const std::vector<silent_voter> silent{
+        {{2}, silence, {1, 164}}, {{4}, silence, {0, 0}}, {{5}, silence, {2, 64 + 164}}};
+    BOOST_CHECK(find<quorum_lost>()->answered == vmIds({1, 3}));
+    BOOST_CHECK(find<quorum_lost>()->silent == silent);
+}
+
+// Guards against a voter that waits for a snapshot and is reported as if nothing were under way to it.
+BOOST_AUTO_TEST_CASE(leader_snapshotUnderWay_itsChunkCounted)
+{
+    lead();
+    self.log.snapshot.state.resize(options.maxMessageBytes + 1'000);
+    self.log.snapshot.index = {2};
+    self.log.snapshot.indexTerm = {3};
+    compactTo(self.log, {2});
+    receive(2, 4, append_answer{false, {0}});
+    BOOST_REQUIRE(find<send_message>() != nullptr);
+    BOOST_REQUIRE(std::holds_alternative<snapshot_chunk>(find<send_message>()->message.body));
+    receive(5, 4, append_answer{false, {0}});
+    receive(5, 4, snapshot_answer{{2}, options.maxMessageBytes});
+    sendHeartbeats(options.electionTimeout);
+    BOOST_REQUIRE(find<quorum_lost>() != nullptr);
+    const duration silence = options.electionTimeout;
+    const std::vector<silent_voter> silent{{{2}, silence, {0, options.maxMessageBytes}},
+                                           {{3}, silence, {1, 64}},
+                                           {{4}, silence, {1, 64}},
+                                           {{5}, silence, {0, 1'000}}};
+    BOOST_CHECK(find<quorum_lost>()->silent == silent);
+}
+
+BOOST_AUTO_TEST_CASE(follower_leaderSilent_lossReportedOnce)
+{
+    hearLeader(5);
+    const instant heard = now;
+    passDeadline();
+    BOOST_REQUIRE(find<leader_lost>() != nullptr);
+    BOOST_CHECK((*find<leader_lost>() == leader_lost{{5}, {3}, now - heard}));
+    passDeadline();
+    BOOST_REQUIRE(find<election_failed>() != nullptr);
+    BOOST_CHECK(find<leader_lost>() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(follower_leaderHeardAgain_nextLossReported)
+{
+    hearLeader(5);
+    passDeadline();
+    hearLeader(4);
+    BOOST_CHECK(find<leader_lost>() == nullptr);
+    const instant heard = now;
+    passDeadline();
+    BOOST_REQUIRE(find<leader_lost>() != nullptr);
+    BOOST_CHECK((*find<leader_lost>() == leader_lost{{4}, {3}, now - heard}));
+}
+
+BOOST_AUTO_TEST_CASE(follower_noLeaderSinceItsStart_noLossReported)
+{
+    passDeadline();
+    BOOST_CHECK(self.role == replica_role::PreCandidate);
+    BOOST_CHECK(find<leader_lost>() == nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
