--- a/tests/replication/racing_operators.h
+++ b/tests/replication/racing_operators.h
@@ -4,10 +4,13 @@
 
 #include "wire/configuration_codec.h"
 
+#include <guavafront/coordination/configuration/validation.h>
+
 #include <functional>
 #include <map>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace guavafront
 {
@@ -17,10 +20,16 @@
 class racing_operators
 {
 public:
-    /// Starts the given number of operators. The cluster must outlive them.
-    racing_operators(simulated_cluster &cluster, std::size_t count)
-        : m_cluster(cluster)
+    /// Starts the given number of operators. Each change creates an account and sets its order of kinds of requests
+    /// this many times, with 2 KB in each. The cluster must outlive them.
+    racing_operators(simulated_cluster &cluster, std::size_t count, std::size_t kindOrders = 0)
+        : m_kindOrders(kindOrders)
+        , m_cluster(cluster)
     {
+        for (std::size_t kind = 0; kind < maxKindsPerAccount; ++kind) {
+            const std::string number = std::to_string(kind);
+            m_kinds.push_back(number + std::string(maxNameBytes - number.size(), 'k'));
+        }
         for (std::size_t i = 0; i < count; ++i) {
             startRequest(i);
         }
@@ -28,6 +37,12 @@
 
     std::function<void(revision)> onAccepted; ///< Called with the revision of each accepted change; may be empty.
 
+    /// Lets the operators make no further changes. Requests without an answer are still resent.
+    void stop()
+    {
+        m_isStopped = true;
+    }
+
     /// Returns the accepted changes so far: the name of the account that each created, by revision.
     const std::map<revision, std::string> &accepted() const
     {
@@ -54,11 +69,16 @@
 
     void startRequest(std::size_t operatorIndex)
     {
+        if (m_isStopped) {
+            return;
+        }
         const std::uint64_t id = ++m_lastId;
+        const std::string name = "a" + std::to_string(id);
+        std::vector<change> changes{create_account{name}};
+        changes.insert(changes.end(), m_kindOrders, set_kind_order{name, m_kinds});
         request started;
         started.proposal =
-            makeProposal({operator_role::Operator, {}},
-                         {{1, id}, m_knownRevisions[operatorIndex], {create_account{"a" + std::to_string(id)}}});
+            makeProposal({operator_role::Operator, {}}, {{1, id}, m_knownRevisions[operatorIndex], changes});
         started.highestAccepted = m_accepted.empty() ? revision{} : m_accepted.rbegin()->first;
         m_requests[id] = started;
         send(operatorIndex, id);
@@ -119,6 +139,9 @@
                         [this, operatorIndex] { startRequest(operatorIndex); });
     }
 
+    std::size_t m_kindOrders; ///< Number of times that each change sets the order of kinds.
+    std::vector<std::string> m_kinds; ///< The longest order of kinds that an account may have.
+    bool m_isStopped = false; ///< No further changes are made.
     simulated_cluster &m_cluster; ///< Cluster that the operators use; not owned.
     std::map<std::uint64_t, request> m_requests; ///< Requests without an answer, by request ID.
     std::map<std::uint64_t, change_answer> m_answers; ///< First answer to each request, also if it was lost.
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -25,6 +25,28 @@
     }
 }
 
+/// Size in bytes of a message, of each record in it and of a chunk besides their payload.
+constexpr std::uint64_t fixedMessageBytes = 128;
+
+std::uint64_t sizeOf(const log_record &record)
+{
+    const auto *stored = std::get_if<command>(&record.content);
+    return fixedMessageBytes + (stored ? stored->payload.size() : 0);
+}
+
+std::uint64_t sizeOf(const replication_message &message)
+{
+    std::uint64_t bytes = fixedMessageBytes;
+    if (const auto *append = std::get_if<append_request>(&message.body)) {
+        for (const log_record &record : append->records) {
+            bytes += sizeOf(record);
+        }
+    } else if (const auto *chunk = std::get_if<snapshot_chunk>(&message.body)) {
+        bytes += fixedMessageBytes + chunk->part.size();
+    }
+    return bytes;
+}
+
 bool isStorage(const replica_effect &effect)
 {
     return std::holds_alternative<write_vote>(effect) || std::holds_alternative<append_records>(effect)
@@ -126,7 +148,7 @@
     node.deferredEvents.clear();
     node.pendingProposals.clear();
     ++node.incarnation;
-    node.busyUntil = m_now;
+    node.busyUntil = node.sendsUntil = m_now;
     node.up = node.frozen = node.syncing = false;
 }
 
@@ -237,8 +259,8 @@
         node.unsyncedWrites.push_back(effect);
     } else if (const auto *sync = std::get_if<sync_writes>(&effect)) {
         beginSync(vm, sync->sequence);
-    } else if (const auto *send = std::get_if<send_message>(&effect)) {
-        deliver(send->message);
+    } else if (const auto *sent = std::get_if<send_message>(&effect)) {
+        send(sent->message);
     } else if (const auto *applied = std::get_if<apply_record>(&effect)) {
         apply(vm, applied->record);
     } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
@@ -274,6 +296,22 @@
           });
 }
 
+void simulated_cluster::send(const replication_message &message)
+{
+    if (sendRate == 0) {
+        deliver(message);
+        return;
+    }
+    simulated_vm &sender = m_vms.at(message.from);
+    const microseconds takes(static_cast<std::int64_t>(sizeOf(message) * 1'000'000 / sendRate));
+    sender.sendsUntil = std::max(sender.sendsUntil, m_now) + takes;
+    after(sender.sendsUntil - m_now, [this, message, incarnation = sender.incarnation] {
+        if (m_vms.at(message.from).incarnation == incarnation) {
+            deliver(message);
+        }
+    });
+}
+
 void simulated_cluster::deliver(const replication_message &message)
 {
     if (blockedLinks.contains({message.from, message.to}) || random(100) < lossPercent || !m_vms.contains(message.to)) {
--- a/tests/replication/simulated_cluster.h
+++ b/tests/replication/simulated_cluster.h
@@ -35,6 +35,7 @@
     bool slowDisk = false; ///< Syncs take up to maxSlowSyncDelayUs instead of maxSyncDelayUs.
     bool syncing = false; ///< A sync is under way.
     instant busyUntil; ///< When the messages that have arrived are handled, with a messageTime.
+    instant sendsUntil; ///< When the messages sent so far have left, with a sendRate.
     instant timerDue; ///< Time at which the armed timer fires; the epoch for none.
 };
 
@@ -94,6 +95,8 @@
 
     std::set<std::pair<vm_id, vm_id>> blockedLinks; ///< Pairs of sender and receiver whose messages are dropped.
     duration messageTime{}; ///< Time for which a message occupies its receiver; later ones wait.
+    std::uint64_t sendRate = 0; ///< Bytes a second that a VM sends, to all others together; 0 for any number. Its
+                                ///< messages leave one after the other, also those that a blocked link drops.
     std::uint64_t lossPercent = 0; ///< Share of messages that are lost, in percent.
     std::uint64_t duplicatePercent = 0; ///< Share of messages that arrive twice, in percent.
     std::function<void(vm_id, const replica_effect &)> onEffect; ///< Called before each effect is performed.
@@ -113,6 +116,7 @@
     void performAll(vm_id vm);
     void perform(vm_id vm, const replica_effect &effect);
     void beginSync(vm_id vm, std::uint64_t sequence);
+    void send(const replication_message &message);
     void deliver(const replication_message &message);
     void apply(vm_id vm, const log_record &record);
     void handleRoleChange(vm_id vm, const role_changed &event);
