--- a/tests/replication/slow_senders_test.cpp
+++ b/tests/replication/slow_senders_test.cpp
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace guavafront
 {
