--- a/src/coordination/replication/follower.cpp
+++ b/src/coordination/replication/follower.cpp
@@ -152,9 +152,8 @@
     mergeRecords(step, request);
     const log_index sent{request.previousIndex.value + request.records.size()};
     const log_index match = std::max(sent, self.commitIndex);
-    // The leader counts answers, and applying a large command takes time.
-    sendAfterSync(step, message.from, self.currentTerm, append_answer{true, match});
     commitUpTo(step, std::min(request.commitIndex, match));
+    sendAfterSync(step, message.from, self.currentTerm, append_answer{true, match});
 }
 
 void handleSnapshotChunk(replica_step &step, const replication_message &message, const snapshot_chunk &chunk)
