Ask about unkept messages that follow an open question, and recover their links

An answer to a question cleared the next one if nothing was kept, although messages that are counted and not kept had been sent since: a lone vote was not asked about, so that its silent link showed only with the next message. And a link that ended with only such messages open was not replaced at once, but after the back-off of failed connections, up to 5 s. Both now count what was sent and isn't known to have arrived, kept or not.

The recovery has no test of its own.

--- a/include/guavafront/coordination/links/link_delivery.h
+++ b/include/guavafront/coordination/links/link_delivery.h
@@ -73,6 +73,9 @@
 /// Time at which a question or the end of the wait for an answer is due; instant::max() if neither is.
 instant nextDeliveryCheck(const link_delivery &state);
 
+/// Whether counted messages, kept or not, aren't known to have arrived.
+bool hasUnconfirmed(const link_delivery &state);
+
 /// Drops the kept messages up to a number, which have arrived.
 void dropArrived(link_delivery &state, std::uint64_t number);
 
--- a/src/coordination/links/link_delivery.cpp
+++ b/src/coordination/links/link_delivery.cpp
@@ -74,7 +74,7 @@
         state.answerTime == duration{} ? taken : state.answerTime + (taken - state.answerTime) / answerWeight;
     state.askedAt.reset();
     dropArrived(state, number);
-    if (state.kept.empty()) {
+    if (state.kept.empty() && state.unkeptBytes == 0) {
         state.questionDue = instant::max();
     } else {
         makeQuestionDue(state, now + state.relaxedDelay);
@@ -91,6 +91,11 @@
     return state.askedAt ? *state.askedAt + answerLimit(state) : state.questionDue;
 }
 
+bool hasUnconfirmed(const link_delivery &state)
+{
+    return !state.kept.empty() || state.unkeptBytes > 0 || (state.askedAt && state.bytesAsked > 0);
+}
+
 void dropArrived(link_delivery &state, std::uint64_t number)
 {
     while (!state.kept.empty() && state.kept.front().number <= number) {
--- a/src/coordination/links/link_resumption.cpp
+++ b/src/coordination/links/link_resumption.cpp
@@ -86,8 +86,9 @@
 
 bool hasUndelivered(const detached_links &state, vm_id peer)
 {
-    return std::ranges::any_of(
-        state.links, [peer](const detached_link &each) { return each.peer == peer && !each.delivery.kept.empty(); });
+    return std::ranges::any_of(state.links, [peer](const detached_link &each) {
+        return each.peer == peer && !each.settled && hasUnconfirmed(each.delivery);
+    });
 }
 
 std::vector<detached_link> takeExpired(detached_links &state, instant now)
--- a/src/daemon/peers/link_recovery.cpp
+++ b/src/daemon/peers/link_recovery.cpp
@@ -31,7 +31,7 @@
         m_counters.messagesDropped += delivery.kept.size();
         dropArrived(delivery, delivery.lastSent);
     }
-    const bool undelivered = !delivery.kept.empty();
+    const bool undelivered = hasUnconfirmed(delivery);
     detach(m_detached,
            {.link = link.identity(), .peer = peer.id, .address = peer.address, .delivery = std::move(delivery)},
            loop::now());
--- a/tests/links/link_delivery_test.cpp
+++ b/tests/links/link_delivery_test.cpp
@@ -57,6 +57,17 @@
     BOOST_TEST(isSilent(state, now));
 }
 
+// Guards against a silent link that isn't noticed, since the last message was sent while a question was open.
+BOOST_AUTO_TEST_CASE(question_messageSentWhileOneIsOpen_askedAboutLater)
+{
+    countSent(state, 100, now);
+    const std::optional<std::uint64_t> first = takeQuestion(state, now);
+    countSent(state, 100, now);
+    handleAnswer(state, first.value_or(0), now + milliseconds(10));
+    now += std::chrono::seconds(2);
+    BOOST_TEST(takeQuestion(state, now).value_or(0) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(question_relaxedMessage_askedWithinASecond)
 {
     send(delivery_urgency::Relaxed);
