Give the control task's mailbox room for bursts

Found by the review, by reading: the messages of other replicas share a mailbox of 256 with operators' changes and the lists of VMs that keep claims, one for each change of the fleet. When 89 entry VMs start at the same time and the control task is busy, replication is dropped. The mailbox now holds as many as those of the other tasks that VMs fill; guavafront_mailbox_dropped_total shows whether it overflows.

--- a/src/daemon/daemon_wiring.h
+++ b/src/daemon/daemon_wiring.h
@@ -34,7 +34,7 @@
     mailbox<peers_message> peers{largeCapacity}; ///< Inbox of the peers task.
     mailbox<peers_message> urgentPeers{largeCapacity}; ///< Inbox of the peers task that goes before the one above.
     mailbox<configuration_message> configurations{largeCapacity}; ///< Inbox of the configuration task.
-    mailbox<control_message> control{smallCapacity}; ///< Inbox of the control task.
+    mailbox<control_message> control{largeCapacity}; ///< Inbox of the control task.
     mailbox<operators_message> operators{largeCapacity}; ///< Inbox of the operators task.
     mailbox<entry_event> entries{largeCapacity}; ///< Inbox of the entry task or, without it, the registry task.
     mailbox<departures_inbox_message> departures{largeCapacity}; ///< Inbox of the departures task.
