Bound the messages that go before a loop's normal events

After 128 messages of such a link its order is that of normal events until a normal timer, behind all events that wait already, has fired.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -88,7 +88,8 @@
     log_index matchIndex; ///< Index of the last record known to be on the member's disk.
     instant lastContact; ///< Time of the member's latest answer, or of its addition to the list.
     std::uint64_t answeredRound = 0; ///< Latest heartbeat round that the member has answered.
-    log_index sentFrom; ///< Index of the first record that the member is sent, by its latest refusal.
+    log_index sentFrom; ///< Index at which sending began, or began again at the member's latest refusal. Records from
+                        ///< it to nextIndex that the member hasn't confirmed are under way.
     std::optional<std::uint64_t> sentAgainRound; ///< Heartbeat round in which records from sentFrom on were sent again,
                                                  ///< or the latest chunk of a snapshot.
     log_index snapshotIndex; ///< Index of the snapshot that is being sent; 0 for none.
--- a/src/coordination/replication/replica_step.h
+++ b/src/coordination/replication/replica_step.h
@@ -59,7 +59,7 @@
 /// Appends a record to the leader's log, sends it to the followers that have been sent all earlier records, and returns
 /// its index. Only for leaders.
 log_index appendAsLeader(replica_step &step, std::variant<no_op, command, membership> content);
-/// Sends every peer the records that it lacks, or an append without records.
+/// Sends every peer an append with the records that follow what it was sent, as far as it has room, or without records.
 void broadcast(replica_step &step);
 /// Does the periodic work of a leader: sends a heartbeat and takes the next step of a membership change.
 void heartbeat(replica_step &step);
--- a/src/daemon/peers/link_table.cpp
+++ b/src/daemon/peers/link_table.cpp
@@ -26,6 +26,7 @@
     , m_random(static_cast<std::uint32_t>(m_options.link.self.id.value))
     , m_destroyTimer(owner, [this] { m_ended.clear(); })
     , m_idleCheck(owner, [this] { closeIdle(); })
+    , m_urgencyTimer(owner, [this] { renewUrgency(); })
     , m_recoveryTimer(owner, [this] { runRecoveries(); })
     , m_listener(owner, m_options.listenAddress, [this](bufferevent *socket) { accept(socket); })
 {
@@ -76,6 +77,18 @@
     }
 }
 
+/// Lets the links to VMs with one of urgentRoles be handled first again.
+void link_table::renewUrgency()
+{
+    for (const auto &[peer, links] : m_ready) {
+        for (peer_link *each : links) {
+            if ((each->peer().roles & m_options.urgentRoles) != 0) {
+                each->allowUrgent(m_options.urgentMessages);
+            }
+        }
+    }
+}
+
 bool link_table::isConnected(vm_id peer) const
 {
     return m_ready.contains(peer);
@@ -163,6 +176,9 @@
                                 [this, slot](envelope message) {
                                     ++m_counters.messagesReceived;
                                     m_counters.bytesReceived += message.body.size();
+                                    if ((*slot)->isUrgencyUsedUp()) {
+                                        m_urgencyTimer.arm({});
+                                    }
                                     m_events.received((*slot)->peer(), std::move(message));
                                 },
                             .closed = [this, slot, address](link_end reason) { handleClosed(**slot, reason, address); },
@@ -188,7 +204,7 @@
     const peer_identity peer = link.peer();
     m_ready[peer.id].push_back(&link);
     if ((peer.roles & m_options.urgentRoles) != 0) {
-        link.setUrgency(event_urgency::Urgent);
+        link.allowUrgent(m_options.urgentMessages);
     }
     if (isLogged(peer)) {
         LOG(INFO) << "link to VM " << std::hex << peer.id.value << std::dec << " at " << peer.address
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -27,6 +27,8 @@
     std::string listenAddress = "127.0.0.1:0"; ///< "IP:port" on which links are accepted.
     std::size_t maxHandshakes = 256; ///< Connections are refused while this many links aren't ready.
     std::uint8_t urgentRoles = 0; ///< Links to VMs with one of these roles, as bits of member_role, are handled first.
+    /// Messages of such a link that are handled first until the loop has handled the other events that wait.
+    std::size_t urgentMessages = 128;
     std::size_t pendingMessages = 64; ///< Messages that may wait for one link; beyond, the oldest is dropped.
     duration backoffFirst = std::chrono::milliseconds(100); ///< Wait after the first failed attempt to connect.
     duration backoffLongest = std::chrono::seconds(5); ///< Longest wait between attempts to connect.
@@ -131,6 +133,7 @@
     void runRecoveries();
     void forgetExpired();
     bool isLogged(const peer_identity &peer) const;
+    void renewUrgency();
 
     loop &m_loop; ///< Loop that runs all links; not owned.
     link_table_options m_options; ///< Settings; the bound port replaces port 0 in the own address.
@@ -145,6 +148,7 @@
     timer m_idleCheck; ///< Runs closeIdle().
     detached_links m_detached; ///< Links that ended recently.
     std::unordered_map<vm_id, recovery> m_recoveries; ///< Links that are being replaced, by peer.
+    timer m_urgencyTimer; ///< Runs renewUrgency() as a normal event, after those that wait already.
     timer m_recoveryTimer; ///< Runs runRecoveries().
     link_counters m_counters; ///< Counters since the start of the link table.
     listener m_listener; ///< Accepts connections of peers.
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -22,7 +22,7 @@
 
 /// Order in which a loop handles events that have come.
 enum class event_urgency : std::uint8_t {
-    Urgent, ///< Before all others, if the loop's urgentFirst is set.
+    Urgent, ///< Before all others that have come. See also loop_options::urgentFirst.
     Normal, ///< In the order in which they came.
 };
 
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -43,7 +43,7 @@
             }
             m_messages.push_back(std::move(value));
             if (m_messages.size() > 1) {
-                return true; // The owner has been woken for the first message and takes all of them at once.
+                return true; // The owner has been woken for the first message and takes the others with it.
             }
         }
         m_wakeup.notify();
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -130,11 +130,9 @@
     }
     if (!isResentByLinks(message.kind)) {
         countSent(m_delivery, bytes.size(), loop::now());
-        if (!m_session->send(text) || m_closed) {
-            return false;
-        }
+        const bool isSent = m_session->send(text) && !m_closed;
         checkDelivery();
-        return true;
+        return isSent;
     }
     // Moving the bytes leaves them where they are; a link that ends while it sends takes the message along.
     keepSent(m_delivery, std::move(bytes), urgencyOf(message.kind), loop::now());
@@ -175,6 +173,19 @@
     return m_lastUsed;
 }
 
+void peer_link::allowUrgent(std::size_t messages)
+{
+    m_urgentMessages = messages;
+    m_urgencyUsedUp = false;
+    setUrgency(event_urgency::Urgent);
+}
+
+bool peer_link::isUrgencyUsedUp() const
+{
+    return m_urgencyUsedUp;
+}
+
+/// Has no effect while the link's events wait to be handled; the next call for the link then has.
 void peer_link::setUrgency(event_urgency urgency)
 {
     bufferevent_priority_set(m_socket, static_cast<int>(urgency));
@@ -271,6 +282,10 @@
         }
         m_delivery.lastReceived += isCounted(message.kind) ? 1 : 0;
         m_lastUsed = m_lastReceived;
+        if (m_urgentMessages > 0 && --m_urgentMessages == 0) {
+            m_urgencyUsedUp = true;
+            setUrgency(event_urgency::Normal);
+        }
         m_events.received(std::move(message));
     } catch (const coordination_error &error) {
         close(linkEndFor(error.code()));
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -98,8 +98,12 @@
     /// Time at which an envelope was last sent or received.
     instant lastUsed() const;
 
-    /// Sets the order in which the link's bytes are handled among the loop's other events.
-    void setUrgency(event_urgency urgency);
+    /// Lets the link's bytes be handled before the loop's normal events until so many messages have come; the rest
+    /// waits its turn, so that no volume of messages keeps the normal events waiting for good.
+    void allowUrgent(std::size_t messages);
+
+    /// Whether the messages of the latest allowUrgent() have come.
+    bool isUrgencyUsedUp() const;
 
     /// Asks the peer to show that the link works in both directions.
     void verify();
@@ -136,6 +140,7 @@
     void handleAnswer(std::string_view payload);
     void handleTimer();
     void checkDelivery();
+    void setUrgency(event_urgency urgency);
     void armTimer();
 
     loop &m_loop; ///< Loop whose thread runs the link; not owned.
@@ -152,6 +157,8 @@
     instant m_armedFor; ///< Time for which m_timer is armed.
     instant m_lastReceived; ///< Time of the last bytes from the peer.
     instant m_lastUsed; ///< Time of the last envelope sent or received, apart from the handshake.
+    std::size_t m_urgentMessages = 0; ///< Messages until the link's bytes have the order of normal events.
+    bool m_urgencyUsedUp = false; ///< m_urgentMessages has come to 0 since the latest allowUrgent().
     bool m_connected = false; ///< Whether the connection is established.
     bool m_closed = false; ///< Whether the link has ended.
 };
