--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -270,6 +270,7 @@
 {
     loop owner;
     std::vector<std::unique_ptr<mailbox<peers_message>>> inboxes;
+    std::vector<std::unique_ptr<mailbox<peers_message>>> urgentInboxes;
     std::vector<std::unique_ptr<peers_task>> tasks;
     std::vector<peers_statistics> latest(count);
     std::string seed;
@@ -283,7 +284,9 @@
             latest[i] = statistics;
         }};
         inboxes.push_back(std::make_unique<mailbox<peers_message>>(100));
-        tasks.push_back(std::make_unique<peers_task>(owner, std::move(options), *inboxes.back()));
+        urgentInboxes.push_back(std::make_unique<mailbox<peers_message>>(100));
+        const peers_inboxes own{.requests = *inboxes.back(), .urgent = *urgentInboxes.back()};
+        tasks.push_back(std::make_unique<peers_task>(owner, std::move(options), own));
         seed = tasks.front()->self().address;
     }
     timer end(owner, [&owner] { owner.stop(); });
--- a/tests/peers/peers_task_test.cpp
+++ b/tests/peers/peers_task_test.cpp
@@ -17,6 +17,7 @@
     struct vm {
         peers_task_options options;
         mailbox<peers_message> inbox{100};
+        mailbox<peers_message> urgentInbox{100};
         std::shared_ptr<const fleet_view> view = std::make_shared<fleet_view>();
         std::vector<std::pair<vm_id, envelope>> received;
         std::map<spread_key, spread_entry> entries;
@@ -84,7 +85,8 @@
 
     void run(vm &target)
     {
-        target.task = std::make_unique<peers_task>(owner, target.options, target.inbox);
+        target.task = std::make_unique<peers_task>(
+            owner, target.options, peers_inboxes{.requests = target.inbox, .urgent = target.urgentInbox});
         if (seedAddress.empty()) {
             seedAddress = target.task->self().address;
         }
