Let only the leader read a configuration, once, apart from the control task

Cause, one of several: the control task itself encoded an order twice, each time with a compression, and decoded it again as a check, before it handled the next heartbeat or vote. Each VM that the operator tried read the whole order before it said that another VM leads, and an order that was sent again while the first copy was under way became a second record of the log, which each replica applies.

Change: the control port announces an order with a digest of its content as ID. The control task answers at once what was decided, joins what is under way and names the leader otherwise; only the leader's control port reads the order. It encodes it once, for both the digest and the record, checks it on its own thread, and the control task appends the bytes. An order that is too large is answered with 413 and its size, no longer with 400.

The tests of control, platform, configuration, evacuation, replication, storage and wire pass.

--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -23,6 +23,22 @@
     std::function<void(const change_answer &)> answer; ///< Called exactly once, on the control task's thread.
 };
 
+/// Announces a large change before it is read, whose ID is a digest of its content. What was decided or is being
+/// decided already is answered, and so is what another VM must decide, so that only the leader reads it, and once.
+struct change_announced {
+    change_id id; ///< ID of the change.
+    /// Called with the change's answer, like change_submitted::answer. On the control task's thread.
+    std::function<void(const change_answer &)> answer;
+    std::function<void()> read; ///< Called in place of answer if the change must be read and submitted here.
+};
+
+/// An operator submitted a change that another task has encoded, which takes long for a large one.
+struct encoded_change_submitted {
+    change_id id; ///< ID of the change.
+    std::vector<std::byte> proposal; ///< What encodeNewProposal() returned.
+    std::function<void(const change_answer &)> answer; ///< Called exactly once, on the control task's thread.
+};
+
 /// State of the control cluster as one control VM knows it.
 struct control_status {
     bool leader = false; ///< This VM is the leader and a quorum answers it, so it can accept changes.
@@ -80,8 +96,9 @@
 };
 
 /// Every message that the control task handles.
-using control_message = std::variant<change_submitted, status_requested, confirmed_status_requested,
-                                     replacement_submitted, replication_from_peer, live_control_vms_changed,
-                                     live_claims_members_changed, accepted_configuration_requested, members_requested>;
+using control_message =
+    std::variant<change_submitted, change_announced, encoded_change_submitted, status_requested,
+                 confirmed_status_requested, replacement_submitted, replication_from_peer, live_control_vms_changed,
+                 live_claims_members_changed, accepted_configuration_requested, members_requested>;
 
 } // namespace guavafront
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -1,7 +1,5 @@
 #include "daemon/control/control_task.h"
 
-#include "wire/configuration_codec.h"
-
 #include <guavafront/coordination/core/coordination_error.h>
 #include <guavafront/coordination/replication/absent_voters.h>
 
@@ -60,29 +58,6 @@
     watchPeriodically();
 }
 
-void control_task::handle(const change_submitted &message)
-{
-    // The digest leaves the time of an order out, so that a resend under the same ID is known as one.
-    change_proposal proposal = makeProposal(message.author, message.request);
-    stampOrders(proposal.request);
-    if (!isAuthorized(proposal.author, proposal.request)) {
-        message.answer({result_code::NotAuthorized, m_accepted->atRevision, "the role does not allow this change"});
-        return;
-    }
-    std::vector<std::byte> payload = encodeProposal(proposal);
-    if (payload.size() > maxChangesBytes) {
-        message.answer({result_code::ChangeInvalid, m_accepted->atRevision, "the request is too large"});
-        return;
-    }
-    try {
-        decodeProposal(payload); // A record that can't be decoded would stop every replica that applies it.
-    } catch (const coordination_error &error) {
-        message.answer({result_code::ChangeInvalid, m_accepted->atRevision, error.what()});
-        return;
-    }
-    m_host.post(command_proposed{addPending(message.answer), std::move(payload)});
-}
-
 void control_task::handle(const status_requested &message)
 {
     const replica &replica = m_host.state();
@@ -253,42 +228,6 @@
     publishClaimsView();
 }
 
-void control_task::completeProposal(std::uint64_t ticket, const change_answer &answer)
-{
-    const auto found = m_pending.find(ticket);
-    if (found == m_pending.end()) {
-        return;
-    }
-    const answer_handler handler = std::move(found->second.answer);
-    m_pending.erase(found);
-    if (handler) {
-        handler(answer);
-    }
-}
-
-void control_task::completeProposalAt(const log_record &record, const change_answer &answer)
-{
-    const auto found = m_ticketByIndex.find(record.index.value);
-    if (found == m_ticketByIndex.end()) {
-        return;
-    }
-    const std::uint64_t ticket = found->second;
-    m_ticketByIndex.erase(found);
-    const auto pending = m_pending.find(ticket);
-    if (pending != m_pending.end() && pending->second.appendedInTerm == record.inTerm) {
-        completeProposal(ticket, answer);
-    }
-}
-
-void control_task::recordAppendedProposal(const proposal_appended &appended)
-{
-    const auto found = m_pending.find(appended.ticket);
-    if (found != m_pending.end()) {
-        found->second.appendedInTerm = appended.inTerm;
-        m_ticketByIndex[appended.index.value] = appended.ticket;
-    }
-}
-
 void control_task::handleRoleChange(const role_changed &role)
 {
     LOG(INFO) << "control: " << nameOf(role.role) << " in term " << role.inTerm.value << ", leader VM "
@@ -299,22 +238,6 @@
     }
 }
 
-/// Ends the proposals whose outcome can't be known any more: those that were appended to the log, or all of them.
-void control_task::failProposals(failed_proposals concerned)
-{
-    m_ticketByIndex.clear();
-    std::vector<std::uint64_t> tickets;
-    for (const auto &[ticket, pending] : m_pending) {
-        if (concerned == failed_proposals::All || pending.appendedInTerm) {
-            tickets.push_back(ticket);
-        }
-    }
-    for (const std::uint64_t ticket : tickets) {
-        completeProposal(
-            ticket, {result_code::ChangeOutcomeUnknown, m_accepted->atRevision, "resend with the same request ID"});
-    }
-}
-
 /// Posts the newest accepted revision to the configuration task. Called once for a batch of applied records, so that
 /// the replay of the log after a restart posts only the last revision.
 void control_task::publishAccepted()
@@ -370,10 +293,4 @@
     }
 }
 
-std::uint64_t control_task::addPending(answer_handler answer)
-{
-    m_pending[++m_lastTicket] = {std::move(answer), std::nullopt};
-    return m_lastTicket;
-}
-
 } // namespace guavafront
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -66,7 +66,8 @@
 
     /// A proposal whose outcome isn't known yet.
     struct pending_proposal {
-        answer_handler answer; ///< Called once with the outcome; empty if nobody waits for it.
+        std::vector<answer_handler> answers; ///< Each is called once with the outcome; empty if nobody waits for it.
+        std::optional<change_id> id; ///< ID of a change that was encoded by another task; absent for others.
         std::optional<term> appendedInTerm; ///< Term of the proposal's log record; absent until it is appended.
     };
 
@@ -77,6 +78,8 @@
     };
 
     void handle(const change_submitted &message);
+    void handle(const change_announced &message);
+    void handle(const encoded_change_submitted &message);
     void handle(const status_requested &message);
     void handle(const confirmed_status_requested &message);
     void handle(const replacement_submitted &message);
@@ -121,6 +124,7 @@
     void reportEvacuations();
     void forgetRevokedEvacuations();
     std::uint64_t addPending(answer_handler answer);
+    pending_proposal *findPending(const change_id &id);
 
     control_task_options m_options; ///< Settings and callbacks.
     mailbox<configuration_message> &m_configurations; ///< Inbox of the configuration task; not owned.
--- a/src/wire/cbor_writer.cpp
+++ b/src/wire/cbor_writer.cpp
@@ -34,19 +34,19 @@
 void cbor_writer::beginArray(std::size_t count)
 {
     item_head head{};
-    append(firstBytes(head, cbor_encode_array_start(count, head.data(), head.size())));
+    encoded(firstBytes(head, cbor_encode_array_start(count, head.data(), head.size())));
 }
 
 void cbor_writer::integer(std::uint64_t value)
 {
     item_head head{};
-    append(firstBytes(head, cbor_encode_uint(value, head.data(), head.size())));
+    encoded(firstBytes(head, cbor_encode_uint(value, head.data(), head.size())));
 }
 
 void cbor_writer::boolean(bool value)
 {
     item_head head{};
-    append(firstBytes(head, cbor_encode_bool(value, head.data(), head.size())));
+    encoded(firstBytes(head, cbor_encode_bool(value, head.data(), head.size())));
 }
 
 void cbor_writer::floatingPoint(double value)
@@ -55,31 +55,31 @@
     const std::size_t size = isSinglePrecision(value)
                                  ? cbor_encode_single(static_cast<float>(value), head.data(), head.size())
                                  : cbor_encode_double(value, head.data(), head.size());
-    append(firstBytes(head, size));
+    encoded(firstBytes(head, size));
 }
 
 void cbor_writer::text(std::string_view value)
 {
     item_head head{};
-    append(firstBytes(head, cbor_encode_string_start(value.size(), head.data(), head.size())));
-    append(std::as_bytes(std::span(value)));
+    encoded(firstBytes(head, cbor_encode_string_start(value.size(), head.data(), head.size())));
+    encoded(std::as_bytes(std::span(value)));
 }
 
 void cbor_writer::bytes(std::span<const std::byte> value)
 {
     item_head head{};
-    append(firstBytes(head, cbor_encode_bytestring_start(value.size(), head.data(), head.size())));
-    append(value);
+    encoded(firstBytes(head, cbor_encode_bytestring_start(value.size(), head.data(), head.size())));
+    encoded(value);
 }
 
-byte_buffer cbor_writer::take()
+void cbor_writer::encoded(std::span<const std::byte> items)
 {
-    return std::exchange(m_written, {});
+    m_written.insert(m_written.end(), items.begin(), items.end());
 }
 
-void cbor_writer::append(std::span<const std::byte> bytes)
+byte_buffer cbor_writer::take()
 {
-    m_written.insert(m_written.end(), bytes.begin(), bytes.end());
+    return std::exchange(m_written, {});
 }
 
 } // namespace guavafront
--- a/src/wire/cbor_writer.h
+++ b/src/wire/cbor_writer.h
@@ -33,12 +33,13 @@
     /// Writes a byte string.
     void bytes(std::span<const std::byte> value);
 
+    /// Writes items that are encoded already.
+    void encoded(std::span<const std::byte> items);
+
     /// Returns what was written; the writer is empty afterwards.
     byte_buffer take();
 
 private:
-    void append(std::span<const std::byte> bytes);
-
     byte_buffer m_written; ///< Items so far.
 };
 
--- a/src/wire/change_codec.cpp
+++ b/src/wire/change_codec.cpp
@@ -182,7 +182,7 @@
 void readFields(cbor_reader &in, replace_all &edit)
 {
     in.beginFields(1);
-    edit.value = decodeConfiguration(inflated(in.bytes(maxChangesBytes), maxConfigurationBytes));
+    edit.value = decodeUncheckedConfiguration(inflated(in.bytes(maxProposalBytes), maxConfigurationBytes));
 }
 
 void readFields(cbor_reader &in, evacuation_order &edit)
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -5,6 +5,7 @@
 #include <guavafront/coordination/configuration/validation.h>
 #include <guavafront/coordination/core/coordination_error.h>
 
+#include <string>
 #include <xxhash.h>
 
 namespace guavafront
@@ -75,7 +76,6 @@
         read(in, value.evacuations, maxEvacuations);
         read(in, value.warmups);
     }
-    validate(value);
 }
 
 void write(cbor_writer &out, const change_request &request)
@@ -135,6 +135,12 @@
     remembered.answer.text = in.text(maxReasonBytes);
 }
 
+/// Digest that tells a resend of a request from another one with its ID.
+std::uint64_t digestOf(std::span<const std::byte> content)
+{
+    return XXH3_64bits(content.data(), content.size());
+}
+
 /// Reads a whole encoded value of at most maxBytes.
 template<class value>
 value decode(std::span<const std::byte> encoded, std::size_t maxBytes)
@@ -162,6 +168,13 @@
 }
 
 configuration decodeConfiguration(std::span<const std::byte> encoded)
+{
+    configuration value = decodeUncheckedConfiguration(encoded);
+    validate(value);
+    return value;
+}
+
+configuration decodeUncheckedConfiguration(std::span<const std::byte> encoded)
 {
     return decode<configuration>(encoded, maxConfigurationBytes);
 }
@@ -210,9 +223,43 @@
     return out.take();
 }
 
+std::vector<std::byte> encodeNewProposal(const change_author &author, const change_request &request)
+{
+    const std::vector<std::byte> encodedAuthor = encode(author);
+    const std::vector<std::byte> encodedRequest = encode(request);
+    cbor_writer content;
+    content.beginArray(2);
+    content.encoded(encodedAuthor);
+    content.encoded(encodedRequest);
+    cbor_writer out;
+    out.beginArray(4);
+    out.integer(configurationFormatVersion);
+    out.encoded(encodedAuthor);
+    out.encoded(encodedRequest);
+    out.integer(digestOf(content.take()));
+    std::vector<std::byte> proposal = out.take();
+    checkProposal(proposal);
+    return proposal;
+}
+
+void checkProposal(std::span<const std::byte> encoded)
+{
+    if (encoded.size() > maxProposalBytes) {
+        throw coordination_error(result_code::RequestTooLarge,
+                                 "the request is too large: " + std::to_string(encoded.size())
+                                     + " bytes compressed, at most " + std::to_string(maxProposalBytes)
+                                     + " are allowed");
+    }
+    try {
+        decodeProposal(encoded);
+    } catch (const coordination_error &fault) {
+        throw coordination_error(result_code::ChangeInvalid, fault.what());
+    }
+}
+
 change_proposal decodeProposal(std::span<const std::byte> encoded)
 {
-    cbor_reader in(encoded, maxChangesBytes);
+    cbor_reader in(encoded, maxProposalBytes);
     in.beginFields(4);
     in.checkVersion(configurationFormatVersion);
     change_proposal proposal;
@@ -243,6 +290,7 @@
     in.checkVersion(configurationFormatVersion);
     change_log log;
     read(in, log.current);
+    validate(log.current);
     for (std::size_t left = in.beginArray(maxRememberedAnswers); left > 0; --left) {
         read(in, log.answers.emplace_back());
     }
@@ -256,8 +304,7 @@
     out.beginArray(2);
     write(out, author);
     write(out, request);
-    const std::vector<std::byte> content = out.take();
-    return {author, request, XXH3_64bits(content.data(), content.size())};
+    return {author, request, digestOf(out.take())};
 }
 
 } // namespace guavafront
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "processor_time.h"
+
 #include "daemon/control/control_task.h"
+#include "wire/configuration_codec.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -147,6 +150,30 @@
         return answer;
     }
 
+    /// Submits a change to the leader as a task does that encodes it itself, again after each change of leader, and
+    /// returns the answer. Throws what encodeNewProposal() throws.
+    change_answer submitEncodedToLeader(const change_request &request)
+    {
+        const std::vector<std::byte> proposal = encodeNewProposal({operator_role::Operator, {}}, request);
+        change_answer answer{result_code::NotLeader, {}, {}};
+        while (answer.code == result_code::NotLeader || answer.code == result_code::ChangeOutcomeUnknown) {
+            auto promise = std::make_shared<std::promise<change_answer>>();
+            std::future<change_answer> given = promise->get_future();
+            m_vms[waitForLeader()]->inbox.post(
+                encoded_change_submitted{request.id, proposal, [promise](const change_answer &outcome) {
+                                             promise->set_value(outcome);
+                                         }});
+            answer = waitForAnswer(given);
+        }
+        return answer;
+    }
+
+    /// Processor time in ms that the thread of a running VM's task has used.
+    double processorMillisecondsOf(std::size_t vm)
+    {
+        return threadMilliseconds(m_vms[vm]->thread.native_handle());
+    }
+
     /// Submits a replacement to the leader and waits for the answer.
     change_answer replace(vm_id old, vm_id fresh)
     {
--- a/tests/processor_time.h
+++ b/tests/processor_time.h
@@ -3,18 +3,27 @@
 #include <algorithm>
 #include <ctime>
 #include <limits>
+#include <pthread.h>
 
 namespace guavafront
 {
 
-/// Processor time in ms that the calling thread has used.
-inline double threadMilliseconds()
+/// Processor time in ms that a running thread has used.
+inline double threadMilliseconds(pthread_t thread)
 {
+    clockid_t clock{};
     timespec used{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    pthread_getcpuclockid(thread, &clock);
+    clock_gettime(clock, &used);
     return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
 }
 
+/// Processor time in ms that the calling thread has used.
+inline double threadMilliseconds()
+{
+    return threadMilliseconds(pthread_self());
+}
+
 /// Processor time in ms that a call takes on the calling thread: the least of three, since other processes may evict
 /// its data from the processor's caches.
 template<class function>
