Take configurations of up to 768 KiB compressed

The size to design for is 12,000 routes.

Cause: a proposal was limited to 256 KiB like the changes that VMs pass on to each other. A proposal holds the configuration and the operator's document, compressed: 433,145 bytes for 12,000 routes of the review's script.

Change: the limit of a proposal is its own, 768 KiB: a record of that size and the 128 KiB of records that may go before it in a message stay below the 1 MiB of messages between VMs.

--- a/src/wire/configuration_codec.h
+++ b/src/wire/configuration_codec.h
@@ -18,7 +18,7 @@
 constexpr std::size_t maxChangesBytes = std::size_t{256} << 10;
 /// Largest encoded proposal, in bytes: one record of the replicated log, which fits into a message between VMs together
 /// with the records before it (replica_options::maxMessageBytes).
-constexpr std::size_t maxProposalBytes = std::size_t{256} << 10;
+constexpr std::size_t maxProposalBytes = std::size_t{768} << 10;
 
 /// Encodes a configuration as CBOR.
 std::vector<std::byte> encodeConfiguration(const configuration &value);
