Apply committed records in slices, between which messages are handled

Change: the state machine of a replica follows in slices of 20 ms, of one record at least, between which its loop handles other events. Answers to the leader no longer wait for it. Nothing is confirmed, published or read before it holds all committed records: the callback that does so waits.

--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -25,6 +25,10 @@
 /// Syncs from this time on are logged. Replicas answer nothing during a sync, so slow ones delay elections.
 constexpr duration slowSync = std::chrono::milliseconds(200);
 
+/// Time after which messages have their turn while the state machine has records left to apply; far below the time
+/// between two heartbeats. At least one record is applied each time.
+constexpr duration applySliceTime = std::chrono::milliseconds(20);
+
 std::uint64_t randomSeed()
 {
     std::uint64_t seed = 0;
@@ -54,6 +58,7 @@
     , m_callbacks(std::move(callbacks))
     , m_random(randomSeed())
     , m_flush(owner, [this] { flush(); })
+    , m_applyTimer(owner, [this] { applySlice(); })
     , m_deadline(owner, [this] { handleDeadline(); })
 {
     options.self = m_store.self();
@@ -86,9 +91,36 @@
         while (!m_effects.empty()) {
             performBatch(std::exchange(m_effects, {}));
         }
-        m_callbacks.flushed();
     } catch (const coordination_error &error) {
         fail(error);
+        return;
+    }
+    applySlice();
+}
+
+/// Carries out effects on the state machine until the slice of time is used up.
+void replica_host::applySlice()
+{
+    if (m_failure) {
+        return;
+    }
+    const instant end = loop::now() + applySliceTime;
+    try {
+        bool hasTime = true;
+        while (hasTime && !m_stateEffects.empty()) {
+            const replica_effect next = std::move(m_stateEffects.front());
+            m_stateEffects.pop_front();
+            performOnState(next);
+            hasTime = loop::now() < end;
+        }
+    } catch (const coordination_error &error) {
+        fail(error);
+        return;
+    }
+    if (m_stateEffects.empty()) {
+        m_callbacks.flushed();
+    } else {
+        m_applyTimer.arm(duration(0));
     }
 }
 
@@ -124,12 +156,11 @@
 {
     if (const auto *send = std::get_if<send_message>(&effect)) {
         m_callbacks.send(send->message);
-    } else if (const auto *applied = std::get_if<apply_record>(&effect)) {
-        m_callbacks.apply(applied->record);
-    } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
-        m_callbacks.load(load->snapshot);
-    } else if (const auto *take = std::get_if<take_snapshot>(&effect)) {
-        post(snapshot_taken{take->index, m_callbacks.encodeState()});
+    } else if (std::holds_alternative<load_snapshot>(effect)) {
+        m_stateEffects.clear(); // The snapshot holds the records that these apply.
+        m_stateEffects.push_back(effect);
+    } else if (std::holds_alternative<apply_record>(effect) || std::holds_alternative<take_snapshot>(effect)) {
+        m_stateEffects.push_back(effect);
     } else if (const auto *appended = std::get_if<proposal_appended>(&effect)) {
         m_callbacks.appended(*appended);
     } else if (const auto *refused = std::get_if<proposal_refused>(&effect)) {
@@ -147,6 +178,17 @@
     }
 }
 
+void replica_host::performOnState(const replica_effect &effect)
+{
+    if (const auto *applied = std::get_if<apply_record>(&effect)) {
+        m_callbacks.apply(applied->record);
+    } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
+        m_callbacks.load(load->snapshot);
+    } else if (const auto *take = std::get_if<take_snapshot>(&effect)) {
+        post(snapshot_taken{take->index, m_callbacks.encodeState()});
+    }
+}
+
 void replica_host::armTimer()
 {
     m_deadline.arm(std::max(duration(0), nextDeadline(m_replica) - loop::now()));
@@ -157,6 +199,7 @@
     LOG(ERROR) << "control: the replica's store failed: " << describe(error.code()).name << ": " << error.what();
     m_failure = error;
     m_effects.clear();
+    m_stateEffects.clear();
     m_callbacks.failed();
     m_deadline.arm(error.code() == result_code::StoreFull ? diskFullRestartDelay : storeFailureRestartDelay);
 }
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/core/coordination_error.h>
 #include <guavafront/coordination/replication/replica.h>
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <random>
@@ -28,14 +29,16 @@
     std::function<void(const election_failed &)> electionFailed; ///< The replica's vote or pre-vote failed.
     std::function<void(const quorum_lost &)> quorumLost; ///< The replica gave up its leadership.
     std::function<void(const leader_lost &)> leaderLost; ///< The replica lost the leader that it followed.
-    std::function<void()> flushed; ///< All effects of the last events were carried out.
+    std::function<void()> flushed; ///< All effects of the last events were carried out, and the state machine holds
+                                   ///< all committed records. Not called while it lags behind.
     std::function<void()> failed; ///< The store failed; proposals that weren't applied have no known outcome.
 };
 
 /// Runs one replica on its store and the loop's clock. The events of one iteration of the loop share one sync of the
-/// disk. When the store fails, the replica stops handling events and refuses proposals. After a delay, and once a
-/// full disk has room again, the error is thrown out of the loop, so that the task fails and reads the disk again when
-/// it is restarted.
+/// disk. The state machine follows in slices between which other messages are handled: after a start it may have much
+/// to apply, and a replica that is silent meanwhile loses its leader or its leadership. When the store fails, the
+/// replica stops handling events and refuses proposals. After a delay, and once a full disk has room again, the error
+/// is thrown out of the loop, so that the task fails and reads the disk again when it is restarted.
 class replica_host
 {
 public:
@@ -53,6 +56,8 @@
     void flush();
     void performBatch(std::vector<replica_effect> effects);
     void perform(const replica_effect &effect);
+    void performOnState(const replica_effect &effect);
+    void applySlice();
     void armTimer();
     void fail(const coordination_error &error);
     void handleDeadline();
@@ -63,8 +68,11 @@
     std::mt19937_64 m_random; ///< Random numbers for the replica.
     replica m_replica; ///< State of the replica.
     std::vector<replica_effect> m_effects; ///< Effects that haven't been carried out yet, in order.
+    std::deque<replica_effect>
+        m_stateEffects; ///< Effects on the state machine that haven't been carried out, in order.
     std::optional<coordination_error> m_failure; ///< Error of the store; absent while it works.
     timer m_flush; ///< Calls flush at the end of the loop's iteration.
+    timer m_applyTimer; ///< Calls applySlice in the loop's next iteration.
     timer m_deadline; ///< Fires at the replica's next deadline or, after a failure, when the error is thrown.
 };
 
