Take configurations with over 1,000 client accounts that have rates of their own

The size to design for is 35,000 client accounts.

Change: 70,000 exceptions are allowed, two for each planned account.

Test: configuration_thousandsOfTenantsWithQuotas_accepted.

--- a/include/guavafront/coordination/configuration/validation.h
+++ b/include/guavafront/coordination/configuration/validation.h
@@ -13,7 +13,7 @@
 constexpr std::size_t maxHostBytes = 253; ///< Maximum length of a route's host; the limit of a DNS name.
 constexpr std::size_t maxReasonBytes = 1000; ///< Maximum length of an exception's written reason.
 constexpr std::size_t maxKindsPerAccount = 32; ///< Maximum number of kinds in an account's order.
-constexpr std::size_t maxExceptions = 2000; ///< Maximum number of exceptions in a configuration.
+constexpr std::size_t maxExceptions = 70'000; ///< Maximum number of exceptions: rate and burst of 35,000 accounts.
 
 /// Whether the text consists of 1 to maxNameBytes letters, digits, '.', '_' and '-', so that it can be sent in any
 /// header field.
--- a/src/coordination/configuration/validation.cpp
+++ b/src/coordination/configuration/validation.cpp
@@ -8,7 +8,9 @@
 #include <cmath>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <unordered_set>
 #include <vector>
 
 namespace guavafront
@@ -135,7 +137,7 @@
     requireDistinct(std::move(places), "route host and path prefix");
 }
 
-void validateException(const configuration &candidate, const setting_exception &exception)
+void validateException(const std::unordered_set<std::string_view> &accounts, const setting_exception &exception)
 {
     const exception_subject subject = parseSubject(exception.subject);
     require(subject.type != subject_type::None && isValidName(subject.name), "exception subject", exception.subject);
@@ -148,8 +150,7 @@
         throw coordination_error(result_code::ReasonMissing,
                                  "exception for " + printable(exception.subject) + " has no reason");
     }
-    if (subject.type == subject_type::Account
-        && std::ranges::find(candidate.accounts, subject.name, &account::name) == candidate.accounts.end()) {
+    if (subject.type == subject_type::Account && !accounts.contains(subject.name)) {
         throw coordination_error(result_code::SubjectUnknown, "exception for unknown " + printable(exception.subject));
     }
 }
@@ -157,9 +158,13 @@
 void validateExceptions(const configuration &candidate)
 {
     require(candidate.exceptions.size() <= maxExceptions, "too many exceptions", "exceptions");
+    std::unordered_set<std::string_view> accounts;
+    for (const account &each : candidate.accounts) {
+        accounts.insert(each.name);
+    }
     std::vector<std::pair<std::string_view, std::string_view>> places;
     for (const setting_exception &exception : candidate.exceptions) {
-        validateException(candidate, exception);
+        validateException(accounts, exception);
         places.emplace_back(exception.subject, exception.setting);
     }
     require(std::ranges::is_sorted(places), "exceptions are out of order", "exceptions");
--- a/src/coordination/entry/limit_stage.cpp
+++ b/src/coordination/entry/limit_stage.cpp
@@ -3,6 +3,8 @@
 #include <guavafront/coordination/configuration/setting.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace guavafront
 {
@@ -14,20 +16,17 @@
 limit_table limitTableOf(const configuration &current)
 {
     limit_table table{.defaults = {current.defaults.accountRatePerSecond, current.defaults.accountBurst}};
-    std::set<std::string_view> excepted;
+    std::unordered_map<std::string_view, fleet_defaults> excepted;
     for (const setting_exception &each : current.exceptions) {
         const exception_subject subject = parseSubject(each.subject);
-        if (subject.type == subject_type::Account) {
-            excepted.insert(subject.name);
+        const setting_descriptor *setting = findSetting(each.setting);
+        if (subject.type == subject_type::Account && setting != nullptr) {
+            setting->write(excepted.try_emplace(subject.name, current.defaults).first->second, each.value);
         }
     }
-    if (excepted.empty()) {
-        return table;
-    }
     for (const account &each : current.accounts) {
-        if (excepted.contains(each.name)) {
-            const fleet_defaults values = valuesForAccount(current, each.name);
-            table.exceptions[each.id] = {values.accountRatePerSecond, values.accountBurst};
+        if (const auto found = excepted.find(each.name); found != excepted.end()) {
+            table.exceptions[each.id] = {found->second.accountRatePerSecond, found->second.accountBurst};
         }
     }
     return table;
--- a/tests/platform/platform_configuration_test.cpp
+++ b/tests/platform/platform_configuration_test.cpp
@@ -83,6 +83,20 @@
     BOOST_TEST(translated.keys.size() == 3U);
 }
 
+// Guards against a valid configuration that is refused since many client accounts have limits of their own.
+BOOST_AUTO_TEST_CASE(configuration_thousandsOfTenantsWithQuotas_accepted)
+{
+    constexpr std::size_t tenants = 3'000;
+    std::string list = R"("Tenants":[)";
+    for (std::size_t number = 0; number < tenants; ++number) {
+        const std::string name = std::to_string(number);
+        list += R"({"Name":"t)" + name + R"(","ApiKeys":["key-)" + name + R"("],"RatePerS":46,"Burst":40},)";
+    }
+    const configuration translated = configurationFromPlatform(with(R"("Tenants":[)", list), keyValidityMs).value;
+    BOOST_TEST(translated.accounts.size() == tenants + 2);
+    BOOST_TEST(translated.exceptions.size() == 2 * translated.accounts.size());
+}
+
 BOOST_AUTO_TEST_CASE(configuration_encodedAndDecoded_unchanged)
 {
     change_request request{
