--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/configuration_codec.h"
 
 #include "wire/change_codec.h"
+#include "wire/configuration_parts_codec.h"
 
 #include <guavafront/coordination/configuration/validation.h>
 #include <guavafront/coordination/core/coordination_error.h>
--- a/src/wire/difference_codec.cpp
+++ b/src/wire/difference_codec.cpp
@@ -1,12 +1,10 @@
 #include "wire/difference_codec.h"
 
-#include "wire/change_codec.h"
+#include "wire/configuration_parts_codec.h"
 
-#include <guavafront/coordination/configuration/validation.h>
 #include <guavafront/coordination/core/coordination_error.h>
 
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace guavafront
@@ -37,21 +35,6 @@
     }
 }
 
-void writeTexts(cbor_writer &out, const std::vector<std::string> &texts)
-{
-    out.beginArray(texts.size());
-    for (const std::string &each : texts) {
-        out.text(each);
-    }
-}
-
-void readTexts(cbor_reader &in, std::vector<std::string> &texts)
-{
-    for (std::size_t left = in.beginArray(unboundedList); left > 0; --left) {
-        texts.push_back(in.text(maxNameBytes));
-    }
-}
-
 /// Writes an optional value as an array of one element, or an empty array when there is none.
 template<class item>
 void writeOptional(cbor_writer &out, const std::optional<item> &value)
@@ -81,7 +64,7 @@
     writeOptional(out, difference.exceptions);
     writeNumbers(out, difference.removedAccounts);
     write(out, difference.accounts);
-    writeTexts(out, difference.removedKeys);
+    write(out, difference.removedKeys);
     write(out, difference.keys);
     writeNumbers(out, difference.removedRoutes);
     write(out, difference.routes);
@@ -105,7 +88,7 @@
     readOptional(in, difference.exceptions);
     readNumbers(in, difference.removedAccounts);
     read(in, difference.accounts);
-    readTexts(in, difference.removedKeys);
+    read(in, difference.removedKeys, unboundedList);
     read(in, difference.keys);
     readNumbers(in, difference.removedRoutes);
     read(in, difference.routes);
