Test that an announced configuration is read by the leader only, and once

Tests: large_configuration_test, announcement_sentAgainAndToOtherVms_readByTheLeaderOnlyAndOnce and announcement_changeUnderWay_answeredWithItsOutcome; configuration_codec_test, encodeNewProposal_request_sameBytesAsOfTheProposal and encodeNewProposal_requestThatCannotBeDecoded_changeInvalid.

--- a/tests/control/large_configuration_test.cpp
+++ b/tests/control/large_configuration_test.cpp
@@ -5,6 +5,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace guavafront
@@ -54,6 +59,23 @@
         return edit;
     }
 
+    /// Announces a configuration to a VM. Returns the answer; nothing if the VM wants to read it.
+    std::optional<change_answer> announce(std::size_t vm)
+    {
+        using outcome = std::optional<change_answer>;
+        auto promise = std::make_shared<std::promise<outcome>>();
+        std::future<outcome> given = promise->get_future();
+        cluster.inboxOf(vm).post(
+            change_announced{.id = {7, version},
+                             .answer = [promise](const change_answer &answer) { promise->set_value(answer); },
+                             .read =
+                                 [promise] {
+                                     promise->set_value(std::nullopt);
+                                 }});
+        BOOST_REQUIRE(given.wait_for(std::chrono::seconds(20)) == std::future_status::ready);
+        return given.get();
+    }
+
     /// Has the leader decide about a configuration and returns its answer.
     change_answer submit(const replace_all &edit)
     {
@@ -114,6 +136,44 @@
     BOOST_CHECK(submit(configurationOf(1)).code == result_code::Ok);
 }
 
+// Guards against VMs that read a large configuration for nothing: one that doesn't lead, or when it was decided before.
+BOOST_AUTO_TEST_CASE(announcement_sentAgainAndToOtherVms_readByTheLeaderOnlyAndOnce)
+{
+    const replace_all edit = configurationOf(10);
+    const std::size_t leader = cluster.waitForLeader();
+    const std::size_t follower = (leader + 1) % vms;
+    const std::optional<change_answer> refused = announce(follower);
+    BOOST_REQUIRE(refused);
+    BOOST_CHECK(refused->code == result_code::NotLeader);
+    BOOST_CHECK(!announce(leader));
+    BOOST_REQUIRE(submit(edit).code == result_code::Ok);
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        cluster.waitUntil([&] { return cluster.statusOf(vm).accepted->externalVersion == version; });
+        const std::optional<change_answer> again = announce(vm);
+        BOOST_REQUIRE(again);
+        BOOST_CHECK(again->code == result_code::Ok);
+        BOOST_TEST(again->atRevision.value == 1U);
+    }
+}
+
+// Guards against an order that becomes a second record of the log when it is sent again while it is under way.
+BOOST_AUTO_TEST_CASE(announcement_changeUnderWay_answeredWithItsOutcome)
+{
+    configurationOf(10);
+    const std::size_t leader = cluster.waitForLeader();
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        if (vm != leader) {
+            cluster.stop(vm); // No quorum is left, so that the change stays under way.
+        }
+    }
+    cluster.inboxOf(leader).post(
+        encoded_change_submitted{.id = {7, version}, .proposal = {std::byte{0}}, .answer = [](const change_answer &) {
+                                 }});
+    const std::optional<change_answer> joined = announce(leader);
+    BOOST_REQUIRE(joined);
+    BOOST_CHECK(joined->code == result_code::ChangeOutcomeUnknown || joined->code == result_code::NotLeader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/wire/configuration_codec_test.cpp
+++ b/tests/wire/configuration_codec_test.cpp
@@ -63,6 +63,18 @@
     checkGolden("wire/golden/changes.hex", encodeChanges(request.changes));
 }
 
+BOOST_AUTO_TEST_CASE(encodeNewProposal_request_sameBytesAsOfTheProposal)
+{
+    BOOST_TEST((encodeNewProposal(fleetOperator(), request) == encodeProposal(makeProposal(fleetOperator(), request))));
+}
+
+BOOST_AUTO_TEST_CASE(encodeNewProposal_requestThatCannotBeDecoded_changeInvalid)
+{
+    request.changes.assign(maxChangesPerRequest + 1, create_account{"b"});
+    BOOST_CHECK_EXCEPTION(encodeNewProposal(fleetOperator(), request), coordination_error,
+                          [](const coordination_error &fault) { return fault.code() == result_code::ChangeInvalid; });
+}
+
 BOOST_AUTO_TEST_CASE(decode_goldenFile_sameValue)
 {
     BOOST_CHECK(decodeChangeLog(readGolden("wire/golden/change_log.hex")) == log);
