Publish a configuration before it is acknowledged

What callers would see: an acknowledged change that no entry VM has for seconds.

Suspected cause, by reading: the operator was answered while a record was applied, and the configuration published at the end of all effects. Between the two lay further writes with their syncs, and since the slices also the pause after a slice. A leader whose disk stalls there, or that is lost, is the only VM that knows of what it acknowledged.

Change: outcomes are kept for the slice, the configuration is published, and only then operators are answered. A replay after a start, which answers nobody, still publishes its last revision only.

Test: large_configuration_test, change_acknowledged_publishedBefore; with the answer before the publication the check fails (1 published, 2 awaited).

--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -184,6 +184,7 @@
             .electionFailed = [this](const election_failed &failed) { reportFailedRound(failed); },
             .quorumLost = [this](const quorum_lost &lost) { reportLostQuorum(lost); },
             .leaderLost = [this](const leader_lost &lost) { reportLostLeader(lost); },
+            .applied = [this] { answerDecided(); },
             .flushed =
                 [this] {
                     logMembership();
@@ -194,6 +195,7 @@
                 },
             .failed =
                 [this] {
+                    answerDecided();
                     // The effects that tell which proposals were appended are lost, and this task is about to end.
                     failProposals(failed_proposals::All);
                     failPendingReads();
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -71,6 +71,12 @@
         std::optional<term> appendedInTerm; ///< Term of the proposal's log record; absent until it is appended.
     };
 
+    /// The outcome of a change that an operator isn't told yet.
+    struct decided_change {
+        std::vector<answer_handler> answers; ///< Each is called once with the outcome.
+        change_answer outcome; ///< The outcome.
+    };
+
     /// A status request that waits until a quorum confirms that this VM is still the leader.
     struct pending_read {
         std::function<void(const control_status &)> answer; ///< Called once with the status.
@@ -93,6 +99,7 @@
     void apply(const log_record &record);
     void load(const log_snapshot &snapshot);
     void completeProposal(std::uint64_t ticket, const change_answer &answer);
+    void answerDecided();
     void completeProposalAt(const log_record &record, const change_answer &answer);
     void recordAppendedProposal(const proposal_appended &appended);
     void handleRoleChange(const role_changed &role);
@@ -137,6 +144,7 @@
     bool m_publicationDue = false; ///< m_accepted hasn't been posted to the configuration task yet.
     std::unordered_map<std::uint64_t, pending_proposal> m_pending; ///< Proposals without an outcome, by ticket.
     std::unordered_map<std::uint64_t, std::uint64_t> m_ticketByIndex; ///< Tickets of appended proposals by log index.
+    std::vector<decided_change> m_decided; ///< Outcomes of the records that the current slice applied, in order.
     std::uint64_t m_lastTicket = 0; ///< Last ticket that was assigned.
     std::vector<vm_id> m_liveControlVms; ///< Live control VMs without this one.
     std::unordered_map<vm_id, std::string> m_addresses; ///< Address of each control VM that was ever seen.
--- a/src/daemon/control/control_task_proposals.cpp
+++ b/src/daemon/control/control_task_proposals.cpp
@@ -72,7 +72,23 @@
     m_ticketByIndex.erase(found);
     const auto pending = m_pending.find(ticket);
     if (pending != m_pending.end() && pending->second.appendedInTerm == record.inTerm) {
-        completeProposal(ticket, answer);
+        m_decided.push_back({std::move(pending->second.answers), answer});
+        m_pending.erase(pending);
+    }
+}
+
+/// Tells operators what was decided. The configuration is published before: this VM may stand still or be lost at any
+/// moment, and other VMs must hear of what is acknowledged in time.
+void control_task::answerDecided()
+{
+    if (m_decided.empty()) {
+        return;
+    }
+    publishAccepted();
+    for (const decided_change &each : std::exchange(m_decided, {})) {
+        for (const answer_handler &handler : each.answers) {
+            handler(each.outcome);
+        }
     }
 }
 
--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -117,6 +117,7 @@
         fail(error);
         return;
     }
+    m_callbacks.applied();
     if (m_stateEffects.empty()) {
         m_callbacks.flushed();
     } else {
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -29,6 +29,7 @@
     std::function<void(const election_failed &)> electionFailed; ///< The replica's vote or pre-vote failed.
     std::function<void(const quorum_lost &)> quorumLost; ///< The replica gave up its leadership.
     std::function<void(const leader_lost &)> leaderLost; ///< The replica lost the leader that it followed.
+    std::function<void()> applied; ///< A slice of committed records was applied; more may be left.
     std::function<void()> flushed; ///< All effects of the last events were carried out, and the state machine holds
                                    ///< all committed records. Not called while it lags behind.
     std::function<void()> failed; ///< The store failed; proposals that weren't applied have no known outcome.
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -122,6 +122,12 @@
         return m_vms[vm]->counters;
     }
 
+    /// Number of configurations that a VM's task has posted to the configuration task, which isn't there to take them.
+    std::size_t publishedCountOf(std::size_t vm) const
+    {
+        return m_vms[vm]->configurations.rejected();
+    }
+
     /// Mailbox of a VM's task.
     mailbox<control_message> &inboxOf(std::size_t vm)
     {
@@ -295,7 +301,7 @@
 
     struct control_vm {
         mailbox<control_message> inbox{65'536}; ///< Inbox of the task.
-        mailbox<configuration_message> configurations{1}; ///< Receives accepted configurations; nobody reads them.
+        mailbox<configuration_message> configurations{0}; ///< Receives accepted configurations, and rejects them.
         daemon_counters counters; ///< Metrics of the task.
         std::unique_ptr<loop> eventLoop; ///< Loop of the task.
         std::thread thread; ///< Thread of the task; joinable while the VM runs.
--- a/tests/control/large_configuration_test.cpp
+++ b/tests/control/large_configuration_test.cpp
@@ -174,6 +174,23 @@
     BOOST_CHECK(joined->code == result_code::ChangeOutcomeUnknown || joined->code == result_code::NotLeader);
 }
 
+// Guards against a change that is acknowledged before other VMs can hear of it: the leader stood still between the two.
+BOOST_AUTO_TEST_CASE(change_acknowledged_publishedBefore)
+{
+    const std::vector<std::byte> proposal = encodeNewProposal(
+        {operator_role::Operator, {}}, {.id = {7, 1}, .expectedRevision = {}, .changes = {configurationOf(1)}});
+    const std::size_t leader = cluster.waitForLeader();
+    auto promise = std::make_shared<std::promise<std::size_t>>();
+    std::future<std::size_t> published = promise->get_future();
+    cluster.inboxOf(leader).post(
+        encoded_change_submitted{{7, 1}, proposal, [this, leader, promise](const change_answer &) {
+                                     promise->set_value(cluster.publishedCountOf(leader));
+                                 }});
+    const std::size_t before = cluster.publishedCountOf(leader);
+    BOOST_REQUIRE(published.wait_for(std::chrono::seconds(20)) == std::future_status::ready);
+    BOOST_TEST(published.get() == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/control/replica_host_test.cpp
+++ b/tests/control/replica_host_test.cpp
@@ -67,6 +67,8 @@
         };
         callbacks.roleChanged = [](const role_changed &) {
         };
+        callbacks.applied = [] {
+        };
         callbacks.flushed = [this, &owner] {
             reportedEarly = reportedEarly || (applied > 0 && applied < records);
             if (applied == records) {
