--- a/include/guavafront/coordination/entry/entry.h
+++ b/include/guavafront/coordination/entry/entry.h
@@ -48,6 +48,7 @@
     freshness_changed freshness; ///< Latest knowledge of how fresh the active configuration is.
     std::optional<instant> keysConfirmedAt; ///< Time up to which the control VMs have accepted no revision newer than
                                             ///< the active one; nothing before their first confirmation.
+    freshness_changed keysConfirmedBy; ///< Where keysConfirmedAt comes from, for operators.
     std::optional<instant> startedAt; ///< Time of the first step; nothing before it.
     std::optional<instant> outdatedSince; ///< Time since which a newer accepted configuration is known.
     claims idempotencyClaims; ///< Claims of idempotency keys.
--- a/include/guavafront/coordination/entry/entry_effect.h
+++ b/include/guavafront/coordination/entry/entry_effect.h
@@ -6,6 +6,7 @@
 #include <guavafront/coordination/core/identifiers.h>
 #include <guavafront/coordination/core/refusal.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/entry/key_acceptance.h>
 #include <guavafront/coordination/health/shared_evidence.h>
 #include <guavafront/coordination/limits/ledger.h>
 #include <guavafront/coordination/limits/limiter.h>
@@ -44,6 +45,7 @@
     std::string instanceName; ///< Name that the instance announced; empty when it announced none.
     std::string service; ///< Service that the instance belongs to.
     std::string accountName; ///< Client account to name in the upstream request; empty on a route open to all.
+    std::optional<key_acceptance> keyAccepted; ///< What the API key was accepted by; empty on a route open to all.
     instant deadline; ///< Time when the attempt is given up.
     bool trial = false; ///< The attempt is a trial that shows whether an avoided instance is healthy again.
     trial_reason trialReason = trial_reason::None; ///< Why it is a trial.
--- a/include/guavafront/coordination/entry/entry_event.h
+++ b/include/guavafront/coordination/entry/entry_event.h
@@ -15,6 +15,7 @@
 #include <guavafront/coordination/upstreams/upstream_selection.h>
 #include <guavafront/coordination/work/work_sharing.h>
 
+#include <cstdint>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -48,6 +49,8 @@
 struct freshness_changed {
     instant confirmedAt; ///< Last time that the control VMs, over any path, confirmed that nothing newer was accepted.
     revision accepted; ///< Highest revision that the control VMs are known to have accepted.
+    term leaderTerm; ///< Term of the leader whose beacon says so, for operators.
+    std::uint64_t beaconCounter = 0; ///< Number of that beacon in its term, for operators.
 };
 
 /// An instance announced itself at this VM.
--- a/include/guavafront/coordination/entry/exchange.h
+++ b/include/guavafront/coordination/entry/exchange.h
@@ -3,10 +3,12 @@
 #include <guavafront/coordination/avoidance/trials.h>
 #include <guavafront/coordination/configuration/configuration.h>
 #include <guavafront/coordination/core/time.h>
+#include <guavafront/coordination/entry/key_acceptance.h>
 #include <guavafront/coordination/entry/request_head.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,7 @@
     route_id routeId; ///< Route that matched the request.
     account_id accountId; ///< Client account; 0 on a route open to all.
     std::string accountName; ///< Name of the client account; empty on a route open to all.
+    std::optional<key_acceptance> keyAccepted; ///< What the API key was accepted by; empty on a route open to all.
     std::string service; ///< Service that the request goes to.
     std::string kind; ///< Request kind of the route, as used in the account's order of kinds.
     std::string idempotencyKey; ///< Idempotency key sent by the caller; empty when there is none.
--- a/src/coordination/entry/accept_request.cpp
+++ b/src/coordination/entry/accept_request.cpp
@@ -35,13 +35,18 @@
     return isIdempotentMethod(method);
 }
 
+/// Age of the control VMs' last confirmation from which keys are refused.
+duration confirmationLimit(const entry &state)
+{
+    return std::chrono::milliseconds(state.activeConfiguration->defaults.stalenessLimitMs);
+}
+
 /// Whether this VM's API keys are too old to use. The control VMs accept the withdrawal of a key without asking the
 /// entry VMs, so a VM whose last confirmation is older than the limit may hold a key that is withdrawn everywhere else.
 /// That this VM reaches other entry VMs doesn't matter: they may be cut off from the control VMs, too.
 bool areKeysTooOld(const entry &state, instant now)
 {
-    const duration limit = std::chrono::milliseconds(state.activeConfiguration->defaults.stalenessLimitMs);
-    return !state.keysConfirmedAt || now > *state.keysConfirmedAt + limit;
+    return !state.keysConfirmedAt || now > *state.keysConfirmedAt + confirmationLimit(state);
 }
 
 /// Checks the request's API key: Ok, with client set to its account, or the reason for refusing the request.
@@ -65,6 +70,16 @@
     return result_code::Ok;
 }
 
+/// What a key is accepted by now.
+key_acceptance presentAcceptance(const entry &state, instant now)
+{
+    return {.atRevision = state.activeConfiguration->atRevision,
+            .confirmationAge = now - *state.keysConfirmedAt,
+            .confirmationLimit = confirmationLimit(state),
+            .leaderTerm = state.keysConfirmedBy.leaderTerm,
+            .beaconCounter = state.keysConfirmedBy.beaconCounter};
+}
+
 /// Code of a request that the active configuration doesn't allow. While a newer one is known to be accepted, which may
 /// allow it, the request isn't denied but may come back.
 result_code denialCode(const entry &state, result_code code)
@@ -132,6 +147,9 @@
     request.routeId = match.id;
     request.accountId = client ? client->id : account_id{};
     request.accountName = client ? client->name : std::string();
+    if (client) {
+        request.keyAccepted = presentAcceptance(context.state, context.now);
+    }
     request.service = chooseService(match, context.random);
     request.kind = match.kind;
     request.idempotencyKey = head.idempotencyKey;
--- a/src/coordination/entry/attempts.cpp
+++ b/src/coordination/entry/attempts.cpp
@@ -274,6 +274,7 @@
                                                .instanceName = target.name,
                                                .service = request.service,
                                                .accountName = request.accountName,
+                                               .keyAccepted = request.keyAccepted,
                                                .deadline = request.deadline - attemptMargin,
                                                .trial = request.isTrial,
                                                .trialReason = request.trialReason,
--- a/src/coordination/entry/entry.cpp
+++ b/src/coordination/entry/entry.cpp
@@ -318,8 +318,9 @@
         return;
     }
     state.outdatedSince.reset();
-    if (state.freshness.confirmedAt != instant{}) {
-        state.keysConfirmedAt = std::max(state.keysConfirmedAt.value_or(instant{}), state.freshness.confirmedAt);
+    if (state.freshness.confirmedAt > state.keysConfirmedAt.value_or(instant{})) {
+        state.keysConfirmedAt = state.freshness.confirmedAt;
+        state.keysConfirmedBy = state.freshness;
     }
 }
 
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -264,9 +264,11 @@
     }
     m_lastProofAt = *asOf;
     answerConfirmedReads(*asOf);
+    const leadership_proof proof{m_host.state().currentTerm, m_host.state().heartbeatRound, m_accepted->atRevision,
+                                 *asOf};
+    logProvenRevision(proof);
     if (m_options.onLeadershipProof) {
-        m_options.onLeadershipProof(
-            {m_host.state().currentTerm, m_host.state().heartbeatRound, m_accepted->atRevision, *asOf});
+        m_options.onLeadershipProof(proof);
     }
     admitWaitingVm();
     removeLostMember();
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -117,6 +117,7 @@
     void reportMembership() const;
     void logMembership();
     void watchLeader();
+    void logProvenRevision(const leadership_proof &proof);
     void setGauges();
     void noteStandstill();
     void watchPeriodically();
@@ -156,6 +157,7 @@
     std::vector<evacuation> m_reportedEvacuations; ///< Evacuations of m_accepted, as last logged.
     instant m_evacuationsReportedAt; ///< When m_reportedEvacuations last changed.
     instant m_lastProofAt; ///< asOf of the last leadership proof.
+    revision m_provenRevision; ///< Revision that the last leadership proof named.
     instant m_watchDue; ///< When watchPeriodically() is due; the epoch before its first call.
     instant m_nextRemovalAt; ///< No member is removed before this time.
     membership m_loggedMembers; ///< Membership that was last logged.
--- a/src/daemon/control/control_task_log.cpp
+++ b/src/daemon/control/control_task_log.cpp
@@ -30,6 +30,19 @@
     }
 }
 
+/// Logs the first proof that names a revision. Entry VMs log the number of the proof by which they accept a key.
+void control_task::logProvenRevision(const leadership_proof &proof)
+{
+    if (proof.accepted == m_provenRevision) {
+        return;
+    }
+    m_provenRevision = proof.accepted;
+    const duration age = loop::now() - proof.asOf;
+    LOG(INFO) << "control: revision " << proof.accepted.value << " is named by proof " << proof.round << " of term "
+              << proof.leaderTerm.value << ", confirmed "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(age).count() << " ms ago";
+}
+
 void control_task::setGauges()
 {
     const replica &replica = m_host.state();
--- a/src/daemon/entry/entry_task.cpp
+++ b/src/daemon/entry/entry_task.cpp
@@ -25,6 +25,11 @@
 constexpr std::uint32_t logLinesPerSecond = 200;
 constexpr std::string_view replayedHeader = "Idempotent-Replayed";
 
+double inMilliseconds(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 attempt_outcome outcomeOf(const caller_dialect &dialect, const upstream_outcome &outcome)
 {
     switch (outcome.result) {
@@ -149,6 +154,7 @@
     assert(found != m_requests.end()); // No attempt is started for a caller that has gone.
     caller_request &caller = found->second;
     caller.accountName = effect.accountName;
+    caller.keyAccepted = effect.keyAccepted;
     caller.service = effect.service;
     caller.instanceName = effect.instanceName;
     caller.trial = effect.trial;
@@ -212,9 +218,9 @@
                      {"trial_reason", reason},
                      {"cold", std::int64_t{found->second.cold}},
                      {"by_work", std::int64_t{placement.byWork}},
-                     {"work_ms", std::chrono::duration<double, std::milli>(placement.expectedWork).count()},
-                     {"wait_ms", std::chrono::duration<double, std::milli>(placement.expectedWait).count()},
-                     {"ms", std::chrono::duration<double, std::milli>(result.latency).count()}});
+                     {"work_ms", inMilliseconds(placement.expectedWork)},
+                     {"wait_ms", inMilliseconds(placement.expectedWait)},
+                     {"ms", inMilliseconds(result.latency)}});
     }
     std::vector<std::byte> forResends = answerForResends(id, outcome);
     if (const auto found = m_requests.find(id); found != m_requests.end()) {
@@ -299,20 +305,6 @@
     m_pool.closeIdle(effect.instance);
 }
 
-void entry_task::perform(const report_standing &effect)
-{
-    m_counters.setInstanceCounts(effect.service, effect.standing);
-    m_log.write("standing", loop::now(),
-                {{"service", effect.service},
-                 {"serving", std::int64_t{effect.standing.serving}},
-                 {"open", std::int64_t{effect.standing.open}},
-                 {"trial", std::int64_t{effect.standing.trial}},
-                 {"avoided", std::int64_t{effect.standing.avoided}},
-                 {"paused", std::int64_t{effect.standing.paused}},
-                 {"leaving", std::int64_t{effect.standing.leaving}},
-                 {"evacuated", std::int64_t{effect.standing.evacuated}}});
-}
-
 void entry_task::perform(const report_notice &effect)
 {
     const auto found = m_requests.find(effect.id);
@@ -323,7 +315,7 @@
                  {"service", effect.service},
                  {"instance", effect.instanceName},
                  {"notice", notice},
-                 {"ms", std::chrono::duration<double, std::milli>(effect.pause).count()}});
+                 {"ms", inMilliseconds(effect.pause)}});
 }
 
 std::string_view entry_task::requestIdOf(const caller_request &request) const
@@ -333,13 +325,19 @@
 
 void entry_task::recordRequestEnd(const caller_request &request, result_code code, std::uint16_t status)
 {
+    const key_acceptance key = request.keyAccepted.value_or(key_acceptance{});
     m_log.write("end", loop::now(),
                 {{"id", requestIdOf(request)},
                  {"service", request.service},
                  {"account", request.accountName},
                  {"code", describe(code).name},
                  {"status", std::int64_t{status}},
-                 {"ms", std::chrono::duration<double, std::milli>(loop::now() - request.arrived).count()}});
+                 {"revision", static_cast<std::int64_t>(key.atRevision.value)},
+                 {"confirmed_ms", inMilliseconds(key.confirmationAge)},
+                 {"limit_ms", inMilliseconds(key.confirmationLimit)},
+                 {"term", static_cast<std::int64_t>(key.leaderTerm.value)},
+                 {"beacon", static_cast<std::int64_t>(key.beaconCounter)},
+                 {"ms", inMilliseconds(loop::now() - request.arrived)}});
     m_counters.countRequest(request.service, request.accountName, code, status);
     const std::chrono::duration<double> seconds = loop::now() - request.arrived;
     m_counters.observeLatency(request.service, seconds.count());
--- a/src/daemon/entry/entry_task.h
+++ b/src/daemon/entry/entry_task.h
@@ -58,6 +58,7 @@
     struct caller_request {
         http_request request; ///< Views, valid until the request is answered or its caller has gone.
         std::string accountName; ///< Client account; known from the first attempt or the end of the request.
+        std::optional<key_acceptance> keyAccepted; ///< What the API key was accepted by; known from the first attempt.
         std::string service; ///< Service; known from the first attempt or the end of the request.
         http_answer answer; ///< Answer of the last attempt that ended; empty if it got none.
         instant arrived; ///< Time of arrival.
--- a/src/daemon/entry/entry_task_instances.cpp
+++ b/src/daemon/entry/entry_task_instances.cpp
@@ -80,4 +80,18 @@
                 hadDeparted ? line_rate::Exempt : line_rate::Limited);
 }
 
+void entry_task::perform(const report_standing &effect)
+{
+    m_counters.setInstanceCounts(effect.service, effect.standing);
+    m_log.write("standing", loop::now(),
+                {{"service", effect.service},
+                 {"serving", std::int64_t{effect.standing.serving}},
+                 {"open", std::int64_t{effect.standing.open}},
+                 {"trial", std::int64_t{effect.standing.trial}},
+                 {"avoided", std::int64_t{effect.standing.avoided}},
+                 {"paused", std::int64_t{effect.standing.paused}},
+                 {"leaving", std::int64_t{effect.standing.leaving}},
+                 {"evacuated", std::int64_t{effect.standing.evacuated}}});
+}
+
 } // namespace guavafront
--- a/src/daemon/fleet/fleet_watch.cpp
+++ b/src/daemon/fleet/fleet_watch.cpp
@@ -168,6 +168,8 @@
         m_wiring.configurations.post(accepted_revision_reported{beacon.newest->accepted});
         m_freshness.confirmedAt = beacon.issuedAfter;
         m_freshness.accepted = beacon.newest->accepted;
+        m_freshness.leaderTerm = beacon.newest->leaderTerm;
+        m_freshness.beaconCounter = beacon.newest->counter;
         postFreshness();
     }
 }
