Report a control VM's state as whole only once all committed records are applied

What callers would see: after a change of leader, entry VMs go on with keys whose withdrawal the previous leader had acknowledged, for up to the limit of 4.8 s after a date that lies after the acknowledgement; a confirmed read of the configuration comes back older.

Cause: the state machine applies records in slices. When a slice emptied the queue it reported "flushed", and the leader then published a proof of leadership with the revision that it held and the time of the latest heartbeat that a quorum had answered. But the answer that commits the records of the predecessor may have been stepped already, its effects still waiting for the flush at the end of the loop's turn: the timer of the slice was armed before, so it fires first. The replica says "confirmed", the state machine lacks what it has just committed. Within one leader's own changes this is harmless, as they are answered by the same state machine; those of a predecessor were answered long ago. The class: a date and the state that it vouches for are read from two places, one of which runs ahead.

Change: the host keeps the index of the last record that the state machine holds, and reports it whole only if that is the replica's commit index. A flush is due otherwise.

--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -64,6 +64,7 @@
     options.self = m_store.self();
     m_replica = restore(options, m_store.state(), loop::now(), m_random());
     m_callbacks.load(m_replica.log.snapshot);
+    m_appliedIndex = m_replica.log.snapshot.index;
     armTimer();
 }
 
@@ -118,10 +119,10 @@
         return;
     }
     m_callbacks.applied();
-    if (m_stateEffects.empty()) {
-        m_callbacks.flushed();
-    } else {
+    if (!m_stateEffects.empty()) {
         m_applyTimer.arm(duration(0));
+    } else if (m_appliedIndex >= m_replica.commitIndex) { // Else flush() is due with records that were committed since.
+        m_callbacks.flushed();
     }
 }
 
@@ -183,8 +184,10 @@
 {
     if (const auto *applied = std::get_if<apply_record>(&effect)) {
         m_callbacks.apply(applied->record);
+        m_appliedIndex = applied->record.index;
     } else if (const auto *load = std::get_if<load_snapshot>(&effect)) {
         m_callbacks.load(load->snapshot);
+        m_appliedIndex = load->snapshot.index;
     } else if (const auto *take = std::get_if<take_snapshot>(&effect)) {
         post(snapshot_taken{take->index, m_callbacks.encodeState()});
     }
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -30,8 +30,8 @@
     std::function<void(const quorum_lost &)> quorumLost; ///< The replica gave up its leadership.
     std::function<void(const leader_lost &)> leaderLost; ///< The replica lost the leader that it followed.
     std::function<void()> applied; ///< A slice of committed records was applied; more may be left.
-    std::function<void()> flushed; ///< All effects of the last events were carried out, and the state machine holds
-                                   ///< all committed records. Not called while it lags behind.
+    std::function<void()> flushed; ///< The state machine holds all records that the replica knows to be committed. Not
+                                   ///< called while it lags behind.
     std::function<void()> failed; ///< The store failed; proposals that weren't applied have no known outcome.
 };
 
@@ -71,6 +71,7 @@
     std::vector<replica_effect> m_effects; ///< Effects that haven't been carried out yet, in order.
     std::deque<replica_effect>
         m_stateEffects; ///< Effects on the state machine that haven't been carried out, in order.
+    log_index m_appliedIndex; ///< Last record that the state machine holds.
     std::optional<coordination_error> m_failure; ///< Error of the store; absent while it works.
     timer m_flush; ///< Calls flush at the end of the loop's iteration.
     timer m_applyTimer; ///< Calls applySlice in the loop's next iteration.
