Number proofs of leadership by the heartbeat that they confirm

A proof bore the number of the leader's newest heartbeat and the time of the latest one that a quorum had answered. Receivers keep the first revision under a number and the latest date. By reading that was sound, as no such date passes the time at which the first of them was published; but a newer revision wasn't heard of before the next heartbeat, and on-call couldn't tell from a key's beacon number which proof it was.

Now a number stands for one heartbeat, one date and one revision. replica_test checks the number of a heartbeat that was answered late.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -297,9 +297,18 @@
 /// Returns the time at which the replica needs its next timer_fired event.
 instant nextDeadline(const replica &self);
 
-/// Returns when this leader sent the latest heartbeat that a quorum has answered. Up to that time no other leader had
-/// committed a record, and this leader has applied all committed ones. Returns none when the replica doesn't lead, or
-/// a quorum hasn't answered yet.
+/// Heartbeat of a leader that a quorum has answered.
+struct confirmed_heartbeat {
+    std::uint64_t round = 0; ///< Number of the heartbeat; increases within a term.
+    instant sentAt; ///< Time at which the leader sent it.
+};
+
+/// Returns the latest heartbeat of this leader that a quorum has answered. Up to its time no other leader had committed
+/// a record, and all records that others had committed before are among those that this leader knows to be committed.
+/// Returns none when the replica doesn't lead, or a quorum hasn't answered yet.
+std::optional<confirmed_heartbeat> confirmedHeartbeat(const replica &self);
+
+/// Returns the time of confirmedHeartbeat().
 std::optional<instant> leadershipConfirmedAt(const replica &self);
 
 /// Returns the time of silence after which a voter gives its leader up, and a leader its leadership.
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -239,7 +239,7 @@
     return self.role == replica_role::Leader ? self.heartbeatDue : self.electionDeadline;
 }
 
-std::optional<instant> leadershipConfirmedAt(const replica &self)
+std::optional<confirmed_heartbeat> confirmedHeartbeat(const replica &self)
 {
     if (self.role != replica_role::Leader || self.commitIndex < self.termStartIndex) {
         return std::nullopt;
@@ -260,7 +260,14 @@
     if (behind >= self.heartbeatTimes.size()) {
         return std::nullopt;
     }
-    return self.heartbeatTimes[self.heartbeatTimes.size() - 1 - behind];
+    return confirmed_heartbeat{self.heartbeatRound - behind,
+                               self.heartbeatTimes[self.heartbeatTimes.size() - 1 - behind]};
+}
+
+std::optional<instant> leadershipConfirmedAt(const replica &self)
+{
+    const std::optional<confirmed_heartbeat> latest = confirmedHeartbeat(self);
+    return latest ? std::optional(latest->sentAt) : std::nullopt;
 }
 
 duration leaderTimeout(const replica &self, instant now)
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -258,14 +258,14 @@
 
 void control_task::publishLeadershipProof()
 {
-    const std::optional<instant> asOf = leadershipConfirmedAt(m_host.state());
-    if (!asOf || *asOf <= m_lastProofAt) {
+    const std::optional<confirmed_heartbeat> confirmed = confirmedHeartbeat(m_host.state());
+    if (!confirmed || confirmed->sentAt <= m_lastProofAt) {
         return;
     }
-    m_lastProofAt = *asOf;
-    answerConfirmedReads(*asOf);
-    const leadership_proof proof{m_host.state().currentTerm, m_host.state().heartbeatRound, m_accepted->atRevision,
-                                 *asOf};
+    m_lastProofAt = confirmed->sentAt;
+    answerConfirmedReads(confirmed->sentAt);
+    const leadership_proof proof{m_host.state().currentTerm, confirmed->round, m_accepted->atRevision,
+                                 confirmed->sentAt};
     logProvenRevision(proof);
     if (m_options.onLeadershipProof) {
         m_options.onLeadershipProof(proof);
--- a/src/daemon/control/control_task.h
+++ b/src/daemon/control/control_task.h
@@ -26,7 +26,7 @@
 /// Proof that this VM was the leader, confirmed by a quorum, at a point in time.
 struct leadership_proof {
     term leaderTerm; ///< Term of the leader.
-    std::uint64_t round = 0; ///< Number of the heartbeat round; increases within a term.
+    std::uint64_t round = 0; ///< Number of the heartbeat that a quorum answered; no two proofs of a term share one.
     revision accepted; ///< Highest accepted revision.
     instant asOf; ///< When the leader sent the heartbeat that a quorum answered.
 };
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -127,8 +127,10 @@
     run(message_received{{{7}, {2}, {1}, self.currentTerm, round, append_answer{true, {1}}}});
     BOOST_REQUIRE(leadershipConfirmedAt(self).has_value());
     BOOST_CHECK(*leadershipConfirmedAt(self) == first);
+    BOOST_TEST(confirmedHeartbeat(self)->round == round);
     confirmAll();
     BOOST_CHECK(*leadershipConfirmedAt(self) == now);
+    BOOST_TEST(confirmedHeartbeat(self)->round == round + 1);
 }
 
 BOOST_AUTO_TEST_CASE(removal_fewerVotersThanTarget_quorumAtRisk)
