Show a control VM as the leader once it holds what its predecessors accepted

What operators saw: on the operators' interface a new leader answered reads of the configuration, questions for confirmations and the status as the leader, with the configuration from before changes that had been acknowledged; a confirmation of an acknowledged revision was refused as unknown. The platform's reads wait for a quorum's answer and aren't concerned.

Cause: handle(status_requested) took the role for the state. A leader commits the records of its predecessors only with one of its own, and applies them afterwards.

Change: leader is true once a record of the leader's own term is committed and the state machine holds all committed records.

--- a/include/guavafront/coordination/replication/replica.h
+++ b/include/guavafront/coordination/replication/replica.h
@@ -297,6 +297,10 @@
 /// Returns the time at which the replica needs its next timer_fired event.
 instant nextDeadline(const replica &self);
 
+/// Returns whether the replica leads and has committed a record of its own term. Only then does it know that all
+/// records that earlier leaders committed are committed.
+bool hasCommittedOwnTerm(const replica &self);
+
 /// Heartbeat of a leader that a quorum has answered.
 struct confirmed_heartbeat {
     std::uint64_t round = 0; ///< Number of the heartbeat; increases within a term.
--- a/src/coordination/replication/step.cpp
+++ b/src/coordination/replication/step.cpp
@@ -239,9 +239,14 @@
     return self.role == replica_role::Leader ? self.heartbeatDue : self.electionDeadline;
 }
 
+bool hasCommittedOwnTerm(const replica &self)
+{
+    return self.role == replica_role::Leader && self.commitIndex >= self.termStartIndex;
+}
+
 std::optional<confirmed_heartbeat> confirmedHeartbeat(const replica &self)
 {
-    if (self.role != replica_role::Leader || self.commitIndex < self.termStartIndex) {
+    if (!hasCommittedOwnTerm(self)) {
         return std::nullopt;
     }
     std::vector<std::uint64_t> rounds;
--- a/src/daemon/control/control_message.h
+++ b/src/daemon/control/control_message.h
@@ -50,7 +50,8 @@
     std::shared_ptr<const configuration> accepted; ///< Highest accepted configuration known to this VM; never null.
 };
 
-/// Asks for the status as this VM knows it.
+/// Asks for the status as this VM knows it. A leader that was replaced may not know it yet; one that was just elected
+/// isn't shown as the leader before it holds all that its predecessors accepted.
 struct status_requested {
     std::function<void(const control_status &)> answer; ///< Called exactly once, on the control task's thread.
 };
--- a/src/daemon/control/control_task.cpp
+++ b/src/daemon/control/control_task.cpp
@@ -61,7 +61,7 @@
 void control_task::handle(const status_requested &message)
 {
     const replica &replica = m_host.state();
-    message.answer(makeStatus(replica.role == replica_role::Leader && isCurrent(replica, loop::now())));
+    message.answer(makeStatus(hasCommittedOwnTerm(replica) && isCurrent(replica, loop::now()) && m_host.isUpToDate()));
 }
 
 void control_task::handle(const confirmed_status_requested &message)
--- a/src/daemon/control/replica_host.cpp
+++ b/src/daemon/control/replica_host.cpp
@@ -86,6 +86,11 @@
     return m_replica;
 }
 
+bool replica_host::isUpToDate() const
+{
+    return m_appliedIndex >= m_replica.commitIndex;
+}
+
 void replica_host::flush()
 {
     try {
@@ -121,7 +126,7 @@
     m_callbacks.applied();
     if (!m_stateEffects.empty()) {
         m_applyTimer.arm(duration(0));
-    } else if (m_appliedIndex >= m_replica.commitIndex) { // Else flush() is due with records that were committed since.
+    } else if (isUpToDate()) { // Else flush() is due with records that were committed since.
         m_callbacks.flushed();
     }
 }
--- a/src/daemon/control/replica_host.h
+++ b/src/daemon/control/replica_host.h
@@ -53,6 +53,9 @@
     /// Present state of the replica.
     const replica &state() const;
 
+    /// Returns whether the state machine holds all records that the replica knows to be committed.
+    bool isUpToDate() const;
+
 private:
     void flush();
     void performBatch(std::vector<replica_effect> effects);
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -202,8 +202,8 @@
         return waitForAnswer(answer);
     }
 
-    /// Status of the leader after a quorum has confirmed it. Unlike statusOf(), which a new leader answers before it
-    /// has applied what was committed under its predecessor, it contains every acknowledged change.
+    /// Status of the leader after a quorum has confirmed it. Unlike statusOf(), which a leader answers that was
+    /// replaced but doesn't know it yet, it contains every acknowledged change.
     control_status confirmedStatus()
     {
         control_status status;
--- a/tests/control/newly_elected_leader_test.cpp
+++ b/tests/control/newly_elected_leader_test.cpp
@@ -1,3 +1,5 @@
+#include "control/control_cluster.h"
+
 #include "daemon/control/replica_host.h"
 
 #include <boost/test/unit_test.hpp>
@@ -159,4 +161,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against operators who read an older configuration than was acknowledged to them: a new leader answered before
+// it had committed and applied what its predecessor had acknowledged.
+BOOST_AUTO_TEST_CASE(status_leaderAfterRestart_holdsWhatWasAcknowledged)
+{
+    constexpr std::uint64_t restarts = 5;
+    control_cluster cluster(3);
+    cluster.waitUntil([&cluster] {
+        cluster.announceAll();
+        return voterCount(cluster.statusOf(cluster.waitForLeader()).members) == 3;
+    });
+    for (std::uint64_t id = 1; id <= restarts; ++id) {
+        const change_answer answer = cluster.submitToLeader(control_cluster::accountCreation(id, {id - 1}));
+        BOOST_REQUIRE(answer.code == result_code::Ok);
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            cluster.stop(vm);
+        }
+        for (std::size_t vm = 0; vm < 3; ++vm) {
+            cluster.start(vm);
+        }
+        control_status status;
+        while (!status.leader) {
+            for (std::size_t vm = 0; vm < 3 && !status.leader; ++vm) {
+                status = cluster.statusOf(vm);
+            }
+        }
+        BOOST_TEST(status.accepted->atRevision.value == id);
+    }
+}
+
 } // namespace guavafront
