--- a/src/daemon/peers/link_recovery.cpp
+++ b/src/daemon/peers/link_recovery.cpp
@@ -74,6 +74,7 @@
 
 void link_table::handleResumption(peer_link &link, const link_resumption &statement)
 {
+    const instant begin = loop::now();
     const vm_id peer = link.peer().id;
     const std::vector<peer_link *> links = m_ready[peer];
     for (peer_link *each : links) {
@@ -87,6 +88,7 @@
         link.sendResumption(*result.answer);
     }
     resend(link, result.resend);
+    m_counters.resuming += loop::now() - begin;
 }
 
 void link_table::resend(peer_link &link, std::span<const kept_message> messages)
--- a/src/daemon/peers/link_table.h
+++ b/src/daemon/peers/link_table.h
@@ -50,6 +50,7 @@
     std::uint64_t bytesReceived = 0; ///< Size of the received envelopes' bodies in bytes.
     std::uint64_t messagesDropped = 0; ///< Envelopes dropped because no link to their VM took them.
     std::uint64_t messagesResent = 0; ///< Envelopes sent again because they hadn't arrived when their link ended.
+    duration resuming{}; ///< Time spent on peers' statements about ended links, and on what is sent again for them.
     std::uint64_t recoveries = 0; ///< Times that a link went silent, or ended with messages that hadn't arrived.
 };
 
--- a/src/daemon/peers/peers_task.cpp
+++ b/src/daemon/peers/peers_task.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -21,15 +20,11 @@
 {
 
 constexpr duration tickPeriod = std::chrono::milliseconds(100);
-/// The task is said to have stood still when its tick is this late.
-constexpr duration noticedDelay = std::chrono::milliseconds(200);
 constexpr duration statisticsPeriod = std::chrono::seconds(1);
 /// Time for the leave messages to be sent before the loop stops.
 constexpr duration leaveSendTime = std::chrono::milliseconds(200);
 /// Requests of other tasks that are handled before urgent ones are looked for.
 constexpr std::size_t requestBatch = 32;
-/// Change of the alive share from which the fleet view is published again.
-constexpr double minShareChange = 0.05;
 /// Version of the body of membership and spread messages.
 constexpr std::uint8_t bodyVersion = 1;
 
@@ -66,7 +61,13 @@
     , m_random(systemSeededRandom())
     , m_links(owner, m_options.links,
               {.ready = [this](const peer_identity &peer) { recordSeedIdentity(peer); },
-               .received = [this](const peer_identity &from, envelope m) { receive(from, std::move(m)); },
+               .received =
+                   [this](const peer_identity &from, envelope message) {
+                       const instant begin = loop::now();
+                       const channel kind = message.kind;
+                       receive(from, std::move(message));
+                       m_work.addReceived(kind, begin);
+                   },
                .lost =
                    [](vm_id) {
                    }})
@@ -93,12 +94,14 @@
 
 void peers_task::dispatch(peers_message message)
 {
+    const instant begin = loop::now();
     try {
         std::visit([this](const auto &each) { handle(each); }, message);
     } catch (const coordination_error &error) {
         ++m_unhandledMessages;
         LOG(ERROR) << "request to the peers task refused: " << error.what();
     }
+    m_work.addRequest(begin);
 }
 
 void peers_task::handle(const send_to_vm &message)
@@ -308,23 +311,10 @@
     stepSpread(spread_peers_changed{std::move(peers)});
 }
 
-/// Logs and counts for how long this task handled other events than its timer.
-void peers_task::noteStandstill()
-{
-    const instant now = loop::now();
-    const duration late = m_tickDue == instant{} ? duration{} : now - m_tickDue;
-    m_tickDue = now + tickPeriod;
-    if (late < noticedDelay) {
-        return;
-    }
-    m_heldUp += late;
-    LOG(WARNING) << "peers: this task ran " << std::chrono::duration_cast<std::chrono::milliseconds>(late).count()
-                 << " ms late";
-}
-
 void peers_task::tick()
 {
-    noteStandstill();
+    noteStandstill(tickPeriod);
+    const instant begin = loop::now();
     m_tickTimer.arm(tickPeriod);
     stepMembership(membership_tick{});
     if (takeRenewal(m_beacon, loop::now())) {
@@ -336,61 +326,9 @@
     if (loop::now() >= m_nextStatistics) {
         m_nextStatistics = loop::now() + statisticsPeriod;
         publishStatistics();
+        logWork();
     }
-}
-
-void peers_task::publishView(bool always)
-{
-    const double share = aliveShare(m_membership, loop::now());
-    const bool changed = std::exchange(m_viewChanged, false) || std::abs(share - m_publishedShare) >= minShareChange;
-    if (!changed && !always) {
-        return;
-    }
-    m_publishedShare = share;
-    auto view = std::make_shared<fleet_view>();
-    view->live = liveMembers(m_membership);
-    view->missing = missingMembers(m_membership);
-    view->aliveShare = share;
-    view->fingerprint = viewFingerprint(m_membership);
-    for (const auto &watcher : m_options.watchers.views) {
-        watcher(view);
-    }
-}
-
-void peers_task::publishFreshness()
-{
-    if (m_beacon.newest == m_publishedBeacon.newest && m_beacon.issuedAfter == m_publishedBeacon.issuedAfter) {
-        return;
-    }
-    m_publishedBeacon = m_beacon;
-    for (const auto &watcher : m_options.watchers.freshness) {
-        watcher(m_beacon);
-    }
-}
-
-void peers_task::publishStatistics()
-{
-    const instant now = loop::now();
-    const peers_statistics statistics{.links = m_links.counters(),
-                                      .connectedPeers = m_links.connectedPeers().size(),
-                                      .liveVms = m_membership.aliveCount,
-                                      .missingVms = m_membership.missingCount,
-                                      .aliveShare = aliveShare(m_membership, now),
-                                      .spreadEntries = m_spread.entries.size(),
-                                      .beaconAge = beaconAge(m_beacon, now),
-                                      .unhandledMessages = m_unhandledMessages,
-                                      .heldUp = m_heldUp};
-    for (const auto &watcher : m_options.watchers.statistics) {
-        watcher(statistics);
-    }
-}
-
-void peers_task::publishEntry(const spread_entry &entry)
-{
-    const auto [first, last] = m_options.watchers.entries.equal_range(entry.key.topic);
-    for (auto watcher = first; watcher != last; ++watcher) {
-        watcher->second(entry);
-    }
+    m_work.addTick(begin);
 }
 
 void peers_task::stop()
--- a/src/daemon/peers/peers_task.h
+++ b/src/daemon/peers/peers_task.h
@@ -2,6 +2,7 @@
 
 #include "daemon/peers/peers_message.h"
 #include "daemon/peers/peers_options.h"
+#include "daemon/peers/work_times.h"
 #include "runtime/mailbox.h"
 
 #include <optional>
@@ -55,7 +56,8 @@
     void applyMemberChange(const member_record &record);
     void updateSpreadPeers();
     void tick();
-    void noteStandstill();
+    void noteStandstill(duration period);
+    void logWork();
     void publishView(bool always);
     void publishFreshness();
     void publishStatistics();
@@ -77,6 +79,9 @@
     instant m_tickDue; ///< Time at which tick() is due; the epoch before its first call.
     duration m_heldUp{}; ///< Counter for peers_statistics::heldUp.
     instant m_nextStatistics; ///< Time of the next publication of statistics.
+    work_times m_work; ///< What this task spent its time on since the last logWork().
+    bool m_wasLate = false; ///< The timer ran late since the last logWork().
+    link_counters m_loggedLinks; ///< Counters of links at the last logWork().
     timer m_tickTimer; ///< Runs tick() every tickPeriod.
     timer m_stopDelay; ///< Stops the loop once the leave messages have had time to be sent.
     mailbox_attachment<peers_message> m_urgentInbox; ///< Delivers urgent requests to dispatch().
