Let a link wait as long as its peer's handshake shows that answers take

Cause: a new link took an answer for overdue after 0.4 s, whatever the peer had needed for its handshake, and a VM that was itself late to read took answers for overdue that had come. A replaced link forgot both. A recovery that adds load to what is overloaded: a feedback without an end.

Change: the first usual answer time is the time that the handshake's answers took; a VM whose timer is 0.1 s late reads for 0.4 s more, once a question. Limits (0.4 to 1.5 s) stay as they are.

Tests: link_peerLateToAnswer_replacedOnceAtMost had 17 links in 10 s before (2 allowed), three of link_delivery_test didn't compile.

--- a/include/guavafront/coordination/links/link_delivery.h
+++ b/include/guavafront/coordination/links/link_delivery.h
@@ -48,9 +48,17 @@
     std::size_t bytesAsked = 0; ///< Bytes that the answer to the open question has to wait for.
     instant lastQuestion{}; ///< Time of the last question.
     instant questionDue = instant::max(); ///< Time of the next question, if none is open.
+    bool isExtended = false; ///< The open question was given more time by extendAnswerTime().
     duration answerTime{}; ///< Smoothed time that answers take.
 };
 
+/// Time that the first answer is expected to take, from the link's handshake. A peer that is late then is late to
+/// answer, too.
+void expectAnswerTime(link_delivery &state, duration expected);
+
+/// Gives an overdue answer minAnswerTime more, once: this VM was late to look, and the answer may wait to be read.
+void extendAnswerTime(link_delivery &state, instant now);
+
 /// Counts and keeps a message that is being sent.
 void keepSent(link_delivery &state, std::vector<std::byte> bytes, delivery_urgency urgency, instant now);
 
--- a/src/coordination/links/link_delivery.cpp
+++ b/src/coordination/links/link_delivery.cpp
@@ -28,6 +28,18 @@
 
 } // namespace
 
+void expectAnswerTime(link_delivery &state, duration expected)
+{
+    state.answerTime = expected;
+}
+
+void extendAnswerTime(link_delivery &state, instant now)
+{
+    if (isSilent(state, now) && !std::exchange(state.isExtended, true)) {
+        state.askedAt = now - answerLimit(state) + state.minAnswerTime;
+    }
+}
+
 void keepSent(link_delivery &state, std::vector<std::byte> bytes, delivery_urgency urgency, instant now)
 {
     state.keptBytes += bytes.size();
@@ -58,6 +70,7 @@
         return std::nullopt;
     }
     state.askedAt = now;
+    state.isExtended = false;
     state.bytesAsked = state.keptBytes + std::exchange(state.unkeptBytes, 0);
     state.lastQuestion = now;
     state.questionDue = instant::max();
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -42,6 +42,11 @@
 
 /// Version of the control envelope that carries a statement on an ended link.
 constexpr std::uint8_t resumptionVersion = 2;
+/// Answers of the peer's process that each end waits for until the link is ready: of the WebSocket session and of the
+/// handshake.
+constexpr int handshakeRounds = 2;
+/// A timer that is later than this shows that the loop was busy, and may have answers yet to read.
+constexpr duration noticedDelay = std::chrono::milliseconds(100);
 /// Time between two reports that a link is silent.
 constexpr duration silentReportPeriod = std::chrono::milliseconds(400);
 
@@ -80,7 +85,8 @@
     , m_socket(socket)
     , m_events(std::move(events))
     , m_timer(owner, [this] { handleTimer(); })
-    , m_lastReceived(loop::now())
+    , m_startedAt(loop::now())
+    , m_lastReceived(m_startedAt)
     , m_lastUsed(m_lastReceived)
 {
     m_handshake = role == websocket_role::Client ? beginAsInitiator(options.self, makeNonce())
@@ -315,6 +321,7 @@
 void peer_link::finishHandshake()
 {
     m_resumable = m_session->peerResumesLinks();
+    expectAnswerTime(m_delivery, (loop::now() - m_startedAt) / handshakeRounds);
     m_nextKeepalive = loop::now() + m_options.limits.keepalivePeriod;
     armTimer();
     m_events.ready(m_handshake.peer);
@@ -353,8 +360,8 @@
         close(link_end::HandshakeTimeout);
         return;
     }
-    m_armedFor = instant::max();
     const instant now = loop::now();
+    noteDelay(std::exchange(m_armedFor, instant::max()), now);
     if (now >= m_nextKeepalive) {
         const duration silence = now - m_lastReceived;
         if (silence >= m_options.limits.silenceLimit) {
@@ -371,10 +378,20 @@
     checkDelivery();
 }
 
+/// Gives the peer's answer more time if this VM is late for what was due.
+void peer_link::noteDelay(instant due, instant now)
+{
+    if (now - due > noticedDelay) {
+        extendAnswerTime(m_delivery, now);
+    }
+}
+
 /// Sends the question that is due, or reports that the answer is overdue.
 void peer_link::checkDelivery()
 {
-    if (const std::optional<std::uint64_t> number = takeQuestion(m_delivery, loop::now())) {
+    const instant now = loop::now();
+    noteDelay(m_armedFor, now);
+    if (const std::optional<std::uint64_t> number = takeQuestion(m_delivery, now)) {
         m_session->ping(std::to_string(*number));
     } else if (isSilent()) {
         m_events.silent();
--- a/tests/links/link_delivery_test.cpp
+++ b/tests/links/link_delivery_test.cpp
@@ -141,6 +141,38 @@
     BOOST_TEST(state.kept.back().number == 100U);
 }
 
+BOOST_AUTO_TEST_CASE(answer_handshakeTookLong_limitFollowsIt)
+{
+    expectAnswerTime(state, milliseconds(250));
+    send();
+    takeQuestion(state, now);
+    BOOST_TEST(!isSilent(state, now + milliseconds(990)));
+    BOOST_TEST(isSilent(state, now + milliseconds(1'010)));
+}
+
+BOOST_AUTO_TEST_CASE(answer_handshakeWasQuick_limitIsTheLeast)
+{
+    expectAnswerTime(state, milliseconds(4));
+    send();
+    takeQuestion(state, now);
+    BOOST_TEST(!isSilent(state, now + milliseconds(390)));
+    BOOST_TEST(isSilent(state, now + milliseconds(410)));
+}
+
+// Guards against a link that is replaced since this VM was late to read the answer.
+BOOST_AUTO_TEST_CASE(answer_overdueWhenThisVmStoodStill_waitedForOnceMore)
+{
+    send();
+    takeQuestion(state, now);
+    now += std::chrono::seconds(2);
+    extendAnswerTime(state, now);
+    BOOST_TEST(!isSilent(state, now + milliseconds(390)));
+    now += milliseconds(410);
+    BOOST_TEST(isSilent(state, now));
+    extendAnswerTime(state, now);
+    BOOST_TEST(isSilent(state, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavafront
--- a/tests/wire/link_silence_test.cpp
+++ b/tests/wire/link_silence_test.cpp
@@ -205,6 +205,26 @@
     BOOST_TEST(first.received == (std::vector<unsigned>{101, 102, 103}), boost::test_tools::per_element());
 }
 
+// Guards against links to a VM that is late to answer, which are replaced again and again and make it later.
+BOOST_AUTO_TEST_CASE(link_peerLateToAnswer_replacedOnceAtMost)
+{
+    first.relay->delay(std::chrono::milliseconds(300));
+    second.relay->delay(std::chrono::milliseconds(300));
+    first.relay->reset();
+    second.relay->reset();
+    wait(std::chrono::milliseconds(100));
+    const std::uint64_t before = first.links->counters().ready;
+    const instant end = loop::now() + std::chrono::seconds(8);
+    unsigned sent = 0;
+    while (loop::now() < end) {
+        send(first, 2, ++sent);
+        wait(std::chrono::milliseconds(100));
+    }
+    wait(std::chrono::seconds(2));
+    BOOST_TEST(first.links->counters().ready - before <= 2U);
+    BOOST_TEST(second.received.size() == sent);
+}
+
 BOOST_AUTO_TEST_CASE(links_silentWhileNothingIsSent_replacedBeforeTheNextMessage)
 {
     silenceAll(direction::Both);
