Hold departures back from VMs that confirm nothing

Cause: what a VM didn't confirm was sent to it again as a whole every 2 s, and each new departure by itself, whether the VM answered or not. Links keep what they send into a cut and send it again afterwards, one message after the other, while the departures task went on repeating what hadn't been confirmed since the control VMs had no processor time left to read the confirmations: 665,928 entries told after the cut, 86,924 of them new. At-least-once repetition on top of a transport that repeats as well.

Change: a VM that confirms nothing for 0.4 s is sent a single departure now and then; its next confirmation brings the rest in messages of 64. Messages are numbered, so that a confirmation shows which earlier ones are lost; a repeated departure keeps the number of its first message, since the confirmation may be for that one.

--- a/include/guavafront/coordination/departures/departures.h
+++ b/include/guavafront/coordination/departures/departures.h
@@ -24,10 +24,10 @@
     /// A control VM that hasn't confirmed a departure by then is taken to be held up: the VM that was told it passes it
     /// on in its place.
     duration receiptTime = std::chrono::milliseconds(200);
-    /// A VM that hasn't confirmed the departures passed on to it is sent them again after this time, then after twice
-    /// as long each time. Two repetitions fit into the two seconds for which instances go on taking requests.
+    /// A VM that has confirmed nothing for this time is sent a single departure, then again after twice as long each
+    /// time. Two of them fit into the two seconds for which instances go on taking requests.
     duration repeatFirst = std::chrono::milliseconds(400);
-    /// Longest time between two repetitions, so that a VM that comes back is told within seconds.
+    /// Longest time between two of them, so that a VM that comes back is told within seconds.
     duration repeatLongest = std::chrono::seconds(2);
     /// Time for which a departure is passed on to VMs that come within reach; as long as an announcement's lease.
     duration retention = std::chrono::seconds(60);
@@ -59,14 +59,21 @@
 /// A departure that was passed on to a VM.
 struct undelivered_departure {
     departure what; ///< The departure.
-    instant since{}; ///< When it was first passed on to the VM.
+    instant since{}; ///< When it was first to be passed on to the VM.
+    std::uint64_t message = 0; ///< Number of the first message to the VM that had it and isn't known to be lost; 0 if
+                               ///< none had.
 };
 
-/// Departures that were passed on to a VM, which hasn't confirmed them.
+/// Departures that a VM hasn't confirmed. Links keep what they send to a VM that is cut off and send it again later, so
+/// that a VM that confirms nothing is sent no more than one departure now and then. Messages arrive in the order in
+/// which they were sent, and are confirmed whole: what is in a confirmed one, or in one before it, and isn't confirmed
+/// is lost.
 struct departure_delivery {
     std::map<std::uint64_t, undelivered_departure> unconfirmed; ///< The departures, by fingerprint.
+    std::uint64_t lastMessage = 0; ///< Number of the last message.
+    bool isProbing = false; ///< The VM has confirmed nothing for repeatFirst.
     duration pause{}; ///< Time from the last to the next repetition.
-    instant nextRepeat{}; ///< When they are passed on again.
+    instant nextRepeat{}; ///< When a departure is sent again.
 };
 
 /// Departures at a control VM. One that an instance tells this VM is acknowledged once a majority of the voting control
@@ -186,11 +193,12 @@
     std::size_t departures = 0; ///< Number of departures.
 };
 
-/// Effect: a VM hasn't confirmed departures in time, so that they are passed on to it once more.
+/// Effect: departures are passed on to a VM once more.
 struct repeat_departures {
     vm_id to; ///< VM that gets them.
-    std::size_t departures = 0; ///< Number of departures.
-    duration waited{}; ///< Time since the first of them was passed on.
+    std::size_t departures = 0; ///< Number of departures in the message or messages.
+    std::size_t unconfirmed = 0; ///< Number of departures that it hasn't confirmed.
+    duration waited{}; ///< Time since the first of these was to be passed on.
 };
 
 /// Effect: a message is to be sent to other VMs.
--- a/src/coordination/departures/departure_steps.h
+++ b/src/coordination/departures/departure_steps.h
@@ -27,14 +27,14 @@
     }
 }
 
-/// Passes departures on to VMs, and again to those that don't confirm them.
+/// Passes departures on to VMs until they confirm them. VMs that confirm nothing get them once they do again.
 void deliver(departure_step &context, std::span<const vm_id> to, std::span<const departure> departures);
 
-/// Notes that a VM has confirmed departures.
-void confirmDelivery(departure_table &state, vm_id from, std::span<const std::uint64_t> fingerprints);
+/// Notes that a VM has confirmed departures, and sends it those that are known to be lost or were held back.
+void confirmDelivery(departure_step &context, vm_id from, std::span<const std::uint64_t> fingerprints);
 
-/// Passes departures on once more to the VMs that haven't confirmed them in time. Forgets the deliveries to VMs that
-/// aren't live any more, and those that are older than the retention.
+/// Sends one departure to each VM that has confirmed nothing in time. Forgets the deliveries to VMs that aren't live
+/// any more, and those that are older than the retention.
 void repeatDeliveries(departure_step &context);
 
 /// When repeatDeliveries() is due; the end of time if it isn't.
--- a/src/coordination/departures/departures.cpp
+++ b/src/coordination/departures/departures.cpp
@@ -174,7 +174,7 @@
 
 void receive(departure_step &context, vm_id from, const departures_confirmed &message)
 {
-    confirmDelivery(context.state, from, message.fingerprints);
+    confirmDelivery(context, from, message.fingerprints);
 }
 
 void handle(departure_step &context, const departure_message_received &event)
--- a/src/daemon/departures/departures_task.cpp
+++ b/src/daemon/departures/departures_task.cpp
@@ -105,8 +105,8 @@
 void departures_task::perform(const repeat_departures &effect)
 {
     const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(effect.waited).count();
-    LOG(WARNING) << effect.departures << " departures told to VM " << std::hex << effect.to.value << std::dec
-                 << " again: not confirmed for " << waitedMs << " ms";
+    LOG(WARNING) << effect.departures << " of " << effect.unconfirmed << " departures told to VM " << std::hex
+                 << effect.to.value << std::dec << " again: not confirmed for " << waitedMs << " ms";
     m_counters.countRepeatedDepartures(effect.departures);
 }
 
--- a/tests/departures/departures_test.cpp
+++ b/tests/departures/departures_test.cpp
@@ -237,6 +237,68 @@
     BOOST_TEST(heard.empty());
 }
 
+// Guards against repetitions that pile up on the links to a VM that is cut off.
+BOOST_AUTO_TEST_CASE(departures_entryVmConfirmsNothing_toldOneNowAndThenAndTheRestOnceItConfirms)
+{
+    constexpr std::uint64_t count = 200;
+    silent = {{10}};
+    for (std::uint64_t number = 0; number < count; ++number) {
+        run({1}, departure_told{number, {.name = "n-" + std::to_string(number), .processStartMs = 1'000}});
+        pass(50ms);
+    }
+    BOOST_TEST(heard[{10}] < count / 5);
+    silent.clear();
+    pass(2s);
+    BOOST_TEST(heard[{10}] >= count);
+    for (const auto &[id, state] : controls) {
+        BOOST_TEST(state.deliveries.empty());
+    }
+}
+
+// Guards against a confirmation of an earlier message that is taken for one of a repetition.
+BOOST_AUTO_TEST_CASE(departures_confirmedLateAndOneByOne_noneToldTwice)
+{
+    constexpr std::uint64_t count = 3 * maxDeparturesPerMessage;
+    departure_table home{.self = {1}, .voters = {{1}}};
+    std::vector<departure_effect> effects;
+    step(home, departure_vms_changed{{{.id = {10}, .dataCentre = "1", .isControl = false}}}, now, effects);
+    for (std::uint64_t number = 0; number < count; ++number) {
+        step(home, departure_told{number, {.name = "n-" + std::to_string(number), .processStartMs = 1}}, now, effects);
+    }
+    step(home, departure_time_passed{}, now += 20ms, effects);
+    std::vector<departures_confirmed> confirmations;
+    for (const departure_effect &each : effects) {
+        if (const auto *sent = std::get_if<send_departures>(&each)) {
+            confirmations.push_back(confirmationOf(std::get<departures_passed_on>(sent->message)));
+        }
+    }
+    BOOST_TEST(confirmations.size() == 3U);
+    effects.clear();
+    step(home, departure_time_passed{}, now += 400ms, effects);
+    BOOST_TEST(effects.size() == 2U); // One departure, told again, and its log line.
+    effects.clear();
+    for (const departures_confirmed &each : confirmations) {
+        step(home, departure_message_received{{10}, each}, now += 1ms, effects);
+    }
+    BOOST_TEST(effects.empty());
+    BOOST_TEST(home.deliveries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(departure_messageLostBeforeALaterOne_sentAgainOnceThatIsConfirmed)
+{
+    lost = {{10}};
+    run({1}, departure_told{1, leaving});
+    pass(100ms);
+    BOOST_TEST(!heard.contains({10}));
+    lost.clear();
+    run({1}, departure_told{2, {.name = "i-2", .processStartMs = 1'000}});
+    pass(100ms);
+    BOOST_TEST(heard[{10}] >= 4U); // Two departures from each of its homes.
+    for (const auto &[id, state] : controls) {
+        BOOST_TEST(state.deliveries.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(departure_entryVmHeldDead_notToldAgain)
 {
     lost = {{10}};
