Measure a link's handshake from the established connection

A connection that is opened while its path is cut waits for the retransmission of its first packets, which says nothing of the peer's process: by its link would have waited up to 1.5 s for its first answers, though the peer is quick, so that a path that goes silent soon after would show later. All cases of link_silence_test pass.

--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -85,8 +85,7 @@
     , m_socket(socket)
     , m_events(std::move(events))
     , m_timer(owner, [this] { handleTimer(); })
-    , m_startedAt(loop::now())
-    , m_lastReceived(m_startedAt)
+    , m_lastReceived(loop::now())
     , m_lastUsed(m_lastReceived)
 {
     m_handshake = role == websocket_role::Client ? beginAsInitiator(options.self, makeNonce())
@@ -259,6 +258,7 @@
 void peer_link::handleConnected()
 {
     m_connected = true;
+    m_connectedAt = loop::now();
     m_session->start();
 }
 
@@ -321,7 +321,7 @@
 void peer_link::finishHandshake()
 {
     m_resumable = m_session->peerResumesLinks();
-    expectAnswerTime(m_delivery, (loop::now() - m_startedAt) / handshakeRounds);
+    expectAnswerTime(m_delivery, (loop::now() - m_connectedAt) / handshakeRounds);
     m_nextKeepalive = loop::now() + m_options.limits.keepalivePeriod;
     armTimer();
     m_events.ready(m_handshake.peer);
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -154,7 +154,7 @@
     timer m_timer; ///< Fires at the end of handshakeLimit, then when a question or check is due.
     bool m_resumable = false; ///< Whether both ends can resume the link; known once it is ready.
     link_delivery m_delivery; ///< Messages that may not have arrived; used if the link is resumable.
-    instant m_startedAt; ///< Time of the link's creation.
+    instant m_connectedAt; ///< Time at which the connection was established.
     instant m_nextKeepalive; ///< Time of the next check for silence.
     instant m_armedFor; ///< Time for which m_timer is armed.
     instant m_lastReceived; ///< Time of the last bytes from the peer.
